--- /dev/null
+++ b/include/ospreyspur/Config/ConfigDocument.h
@@ -0,0 +1,95 @@
+//===- ConfigDocument.h - what operators configure --------------*- C++ -*-===//
+//
+// The one document that holds workspaces, services, groups and events with
+// their labels, and the latest audit entries. It lives under one key of the
+// platform's service, so that a change and its audit entry are stored together
+// or not at all.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_CONFIG_CONFIGDOCUMENT_H
+#define OSPREYSPUR_CONFIG_CONFIGDOCUMENT_H
+
+#include "ospreyspur/Routing/RoutingSnapshot.h"
+#include "ospreyspur/Support/Result.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ospreyspur {
+
+/// The platform's keys that the control side follows.
+inline constexpr std::string_view ConfigKey = "ospreyspur/config";
+inline constexpr std::string_view HostsKey = "platform/hosts";
+
+/// Largest document that is accepted; the platform's values end at 1 MB.
+inline constexpr std::size_t MaxConfigBytes = 900U << 10U;
+/// Audit entries kept in the document.
+inline constexpr std::size_t MaxAuditEntries = 64;
+
+using Labels = std::map<std::string, std::string>;
+
+/// A workspace's configuration.
+struct WorkspaceConfig {
+  /// SHA-256 of its bearer key, in hex.
+  std::string KeyHash;
+  std::uint32_t Weight = 1;
+  Labels OwnLabels;
+};
+
+/// A service's configuration.
+struct ServiceConfig {
+  ServiceKind Kind = ServiceKind::Plain;
+  bool IsRepeatable = false;
+  Labels OwnLabels;
+};
+
+/// An announced moment and what it covers.
+struct EventConfig {
+  /// Seconds since 1970, UTC.
+  std::int64_t StartUnix = 0;
+  std::uint32_t DurationSeconds = 0;
+  /// Selects workspaces; see docs/API.md for the grammar.
+  std::string Selector;
+  /// Added to the priority of the workspaces that it covers.
+  std::uint32_t Priority = 1;
+  Labels OwnLabels;
+};
+
+/// One accepted change.
+struct AuditEntry {
+  std::int64_t AtUnix = 0;
+  std::string Operator;
+  std::string ChangeId;
+  std::string Change;
+};
+
+/// The whole configuration.
+struct ConfigDocument {
+  std::map<std::string, WorkspaceConfig> Workspaces;
+  std::map<std::string, ServiceConfig> Services;
+  std::map<std::string, Labels> Groups;
+  std::map<std::string, EventConfig> Events;
+  std::vector<AuditEntry> Audit;
+};
+
+/// Reads a document. Errors: ConfigInvalid with the place, ConfigTooLarge.
+Result<ConfigDocument> parseConfig(std::string_view text);
+
+/// \p document as JSON; parseConfig() reads it back.
+std::string formatConfig(const ConfigDocument &document);
+
+/// Reads the platform's host list into the endpoints of \p snapshot. Errors:
+/// PlatformBadAnswer.
+Result<std::vector<EndpointView>> parseHosts(std::string_view text);
+
+/// What traffic threads need of \p document and \p endpoints.
+RoutingSnapshot makeSnapshot(const ConfigDocument &document,
+                             const std::vector<EndpointView> &endpoints);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_CONFIG_CONFIGDOCUMENT_H
--- /dev/null
+++ b/include/ospreyspur/Config/Settings.h
@@ -0,0 +1,63 @@
+//===- Settings.h - the settings of each role -------------------*- C++ -*-===//
+//
+// Typed settings, read once at start from an INI file. What operators change at
+// run time is in the configuration document instead.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_CONFIG_SETTINGS_H
+#define OSPREYSPUR_CONFIG_SETTINGS_H
+
+#include "ospreyspur/Routing/AgentNode.h"
+#include "ospreyspur/Routing/EntryNode.h"
+
+#include <string>
+
+namespace ospreyspur {
+
+class SettingsReader;
+
+/// What both roles need.
+struct CommonSettings {
+  std::string DataCentre;
+  /// The platform's key-value service.
+  std::string PlatformAddress;
+  /// Admin API and metrics.
+  std::string AdminListen;
+  /// SHA-256 of the first operator's token, in hex; empty: none.
+  std::string AdminTokenHash;
+  /// How long a planned stop waits for requests in flight.
+  Duration StopLimit{};
+};
+
+/// Settings of `ospreyspur entry`.
+struct EntrySettings {
+  CommonSettings Common;
+  std::string Listen;
+  Duration DefaultDeadline{};
+  EntryLimits Limits;
+};
+
+/// Settings of `ospreyspur agent`.
+struct AgentSettings {
+  CommonSettings Common;
+  std::string EndpointName;
+  /// For entries and other agents.
+  std::string Listen;
+  /// The endpoint's HTTP address.
+  std::string EndpointAddress;
+  /// The group that the endpoint is a rank of; empty for none.
+  std::string Group;
+  Duration EndpointIdle{};
+  AgentLimits Limits;
+};
+
+/// Reads an entry's settings; faults are in \p reader afterwards.
+EntrySettings readEntrySettings(SettingsReader &reader);
+
+/// Reads an agent's settings; faults are in \p reader afterwards.
+AgentSettings readAgentSettings(SettingsReader &reader);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_CONFIG_SETTINGS_H
--- /dev/null
+++ b/include/ospreyspur/Experts/GroupMessages.h
@@ -0,0 +1,91 @@
+//===- GroupMessages.h - messages of a group's map changes ------*- C++ -*-===//
+//
+// The orders and replies by which a group's agents change the expert map. Every
+// order names the coordinator's epoch and the attempt that it belongs to.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_GROUPMESSAGES_H
+#define OSPREYSPUR_EXPERTS_GROUPMESSAGES_H
+
+#include "ospreyspur/Support/Ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace ospreyspur {
+
+/// The revision of the coordinator's lease record; a later holder's is higher.
+using Epoch = StrongType<struct EpochTag, std::uint64_t>;
+/// Counts how often the group was formed anew; steps count within one.
+using Generation = StrongType<struct GenerationTag, std::uint64_t>;
+/// Numbers the tries to change the map; set by compare-and-swap, never reused.
+using ChangeAttempt = StrongType<struct ChangeAttemptTag, std::uint64_t>;
+/// Numbers the group's expert maps.
+using MapVersion = StrongType<struct MapVersionTag, std::uint64_t>;
+/// Numbers the lock-step group's steps within a generation.
+using StepNumber = StrongType<struct StepNumberTag, std::uint64_t>;
+
+/// What a GroupOrder asks for.
+enum class GroupOrderKind : std::uint8_t {
+  /// Join a new generation with the given map.
+  Join,
+  /// Load the map's weights into spare slots.
+  Load,
+  /// Promise not to start the step before the attempt's outcome is known.
+  Arm,
+  /// Say whether you armed for the attempt; if not, never do so.
+  Ask,
+  /// The attempt is committed: every member had armed.
+  Commit,
+  /// The attempt is aborted: some member had refused.
+  Abort,
+  /// Report your state.
+  Report,
+};
+
+/// An order, or a question, about a group's map.
+struct GroupOrder {
+  GroupId Group;
+  Epoch CoordinatorEpoch;
+  Generation GroupGeneration;
+  ChangeAttempt Attempt;
+  MapVersion Version;
+  StepNumber Step;
+  GroupOrderKind Kind = GroupOrderKind::Report;
+  EndpointId Sender;
+  /// The encoded map, for Join and Load.
+  std::string Map;
+};
+
+/// What a GroupReply says.
+enum class GroupReplyKind : std::uint8_t {
+  Joined,
+  Loaded,
+  LoadFailed,
+  Armed,
+  /// Never armed for the attempt and never will be.
+  Refused,
+  /// The attempt is known to be committed.
+  Committed,
+  /// Only reports generation, running version and step.
+  State,
+  /// The order's epoch is lower than one seen.
+  Fenced,
+};
+
+/// A member's answer.
+struct GroupReply {
+  GroupId Group;
+  EndpointId Member;
+  Epoch CoordinatorEpoch;
+  Generation GroupGeneration;
+  ChangeAttempt Attempt;
+  MapVersion Version;
+  StepNumber Step;
+  GroupReplyKind Kind = GroupReplyKind::State;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_GROUPMESSAGES_H
--- /dev/null
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -0,0 +1,71 @@
+//===- HttpClient.h - HTTP requests to one address --------------*- C++ -*-===//
+//
+// Two ways to ask: call() on kept connections for short exchanges that the
+// caller can repeat or settle, and run() on a connection of its own for
+// requests whose fate matters: only there can "never sent" be told from "lost".
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_HTTP_HTTPCLIENT_H
+#define OSPREYSPUR_HTTP_HTTPCLIENT_H
+
+#include "ospreyspur/Http/HttpTypes.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace ospreyspur {
+
+/// Receives a streamed answer.
+struct HttpSink {
+  std::function<void(unsigned status, std::string contentType)> OnHead;
+  std::function<void(std::string_view data)> OnData;
+};
+
+/// Stops a run() early.
+class HttpRunHandle {
+public:
+  /// Closes the connection; run() returns soon after.
+  void stop();
+
+private:
+  friend class HttpClient;
+  boost::beast::tcp_stream *Stream = nullptr;
+  bool IsStopped = false;
+};
+
+/// A client of one server.
+class HttpClient {
+public:
+  HttpClient(boost::asio::io_context &ioc, TcpAddress server);
+
+  /// Sends \p request and reads the whole answer. Errors: PlatformRefused (the
+  /// request was not sent) or PlatformTimeout (it may have arrived).
+  boost::asio::awaitable<Result<HttpResponse>> call(HttpRequest request,
+                                                    Duration timeout);
+
+  /// Sends \p request on a connection of its own and streams the answer into
+  /// \p sink. Ok if the answer came whole; EndpointUnreachable if the
+  /// connection was never made; EndpointFailed otherwise. \p idle bounds each
+  /// wait.
+  boost::asio::awaitable<ResultCode> run(HttpRequest request, HttpSink sink,
+                                         std::shared_ptr<HttpRunHandle> handle,
+                                         Duration idle);
+
+private:
+  using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+
+  boost::asio::io_context &Context;
+  TcpAddress Server;
+  std::vector<Stream> Idle;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_HTTP_HTTPCLIENT_H
--- /dev/null
+++ b/include/ospreyspur/Http/HttpExchange.h
@@ -0,0 +1,65 @@
+//===- HttpExchange.h - one request and its answer --------------*- C++ -*-===//
+//
+// What a request handler of HttpServer works on: the request, and the ways to
+// answer it, whole or piece by piece.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_HTTP_HTTPEXCHANGE_H
+#define OSPREYSPUR_HTTP_HTTPEXCHANGE_H
+
+#include "ospreyspur/Http/HttpTypes.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace ospreyspur {
+
+/// One request on a connection. Functions that write return false once the
+/// client is gone.
+class HttpExchange {
+public:
+  HttpExchange(boost::beast::tcp_stream &stream, const HttpRequest &request,
+               const HttpLimits &limits);
+
+  /// The request, with its whole body.
+  const HttpRequest &request() const { return Request; }
+
+  /// The value of header \p name, empty if absent.
+  std::string header(std::string_view name) const;
+
+  /// Answers with a whole response.
+  boost::asio::awaitable<bool> respond(HttpResponse response);
+
+  /// Answers with \p body; \p contentType as in the header.
+  boost::asio::awaitable<bool>
+  respond(unsigned status, std::string_view contentType, std::string body);
+
+  /// Begins an answer whose length is not known.
+  boost::asio::awaitable<bool> beginStream(unsigned status,
+                                           std::string_view contentType);
+  /// Adds to a streamed answer.
+  boost::asio::awaitable<bool> writeStream(std::string data);
+  /// Ends a streamed answer as whole.
+  boost::asio::awaitable<bool> endStream();
+  /// Makes the connection close without ending the answer, so that the client
+  /// sees it as cut.
+  void cut() { MustClose = true; }
+
+  bool mustClose() const { return MustClose; }
+  bool hasBegun() const { return HasBegun; }
+
+private:
+  boost::beast::tcp_stream &Stream;
+  const HttpRequest &Request;
+  const HttpLimits &Limits;
+  bool HasBegun = false;
+  bool MustClose = false;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_HTTP_HTTPEXCHANGE_H
--- /dev/null
+++ b/include/ospreyspur/Http/HttpTypes.h
@@ -0,0 +1,36 @@
+//===- HttpTypes.h - HTTP vocabulary shared by both sides -------*- C++ -*-===//
+//
+// Aliases for the Beast types in use, and limits.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_HTTP_HTTPTYPES_H
+#define OSPREYSPUR_HTTP_HTTPTYPES_H
+
+#include "ospreyspur/Support/Address.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace ospreyspur {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Bounds on what a client may send.
+struct HttpLimits {
+  std::size_t MaxHeaderBytes = 16U << 10U;
+  std::size_t MaxBodyBytes = 1U << 20U;
+  std::size_t MaxConnections = 4096;
+  /// Time to send a whole request, from the first byte waited for.
+  Duration ReadTimeout = std::chrono::seconds(15);
+  /// Time for a client to take what is written to it.
+  Duration WriteTimeout = std::chrono::seconds(10);
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_HTTP_HTTPTYPES_H
--- /dev/null
+++ b/include/ospreyspur/Process/AdminServer.h
@@ -0,0 +1,43 @@
+//===- AdminServer.h - status, metrics and configuration --------*- C++ -*-===//
+//
+// The admin port of a process: who asks must hold a token, except for liveness
+// and readiness.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_ADMINSERVER_H
+#define OSPREYSPUR_PROCESS_ADMINSERVER_H
+
+#include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Control/ControlPlane.h"
+#include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Support/Metrics.h"
+
+#include <functional>
+#include <string>
+
+namespace ospreyspur {
+
+/// Serves the admin API of one process on its control thread.
+class AdminServer {
+public:
+  AdminServer(boost::asio::io_context &ioc, const CommonSettings &settings,
+              ControlPlane &control, Metrics &metrics);
+
+  /// Begins to accept. Errors: SettingInvalid.
+  Result<void> start();
+
+private:
+  boost::asio::awaitable<void> handle(HttpExchange &exchange);
+  bool isAllowed(const HttpExchange &exchange) const;
+  std::string statusText() const;
+
+  const CommonSettings &Settings;
+  ControlPlane &Control;
+  Metrics &Measures;
+  HttpServer Server;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_ADMINSERVER_H
--- /dev/null
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -0,0 +1,75 @@
+//===- AgentTraffic.h - the agent's traffic thread --------------*- C++ -*-===//
+//
+// The shell around AgentNode: links from entries, requests to the endpoint and
+// the timer. All of it runs on the thread of one io_context.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_AGENTTRAFFIC_H
+#define OSPREYSPUR_PROCESS_AGENTTRAFFIC_H
+
+#include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Http/HttpClient.h"
+#include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Rpc/PeerServer.h"
+#include "ospreyspur/Support/Metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace ospreyspur {
+
+/// The traffic side of an agent process.
+class AgentTraffic {
+public:
+  /// Takes the messages that belong to the group's side; called on the traffic
+  /// thread.
+  using GroupHandler = std::function<void(LinkId, const Message &)>;
+
+  AgentTraffic(boost::asio::io_context &ioc, const AgentSettings &settings,
+               TcpAddress endpoint, Incarnation incarnation, std::string key,
+               Metrics &metrics, std::uint64_t seed);
+
+  /// Sends group messages to \p handler. Call before start().
+  void setGroupHandler(GroupHandler handler) { OnGroup = std::move(handler); }
+
+  /// Begins to accept links. Errors: SettingInvalid.
+  Result<void> start();
+
+  /// Opens or closes the gate and tells the entries.
+  void setLeaving(bool leaving);
+
+  void setWeights(std::shared_ptr<const WorkspaceWeights> weights);
+
+  /// Sends to one link. May be called from any thread.
+  void send(LinkId to, const Message &message);
+
+  /// Whether nothing runs or waits.
+  bool isIdle() const { return Node.isIdle(); }
+  std::size_t runningCount() const { return Node.runningCount(); }
+
+private:
+  void onMessages(LinkId from, const std::vector<Message> &messages);
+  void apply(AgentActions actions);
+  void perform(const SendToLink &action);
+  void perform(StartRun action);
+  void perform(const StopRun &action);
+  boost::asio::awaitable<void> run(StartRun order,
+                                   std::shared_ptr<HttpRunHandle> handle);
+
+  boost::asio::io_context &Context;
+  const AgentSettings &Settings;
+  Metrics &Measures;
+  AgentNode Node;
+  HttpClient Endpoint;
+  NodeTimer Timer;
+  GroupHandler OnGroup;
+  std::map<RequestId, std::shared_ptr<HttpRunHandle>> Runs;
+  PeerServer Server;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_AGENTTRAFFIC_H
--- /dev/null
+++ b/include/ospreyspur/Process/EntryTraffic.h
@@ -0,0 +1,70 @@
+//===- EntryTraffic.h - the entry's traffic thread --------------*- C++ -*-===//
+//
+// The shell around EntryNode: callers' connections, links to agents, calls on
+// the platform and the timer. All of it runs on the thread of one io_context.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_ENTRYTRAFFIC_H
+#define OSPREYSPUR_PROCESS_ENTRYTRAFFIC_H
+
+#include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Http/Mailbox.h"
+#include "ospreyspur/Platform/PlatformClient.h"
+#include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Rpc/PeerClient.h"
+#include "ospreyspur/Support/Metrics.h"
+
+#include <map>
+#include <memory>
+
+namespace ospreyspur {
+
+/// The traffic side of an entry process.
+class EntryTraffic {
+public:
+  EntryTraffic(boost::asio::io_context &ioc, const EntrySettings &settings,
+               TcpAddress platform, Metrics &metrics, std::uint64_t seed);
+
+  /// Begins to accept callers. Errors: SettingInvalid.
+  Result<void> start();
+
+  /// Takes a newer view of the fleet.
+  void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  /// Refuses new requests; those in flight go on.
+  void stopAccepting();
+
+  /// Number of requests in flight.
+  std::size_t callCount() const { return Node.callCount(); }
+
+private:
+  using Inbox = Mailbox<EntryAction>;
+
+  boost::asio::awaitable<void> handle(HttpExchange &exchange);
+  boost::asio::awaitable<void> answer(HttpExchange &exchange, Inbox &inbox,
+                                      CallId id);
+  void apply(EntryActions actions);
+  void perform(const SendToAgent &action);
+  void perform(CallPlatform action);
+  template <typename Answer> void perform(Answer action);
+  PeerClient *findPeer(const EndpointId &id);
+  void finishCall(CallId id, ResultCode code, TimePoint began);
+
+  boost::asio::io_context &Context;
+  const EntrySettings &Settings;
+  Metrics &Measures;
+  EntryNode Node;
+  HttpServer Server;
+  PlatformClient Platform;
+  NodeTimer Timer;
+  std::shared_ptr<const RoutingSnapshot> Snapshot;
+  std::map<EndpointId, std::unique_ptr<PeerClient>> Peers;
+  std::map<CallId, Inbox *> Inboxes;
+  std::uint64_t LastCall = 0;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_ENTRYTRAFFIC_H
--- /dev/null
+++ b/include/ospreyspur/Process/NodeTimer.h
@@ -0,0 +1,53 @@
+//===- NodeTimer.h - wakes a state machine when it asks for it --*- C++ -*-===//
+//
+// Keeps one timer set to the moment that a node names.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_NODETIMER_H
+#define OSPREYSPUR_PROCESS_NODETIMER_H
+
+#include "ospreyspur/Support/Time.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace ospreyspur {
+
+/// A timer on one io_context's thread.
+class NodeTimer {
+public:
+  NodeTimer(boost::asio::io_context &ioc, std::function<void()> onDue)
+      : Timer(ioc), OnDue(std::move(onDue)) {}
+
+  /// Calls the handler at \p due, unless it is set anew before.
+  void set(std::optional<TimePoint> due) {
+    if (due == Due)
+      return;
+    Due = due;
+    if (!due) {
+      Timer.cancel();
+      return;
+    }
+    Timer.expires_at(std::chrono::steady_clock::time_point(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            due->time_since_epoch())));
+    Timer.async_wait([this](boost::system::error_code ec) {
+      if (ec)
+        return;
+      Due.reset();
+      OnDue();
+    });
+  }
+
+private:
+  boost::asio::steady_timer Timer;
+  std::function<void()> OnDue;
+  std::optional<TimePoint> Due;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_NODETIMER_H
--- /dev/null
+++ b/include/ospreyspur/Process/Roles.h
@@ -0,0 +1,22 @@
+//===- Roles.h - the long-running roles of the binary -----------*- C++ -*-===//
+//
+// Each function runs one role until it is told to stop.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_ROLES_H
+#define OSPREYSPUR_PROCESS_ROLES_H
+
+#include "ospreyspur/Config/Settings.h"
+
+namespace ospreyspur {
+
+/// Runs an entry until SIGTERM or SIGINT; the process's exit status.
+int runEntry(const EntrySettings &settings);
+
+/// Runs an agent until SIGTERM or SIGINT; the process's exit status.
+int runAgent(const AgentSettings &settings);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_ROLES_H
--- /dev/null
+++ b/include/ospreyspur/Routing/AgentActions.h
@@ -0,0 +1,45 @@
+//===- AgentActions.h - what an AgentNode asks its shell to do --*- C++ -*-===//
+//
+// The outputs of the agent's state machine.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_ROUTING_AGENTACTIONS_H
+#define OSPREYSPUR_ROUTING_AGENTACTIONS_H
+
+#include "ospreyspur/Rpc/Messages.h"
+
+#include <variant>
+#include <vector>
+
+namespace ospreyspur {
+
+/// Send \c Body to the entry behind \c To.
+struct SendToLink {
+  LinkId To;
+  Message Body;
+};
+
+/// Begin the request at the endpoint.
+struct StartRun {
+  RequestId Id;
+  std::string Method;
+  std::string Target;
+  std::string ContentType;
+  std::string Body;
+  std::uint64_t ResumeFrom = 0;
+  std::uint32_t Priority = 0;
+};
+
+/// End the request at the endpoint; report nothing more of it.
+struct StopRun {
+  RequestId Id;
+};
+
+/// One output of the agent's state machine.
+using AgentAction = std::variant<SendToLink, StartRun, StopRun>;
+using AgentActions = std::vector<AgentAction>;
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_ROUTING_AGENTACTIONS_H
--- /dev/null
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -0,0 +1,137 @@
+//===- AgentNode.h - the authority at one endpoint --------------*- C++ -*-===//
+//
+// The state machine of an agent's traffic side: gate, ledger, fair queue and
+// the answers in progress. It does no I/O: inputs and the time go in, actions
+// come out, and the same inputs give the same actions.
+//
+// Entries may hold stale views of the endpoint; what is decided here holds.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_ROUTING_AGENTNODE_H
+#define OSPREYSPUR_ROUTING_AGENTNODE_H
+
+#include "ospreyspur/Ledger/Ledger.h"
+#include "ospreyspur/Ledger/TicketOffice.h"
+#include "ospreyspur/Routing/AgentActions.h"
+#include "ospreyspur/Routing/DrainEstimator.h"
+#include "ospreyspur/Routing/FairQueue.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace ospreyspur {
+
+/// The bounds an agent keeps at its endpoint.
+struct AgentLimits {
+  /// Requests that run at the endpoint at one time.
+  std::size_t Slots = 16;
+  /// Requests that may wait.
+  std::size_t MaxQueue = 256;
+  /// Refuse when the expected wait is longer than this.
+  Duration MaxWait = std::chrono::seconds(20);
+  LedgerLimits Ledger;
+};
+
+/// Shares of the endpoint by workspace; workspaces not listed weigh 1.
+using WorkspaceWeights = std::unordered_map<WorkspaceId, std::uint32_t>;
+
+/// The traffic side of an agent.
+class AgentNode {
+public:
+  /// \p seed feeds the spread of Retry-After; \p key seals tickets.
+  AgentNode(EndpointId self, Incarnation incarnation, std::string key,
+            AgentLimits limits, std::uint64_t seed);
+
+  // Commands: each takes one input and gives the actions that follow.
+
+  /// A message from the entry behind \p from.
+  AgentActions onMessage(LinkId from, const Message &message, TimePoint now);
+  /// The link is gone; nothing more arrives on it or can be sent.
+  AgentActions onLinkDown(LinkId link, TimePoint now);
+  /// The endpoint's answer begins.
+  AgentActions onRunHead(RequestId id, std::uint32_t status,
+                         std::string contentType, TimePoint now);
+  /// The endpoint's answer goes on.
+  AgentActions onRunData(RequestId id, std::string_view data, TimePoint now);
+  /// The run ended: Ok (whole answer), EndpointUnreachable (no byte of the
+  /// request left this host) or EndpointFailed (anything else).
+  AgentActions onRunEnd(RequestId id, ResultCode code, TimePoint now);
+  /// Opens or closes the gate for new work.
+  AgentActions setLeaving(bool leaving, TimePoint now);
+  /// Takes over shares from the configuration.
+  void setWeights(std::shared_ptr<const WorkspaceWeights> weights);
+  /// Does what is due at \p now.
+  AgentActions onTimer(TimePoint now);
+
+  // Queries.
+
+  /// When onTimer() is next needed, if at all.
+  std::optional<TimePoint> nextTimer() const;
+  /// Whether nothing runs or waits.
+  bool isIdle() const { return Running.empty() && Queue.size() == 0; }
+  bool isLeaving() const { return IsLeaving; }
+  std::size_t runningCount() const { return Running.size(); }
+  std::size_t queuedCount() const { return Queue.size(); }
+  const Ledger &ledger() const { return Book; }
+
+private:
+  /// An entry that wants a request's answer.
+  struct Subscriber {
+    LinkId Link;
+    AttemptNumber Attempt;
+  };
+
+  /// A request that waits or runs.
+  struct Job {
+    Dispatch Order;
+    TimePoint Deadline;
+    std::optional<TimePoint> Started;
+    std::vector<Subscriber> Subscribers;
+  };
+
+  void handle(LinkId from, const Probe &probe, TimePoint now);
+  void handle(LinkId from, const Dispatch &dispatch, TimePoint now);
+  void handle(LinkId from, const Resolve &resolve, TimePoint now);
+  void handle(LinkId from, const Cancel &cancel, TimePoint now);
+  template <typename T> void handle(LinkId from, const T &other, TimePoint now);
+
+  ResultCode whyNotAccepting(Duration wait) const;
+  Duration estimateWait() const;
+  Duration spreadRetryAfter();
+  void enqueue(LinkId from, const Dispatch &dispatch, TimePoint now);
+  void attach(LinkId from, const Dispatch &dispatch, TimePoint now);
+  void sendStored(LinkId from, const Dispatch &dispatch,
+                  const StoredAnswer &answer);
+  void refuse(LinkId from, RequestId id, AttemptNumber attempt,
+              ResultCode code);
+  void startWaiting(TimePoint now);
+  void withdrawQueued(RequestId id, ResultCode reason, TimePoint now);
+  void endRun(RequestId id, ResultCode code, TimePoint now);
+  void stopIfUnwanted(RequestId id, TimePoint now);
+  void send(LinkId to, Message message);
+  AgentActions takeActions();
+
+  EndpointId Self;
+  AgentLimits Limits;
+  TicketOffice Office;
+  Ledger Book;
+  FairQueue Queue;
+  DrainEstimator Drain;
+  std::shared_ptr<const WorkspaceWeights> Weights;
+  std::mt19937_64 Random;
+  bool IsLeaving = false;
+  std::map<RequestId, Job> Jobs;
+  std::set<RequestId> Running;
+  std::set<std::pair<TimePoint, RequestId>> Deadlines;
+  std::optional<TimePoint> NextExpiry;
+  AgentActions Out;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_ROUTING_AGENTNODE_H
--- /dev/null
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -0,0 +1,155 @@
+//===- EntryNode.h - takes callers' requests to endpoints -------*- C++ -*-===//
+//
+// The state machine of an entry's traffic side. For each request it probes,
+// claims the idempotency key if there is one, dispatches, puts the answer
+// together, and finds out what became of a dispatch whose fate is unknown. It
+// does no I/O: inputs and the time go in, actions come out.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_ROUTING_ENTRYNODE_H
+#define OSPREYSPUR_ROUTING_ENTRYNODE_H
+
+#include "ospreyspur/Routing/Call.h"
+#include "ospreyspur/Routing/EntryActions.h"
+#include "ospreyspur/Routing/ProbePicker.h"
+#include "ospreyspur/Routing/RetryBudget.h"
+#include "ospreyspur/Routing/RoutingSnapshot.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace ospreyspur {
+
+/// Bounds and waits of an entry.
+struct EntryLimits {
+  std::size_t MaxCalls = 4096;
+  std::size_t MaxEarlyBytes = 1U << 20U;
+  unsigned MaxDispatches = 4;
+  std::size_t Probes = 3;
+  Duration ProbeTimeout = std::chrono::milliseconds(60);
+  Duration AcceptTimeout = std::chrono::milliseconds(300);
+  /// Silence of an answer after which its agent is asked.
+  Duration StallTimeout = std::chrono::seconds(5);
+  Duration ResolveInterval = std::chrono::milliseconds(150);
+  Duration ClaimTimeout = std::chrono::milliseconds(500);
+  /// Time kept back before the deadline for the agent's last word.
+  Duration DeadlineMargin = std::chrono::milliseconds(60);
+  /// How long a ticket for direct use may start.
+  Duration TicketValidity = std::chrono::seconds(30);
+  /// How long a ticket given to a caller may start.
+  Duration CallerTicketValidity = std::chrono::minutes(5);
+  /// How long an idempotency key stays bound. Must exceed TicketValidity and
+  /// must not exceed the agents' ledger retention.
+  Duration ClaimLease = std::chrono::minutes(10);
+  /// How long an endpoint that did not answer is left out.
+  Duration SuspectTime = std::chrono::seconds(1);
+  double RetryRatio = 0.2;
+  double RetryReserve = 10.0;
+};
+
+/// The traffic side of an entry.
+class EntryNode {
+public:
+  /// \p seed feeds the choice of candidates.
+  EntryNode(DataCentreId dataCentre, EntryLimits limits, std::uint64_t seed);
+
+  // Commands: each takes one input and gives the actions that follow.
+
+  /// A new request. Its id must be new.
+  EntryActions onCall(CallerRequest request, TimePoint now);
+  /// The caller hung up.
+  EntryActions onCallerGone(CallId id, TimePoint now);
+  /// A message from the agent of \p from.
+  EntryActions onMessage(const EndpointId &from, const Message &message,
+                         TimePoint now);
+  /// The connection to the agent of \p to is gone; what was sent on it may or
+  /// may not have arrived.
+  EntryActions onLinkDown(const EndpointId &to, TimePoint now);
+  /// The platform's answer to CallPlatform.
+  EntryActions onKvReply(KvCallId id, const KvReply &reply, TimePoint now);
+  /// A newer view of the fleet.
+  void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+  /// Refuses new calls from now on; those in flight go on.
+  void stopAccepting() { IsStopping = true; }
+  /// Does what is due at \p now.
+  EntryActions onTimer(TimePoint now);
+
+  // Queries.
+
+  /// When onTimer() is next needed, if at all.
+  std::optional<TimePoint> nextTimer() const;
+  /// Number of calls without a final answer.
+  std::size_t callCount() const { return Calls.size(); }
+
+private:
+  void startProbing(Call &call, TimePoint now);
+  void chooseOffer(Call &call, TimePoint now);
+  void claim(Call &call, TimePoint now);
+  void readClaim(Call &call, TimePoint now);
+  void onClaimWritten(Call &call, const KvReply &reply, TimePoint now);
+  void onClaimRead(Call &call, const KvReply &reply, TimePoint now);
+  void adoptClaim(Call &call, const KvReply &reply, TimePoint now);
+  void abandonClaim(Call &call, TimePoint now);
+  void dispatch(Call &call, TimePoint now);
+  void sendDispatch(Call &call, TimePoint now);
+  void startResolving(Call &call, TimePoint now);
+  void moveElsewhere(Call &call, ResultCode reason, TimePoint now);
+  void loseContact(Call &call, TimePoint now);
+  void onStageTimer(Call &call, TimePoint now);
+  void onDeadline(Call &call);
+  void passOn(Call &call);
+
+  template <typename T>
+  void handle(const EndpointId &from, const T &other, TimePoint now);
+  void handle(const EndpointId &from, const ProbeReply &reply, TimePoint now);
+  void handle(const EndpointId &from, const Accepted &msg, TimePoint now);
+  void handle(const EndpointId &from, const Refused &msg, TimePoint now);
+  void handle(const EndpointId &from, const Head &msg, TimePoint now);
+  void handle(const EndpointId &from, const Chunk &msg, TimePoint now);
+  void handle(const EndpointId &from, const Finish &msg, TimePoint now);
+  void handle(const EndpointId &from, const ResolveReply &msg, TimePoint now);
+  void handle(const EndpointId &from, const Leaving &msg, TimePoint now);
+
+  Call *findCurrent(RequestId id, AttemptNumber attempt);
+  Call *findByRequest(RequestId id);
+  const ServiceView *findService(const Call &call) const;
+  bool mayRunElsewhere(const Call &call) const;
+  void touch(Call &call, Duration wait, TimePoint now);
+  void bind(Call &call, const Ticket &ticket);
+  void unbind(Call &call);
+  void finishWhole(Call &call);
+  void finishWith(Call &call, ResultCode code);
+  void erase(Call &call);
+  void callPlatform(Call &call, KvCall body);
+  void send(const EndpointId &to, Message message);
+  EntryActions takeActions();
+
+  DataCentreId DataCentre;
+  EntryLimits Limits;
+  ProbePicker Picker;
+  RetryBudget Retries;
+  std::mt19937_64 Random;
+  std::shared_ptr<const RoutingSnapshot> Snapshot;
+  bool IsStopping = false;
+  std::uint64_t LastKvCall = 0;
+  /// Attempts are numbered across all calls, as several calls of this entry may
+  /// attach to one request.
+  AttemptNumber LastAttempt{0};
+  std::map<CallId, Call> Calls;
+  /// Several calls may attach to one request.
+  std::multimap<RequestId, CallId> CallsByRequest;
+  std::unordered_map<KvCallId, CallId> CallsByKv;
+  std::set<std::pair<TimePoint, CallId>> Timers;
+  std::unordered_map<EndpointId, TimePoint> SuspectUntil;
+  std::set<EndpointId> KnownLeaving;
+  EntryActions Out;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_ROUTING_ENTRYNODE_H
--- /dev/null
+++ b/include/ospreyspur/Routing/RoutingSnapshot.h
@@ -0,0 +1,74 @@
+//===- RoutingSnapshot.h - what traffic threads know of the fleet -*- C++
+//-*-===//
+//
+// An immutable view of services, endpoints and workspaces, made by the control
+// thread from the configuration and the host list. It may lag; agents decide.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_ROUTING_ROUTINGSNAPSHOT_H
+#define OSPREYSPUR_ROUTING_ROUTINGSNAPSHOT_H
+
+#include "ospreyspur/Support/Ids.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ospreyspur {
+
+/// How a service is spoken to.
+enum class ServiceKind : std::uint8_t {
+  /// A model: completions that stream and can be resumed.
+  Model,
+  /// Plain HTTP.
+  Plain,
+};
+
+/// One endpoint, reached through the agent at \c Address.
+struct EndpointView {
+  EndpointId Id;
+  ServiceId Service;
+  DataCentreId DataCentre;
+  /// The agent's "ip:port".
+  std::string Address;
+  GroupId Group;
+  bool IsLeaving = false;
+};
+
+/// One service and its endpoints.
+struct ServiceView {
+  ServiceKind Kind = ServiceKind::Plain;
+  /// Whether calls other than GET and HEAD may run more than once.
+  bool IsRepeatable = false;
+  std::vector<EndpointView> Endpoints;
+};
+
+/// One workspace.
+struct WorkspaceView {
+  WorkspaceId Id;
+  std::uint32_t Weight = 1;
+  std::uint32_t Priority = 0;
+};
+
+/// All that routing needs, of one moment.
+struct RoutingSnapshot {
+  Revision ConfigRevision;
+  Revision HostsRevision;
+  std::map<ServiceId, ServiceView> Services;
+  /// By the SHA-256 of the bearer key, in hex.
+  std::map<std::string, WorkspaceView> WorkspacesByKeyHash;
+
+  /// The endpoint called \p id, or null.
+  const EndpointView *findEndpoint(const EndpointId &id) const {
+    for (const auto &[name, service] : Services)
+      for (const EndpointView &it : service.Endpoints)
+        if (it.Id == id)
+          return &it;
+    return nullptr;
+  }
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_ROUTING_ROUTINGSNAPSHOT_H
--- /dev/null
+++ b/include/ospreyspur/Rpc/LinkWriter.h
@@ -0,0 +1,80 @@
+//===- LinkWriter.h - batches messages onto one stream ----------*- C++ -*-===//
+//
+// gRPC allows one write at a time on a stream. What is sent meanwhile collects
+// in one envelope, so that a busy link carries many messages in each write.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_RPC_LINKWRITER_H
+#define OSPREYSPUR_RPC_LINKWRITER_H
+
+#include "ospreyspur/Rpc/Codec.h"
+
+#include "generated/peer.pb.h"
+
+#include <cstddef>
+#include <mutex>
+#include <utility>
+
+namespace ospreyspur {
+
+/// Bytes that may wait on one link before the peer counts as too slow.
+inline constexpr std::size_t MaxPendingLinkBytes = 32U << 20U;
+
+/// The outgoing side of one stream. \p Reactor is gRPC's reactor.
+template <typename Reactor> class LinkWriter {
+public:
+  explicit LinkWriter(Reactor &reactor) : Stream(reactor) {}
+
+  /// Sends \p message, now or with the next envelope. False if the link has
+  /// closed or the peer is too slow.
+  bool send(const Message &message) {
+    std::lock_guard lock(Mutex);
+    if (IsClosed || PendingBytes > MaxPendingLinkBytes)
+      return false;
+    wire::Message *added = Pending.add_messages();
+    encode(message, *added);
+    PendingBytes += added->ByteSizeLong();
+    startWrite();
+    return true;
+  }
+
+  /// Call from OnWriteDone.
+  void onWriteDone(bool isOk) {
+    std::lock_guard lock(Mutex);
+    IsWriting = false;
+    if (isOk)
+      startWrite();
+    else
+      IsClosed = true;
+  }
+
+  /// After this nothing is written any more.
+  void close() {
+    std::lock_guard lock(Mutex);
+    IsClosed = true;
+  }
+
+private:
+  void startWrite() {
+    if (IsWriting || IsClosed || Pending.messages_size() == 0)
+      return;
+    Writing.Swap(&Pending);
+    Pending.Clear();
+    PendingBytes = 0;
+    IsWriting = true;
+    Stream.StartWrite(&Writing);
+  }
+
+  Reactor &Stream;
+  std::mutex Mutex;
+  wire::Envelope Pending;
+  wire::Envelope Writing;
+  std::size_t PendingBytes = 0;
+  bool IsWriting = false;
+  bool IsClosed = false;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_RPC_LINKWRITER_H
--- /dev/null
+++ b/include/ospreyspur/Rpc/PeerServer.h
@@ -0,0 +1,52 @@
+//===- PeerServer.h - accepts links from our processes ----------*- C++ -*-===//
+//
+// The listening side of the peer protocol. Handlers run on gRPC's threads.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_RPC_PEERSERVER_H
+#define OSPREYSPUR_RPC_PEERSERVER_H
+
+#include "ospreyspur/Rpc/Messages.h"
+#include "ospreyspur/Support/Result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ospreyspur {
+
+/// What a PeerServer reports; called on gRPC's threads.
+struct PeerServerHandlers {
+  std::function<void(LinkId)> OnLinkUp;
+  std::function<void(LinkId, std::vector<Message>)> OnMessages;
+  std::function<void(LinkId)> OnLinkDown;
+};
+
+/// Accepts links on one address.
+class PeerServer {
+public:
+  explicit PeerServer(PeerServerHandlers handlers);
+  ~PeerServer();
+
+  /// Listens on \p address ("ip:port"). Errors: SettingInvalid.
+  Result<void> listen(const std::string &address);
+
+  /// Sends on a link; a message for a link that is gone is dropped.
+  void send(LinkId link, const Message &message);
+
+  /// Sends to all links.
+  void broadcast(const Message &message);
+
+  /// Closes all links.
+  void stop();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Pimpl;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_RPC_PEERSERVER_H
--- /dev/null
+++ b/lib/Config/Settings.cpp
@@ -0,0 +1,103 @@
+//===- Settings.cpp - the settings of each role ---------------------------===//
+//
+// Names, defaults and ranges. docs/SETTINGS.md lists the same; a test compares.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Config/Settings.h"
+
+#include "ospreyspur/Config/SettingsReader.h"
+
+using namespace ospreyspur;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+static CommonSettings readCommon(SettingsReader &reader) {
+  CommonSettings out;
+  out.DataCentre = reader.readText("process.data_centre",
+                                   "name of this process's data centre");
+  out.PlatformAddress = reader.readAddress("process.platform",
+                                           "the platform's key-value service");
+  out.AdminListen =
+      reader.readAddress("process.admin_listen", "127.0.0.1:0",
+                         "admin API and metrics; port 0 picks a free one");
+  out.AdminTokenHash =
+      reader.readText("process.admin_token_sha256", "",
+                      "SHA-256, in hex, of the first operator's token");
+  out.StopLimit = reader.readMillis(
+      "process.stop_limit_ms", seconds(30), milliseconds(0), hours(1),
+      "how long a planned stop waits for requests in flight");
+  return out;
+}
+
+EntrySettings ospreyspur::readEntrySettings(SettingsReader &reader) {
+  EntrySettings out;
+  EntryLimits &limits = out.Limits;
+  out.Common = readCommon(reader);
+  out.Listen = reader.readAddress("entry.listen", "callers' API");
+  out.DefaultDeadline = reader.readMillis(
+      "entry.default_deadline_ms", seconds(60), milliseconds(100), hours(1),
+      "a request's deadline if the caller names none");
+  limits.MaxCalls = reader.readNumber("entry.max_calls", limits.MaxCalls, 1,
+                                      1000000, "requests held at one time");
+  limits.Probes = reader.readNumber("entry.probes", limits.Probes, 1, 16,
+                                    "endpoints asked for each request");
+  limits.MaxDispatches = static_cast<unsigned>(
+      reader.readNumber("entry.max_dispatches", limits.MaxDispatches, 1, 16,
+                        "endpoints tried for each request"));
+  limits.ProbeTimeout =
+      reader.readMillis("entry.probe_timeout_ms", limits.ProbeTimeout,
+                        milliseconds(1), seconds(10), "wait for offers");
+  limits.AcceptTimeout = reader.readMillis(
+      "entry.accept_timeout_ms", limits.AcceptTimeout, milliseconds(1),
+      seconds(60), "wait for an agent to confirm a dispatch");
+  limits.StallTimeout = reader.readMillis(
+      "entry.stall_timeout_ms", limits.StallTimeout, milliseconds(10),
+      minutes(10), "silence of an answer after which its agent is asked");
+  limits.ClaimTimeout = reader.readMillis(
+      "entry.claim_timeout_ms", limits.ClaimTimeout, milliseconds(10),
+      seconds(60), "wait for each call on the key-value service");
+  limits.TicketValidity = reader.readMillis(
+      "entry.ticket_validity_ms", limits.TicketValidity, seconds(1), minutes(5),
+      "how long a dispatch may still start at its agent");
+  limits.ClaimLease = reader.readMillis(
+      "entry.claim_lease_ms", limits.ClaimLease, minutes(6), hours(24),
+      "how long an idempotency key stays bound; not above agent.retention_ms");
+  return out;
+}
+
+AgentSettings ospreyspur::readAgentSettings(SettingsReader &reader) {
+  AgentSettings out;
+  AgentLimits &limits = out.Limits;
+  out.Common = readCommon(reader);
+  out.EndpointName =
+      reader.readText("agent.endpoint_name", "id of the endpoint it serves");
+  out.Listen =
+      reader.readAddress("agent.listen", "for entries and other agents");
+  out.EndpointAddress =
+      reader.readAddress("agent.endpoint", "the endpoint's HTTP address");
+  out.Group = reader.readText("agent.group", "",
+                              "lock-step group that the endpoint belongs to");
+  out.EndpointIdle = reader.readMillis(
+      "agent.endpoint_idle_ms", minutes(2), milliseconds(10), hours(1),
+      "silence after which the endpoint counts as failed");
+  limits.Slots = reader.readNumber("agent.slots", limits.Slots, 1, 4096,
+                                   "requests that run at one time");
+  limits.MaxQueue = reader.readNumber("agent.max_queue", limits.MaxQueue, 0,
+                                      1000000, "requests that may wait");
+  limits.MaxWait = reader.readMillis(
+      "agent.max_wait_ms", limits.MaxWait, milliseconds(1), hours(1),
+      "expected wait above which requests are refused");
+  limits.Ledger.MaxRecords =
+      reader.readNumber("agent.ledger_records", limits.Ledger.MaxRecords, 1,
+                        10000000, "requests remembered");
+  limits.Ledger.MaxAnswerBytes = reader.readNumber(
+      "agent.ledger_answer_bytes", limits.Ledger.MaxAnswerBytes, 1024,
+      std::uint64_t(1) << 34U, "bytes of answers kept");
+  limits.Ledger.Retention = reader.readMillis(
+      "agent.retention_ms", limits.Ledger.Retention, seconds(1), hours(24),
+      "how long a finished request is remembered");
+  return out;
+}
--- /dev/null
+++ b/lib/Http/HttpClient.cpp
@@ -0,0 +1,120 @@
+//===- HttpClient.cpp - HTTP requests by Beast ----------------------------===//
+//
+// See HttpClient.h for the difference between call() and run().
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Http/HttpClient.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+static constexpr std::size_t MaxIdleConnections = 32;
+static constexpr std::size_t ReadBytes = 16U << 10U;
+static constexpr std::uint64_t MaxAnswerBytes = 64U << 20U;
+
+void HttpRunHandle::stop() {
+  IsStopped = true;
+  if (Stream)
+    Stream->cancel();
+}
+
+HttpClient::HttpClient(asio::io_context &ioc, TcpAddress server)
+    : Context(ioc), Server(std::move(server)) {}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::call(HttpRequest request,
+                                                       Duration timeout) {
+  request.keep_alive(true);
+  request.prepare_payload();
+  Stream stream;
+  if (!Idle.empty()) {
+    stream = std::move(Idle.back());
+    Idle.pop_back();
+    stream->expires_after(timeout);
+  } else {
+    stream = std::make_unique<beast::tcp_stream>(Context);
+    stream->expires_after(timeout);
+    auto [ec] = co_await stream->async_connect(Server, AsTuple);
+    if (ec)
+      co_return Error{ResultCode::PlatformRefused,
+                      "cannot connect: " + ec.message()};
+    stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  }
+  auto [writeError, written] =
+      co_await http::async_write(*stream, request, AsTuple);
+  if (writeError)
+    co_return Error{ResultCode::PlatformTimeout, writeError.message()};
+  beast::flat_buffer buf;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(MaxAnswerBytes);
+  auto [readError, got] =
+      co_await http::async_read(*stream, buf, parser, AsTuple);
+  if (readError)
+    co_return Error{ResultCode::PlatformTimeout, readError.message()};
+  HttpResponse response = parser.release();
+  if (response.keep_alive() && Idle.size() < MaxIdleConnections) {
+    stream->expires_never();
+    Idle.push_back(std::move(stream));
+  }
+  co_return response;
+}
+
+asio::awaitable<ResultCode>
+HttpClient::run(HttpRequest request, HttpSink sink,
+                std::shared_ptr<HttpRunHandle> handle, Duration idle) {
+  request.keep_alive(false);
+  request.prepare_payload();
+  beast::tcp_stream stream(Context);
+  struct Registration {
+    HttpRunHandle &Handle;
+    ~Registration() { Handle.Stream = nullptr; }
+  } registration{*handle};
+  handle->Stream = &stream;
+
+  stream.expires_after(idle);
+  auto [connectError] = co_await stream.async_connect(Server, AsTuple);
+  if (connectError || handle->IsStopped)
+    co_return ResultCode::EndpointUnreachable;
+  boost::system::error_code ignored;
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto [writeError, written] =
+      co_await http::async_write(stream, request, AsTuple);
+  if (writeError)
+    co_return ResultCode::EndpointFailed;
+
+  beast::flat_buffer buf;
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(MaxAnswerBytes);
+  stream.expires_after(idle);
+  auto [headError, headBytes] =
+      co_await http::async_read_header(stream, buf, parser, AsTuple);
+  if (headError || handle->IsStopped)
+    co_return ResultCode::EndpointFailed;
+  sink.OnHead(parser.get().result_int(),
+              std::string(parser.get()[http::field::content_type]));
+  std::array<char, ReadBytes> data{};
+  while (!parser.is_done()) {
+    parser.get().body().data = data.data();
+    parser.get().body().size = data.size();
+    stream.expires_after(idle);
+    auto [ec, n] = co_await http::async_read_some(stream, buf, parser, AsTuple);
+    if (handle->IsStopped)
+      co_return ResultCode::EndpointFailed;
+    std::size_t filled = data.size() - parser.get().body().size;
+    if (filled > 0)
+      sink.OnData(std::string_view(data.data(), filled));
+    if (ec && ec != http::error::need_buffer)
+      co_return ResultCode::EndpointFailed;
+  }
+  co_return ResultCode::Ok;
+}
--- /dev/null
+++ b/lib/Http/HttpServer.cpp
@@ -0,0 +1,187 @@
+//===- HttpServer.cpp - connections and requests --------------------------===//
+//
+// A slow or rude client costs one connection and its limits, nothing else.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Http/HttpServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+struct HttpServer::Shared {
+  Shared(asio::io_context &ioc, HttpLimits limits, HttpHandler handler)
+      : Acceptor(ioc), Limits(limits), Handler(std::move(handler)) {}
+
+  asio::ip::tcp::acceptor Acceptor;
+  HttpLimits Limits;
+  HttpHandler Handler;
+  std::size_t Connections = 0;
+};
+
+HttpExchange::HttpExchange(beast::tcp_stream &stream,
+                           const HttpRequest &request, const HttpLimits &limits)
+    : Stream(stream), Request(request), Limits(limits) {}
+
+std::string HttpExchange::header(std::string_view name) const {
+  auto it = Request.find(beast::string_view(name.data(), name.size()));
+  return it == Request.end() ? std::string() : std::string(it->value());
+}
+
+asio::awaitable<bool> HttpExchange::respond(HttpResponse response) {
+  HasBegun = true;
+  response.version(Request.version());
+  response.keep_alive(Request.keep_alive());
+  response.prepare_payload();
+  MustClose = MustClose || !response.keep_alive();
+  Stream.expires_after(Limits.WriteTimeout);
+  auto [ec, n] = co_await http::async_write(Stream, response, AsTuple);
+  MustClose = MustClose || ec;
+  co_return !ec;
+}
+
+asio::awaitable<bool> HttpExchange::respond(unsigned status,
+                                            std::string_view contentType,
+                                            std::string body) {
+  HttpResponse response;
+  response.result(status);
+  response.set(http::field::content_type,
+               beast::string_view(contentType.data(), contentType.size()));
+  response.body() = std::move(body);
+  co_return co_await respond(std::move(response));
+}
+
+asio::awaitable<bool> HttpExchange::beginStream(unsigned status,
+                                                std::string_view contentType) {
+  HasBegun = true;
+  http::response<http::empty_body> head;
+  head.result(status);
+  head.version(Request.version());
+  head.set(http::field::content_type,
+           beast::string_view(contentType.data(), contentType.size()));
+  head.chunked(true);
+  head.keep_alive(Request.keep_alive());
+  MustClose = MustClose || !head.keep_alive();
+  http::response_serializer<http::empty_body> serializer(head);
+  Stream.expires_after(Limits.WriteTimeout);
+  auto [ec, n] = co_await http::async_write_header(Stream, serializer, AsTuple);
+  MustClose = MustClose || ec;
+  co_return !ec;
+}
+
+asio::awaitable<bool> HttpExchange::writeStream(std::string data) {
+  Stream.expires_after(Limits.WriteTimeout);
+  auto chunk = http::make_chunk(asio::buffer(data));
+  auto [ec, n] = co_await asio::async_write(Stream, chunk, AsTuple);
+  MustClose = MustClose || ec;
+  co_return !ec;
+}
+
+asio::awaitable<bool> HttpExchange::endStream() {
+  Stream.expires_after(Limits.WriteTimeout);
+  auto last = http::make_chunk_last();
+  auto [ec, n] = co_await asio::async_write(Stream, last, AsTuple);
+  MustClose = MustClose || ec;
+  co_return !ec;
+}
+
+HttpServer::HttpServer(asio::io_context &ioc, HttpLimits limits,
+                       HttpHandler handler)
+    : State(std::make_shared<Shared>(ioc, limits, std::move(handler))) {}
+
+Result<void> HttpServer::listen(const TcpAddress &address) {
+  boost::system::error_code ec;
+  auto &acceptor = State->Acceptor;
+  acceptor.open(address.protocol(), ec);
+  if (!ec)
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    acceptor.bind(address, ec);
+  if (!ec)
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return Error{ResultCode::SettingInvalid,
+                 "cannot listen on " + address.address().to_string() + ":" +
+                     std::to_string(address.port()) + ": " + ec.message()};
+  asio::co_spawn(acceptor.get_executor(), acceptLoop(), asio::detached);
+  return boost::outcome_v2::success();
+}
+
+void HttpServer::stopAccepting() {
+  boost::system::error_code ec;
+  State->Acceptor.close(ec);
+}
+
+std::size_t HttpServer::connectionCount() const { return State->Connections; }
+
+asio::awaitable<void> HttpServer::acceptLoop() {
+  auto shared = State;
+  while (shared->Acceptor.is_open()) {
+    auto [ec, socket] = co_await shared->Acceptor.async_accept(AsTuple);
+    if (ec || shared->Connections >= shared->Limits.MaxConnections)
+      continue;
+    asio::co_spawn(shared->Acceptor.get_executor(),
+                   serve(shared, std::move(socket)), asio::detached);
+  }
+}
+
+/// The status for a request that could not be read; 0 to just close.
+static unsigned statusOfReadError(const boost::system::error_code &ec) {
+  if (ec == http::error::body_limit)
+    return 413;
+  if (ec == http::error::header_limit)
+    return 431;
+  if (ec == beast::error::timeout)
+    return 0;
+  if (ec.category() == make_error_code(http::error::bad_method).category() &&
+      ec != http::error::end_of_stream)
+    return 400;
+  return 0;
+}
+
+asio::awaitable<void> HttpServer::serve(std::shared_ptr<Shared> shared,
+                                        asio::ip::tcp::socket socket) {
+  struct Counter {
+    std::size_t &N;
+    explicit Counter(std::size_t &n) : N(n) { ++N; }
+    ~Counter() { --N; }
+  } counter(shared->Connections);
+
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buf;
+  for (bool isOpen = true; isOpen;) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(
+        static_cast<std::uint32_t>(shared->Limits.MaxHeaderBytes));
+    parser.body_limit(shared->Limits.MaxBodyBytes);
+    stream.expires_after(shared->Limits.ReadTimeout);
+    auto [ec, n] = co_await http::async_read(stream, buf, parser, AsTuple);
+    HttpRequest request = parser.release();
+    HttpExchange exchange(stream, request, shared->Limits);
+    if (ec) {
+      exchange.cut();
+      if (unsigned status = statusOfReadError(ec))
+        co_await exchange.respond(status, "text/plain",
+                                  "the request cannot be read\n");
+      break;
+    }
+    stream.expires_never();
+    co_await shared->Handler(exchange);
+    isOpen = !exchange.mustClose() && shared->Acceptor.is_open();
+  }
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
--- /dev/null
+++ b/lib/Ledger/TicketOffice.cpp
@@ -0,0 +1,52 @@
+//===- TicketOffice.cpp - issuing and checking ----------------------------===//
+//
+// The seal is HMAC-SHA256 over the ticket's other fields, cut to 16 bytes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Ledger/TicketOffice.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <cassert>
+
+using namespace ospreyspur;
+
+static constexpr std::size_t MacBytes = 16;
+
+TicketOffice::TicketOffice(EndpointId endpoint, Incarnation incarnation,
+                           std::string key)
+    : Endpoint(std::move(endpoint)), Self(incarnation), Key(std::move(key)) {
+  assert(!Key.empty() && "a ticket office needs a key");
+}
+
+Ticket TicketOffice::issue(const WorkspaceId &workspace, Duration validFor,
+                           TimePoint now) {
+  Last = TicketSequence(Last.get() + 1);
+  Ticket ticket{Endpoint, {Self, Last}, now + validFor, workspace, {}};
+  ticket.Mac = seal(ticket);
+  return ticket;
+}
+
+bool TicketOffice::isGenuine(const Ticket &ticket) const {
+  std::string expected = seal(ticket);
+  if (ticket.Mac.size() != expected.size())
+    return false;
+  return CRYPTO_memcmp(ticket.Mac.data(), expected.data(), expected.size()) ==
+         0;
+}
+
+std::string TicketOffice::seal(const Ticket &ticket) const {
+  Ticket unsealed = ticket;
+  unsealed.Mac.clear();
+  std::string text = formatTicket(unsealed);
+  unsigned char digest[EVP_MAX_MD_SIZE];
+  unsigned n = 0;
+  const auto *data = reinterpret_cast<const unsigned char *>(text.data());
+  HMAC(EVP_sha256(), Key.data(), static_cast<int>(Key.size()), data,
+       text.size(), digest, &n);
+  assert(n >= MacBytes && "the digest is shorter than the seal");
+  return {reinterpret_cast<const char *>(digest), MacBytes};
+}
--- /dev/null
+++ b/lib/Process/AgentRole.cpp
@@ -0,0 +1,103 @@
+//===- AgentRole.cpp - the agent process ----------------------------------===//
+//
+// Puts the control thread and the traffic thread of an agent together.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Control/ControlPlane.h"
+#include "ospreyspur/Process/AdminServer.h"
+#include "ospreyspur/Process/AgentTraffic.h"
+#include "ospreyspur/Process/PlannedStop.h"
+#include "ospreyspur/Process/Roles.h"
+#include "ospreyspur/Support/LogEvent.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+#include <iostream>
+#include <random>
+#include <thread>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+static constexpr std::size_t TicketKeyWords = 8;
+
+static std::string drawKey(std::random_device &source) {
+  std::string key;
+  for (std::size_t i = 0; i < TicketKeyWords; ++i) {
+    std::uint32_t n = source();
+    key.append(reinterpret_cast<const char *>(&n), sizeof(n));
+  }
+  return key;
+}
+
+static Incarnation drawIncarnation(std::random_device &source) {
+  std::uint64_t high = source();
+  return Incarnation((high << 32U) | source());
+}
+
+int ospreyspur::runAgent(const AgentSettings &settings) {
+  asio::io_context control(1);
+  asio::io_context traffic(1);
+  auto work = asio::make_work_guard(traffic);
+  Metrics metrics;
+  std::random_device source;
+  Incarnation incarnation = drawIncarnation(source);
+  AgentTraffic agent(traffic, settings,
+                     parseAddress(settings.EndpointAddress).value(),
+                     incarnation, drawKey(source), metrics, source());
+  PlatformClient client(control,
+                        parseAddress(settings.Common.PlatformAddress).value());
+  EndpointId self(settings.EndpointName);
+  bool isStopping = false;
+  auto onSnapshot =
+      [&](const std::shared_ptr<const RoutingSnapshot> &snapshot) {
+        auto weights = std::make_shared<WorkspaceWeights>();
+        for (const auto &[hash, workspace] : snapshot->WorkspacesByKeyHash)
+          weights->emplace(workspace.Id, workspace.Weight);
+        const EndpointView *own = snapshot->findEndpoint(self);
+        bool isLeaving = isStopping || (own && own->IsLeaving);
+        asio::post(traffic, [&agent, weights, isLeaving] {
+          agent.setWeights(weights);
+          agent.setLeaving(isLeaving);
+        });
+      };
+  ControlPlane plane(control, client, onSnapshot);
+  AdminServer admin(control, settings.Common, plane, metrics);
+  PlannedStop::Handlers handlers;
+  handlers.Begin = [&] {
+    isStopping = true;
+    asio::post(traffic, [&] { agent.setLeaving(true); });
+  };
+  handlers.CountInFlight = [&](std::function<void(std::size_t)> done) {
+    asio::post(traffic, [&, done = std::move(done)] {
+      asio::post(control, [done, n = agent.runningCount()] { done(n); });
+    });
+  };
+  handlers.End = [&] {
+    traffic.stop();
+    control.stop();
+  };
+  PlannedStop stop(control, settings.Common.StopLimit, handlers);
+
+  for (const Result<void> &started : {agent.start(), admin.start()}) {
+    if (started)
+      continue;
+    std::cerr << "ospreyspur: error "
+              << static_cast<unsigned>(started.error().Code) << ": "
+              << started.error().Detail << '\n';
+    return 1;
+  }
+  plane.start();
+  stop.start();
+  LOG(INFO) << LogEvent("agent.start")
+                   .with("endpoint", settings.EndpointName)
+                   .with("listen", settings.Listen)
+                   .with("incarnation", incarnation.get());
+  std::thread trafficThread([&] { traffic.run(); });
+  control.run();
+  trafficThread.join();
+  return 0;
+}
--- /dev/null
+++ b/lib/Process/AgentTraffic.cpp
@@ -0,0 +1,145 @@
+//===- AgentTraffic.cpp - the agent's traffic thread ----------------------===//
+//
+// Bytes become inputs of the node, its actions become bytes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/AgentTraffic.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <sstream>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+static constexpr char ResumeHeader[] = "Ospreyspur-Resume-Offset";
+static constexpr char PriorityHeader[] = "Ospreyspur-Priority";
+static constexpr char RequestIdHeader[] = "Ospreyspur-Request-Id";
+
+AgentTraffic::AgentTraffic(asio::io_context &ioc, const AgentSettings &settings,
+                           TcpAddress endpoint, Incarnation incarnation,
+                           std::string key, Metrics &metrics,
+                           std::uint64_t seed)
+    : Context(ioc), Settings(settings), Measures(metrics),
+      Node(EndpointId(settings.EndpointName), incarnation, std::move(key),
+           settings.Limits, seed),
+      Endpoint(ioc, std::move(endpoint)),
+      Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
+      Server({[this](LinkId link) {
+                asio::post(Context, [this, link] {
+                  if (Node.isLeaving())
+                    Server.send(link, Leaving{true});
+                });
+              },
+              [this](LinkId link, std::vector<Message> messages) {
+                asio::post(Context,
+                           [this, link, messages = std::move(messages)] {
+                             onMessages(link, messages);
+                           });
+              },
+              [this](LinkId link) {
+                asio::post(Context, [this, link] {
+                  apply(Node.onLinkDown(link, monotonicNow()));
+                });
+              }}) {}
+
+Result<void> AgentTraffic::start() {
+  apply(Node.onTimer(monotonicNow()));
+  return Server.listen(Settings.Listen);
+}
+
+void AgentTraffic::setLeaving(bool leaving) {
+  if (leaving == Node.isLeaving())
+    return;
+  apply(Node.setLeaving(leaving, monotonicNow()));
+  Server.broadcast(Leaving{leaving});
+}
+
+void AgentTraffic::setWeights(std::shared_ptr<const WorkspaceWeights> weights) {
+  Node.setWeights(std::move(weights));
+}
+
+void AgentTraffic::send(LinkId to, const Message &message) {
+  Server.send(to, message);
+}
+
+void AgentTraffic::onMessages(LinkId from,
+                              const std::vector<Message> &messages) {
+  TimePoint now = monotonicNow();
+  for (const Message &message : messages) {
+    bool isGroup = std::holds_alternative<GroupOrder>(message) ||
+                   std::holds_alternative<GroupReply>(message);
+    if (!isGroup)
+      apply(Node.onMessage(from, message, now));
+    else if (OnGroup)
+      OnGroup(from, message);
+  }
+}
+
+void AgentTraffic::apply(AgentActions actions) {
+  for (AgentAction &action : actions)
+    std::visit([this](auto &it) { perform(std::move(it)); }, action);
+  Timer.set(Node.nextTimer());
+}
+
+void AgentTraffic::perform(const SendToLink &action) {
+  Server.send(action.To, action.Body);
+}
+
+void AgentTraffic::perform(StartRun action) {
+  auto handle = std::make_shared<HttpRunHandle>();
+  Runs[action.Id] = handle;
+  Measures.count("runs_total");
+  asio::co_spawn(Context, run(std::move(action), handle), asio::detached);
+}
+
+void AgentTraffic::perform(const StopRun &action) {
+  auto it = Runs.find(action.Id);
+  if (it == Runs.end())
+    return;
+  it->second->stop();
+  Runs.erase(it);
+}
+
+static std::string toHeader(const RequestId &id) {
+  std::ostringstream os;
+  os << std::hex << id.Issuer.get() << '-' << id.Sequence.get();
+  return os.str();
+}
+
+asio::awaitable<void> AgentTraffic::run(StartRun order,
+                                        std::shared_ptr<HttpRunHandle> handle) {
+  RequestId id = order.Id;
+  HttpRequest request;
+  request.version(11);
+  request.method_string(order.Method);
+  request.target(order.Target);
+  request.set(http::field::host, Settings.EndpointAddress);
+  if (!order.ContentType.empty())
+    request.set(http::field::content_type, order.ContentType);
+  request.set(RequestIdHeader, toHeader(id));
+  if (order.ResumeFrom > 0)
+    request.set(ResumeHeader, std::to_string(order.ResumeFrom));
+  if (order.Priority > 0)
+    request.set(PriorityHeader, std::to_string(order.Priority));
+  request.body() = std::move(order.Body);
+
+  HttpSink sink;
+  sink.OnHead = [this, id](unsigned status, std::string contentType) {
+    apply(Node.onRunHead(id, status, std::move(contentType), monotonicNow()));
+  };
+  sink.OnData = [this, id](std::string_view data) {
+    apply(Node.onRunData(id, data, monotonicNow()));
+  };
+  ResultCode code = co_await Endpoint.run(std::move(request), sink, handle,
+                                          Settings.EndpointIdle);
+  // A run that was stopped has been erased and ended already.
+  if (Runs.erase(id) == 0)
+    co_return;
+  apply(Node.onRunEnd(id, code, monotonicNow()));
+}
--- /dev/null
+++ b/lib/Process/EntryTraffic.cpp
@@ -0,0 +1,182 @@
+//===- EntryTraffic.cpp - the entry's traffic thread ----------------------===//
+//
+// Bytes become inputs of the node, its actions become bytes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/EntryTraffic.h"
+
+#include "ospreyspur/Http/CallerApi.h"
+#include "ospreyspur/Support/LogEvent.h"
+
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+static constexpr Duration ClaimCallTimeout = std::chrono::milliseconds(400);
+static constexpr std::string_view EventStream = "text/event-stream";
+
+EntryTraffic::EntryTraffic(asio::io_context &ioc, const EntrySettings &settings,
+                           TcpAddress platform, Metrics &metrics,
+                           std::uint64_t seed)
+    : Context(ioc), Settings(settings), Measures(metrics),
+      Node(DataCentreId(settings.Common.DataCentre), settings.Limits, seed),
+      Server(ioc, HttpLimits(),
+             [this](HttpExchange &exchange) { return handle(exchange); }),
+      Platform(ioc, std::move(platform)),
+      Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
+      Snapshot(std::make_shared<RoutingSnapshot>()) {}
+
+Result<void> EntryTraffic::start() {
+  Result<TcpAddress> address = parseAddress(Settings.Listen);
+  if (!address)
+    return address.error();
+  return Server.listen(address.value());
+}
+
+void EntryTraffic::setSnapshot(std::shared_ptr<const RoutingSnapshot> next) {
+  Snapshot = std::move(next);
+  // Drop links to endpoints that are gone or moved.
+  std::erase_if(Peers, [this](const auto &it) {
+    const EndpointView *endpoint = Snapshot->findEndpoint(it.first);
+    return !endpoint || endpoint->Address != it.second->address();
+  });
+  Node.setSnapshot(Snapshot);
+}
+
+void EntryTraffic::stopAccepting() {
+  Server.stopAccepting();
+  Node.stopAccepting();
+}
+
+asio::awaitable<void> EntryTraffic::handle(HttpExchange &exchange) {
+  TimePoint began = monotonicNow();
+  Result<CallerRequest> request = parseCallerRequest(
+      exchange.request(), *Snapshot, Settings.DefaultDeadline);
+  if (!request) {
+    ResultCode code = request.error().Code;
+    finishCall(CallId(0), code, began);
+    co_await exchange.respond(makeErrorResponse(code, Duration::zero()));
+    co_return;
+  }
+  CallId id(++LastCall);
+  request.value().Id = id;
+  Inbox inbox(Context);
+  Inboxes[id] = &inbox;
+  apply(Node.onCall(std::move(request.value()), began));
+  co_await answer(exchange, inbox, id);
+  Inboxes.erase(id);
+}
+
+asio::awaitable<void> EntryTraffic::answer(HttpExchange &exchange, Inbox &inbox,
+                                           CallId id) {
+  TimePoint began = monotonicNow();
+  bool isEvents = false;
+  for (;;) {
+    EntryAction action = co_await inbox.next();
+    bool isSent = true;
+    if (auto *head = std::get_if<AnswerHead>(&action)) {
+      isEvents = head->ContentType.starts_with(EventStream);
+      isSent = co_await exchange.beginStream(head->Status, head->ContentType);
+      Measures.observe("first_byte", monotonicNow() - began);
+    } else if (auto *data = std::get_if<AnswerData>(&action)) {
+      isSent = co_await exchange.writeStream(std::move(data->Data));
+    } else if (std::holds_alternative<AnswerEnd>(action)) {
+      finishCall(id, ResultCode::Ok, began);
+      co_await exchange.endStream();
+      co_return;
+    } else if (auto *ticket = std::get_if<AnswerTicket>(&action)) {
+      finishCall(id, ResultCode::Ok, began);
+      co_await exchange.respond(makeTicketResponse(ticket->Permit));
+      co_return;
+    } else if (auto *error = std::get_if<AnswerError>(&action)) {
+      finishCall(id, error->Code, began);
+      if (!exchange.hasBegun()) {
+        co_await exchange.respond(
+            makeErrorResponse(error->Code, error->RetryAfter));
+        co_return;
+      }
+      // Say why in the stream if its form allows, then close without an end.
+      if (isEvents)
+        co_await exchange.writeStream(
+            "event: error\ndata: " + formatErrorBody(error->Code) + "\n\n");
+      exchange.cut();
+      co_return;
+    }
+    if (!isSent) {
+      finishCall(id, ResultCode::Cancelled, began);
+      apply(Node.onCallerGone(id, monotonicNow()));
+      co_return;
+    }
+  }
+}
+
+void EntryTraffic::apply(EntryActions actions) {
+  for (EntryAction &action : actions)
+    std::visit([this](auto &it) { perform(std::move(it)); }, action);
+  Timer.set(Node.nextTimer());
+}
+
+void EntryTraffic::perform(const SendToAgent &action) {
+  if (PeerClient *peer = findPeer(action.To)) {
+    peer->send(action.Body);
+    return;
+  }
+  asio::post(Context, [this, to = action.To] {
+    apply(Node.onLinkDown(to, monotonicNow()));
+  });
+}
+
+void EntryTraffic::perform(CallPlatform action) {
+  KvCallId id = action.Request.Id;
+  auto onReply = [this, id](const KvReply &reply) {
+    apply(Node.onKvReply(id, reply, monotonicNow()));
+  };
+  Platform.call(std::move(action.Request.Call), ClaimCallTimeout, onReply);
+}
+
+template <typename Answer> void EntryTraffic::perform(Answer action) {
+  auto it = Inboxes.find(action.Call);
+  if (it != Inboxes.end())
+    it->second->post(std::move(action));
+}
+
+PeerClient *EntryTraffic::findPeer(const EndpointId &id) {
+  auto it = Peers.find(id);
+  if (it != Peers.end())
+    return it->second.get();
+  const EndpointView *endpoint = Snapshot->findEndpoint(id);
+  if (!endpoint)
+    return nullptr;
+  PeerClientHandlers handlers;
+  handlers.OnMessages = [this, id](std::vector<Message> messages) {
+    asio::post(Context, [this, id, messages = std::move(messages)] {
+      TimePoint now = monotonicNow();
+      for (const Message &message : messages)
+        apply(Node.onMessage(id, message, now));
+    });
+  };
+  handlers.OnDown = [this, id] {
+    asio::post(Context,
+               [this, id] { apply(Node.onLinkDown(id, monotonicNow())); });
+  };
+  auto peer = std::make_unique<PeerClient>(endpoint->Address, handlers);
+  return Peers.emplace(id, std::move(peer)).first->second.get();
+}
+
+void EntryTraffic::finishCall(CallId id, ResultCode code, TimePoint began) {
+  const ResultInfo &info = describe(code);
+  Measures.count("requests_total{outcome=\"" +
+                 std::string(toString(info.Kind)) + "\",code=\"" +
+                 std::to_string(static_cast<unsigned>(code)) + "\"}");
+  if (code == ResultCode::Ok) {
+    Measures.observe("request", monotonicNow() - began);
+    return;
+  }
+  LOG(INFO) << LogEvent("request.done")
+                   .with("call", id.get())
+                   .with("code", static_cast<unsigned>(code))
+                   .with("outcome", toString(info.Kind));
+}
--- /dev/null
+++ b/lib/Routing/AgentNode.cpp
@@ -0,0 +1,343 @@
+//===- AgentNode.cpp - the traffic side of an agent -----------------------===//
+//
+// One rule runs through this file: a refusal that says "not run" is recorded in
+// the ledger before it is sent, so that it stays true.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Routing/AgentNode.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+using namespace ospreyspur;
+
+static constexpr Duration InitialHold = std::chrono::milliseconds(200);
+static constexpr Duration ExpiryInterval = std::chrono::seconds(5);
+static constexpr Duration MinRetryAfter = std::chrono::milliseconds(500);
+static constexpr Duration MaxTicketValidity = std::chrono::minutes(5);
+static constexpr std::size_t BytesPerCost = 1024;
+
+AgentNode::AgentNode(EndpointId self, Incarnation incarnation, std::string key,
+                     AgentLimits limits, std::uint64_t seed)
+    : Self(std::move(self)), Limits(limits),
+      Office(Self, incarnation, std::move(key)), Book(Office, limits.Ledger),
+      Drain(InitialHold), Weights(std::make_shared<WorkspaceWeights>()),
+      Random(seed) {}
+
+AgentActions AgentNode::onMessage(LinkId from, const Message &message,
+                                  TimePoint now) {
+  std::visit([&](const auto &it) { handle(from, it, now); }, message);
+  return takeActions();
+}
+
+template <typename T>
+void AgentNode::handle(LinkId /*from*/, const T & /*other*/,
+                       TimePoint /*now*/) {
+  // Messages of other roles are not for this side of the agent.
+}
+
+void AgentNode::handle(LinkId from, const Probe &probe, TimePoint now) {
+  ProbeReply reply;
+  reply.Call = probe.Call;
+  reply.Wait = estimateWait();
+  reply.Code = whyNotAccepting(reply.Wait);
+  if (reply.Code == ResultCode::Ok)
+    reply.Permit = Office.issue(
+        probe.Workspace, std::min(probe.ValidFor, MaxTicketValidity), now);
+  else
+    reply.RetryAfter = spreadRetryAfter();
+  send(from, reply);
+}
+
+void AgentNode::handle(LinkId from, const Dispatch &dispatch, TimePoint now) {
+  const Ticket &ticket = dispatch.Permit;
+  ResultCode reason = whyNotAccepting(estimateWait());
+  Ledger::Verdict verdict = reason == ResultCode::Ok
+                                ? Book.admit(ticket, dispatch.Repeatable, now)
+                                : Book.refuseIfNew(ticket, reason, now);
+  switch (verdict.What) {
+  case Ledger::Decision::Start:
+    enqueue(from, dispatch, now);
+    startWaiting(now);
+    return;
+  case Ledger::Decision::Attach:
+    attach(from, dispatch, now);
+    return;
+  case Ledger::Decision::Refuse:
+    refuse(from, ticket.Id, dispatch.Attempt, verdict.Code);
+    return;
+  }
+}
+
+void AgentNode::handle(LinkId from, const Resolve &resolve, TimePoint now) {
+  const Ticket &ticket = resolve.Permit;
+  Ledger::Verdict verdict =
+      Book.refuseIfNew(ticket, ResultCode::TicketVoid, now);
+  ResolveReply reply{ticket.Id, RunState::Known};
+  if (verdict.What == Ledger::Decision::Refuse) {
+    bool isSure = describe(verdict.Code).Kind == Outcome::NotRun;
+    reply.State = isSure ? RunState::NeverStarts : RunState::CannotTell;
+  }
+  send(from, reply);
+}
+
+void AgentNode::handle(LinkId from, const Cancel &cancel, TimePoint now) {
+  auto it = Jobs.find(cancel.Id);
+  if (it == Jobs.end())
+    return;
+  std::erase_if(it->second.Subscribers, [&](const Subscriber &sub) {
+    return sub.Link == from && sub.Attempt == cancel.Attempt;
+  });
+  stopIfUnwanted(cancel.Id, now);
+  startWaiting(now);
+}
+
+ResultCode AgentNode::whyNotAccepting(Duration wait) const {
+  if (IsLeaving)
+    return ResultCode::EndpointLeaving;
+  if (Queue.size() >= Limits.MaxQueue || wait > Limits.MaxWait)
+    return ResultCode::QueueFull;
+  return ResultCode::Ok;
+}
+
+Duration AgentNode::estimateWait() const {
+  return Drain.estimateWait(Queue.size(), Running.size(), Limits.Slots);
+}
+
+Duration AgentNode::spreadRetryAfter() {
+  // From half to one and a half times the time to drain, so that callers who
+  // were refused together do not return together.
+  Duration base = std::max(estimateWait(), MinRetryAfter);
+  std::uniform_int_distribution<Duration::rep> spread(base.count() / 2,
+                                                      base.count() * 3 / 2);
+  return Duration(spread(Random));
+}
+
+void AgentNode::enqueue(LinkId from, const Dispatch &dispatch, TimePoint now) {
+  RequestId id = dispatch.Permit.Id;
+  StoredAnswer *answer = Book.findAnswer(id);
+  assert(answer && "an admitted request has a record");
+  answer->BaseOffset = dispatch.ResumeFrom;
+
+  QueuedRequest request;
+  request.Id = id;
+  request.Workspace = dispatch.Permit.Workspace;
+  request.Priority = dispatch.Priority;
+  request.Cost =
+      1 + static_cast<std::uint32_t>(dispatch.Body.size() / BytesPerCost);
+  auto weight = Weights->find(request.Workspace);
+  if (weight != Weights->end())
+    request.Weight = std::max(1U, weight->second);
+  Queue.push(std::move(request));
+
+  Job job{dispatch, now + dispatch.Deadline, std::nullopt, {}};
+  job.Subscribers.push_back({from, dispatch.Attempt});
+  Deadlines.emplace(job.Deadline, id);
+  Jobs.emplace(id, std::move(job));
+  send(from, Accepted{id, dispatch.Attempt});
+}
+
+void AgentNode::attach(LinkId from, const Dispatch &dispatch, TimePoint now) {
+  RequestId id = dispatch.Permit.Id;
+  const StoredAnswer *answer = Book.findAnswer(id);
+  assert(answer && "a known request has an answer");
+  bool isMissing = answer->Dropped || dispatch.ResumeFrom < answer->BaseOffset;
+  if (isMissing) {
+    refuse(from, id, dispatch.Attempt, ResultCode::AnswerForgotten);
+    return;
+  }
+  send(from, Accepted{id, dispatch.Attempt});
+  sendStored(from, dispatch, *answer);
+  auto it = Jobs.find(id);
+  if (it == Jobs.end())
+    return;
+  Job &job = it->second;
+  std::erase_if(job.Subscribers, [&](const Subscriber &sub) {
+    return sub.Link == from && sub.Attempt == dispatch.Attempt;
+  });
+  job.Subscribers.push_back({from, dispatch.Attempt});
+  TimePoint deadline = std::max(job.Deadline, now + dispatch.Deadline);
+  Deadlines.erase({job.Deadline, id});
+  Deadlines.emplace(deadline, id);
+  job.Deadline = deadline;
+}
+
+void AgentNode::sendStored(LinkId from, const Dispatch &dispatch,
+                           const StoredAnswer &answer) {
+  RequestId id = dispatch.Permit.Id;
+  AttemptNumber attempt = dispatch.Attempt;
+  if (answer.HasHead)
+    send(from, Head{id, attempt, answer.Status, answer.ContentType});
+  if (dispatch.ResumeFrom < answer.end()) {
+    std::size_t skip = dispatch.ResumeFrom - answer.BaseOffset;
+    send(from,
+         Chunk{id, attempt, dispatch.ResumeFrom, answer.Body.substr(skip)});
+  }
+  if (answer.Finished)
+    send(from, Finish{id, attempt, answer.end(), answer.Code});
+}
+
+void AgentNode::refuse(LinkId from, RequestId id, AttemptNumber attempt,
+                       ResultCode code) {
+  send(from, Refused{id, attempt, code, spreadRetryAfter()});
+}
+
+void AgentNode::startWaiting(TimePoint now) {
+  while (Running.size() < Limits.Slots) {
+    std::optional<QueuedRequest> next = Queue.pop();
+    if (!next)
+      return;
+    Job &job = Jobs.at(next->Id);
+    job.Started = now;
+    Running.insert(next->Id);
+    Dispatch &order = job.Order;
+    Out.push_back(StartRun{next->Id, order.Method, order.Target,
+                           order.ContentType, std::move(order.Body),
+                           order.ResumeFrom, order.Priority});
+  }
+}
+
+AgentActions AgentNode::onRunHead(RequestId id, std::uint32_t status,
+                                  std::string contentType, TimePoint /*now*/) {
+  auto it = Jobs.find(id);
+  if (it == Jobs.end())
+    return takeActions();
+  StoredAnswer *answer = Book.findAnswer(id);
+  assert(answer && "a running request has an answer");
+  answer->HasHead = true;
+  answer->Status = status;
+  answer->ContentType = std::move(contentType);
+  for (const Subscriber &sub : it->second.Subscribers)
+    send(sub.Link, Head{id, sub.Attempt, status, answer->ContentType});
+  return takeActions();
+}
+
+AgentActions AgentNode::onRunData(RequestId id, std::string_view data,
+                                  TimePoint now) {
+  auto it = Jobs.find(id);
+  if (it == Jobs.end())
+    return takeActions();
+  std::uint64_t offset = Book.findAnswer(id)->end();
+  ResultCode code = Book.append(id, data);
+  if (code != ResultCode::Ok) {
+    Out.push_back(StopRun{id});
+    endRun(id, code, now);
+    return takeActions();
+  }
+  for (const Subscriber &sub : it->second.Subscribers)
+    send(sub.Link, Chunk{id, sub.Attempt, offset, std::string(data)});
+  return takeActions();
+}
+
+AgentActions AgentNode::onRunEnd(RequestId id, ResultCode code, TimePoint now) {
+  if (!Running.contains(id))
+    return takeActions();
+  if (code == ResultCode::EndpointUnreachable) {
+    withdrawQueued(id, code, now);
+    startWaiting(now);
+    return takeActions();
+  }
+  endRun(id, code, now);
+  return takeActions();
+}
+
+void AgentNode::endRun(RequestId id, ResultCode code, TimePoint now) {
+  auto it = Jobs.find(id);
+  Drain.record(now - *it->second.Started);
+  std::uint64_t length = Book.findAnswer(id)->end();
+  Book.finish(id, code, now);
+  for (const Subscriber &sub : it->second.Subscribers)
+    send(sub.Link, Finish{id, sub.Attempt, length, code});
+  Deadlines.erase({it->second.Deadline, id});
+  Running.erase(id);
+  Jobs.erase(it);
+  startWaiting(now);
+}
+
+void AgentNode::withdrawQueued(RequestId id, ResultCode reason, TimePoint now) {
+  auto it = Jobs.find(id);
+  Book.withdraw(id, reason, now);
+  for (const Subscriber &sub : it->second.Subscribers)
+    refuse(sub.Link, id, sub.Attempt, reason);
+  Deadlines.erase({it->second.Deadline, id});
+  Running.erase(id);
+  Jobs.erase(it);
+}
+
+void AgentNode::stopIfUnwanted(RequestId id, TimePoint now) {
+  Job &job = Jobs.at(id);
+  if (!job.Subscribers.empty() || !job.Order.Repeatable)
+    return;
+  if (!job.Started) {
+    Queue.remove(id);
+    withdrawQueued(id, ResultCode::TicketVoid, now);
+    return;
+  }
+  Out.push_back(StopRun{id});
+  endRun(id, ResultCode::Cancelled, now);
+}
+
+AgentActions AgentNode::onLinkDown(LinkId link, TimePoint now) {
+  std::vector<RequestId> touched;
+  for (auto &[id, job] : Jobs) {
+    auto n = std::erase_if(job.Subscribers, [link](const Subscriber &sub) {
+      return sub.Link == link;
+    });
+    if (n > 0)
+      touched.push_back(id);
+  }
+  for (RequestId id : touched)
+    if (Jobs.contains(id))
+      stopIfUnwanted(id, now);
+  return takeActions();
+}
+
+AgentActions AgentNode::setLeaving(bool leaving, TimePoint now) {
+  IsLeaving = leaving;
+  if (!leaving)
+    return takeActions();
+  // What waits has not begun: hand it back, so that it runs elsewhere at once.
+  for (const QueuedRequest &it : Queue.drain())
+    withdrawQueued(it.Id, ResultCode::EndpointLeaving, now);
+  return takeActions();
+}
+
+void AgentNode::setWeights(std::shared_ptr<const WorkspaceWeights> weights) {
+  assert(weights && "weights must not be null");
+  Weights = std::move(weights);
+}
+
+AgentActions AgentNode::onTimer(TimePoint now) {
+  while (!Deadlines.empty() && Deadlines.begin()->first <= now) {
+    RequestId id = Deadlines.begin()->second;
+    Deadlines.erase(Deadlines.begin());
+    Job &job = Jobs.at(id);
+    if (!job.Started) {
+      Queue.remove(id);
+      withdrawQueued(id, ResultCode::DeadlineBeforeStart, now);
+    } else {
+      job.Subscribers.clear();
+      stopIfUnwanted(id, now);
+    }
+  }
+  if (!NextExpiry || *NextExpiry <= now) {
+    Book.expire(now);
+    NextExpiry = now + ExpiryInterval;
+  }
+  return takeActions();
+}
+
+std::optional<TimePoint> AgentNode::nextTimer() const {
+  std::optional<TimePoint> next = NextExpiry;
+  if (!Deadlines.empty() && (!next || Deadlines.begin()->first < *next))
+    next = Deadlines.begin()->first;
+  return next;
+}
+
+void AgentNode::send(LinkId to, Message message) {
+  Out.push_back(SendToLink{to, std::move(message)});
+}
+
+AgentActions AgentNode::takeActions() { return std::exchange(Out, {}); }
--- /dev/null
+++ b/lib/Routing/DrainEstimator.cpp
@@ -0,0 +1,28 @@
+//===- DrainEstimator.cpp - expected waits --------------------------------===//
+//
+// One finished request moves the mean by a sixteenth: a burst of short ones is
+// noticed within some tens of requests, a single odd one hardly counts.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Routing/DrainEstimator.h"
+
+#include <cassert>
+
+using namespace ospreyspur;
+
+static constexpr int Smoothing = 16;
+
+void DrainEstimator::record(Duration held) {
+  MeanHold += (held - MeanHold) / Smoothing;
+}
+
+Duration DrainEstimator::estimateWait(std::size_t waiting, std::size_t running,
+                                      std::size_t slots) const {
+  assert(slots > 0 && "an endpoint has at least one slot");
+  std::size_t ahead = waiting + running;
+  if (ahead < slots)
+    return Duration::zero();
+  auto turns = static_cast<Duration::rep>(ahead - slots + 1);
+  return MeanHold * turns / static_cast<Duration::rep>(slots);
+}
--- /dev/null
+++ b/lib/Routing/EntryMessages.cpp
@@ -0,0 +1,169 @@
+//===- EntryMessages.cpp - agents' messages at an entry -------------------===//
+//
+// Every message about a request names its attempt; one that names an earlier
+// attempt is late and changes nothing.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Routing/EntryNode.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace ospreyspur;
+
+EntryActions EntryNode::onMessage(const EndpointId &from,
+                                  const Message &message, TimePoint now) {
+  std::visit([&](const auto &it) { handle(from, it, now); }, message);
+  return takeActions();
+}
+
+template <typename T>
+void EntryNode::handle(const EndpointId & /*from*/, const T & /*other*/,
+                       TimePoint /*now*/) {
+  // Messages of other roles are not for an entry.
+}
+
+void EntryNode::handle(const EndpointId &from, const ProbeReply &reply,
+                       TimePoint now) {
+  SuspectUntil.erase(from);
+  auto it = Calls.find(reply.Call);
+  if (it == Calls.end() || it->second.Stage != CallStage::Probing)
+    return;
+  Call &call = it->second;
+  auto isSame = [&](const ProbeOffer &o) { return o.Endpoint == from; };
+  if (std::any_of(call.Offers.begin(), call.Offers.end(), isSame))
+    return;
+  call.Offers.push_back({from, reply});
+  if (call.Offers.size() >= call.ProbesOut)
+    chooseOffer(call, now);
+}
+
+void EntryNode::handle(const EndpointId & /*from*/, const Accepted &msg,
+                       TimePoint now) {
+  Call *call = findCurrent(msg.Id, msg.Attempt);
+  if (!call)
+    return;
+  call->Stage = CallStage::Accepted;
+  touch(*call, call->Deadline - now, now);
+}
+
+void EntryNode::handle(const EndpointId & /*from*/, const Refused &msg,
+                       TimePoint now) {
+  Call *call = findCurrent(msg.Id, msg.Attempt);
+  if (!call)
+    return;
+  call->RetryAfter = std::max(call->RetryAfter, msg.RetryAfter);
+  if (describe(msg.Code).Kind == Outcome::NotRun) {
+    moveElsewhere(*call, msg.Code, now);
+    return;
+  }
+  if (!mayRunElsewhere(*call)) {
+    finishWith(*call, msg.Code);
+    return;
+  }
+  call->MayHaveRun = true;
+  moveElsewhere(*call, msg.Code, now);
+}
+
+void EntryNode::handle(const EndpointId & /*from*/, const Head &msg,
+                       TimePoint now) {
+  Call *call = findCurrent(msg.Id, msg.Attempt);
+  if (!call)
+    return;
+  touch(*call, Limits.StallTimeout, now);
+  if (call->HasHead)
+    return;
+  call->HasHead = true;
+  Out.push_back(AnswerHead{call->Request.Id, msg.Status, msg.ContentType});
+  passOn(*call);
+}
+
+void EntryNode::handle(const EndpointId & /*from*/, const Chunk &msg,
+                       TimePoint now) {
+  Call *call = findCurrent(msg.Id, msg.Attempt);
+  if (!call)
+    return;
+  touch(*call, Limits.StallTimeout, now);
+  call->Unsent += call->Answer.add(msg.Attempt, msg.Offset, msg.Data);
+  if (call->Answer.earlyBytes() > Limits.MaxEarlyBytes) {
+    loseContact(*call, now);
+    return;
+  }
+  passOn(*call);
+}
+
+/// Gives the caller what is in order, and the end if that was reached.
+void EntryNode::passOn(Call &call) {
+  if (!call.HasHead)
+    return;
+  if (!call.Unsent.empty())
+    Out.push_back(AnswerData{call.Request.Id, std::exchange(call.Unsent, {})});
+  if (call.Answer.isComplete())
+    finishWhole(call);
+}
+
+void EntryNode::handle(const EndpointId & /*from*/, const Finish &msg,
+                       TimePoint now) {
+  Call *call = findCurrent(msg.Id, msg.Attempt);
+  if (!call)
+    return;
+  if (msg.Code == ResultCode::Ok) {
+    call->Answer.setLength(msg.Attempt, msg.Length);
+    passOn(*call);
+    return;
+  }
+  if (!mayRunElsewhere(*call)) {
+    finishWith(*call, msg.Code);
+    return;
+  }
+  call->MayHaveRun = true;
+  moveElsewhere(*call, msg.Code, now);
+}
+
+void EntryNode::handle(const EndpointId & /*from*/, const ResolveReply &msg,
+                       TimePoint now) {
+  auto [first, last] = CallsByRequest.equal_range(msg.Id);
+  std::vector<CallId> waiting;
+  for (auto it = first; it != last; ++it)
+    waiting.push_back(it->second);
+  for (CallId id : waiting) {
+    Call &call = Calls.at(id);
+    if (call.Stage != CallStage::Resolving)
+      continue;
+    switch (msg.State) {
+    case RunState::Known:
+      dispatch(call, now);
+      break;
+    case RunState::NeverStarts:
+      if (call.GiveUp)
+        finishWith(call, *call.GiveUp);
+      else
+        moveElsewhere(call, ResultCode::TicketVoid, now);
+      break;
+    case RunState::CannotTell:
+      finishWith(call, ResultCode::IncarnationGone);
+      break;
+    }
+  }
+}
+
+void EntryNode::handle(const EndpointId &from, const Leaving &msg,
+                       TimePoint /*now*/) {
+  if (msg.IsLeaving)
+    KnownLeaving.insert(from);
+  else
+    KnownLeaving.erase(from);
+}
+
+Call *EntryNode::findCurrent(RequestId id, AttemptNumber attempt) {
+  auto [first, last] = CallsByRequest.equal_range(id);
+  for (auto it = first; it != last; ++it) {
+    Call &call = Calls.at(it->second);
+    bool isOut = call.Stage == CallStage::Dispatched ||
+                 call.Stage == CallStage::Accepted;
+    if (isOut && call.Attempt == attempt)
+      return &call;
+  }
+  return nullptr;
+}
--- /dev/null
+++ b/lib/Routing/EntryNode.cpp
@@ -0,0 +1,344 @@
+//===- EntryNode.cpp - the course of a call -------------------------------===//
+//
+// Probing, dispatching and ending. What concerns idempotency keys stands in
+// EntryClaims.cpp, what concerns agents' messages in EntryMessages.cpp.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Routing/EntryNode.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+using namespace ospreyspur;
+
+static constexpr unsigned MaxProbeRounds = 3;
+static constexpr unsigned MaxDispatchTries = 2;
+static constexpr unsigned MaxResolveBackoff = 8;
+
+EntryNode::EntryNode(DataCentreId dataCentre, EntryLimits limits,
+                     std::uint64_t seed)
+    : DataCentre(std::move(dataCentre)), Limits(limits),
+      Picker(limits.Probes, DataCentre),
+      Retries(limits.RetryRatio, limits.RetryReserve), Random(seed),
+      Snapshot(std::make_shared<RoutingSnapshot>()) {}
+
+EntryActions EntryNode::onCall(CallerRequest request, TimePoint now) {
+  CallId id = request.Id;
+  assert(!Calls.contains(id) && "a call's id must be new");
+  Call &call = Calls[id];
+  call.Request = std::move(request);
+  call.Deadline = now + call.Request.Deadline;
+  call.Timer = call.Deadline;
+  Timers.emplace(call.Timer, id);
+  if (IsStopping) {
+    finishWith(call, ResultCode::Stopping);
+    return takeActions();
+  }
+  if (Calls.size() > Limits.MaxCalls) {
+    finishWith(call, ResultCode::TooManyCalls);
+    return takeActions();
+  }
+  Retries.earn(call.Request.Workspace);
+  if (call.Request.CallerTicket) {
+    bind(call, *call.Request.CallerTicket);
+    if (!Snapshot->findEndpoint(call.Permit->Endpoint))
+      finishWith(call, ResultCode::IncarnationGone);
+    else
+      dispatch(call, now);
+    return takeActions();
+  }
+  if (!findService(call))
+    finishWith(call, ResultCode::UnknownService);
+  else
+    startProbing(call, now);
+  return takeActions();
+}
+
+void EntryNode::startProbing(Call &call, TimePoint now) {
+  call.Stage = CallStage::Probing;
+  call.Offers.clear();
+  call.ProbesOut = 0;
+  const ServiceView *service = findService(call);
+  std::vector<EndpointId> candidates;
+  if (service) {
+    auto isExcluded = [&](const EndpointId &id) {
+      auto suspect = SuspectUntil.find(id);
+      bool isSuspect = suspect != SuspectUntil.end() && suspect->second > now;
+      return isSuspect || KnownLeaving.contains(id) || call.Tried.contains(id);
+    };
+    candidates = Picker.pickCandidates(*service, call.Request.Prefix,
+                                       isExcluded, Random);
+  }
+  if (candidates.empty()) {
+    finishWith(call, call.LastRefusal);
+    return;
+  }
+  Probe probe{call.Request.Id, call.Request.Workspace, Limits.TicketValidity,
+              call.Request.Prefix};
+  if (call.Request.WantsTicket)
+    probe.ValidFor = Limits.CallerTicketValidity;
+  for (const EndpointId &it : candidates) {
+    call.Tried.insert(it);
+    send(it, probe);
+    ++call.ProbesOut;
+  }
+  touch(call, Limits.ProbeTimeout, now);
+}
+
+void EntryNode::chooseOffer(Call &call, TimePoint now) {
+  const ServiceView *service = findService(call);
+  std::optional<std::size_t> best;
+  if (service)
+    best = Picker.pickOffer(call.Offers, *service, call.Request.Prefix);
+  if (!best) {
+    for (const ProbeOffer &it : call.Offers) {
+      call.LastRefusal = it.Reply.Code;
+      call.RetryAfter = std::max(call.RetryAfter, it.Reply.RetryAfter);
+    }
+    if (++call.Tries < MaxProbeRounds)
+      startProbing(call, now);
+    else
+      finishWith(call, call.LastRefusal);
+    return;
+  }
+  // The others stay usable for another try.
+  for (const ProbeOffer &it : call.Offers)
+    call.Tried.erase(it.Endpoint);
+  const ProbeOffer offer = call.Offers[*best];
+  call.Tried.insert(offer.Endpoint);
+  if (call.Request.WantsTicket) {
+    Out.push_back(AnswerTicket{call.Request.Id, offer.Reply.Permit});
+    erase(call);
+    return;
+  }
+  bind(call, offer.Reply.Permit);
+  if (call.Request.IdempotencyKey)
+    claim(call, now);
+  else
+    dispatch(call, now);
+}
+
+void EntryNode::dispatch(Call &call, TimePoint now) {
+  ++call.Dispatches;
+  call.Tries = 0;
+  LastAttempt = AttemptNumber(LastAttempt.get() + 1);
+  call.Attempt = LastAttempt;
+  call.Answer.beginAttempt(call.Attempt);
+  call.Stage = CallStage::Dispatched;
+  sendDispatch(call, now);
+}
+
+void EntryNode::sendDispatch(Call &call, TimePoint now) {
+  Dispatch order;
+  order.Permit = *call.Permit;
+  order.Attempt = call.Attempt;
+  order.ResumeFrom = call.Answer.nextOffset();
+  order.Deadline =
+      std::max(Duration::zero(), call.Deadline - now - Limits.DeadlineMargin);
+  order.Priority = call.Request.Priority;
+  order.Repeatable = call.Request.IsRepeatable;
+  order.Method = call.Request.Method;
+  order.Target = call.Request.Target;
+  order.ContentType = call.Request.ContentType;
+  order.Body = call.Request.Body;
+  send(call.Permit->Endpoint, std::move(order));
+  touch(call, Limits.AcceptTimeout, now);
+}
+
+void EntryNode::startResolving(Call &call, TimePoint now) {
+  call.Stage = CallStage::Resolving;
+  call.Tries = 0;
+  send(call.Permit->Endpoint, Resolve{*call.Permit});
+  touch(call, Limits.ResolveInterval, now);
+}
+
+/// Whether the call may run at another endpoint although its present dispatch
+/// may have run.
+bool EntryNode::mayRunElsewhere(const Call &call) const {
+  return call.Request.IsRepeatable && !call.Request.CallerTicket &&
+         !call.Request.IdempotencyKey;
+}
+
+/// Goes to another endpoint. The caller of this function has made sure that the
+/// present dispatch never starts, or that the request may be repeated.
+void EntryNode::moveElsewhere(Call &call, ResultCode reason, TimePoint now) {
+  call.LastRefusal = reason;
+  bool isTied = call.Request.CallerTicket.has_value();
+  if (isTied || call.Dispatches >= Limits.MaxDispatches ||
+      now + Limits.DeadlineMargin >= call.Deadline) {
+    finishWith(call, reason);
+    return;
+  }
+  if (!Retries.spend(call.Request.Workspace)) {
+    finishWith(call, reason);
+    return;
+  }
+  unbind(call);
+  call.Tries = 0;
+  startProbing(call, now);
+}
+
+/// The dispatch's fate is unknown from now on.
+void EntryNode::loseContact(Call &call, TimePoint now) {
+  SuspectUntil[call.Permit->Endpoint] = now + Limits.SuspectTime;
+  if (!mayRunElsewhere(call)) {
+    startResolving(call, now);
+    return;
+  }
+  send(call.Permit->Endpoint, Cancel{call.Permit->Id, call.Attempt});
+  call.MayHaveRun = true;
+  moveElsewhere(call, ResultCode::ContactLost, now);
+}
+
+EntryActions EntryNode::onLinkDown(const EndpointId &to, TimePoint now) {
+  SuspectUntil[to] = now + Limits.SuspectTime;
+  std::vector<CallId> touched;
+  for (auto &[id, call] : Calls)
+    if (call.Permit && call.Permit->Endpoint == to)
+      touched.push_back(id);
+  for (CallId id : touched) {
+    Call &call = Calls.at(id);
+    bool isOut = call.Stage == CallStage::Dispatched ||
+                 call.Stage == CallStage::Accepted;
+    if (isOut)
+      loseContact(call, now);
+  }
+  return takeActions();
+}
+
+EntryActions EntryNode::onCallerGone(CallId id, TimePoint /*now*/) {
+  auto it = Calls.find(id);
+  if (it == Calls.end())
+    return takeActions();
+  if (it->second.Permit)
+    send(it->second.Permit->Endpoint,
+         Cancel{it->second.Permit->Id, it->second.Attempt});
+  erase(it->second);
+  return takeActions();
+}
+
+void EntryNode::setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  assert(snapshot && "a snapshot must not be null");
+  Snapshot = std::move(snapshot);
+}
+
+EntryActions EntryNode::onTimer(TimePoint now) {
+  while (!Timers.empty() && Timers.begin()->first <= now) {
+    Call &call = Calls.at(Timers.begin()->second);
+    if (call.Deadline <= now)
+      onDeadline(call);
+    else
+      onStageTimer(call, now);
+  }
+  return takeActions();
+}
+
+void EntryNode::onStageTimer(Call &call, TimePoint now) {
+  switch (call.Stage) {
+  case CallStage::Probing: {
+    for (const EndpointId &it : call.Tried) {
+      auto isFrom = [&](const ProbeOffer &o) { return o.Endpoint == it; };
+      if (std::none_of(call.Offers.begin(), call.Offers.end(), isFrom))
+        SuspectUntil[it] = now + Limits.SuspectTime;
+    }
+    chooseOffer(call, now);
+    return;
+  }
+  case CallStage::Claiming:
+    readClaim(call, now);
+    return;
+  case CallStage::ReadingClaim:
+    abandonClaim(call, now);
+    return;
+  case CallStage::Dispatched:
+    if (++call.Tries < MaxDispatchTries)
+      sendDispatch(call, now);
+    else
+      loseContact(call, now);
+    return;
+  case CallStage::Accepted:
+    loseContact(call, now);
+    return;
+  case CallStage::Resolving:
+    call.Tries = std::min(call.Tries + 1, MaxResolveBackoff);
+    send(call.Permit->Endpoint, Resolve{*call.Permit});
+    touch(call, Limits.ResolveInterval * (call.Tries + 1), now);
+    return;
+  }
+}
+
+/// The caller's wait ends. Only a call that never had a ticket out, or whose
+/// ticket no other entry can know of, is sure not to have run.
+void EntryNode::onDeadline(Call &call) {
+  if (call.Stage == CallStage::Probing) {
+    finishWith(call, ResultCode::DeadlineBeforeStart);
+    return;
+  }
+  if (call.Permit)
+    send(call.Permit->Endpoint, Cancel{call.Permit->Id, call.Attempt});
+  finishWith(call, ResultCode::DeadlinePassed);
+}
+
+std::optional<TimePoint> EntryNode::nextTimer() const {
+  if (Timers.empty())
+    return std::nullopt;
+  return Timers.begin()->first;
+}
+
+const ServiceView *EntryNode::findService(const Call &call) const {
+  auto it = Snapshot->Services.find(call.Request.Service);
+  return it == Snapshot->Services.end() ? nullptr : &it->second;
+}
+
+void EntryNode::touch(Call &call, Duration wait, TimePoint now) {
+  Timers.erase({call.Timer, call.Request.Id});
+  call.Timer = std::min(now + wait, call.Deadline);
+  Timers.emplace(call.Timer, call.Request.Id);
+}
+
+void EntryNode::bind(Call &call, const Ticket &ticket) {
+  unbind(call);
+  call.Permit = ticket;
+  CallsByRequest.emplace(ticket.Id, call.Request.Id);
+}
+
+void EntryNode::unbind(Call &call) {
+  if (!call.Permit)
+    return;
+  auto [first, last] = CallsByRequest.equal_range(call.Permit->Id);
+  for (auto it = first; it != last; ++it) {
+    if (it->second != call.Request.Id)
+      continue;
+    CallsByRequest.erase(it);
+    break;
+  }
+  call.Permit.reset();
+}
+
+void EntryNode::finishWhole(Call &call) {
+  Out.push_back(AnswerEnd{call.Request.Id});
+  erase(call);
+}
+
+void EntryNode::finishWith(Call &call, ResultCode code) {
+  if (call.MayHaveRun && describe(code).Kind == Outcome::NotRun)
+    code = ResultCode::ContactLost;
+  Out.push_back(AnswerError{call.Request.Id, code, call.RetryAfter});
+  erase(call);
+}
+
+void EntryNode::erase(Call &call) {
+  CallId id = call.Request.Id;
+  unbind(call);
+  Timers.erase({call.Timer, id});
+  CallsByKv.erase(call.PendingKv);
+  Calls.erase(id);
+}
+
+void EntryNode::send(const EndpointId &to, Message message) {
+  Out.push_back(SendToAgent{to, std::move(message)});
+}
+
+EntryActions EntryNode::takeActions() { return std::exchange(Out, {}); }
--- /dev/null
+++ b/test/standin/Service.cpp
@@ -0,0 +1,38 @@
+//===- Service.cpp - stand-in for a plain service -------------------------===//
+//
+// Counts every run by the id in the body and answers with that count.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Standins.h"
+
+#include <map>
+
+using namespace standin;
+using namespace ospreyspur;
+
+int standin::runService(const std::string &listen, std::int64_t delayMs) {
+  asio::io_context ioc(1);
+  std::map<std::string, std::int64_t> runs;
+  auto handle = [&](HttpExchange &exchange) -> asio::awaitable<void> {
+    std::string target(exchange.request().target());
+    json::object out;
+    if (target == "/runs") {
+      for (const auto &[id, n] : runs)
+        out[id] = n;
+      co_await reply(exchange, 200, out);
+      co_return;
+    }
+    std::string id = textOf(bodyOf(exchange), "id");
+    std::int64_t n = ++runs[id];
+    if (delayMs > 0)
+      co_await pause(delayMs);
+    out = {{"id", id}, {"run", n}, {"path", target}};
+    co_await reply(exchange, 200, out);
+  };
+  HttpServer server(ioc, HttpLimits(), handle);
+  if (!server.listen(parseAddress(listen).value()))
+    return 1;
+  ioc.run();
+  return 0;
+}
--- /dev/null
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -0,0 +1,122 @@
+//===- ospreyspur.cpp - the one binary ------------------------------------===//
+//
+// Chooses the role from the first argument and reads its settings file.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Config/ConfigDocument.h"
+#include "ospreyspur/Config/SettingsReader.h"
+#include "ospreyspur/Process/Roles.h"
+
+#include <glog/logging.h>
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace ospreyspur;
+
+static constexpr char Version[] = "0.1.0";
+static constexpr int UsageError = 2;
+
+static std::optional<std::string> readFile(const std::string &path) {
+  std::ifstream is(path, std::ios::binary);
+  if (!is)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(is), {});
+}
+
+/// Reads \p path with \p read; prints every fault.
+template <typename Read>
+static auto loadSettings(const std::string &path, Read read)
+    -> std::optional<decltype(read(std::declval<SettingsReader &>()))> {
+  std::optional<std::string> text = readFile(path);
+  if (!text) {
+    SettingError error{ResultCode::SettingsUnreadable, path, 0, "",
+                       "the file cannot be read"};
+    std::cerr << toString(error) << '\n';
+    return std::nullopt;
+  }
+  SettingsReader reader(*text, path);
+  auto settings = read(reader);
+  reader.finish();
+  for (const SettingError &error : reader.errors())
+    std::cerr << toString(error) << '\n';
+  if (!reader.errors().empty())
+    return std::nullopt;
+  return settings;
+}
+
+static int checkConfig(const std::string &path) {
+  std::optional<std::string> text = readFile(path);
+  if (!text) {
+    std::cerr << path << ": error "
+              << static_cast<unsigned>(ResultCode::SettingsUnreadable)
+              << ": the file cannot be read\n";
+    return 1;
+  }
+  Result<ConfigDocument> document = parseConfig(*text);
+  if (document)
+    return 0;
+  std::cerr << path << ": error "
+            << static_cast<unsigned>(document.error().Code) << ": "
+            << document.error().Detail << '\n';
+  return 1;
+}
+
+static int check(const std::string &kind, const std::string &path) {
+  bool isGood = false;
+  if (kind == "entry")
+    isGood = loadSettings(path, readEntrySettings).has_value();
+  else if (kind == "agent")
+    isGood = loadSettings(path, readAgentSettings).has_value();
+  else
+    isGood = checkConfig(path) == 0;
+  if (isGood)
+    std::cout << path << ": ok\n";
+  return isGood ? 0 : 1;
+}
+
+static int run(const std::string &role, const std::string &path) {
+  if (role == "entry") {
+    auto settings = loadSettings(path, readEntrySettings);
+    return settings ? runEntry(*settings) : 1;
+  }
+  auto settings = loadSettings(path, readAgentSettings);
+  return settings ? runAgent(*settings) : 1;
+}
+
+int main(int argc, char **argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  try {
+    TCLAP::CmdLine cmd("Load balancer for expert-parallel model groups.\n"
+                       "Examples:\n"
+                       "  ospreyspur entry --settings entry.ini\n"
+                       "  ospreyspur agent --settings agent.ini\n"
+                       "  ospreyspur check --kind config --settings doc.json",
+                       ' ', Version);
+    std::vector<std::string> commands{"entry", "agent", "check"};
+    TCLAP::ValuesConstraint<std::string> allowed(commands);
+    TCLAP::UnlabeledValueArg<std::string> command("command", "what to do", true,
+                                                  "", &allowed, cmd);
+    TCLAP::ValueArg<std::string> settings("s", "settings", "the file to read",
+                                          true, "", "file", cmd);
+    std::vector<std::string> kinds{"entry", "agent", "config"};
+    TCLAP::ValuesConstraint<std::string> allowedKinds(kinds);
+    TCLAP::ValueArg<std::string> kind("k", "kind", "what check reads", false,
+                                      "entry", &allowedKinds, cmd);
+    cmd.parse(argc, argv);
+    if (command.getValue() == "check")
+      return check(kind.getValue(), settings.getValue());
+    return run(command.getValue(), settings.getValue());
+  } catch (const TCLAP::ArgException &error) {
+    std::cerr << "ospreyspur: " << error.error() << " " << error.argId()
+              << '\n';
+    return UsageError;
+  }
+}
