--- a/include/ospreyspur/Experts/GroupMessages.h
+++ b/include/ospreyspur/Experts/GroupMessages.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -53,9 +54,12 @@
   MapVersion Version;
   StepNumber Step;
   GroupOrderKind Kind = GroupOrderKind::Report;
+  /// Who wants the reply.
   EndpointId Sender;
   /// The encoded map, for Join and Load.
   std::string Map;
+  /// All members of the generation, for Join.
+  std::vector<EndpointId> Members;
 };
 
 /// What a GroupReply says.
--- /dev/null
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -0,0 +1,72 @@
+//===- LeaseHolder.h - gets and keeps a lease -------------------*- C++ -*-===//
+//
+// The state machine that holds a group's coordinator lease. Its holder acts
+// only while its own monotonic clock says that the lease must still stand, less
+// a margin; a pause between that check and the act is covered by the epoch,
+// which the receivers compare.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_LEASEHOLDER_H
+#define OSPREYSPUR_EXPERTS_LEASEHOLDER_H
+
+#include "ospreyspur/Experts/GroupMessages.h"
+#include "ospreyspur/Platform/KeyValue.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <optional>
+#include <string>
+
+namespace ospreyspur {
+
+/// Times of a lease.
+struct LeaseLimits {
+  Duration Span = std::chrono::seconds(6);
+  /// Not acted on in the lease's last part.
+  Duration Margin = std::chrono::seconds(1);
+  Duration RenewEvery = std::chrono::seconds(2);
+  /// How often a candidate looks whether the lease is free.
+  Duration RetryEvery = std::chrono::seconds(3);
+  /// After this time a call without an answer is given up.
+  Duration CallTimeout = std::chrono::seconds(2);
+};
+
+/// Gets and keeps one lease.
+class LeaseHolder {
+public:
+  /// \p self is written as the key's value, for operators to read.
+  LeaseHolder(std::string key, std::string self, LeaseLimits limits);
+
+  /// The call to make now, if any; its answer goes to onReply().
+  std::optional<KvCall> nextCall(TimePoint now);
+  /// Takes the answer to the latest call.
+  void onReply(const KvReply &reply, TimePoint now);
+  /// Stops trying, and gives a held lease no further renewal.
+  void stop() { IsStopped = true; }
+
+  /// Whether the holder may act at \p now.
+  bool isHeld(TimePoint now) const {
+    return Holder.get() > 0 && now < ActUntil;
+  }
+  /// The epoch; only meaningful while held.
+  Epoch epoch() const { return Epoch(Holder.get()); }
+  /// When nextCall() is next needed.
+  TimePoint nextTimer() const;
+
+private:
+  void lose(TimePoint now);
+
+  std::string Key;
+  std::string Self;
+  LeaseLimits Limits;
+  Revision Holder;
+  TimePoint ActUntil;
+  TimePoint NextCall;
+  TimePoint SentAt;
+  bool IsCalling = false;
+  bool IsStopped = false;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_LEASEHOLDER_H
--- a/include/ospreyspur/Routing/Call.h
+++ b/include/ospreyspur/Routing/Call.h
@@ -21,10 +21,10 @@
 enum class CallStage : std::uint8_t {
   /// Asks endpoints for offers; nothing was sent to run.
   Probing,
+  /// Reads the claim of its idempotency key.
+  ReadingClaim,
   /// Writes the claim of its idempotency key.
   Claiming,
-  /// Reads the claim back after a lost answer.
-  ReadingClaim,
   /// Sent to an agent that has not confirmed it yet.
   Dispatched,
   /// Confirmed by the agent.
@@ -43,6 +43,8 @@
   TimePoint Timer;
   /// Tries within the present stage.
   unsigned Tries = 0;
+  /// Whether endpoints are asked although they did not answer lately.
+  bool IgnoresSilence = false;
 
   std::vector<ProbeOffer> Offers;
   std::size_t ProbesOut = 0;
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -93,6 +93,7 @@
   void readClaim(Call &call, TimePoint now);
   void onClaimWritten(Call &call, const KvReply &reply, TimePoint now);
   void onClaimRead(Call &call, const KvReply &reply, TimePoint now);
+  void retryClaim(Call &call, TimePoint now);
   void adoptClaim(Call &call, const KvReply &reply, TimePoint now);
   void abandonClaim(Call &call, TimePoint now);
   void dispatch(Call &call, TimePoint now);
--- /dev/null
+++ b/lib/Experts/GroupCoordinator.cpp
@@ -0,0 +1,393 @@
+//===- GroupCoordinator.cpp - leads a group's map changes -----------------===//
+//
+// One phase at a time. A phase sends its order to every member that has not
+// answered, again and again, until all have or its time is up.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/GroupCoordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace ospreyspur;
+using Phases = CoordinatorPhase;
+
+GroupCoordinator::GroupCoordinator(GroupId group, EndpointId self,
+                                   CoordinatorLimits limits)
+    : Group(std::move(group)), Self(std::move(self)), Limits(limits),
+      Lease(coordinatorKey(Group), Self.get(), limits.Lease) {}
+
+void GroupCoordinator::setMembers(std::vector<EndpointId> members) {
+  std::sort(members.begin(), members.end());
+  Members = std::move(members);
+}
+
+GroupActions GroupCoordinator::onTimer(TimePoint now) {
+  if (std::optional<KvCall> call = Lease.nextCall(now)) {
+    LeaseCall = KvCallId(++LastCall);
+    Out.push_back(CallPlatformForGroup{{LeaseCall, std::move(*call)}});
+  }
+  bool isHeld = Lease.isHeld(now);
+  if (!isHeld && Phase != Phases::Following)
+    enter(Phases::Following, now);
+  if (isHeld && Phase == Phases::Following && !Members.empty())
+    enter(Phases::Reading, now);
+  if (Phase == Phases::Following)
+    return takeActions();
+  if (now >= PhaseEnd)
+    onPhaseTimeout(now);
+  else if (now >= ResendAt)
+    resend(now);
+  return takeActions();
+}
+
+TimePoint GroupCoordinator::nextTimer() const {
+  TimePoint next = Lease.nextTimer();
+  if (Phase == Phases::Following)
+    return next;
+  return std::min({next, PhaseEnd, ResendAt});
+}
+
+void GroupCoordinator::enter(CoordinatorPhase phase, TimePoint now) {
+  Phase = phase;
+  Answers.clear();
+  ResendAt = now + Limits.Resend;
+  switch (phase) {
+  case Phases::Loading:
+    PhaseEnd = now + Limits.LoadTimeout;
+    break;
+  case Phases::Arming:
+    PhaseEnd = now + Limits.ArmTimeout;
+    break;
+  case Phases::Idle:
+    PhaseEnd = now + Limits.SurveyEvery;
+    ResendAt = PhaseEnd;
+    break;
+  default:
+    PhaseEnd = now + Limits.PhasePatience;
+    break;
+  }
+  if (phase != Phases::Idle && phase != Phases::Following)
+    resend(now);
+}
+
+/// Sends the present phase's order to whoever has not answered.
+void GroupCoordinator::resend(TimePoint now) {
+  ResendAt = now + Limits.Resend;
+  switch (Phase) {
+  case Phases::Following:
+  case Phases::Idle:
+    return;
+  case Phases::Reading:
+    ResendAt = now + Limits.Lease.CallTimeout;
+    callPlatform(KvGet{recordKey(Group)});
+    return;
+  case Phases::Reforming:
+  case Phases::Proposing:
+  case Phases::Recording:
+    // A write whose answer is lost is settled by reading the record.
+    ResendAt = now + Limits.Lease.CallTimeout;
+    callPlatform(KvPut{recordKey(Group), formatRecord(Writing), RecordAt, {}});
+    return;
+  case Phases::Surveying:
+  case Phases::Committing:
+    if (Phase == Phases::Committing)
+      sendToSilent(GroupOrderKind::Commit);
+    sendToSilent(GroupOrderKind::Report);
+    return;
+  case Phases::Joining:
+    sendToSilent(GroupOrderKind::Join);
+    return;
+  case Phases::Settling:
+    sendToSilent(GroupOrderKind::Ask);
+    sendToSilent(GroupOrderKind::Report);
+    return;
+  case Phases::Loading:
+    sendToSilent(GroupOrderKind::Load);
+    return;
+  case Phases::Arming:
+    sendToSilent(GroupOrderKind::Arm);
+    return;
+  }
+}
+
+void GroupCoordinator::sendToSilent(GroupOrderKind kind) {
+  GroupOrder order;
+  order.Group = Group;
+  order.CoordinatorEpoch = Lease.epoch();
+  order.GroupGeneration = Record.GroupGeneration;
+  order.Attempt = Attempt;
+  order.Kind = kind;
+  order.Sender = Self;
+  order.Step = ArmStep;
+  if (kind == GroupOrderKind::Join) {
+    order.Version = Record.Committed.Version;
+    order.Map = Record.Committed.Map;
+    order.Members = Record.Members;
+  } else if (Record.Proposed) {
+    order.Version = Record.Proposed->Version;
+    if (kind == GroupOrderKind::Load)
+      order.Map = Record.Proposed->Map;
+  }
+  for (const EndpointId &it : Record.Members)
+    if (!Answers.contains(it))
+      Out.push_back(SendGroupOrder{it, order});
+}
+
+GroupActions GroupCoordinator::onReply(const GroupReply &reply, TimePoint now) {
+  // Act only while the own clock says that the lease stands.
+  if (!Lease.isHeld(now) || Phase == Phases::Following)
+    return takeActions();
+  HighestStep = std::max(HighestStep, reply.Step);
+  bool isCurrent = reply.GroupGeneration == Record.GroupGeneration;
+  bool needsAll = Phase == Phases::Loading || Phase == Phases::Arming ||
+                  Phase == Phases::Settling || Phase == Phases::Committing;
+  if (!isCurrent && needsAll) {
+    // An engine was lost, and with it what it had promised in this generation.
+    enter(Phases::Surveying, now);
+    return takeActions();
+  }
+  switch (Phase) {
+  case Phases::Surveying:
+    if (reply.Kind == GroupReplyKind::State ||
+        reply.Kind == GroupReplyKind::Armed)
+      Answers[reply.Member] = reply;
+    if (hasAllAnswered())
+      onSurveyed(now);
+    break;
+  case Phases::Joining:
+    if (isCurrent && reply.Kind == GroupReplyKind::Joined)
+      Answers[reply.Member] = reply;
+    if (hasAllAnswered())
+      enter(Phases::Surveying, now);
+    break;
+  case Phases::Loading:
+    if (!isCurrent || reply.Attempt != Attempt)
+      break;
+    if (reply.Kind == GroupReplyKind::LoadFailed) {
+      // Do not try the same map again and again; the planner may ask anew.
+      if (Wanted == Record.Proposed->Map)
+        Wanted.reset();
+      enter(Phases::Idle, now);
+    } else if (reply.Kind == GroupReplyKind::Loaded)
+      Answers[reply.Member] = reply;
+    if (Phase == Phases::Loading && hasAllAnswered()) {
+      ArmStep = StepNumber(HighestStep.get() + Limits.StepsAhead);
+      enter(Phases::Arming, now);
+    }
+    break;
+  case Phases::Arming:
+  case Phases::Settling:
+    if (isCurrent && reply.Attempt == Attempt)
+      onVote(reply, now);
+    break;
+  case Phases::Committing:
+    if (isCurrent && reply.Version == Record.Proposed->Version)
+      Answers[reply.Member] = reply;
+    if (hasAllAnswered()) {
+      GroupRecord next = Record;
+      next.Committed = *Record.Proposed;
+      next.Proposed.reset();
+      writeRecord(std::move(next), Phases::Recording, now);
+    }
+    break;
+  default:
+    break;
+  }
+  return takeActions();
+}
+
+/// A member's word on the attempt: one refusal aborts it, all armed commits it.
+void GroupCoordinator::onVote(const GroupReply &reply, TimePoint now) {
+  switch (reply.Kind) {
+  case GroupReplyKind::Armed:
+    Answers[reply.Member] = reply;
+    if (hasAllAnswered())
+      commit(now);
+    return;
+  case GroupReplyKind::Committed:
+    commit(now);
+    return;
+  case GroupReplyKind::Refused:
+    Answers.clear();
+    sendToSilent(GroupOrderKind::Abort);
+    enter(Phases::Idle, now);
+    return;
+  default:
+    return;
+  }
+}
+
+void GroupCoordinator::commit(TimePoint now) {
+  if (Record.Proposed && Record.Proposed->Version.get() == Attempt.get()) {
+    enter(Phases::Committing, now);
+    return;
+  }
+  // An attempt of before the present record: its members finish it, and the
+  // next survey sees what they run.
+  Answers.clear();
+  sendToSilent(GroupOrderKind::Commit);
+  enter(Phases::Idle, now);
+}
+
+/// The members' states are known: settle what an earlier coordinator began.
+void GroupCoordinator::onSurveyed(TimePoint now) {
+  std::optional<ChangeAttempt> armed;
+  bool isProposedRunning = false;
+  bool isOtherRunning = false;
+  for (const auto &[member, reply] : Answers) {
+    if (reply.GroupGeneration != Record.GroupGeneration) {
+      beginGeneration(now);
+      return;
+    }
+    if (reply.Kind == GroupReplyKind::Armed)
+      armed = std::max(armed.value_or(reply.Attempt), reply.Attempt);
+    if (Record.Proposed && reply.Version == Record.Proposed->Version)
+      isProposedRunning = true;
+    else if (reply.Version != Record.Committed.Version)
+      isOtherRunning = true;
+  }
+  if (armed) {
+    Attempt = *armed;
+    enter(Phases::Settling, now);
+    return;
+  }
+  if (isProposedRunning) {
+    Attempt = Record.Attempt;
+    enter(Phases::Committing, now);
+    return;
+  }
+  enter(Phases::Idle, now);
+  if (isOtherRunning && !Wanted)
+    Wanted = Record.Committed.Map;
+  bool isNew = Wanted && *Wanted != Record.Committed.Map;
+  if (Record.Members != Members)
+    beginGeneration(now);
+  else if (isNew || isOtherRunning)
+    propose(now);
+}
+
+void GroupCoordinator::beginGeneration(TimePoint now) {
+  GroupRecord next = Record;
+  next.GroupGeneration = Generation(Record.GroupGeneration.get() + 1);
+  next.Members = Members;
+  next.Proposed.reset();
+  writeRecord(std::move(next), Phases::Reforming, now);
+}
+
+void GroupCoordinator::propose(TimePoint now) {
+  GroupRecord next = Record;
+  next.Attempt = ChangeAttempt(Record.Attempt.get() + 1);
+  // Versions are numbered by attempts: both are never used twice.
+  next.Proposed = NumberedMap{MapVersion(next.Attempt.get()), *Wanted};
+  writeRecord(std::move(next), Phases::Proposing, now);
+}
+
+void GroupCoordinator::onPhaseTimeout(TimePoint now) {
+  switch (Phase) {
+  case Phases::Idle:
+    enter(Phases::Surveying, now);
+    return;
+  case Phases::Loading:
+    enter(Phases::Idle, now);
+    return;
+  case Phases::Surveying:
+  case Phases::Joining:
+    // Whoever is silent may have left the group.
+    PhaseEnd = now + Limits.PhasePatience;
+    if (Record.Members != Members)
+      beginGeneration(now);
+    return;
+  case Phases::Settling:
+  case Phases::Committing:
+    // An engine may have been lost after it answered: look anew at all.
+    enter(Phases::Surveying, now);
+    return;
+  case Phases::Arming:
+    // Whoever has not armed refuses when asked; whoever has stays armed.
+    enter(Phases::Settling, now);
+    return;
+  default:
+    PhaseEnd = now + Limits.PhasePatience;
+    return;
+  }
+}
+
+void GroupCoordinator::writeRecord(GroupRecord next, CoordinatorPhase phase,
+                                   TimePoint now) {
+  Writing = std::move(next);
+  Writing.Writer = Lease.epoch();
+  enter(phase, now);
+}
+
+GroupActions GroupCoordinator::onKvReply(KvCallId id, const KvReply &reply,
+                                         TimePoint now) {
+  if (id == LeaseCall) {
+    Lease.onReply(reply, now);
+    return onTimer(now);
+  }
+  if (id != RecordCall || !Lease.isHeld(now))
+    return takeActions();
+  RecordCall = KvCallId(0);
+  if (Phase == Phases::Reading)
+    onRecordRead(reply, now);
+  else
+    onRecordWritten(reply, now);
+  return takeActions();
+}
+
+void GroupCoordinator::onRecordRead(const KvReply &reply, TimePoint now) {
+  if (reply.Code == ResultCode::NotFound) {
+    Record = GroupRecord();
+    if (Wanted)
+      Record.Committed.Map = *Wanted;
+    RecordAt = Revision(0);
+    beginGeneration(now);
+    return;
+  }
+  if (reply.Code != ResultCode::Ok)
+    return; // asked again by resend()
+  Result<GroupRecord> record = parseRecord(reply.Value);
+  if (!record)
+    return;
+  Record = std::move(record.value());
+  RecordAt = reply.At;
+  enter(Phases::Surveying, now);
+}
+
+void GroupCoordinator::onRecordWritten(const KvReply &reply, TimePoint now) {
+  if (reply.Code != ResultCode::Ok) {
+    // Perhaps written, perhaps another's write: begin again from the record.
+    enter(Phases::Reading, now);
+    return;
+  }
+  Record = Writing;
+  RecordAt = reply.At;
+  switch (Phase) {
+  case Phases::Reforming:
+    enter(Phases::Joining, now);
+    return;
+  case Phases::Proposing:
+    Attempt = Record.Attempt;
+    enter(Phases::Loading, now);
+    return;
+  default:
+    enter(Phases::Idle, now);
+    return;
+  }
+}
+
+bool GroupCoordinator::hasAllAnswered() const {
+  auto hasAnswered = [this](const EndpointId &it) {
+    return Answers.contains(it);
+  };
+  return std::all_of(Record.Members.begin(), Record.Members.end(), hasAnswered);
+}
+
+void GroupCoordinator::callPlatform(KvCall call) {
+  RecordCall = KvCallId(++LastCall);
+  Out.push_back(CallPlatformForGroup{{RecordCall, std::move(call)}});
+}
+
+GroupActions GroupCoordinator::takeActions() { return std::exchange(Out, {}); }
--- /dev/null
+++ b/lib/Experts/GroupMember.cpp
@@ -0,0 +1,303 @@
+//===- GroupMember.cpp - one agent's part in map changes ------------------===//
+//
+// Orders are handled one at a time: while the engine works on one, later ones
+// wait. An engine that does not answer is asked for its state until it does.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/GroupMember.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+using namespace ospreyspur;
+
+GroupMember::GroupMember(GroupId group, EndpointId self, MemberLimits limits)
+    : Group(std::move(group)), Self(std::move(self)), Limits(limits) {}
+
+GroupActions GroupMember::start(TimePoint now) {
+  orderRank(RankOrderKind::Report, {}, false, now);
+  return takeActions();
+}
+
+GroupActions GroupMember::onOrder(const GroupOrder &order, TimePoint now) {
+  if (Waiting.size() < Limits.MaxWaiting)
+    Waiting.push_back(order);
+  processWaiting(now);
+  return takeActions();
+}
+
+void GroupMember::processWaiting(TimePoint now) {
+  while (!InFlight && State && !Waiting.empty()) {
+    GroupOrder order = std::move(Waiting.front());
+    Waiting.pop_front();
+    process(order, now);
+  }
+}
+
+void GroupMember::process(const GroupOrder &order, TimePoint now) {
+  bool isFenced = order.CoordinatorEpoch < State->HighestEpoch;
+  switch (order.Kind) {
+  case GroupOrderKind::Join:
+    isFenced ? reply(order, GroupReplyKind::Fenced) : join(order, now);
+    return;
+  case GroupOrderKind::Load:
+    isFenced ? reply(order, GroupReplyKind::Fenced) : load(order, now);
+    return;
+  case GroupOrderKind::Arm:
+    isFenced ? reply(order, GroupReplyKind::Fenced) : arm(order, now);
+    return;
+  case GroupOrderKind::Ask:
+    ask(order, now);
+    return;
+  // Outcomes are facts, whoever tells them.
+  case GroupOrderKind::Commit:
+    settle(order.Attempt, RankOrderKind::Commit, now);
+    return;
+  case GroupOrderKind::Abort:
+    settle(order.Attempt, RankOrderKind::Abort, now);
+    return;
+  case GroupOrderKind::Report:
+    orderRank(RankOrderKind::Report, order, true, now);
+    return;
+  }
+}
+
+void GroupMember::join(const GroupOrder &order, TimePoint now) {
+  if (order.GroupGeneration == State->GroupGeneration)
+    reply(order, GroupReplyKind::Joined);
+  else if (order.GroupGeneration > State->GroupGeneration)
+    orderRank(RankOrderKind::Join, order, true, now);
+}
+
+void GroupMember::load(const GroupOrder &order, TimePoint now) {
+  if (order.GroupGeneration != State->GroupGeneration) {
+    reply(order, GroupReplyKind::State);
+    return;
+  }
+  if (State->Spare == order.Version) {
+    reply(order, GroupReplyKind::Loaded);
+    return;
+  }
+  // The spare slots are in use while a switch is under way; the coordinator
+  // asks again. The report shows when it is over.
+  bool isBusy = State->Armed || State->IsSwitching;
+  orderRank(isBusy ? RankOrderKind::Report : RankOrderKind::Load, order, true,
+            now);
+}
+
+/// What the engine's state says of \p attempt; nothing if it is open.
+std::optional<GroupReplyKind>
+GroupMember::knownOutcome(ChangeAttempt attempt) const {
+  if (State->Armed && State->Armed->Attempt == attempt)
+    return GroupReplyKind::Armed;
+  if (State->LastCommitted == attempt)
+    return GroupReplyKind::Committed;
+  if (attempt <= State->RefusedThrough)
+    return GroupReplyKind::Refused;
+  return std::nullopt;
+}
+
+void GroupMember::arm(const GroupOrder &order, TimePoint now) {
+  // An engine of another generation knows nothing of this attempt and must not
+  // speak about it: it may have armed and forgotten.
+  if (order.GroupGeneration != State->GroupGeneration) {
+    reply(order, GroupReplyKind::State);
+    return;
+  }
+  if (auto known = knownOutcome(order.Attempt)) {
+    reply(order, *known);
+    return;
+  }
+  bool canArm = !State->Armed && !State->IsSwitching &&
+                State->Spare == order.Version && State->Step < order.Step;
+  orderRank(canArm ? RankOrderKind::Arm : RankOrderKind::Refuse, order, true,
+            now);
+}
+
+void GroupMember::ask(const GroupOrder &order, TimePoint now) {
+  if (order.GroupGeneration != State->GroupGeneration)
+    return;
+  if (auto known = knownOutcome(order.Attempt))
+    reply(order, *known);
+  else
+    orderRank(RankOrderKind::Refuse, order, true, now);
+}
+
+void GroupMember::settle(ChangeAttempt attempt, RankOrderKind outcome,
+                         TimePoint now) {
+  if (!State->Armed || State->Armed->Attempt != attempt)
+    return;
+  GroupOrder own;
+  own.Attempt = attempt;
+  own.GroupGeneration = State->GroupGeneration;
+  orderRank(outcome, own, false, now);
+}
+
+GroupActions GroupMember::onRankReply(RankOrderId id, const RankReply &answer,
+                                      TimePoint now) {
+  if (!InFlight || InFlight->Id != id)
+    return takeActions();
+  Pending done = *std::exchange(InFlight, std::nullopt);
+  State = answer.State;
+  watchArmed(now);
+  if (done.Cause)
+    finish(*done.Cause, answer.IsDone, now);
+  processWaiting(now);
+  return takeActions();
+}
+
+/// Answers the order that led to an engine's order.
+void GroupMember::finish(const GroupOrder &cause, bool isDone, TimePoint now) {
+  switch (cause.Kind) {
+  case GroupOrderKind::Join:
+    if (State->GroupGeneration == cause.GroupGeneration)
+      reply(cause, GroupReplyKind::Joined);
+    return;
+  case GroupOrderKind::Load:
+    // An engine that has begun to load answers at once; the coordinator asks
+    // again until the map is there.
+    if (State->Spare == cause.Version)
+      reply(cause, GroupReplyKind::Loaded);
+    else if (!isDone && !State->Armed && !State->IsSwitching)
+      reply(cause, GroupReplyKind::LoadFailed);
+    return;
+  case GroupOrderKind::Arm:
+  case GroupOrderKind::Ask:
+    if (cause.GroupGeneration != State->GroupGeneration)
+      return;
+    if (auto known = knownOutcome(cause.Attempt))
+      reply(cause, *known);
+    else
+      orderRank(RankOrderKind::Refuse, cause, true, now);
+    return;
+  case GroupOrderKind::Report:
+    reply(cause, GroupReplyKind::State);
+    return;
+  case GroupOrderKind::Commit:
+  case GroupOrderKind::Abort:
+    return;
+  }
+}
+
+/// Begins or ends the wait for the armed attempt's outcome.
+void GroupMember::watchArmed(TimePoint now) {
+  if (!State->Armed) {
+    AskAt.reset();
+    return;
+  }
+  if (AskAt && VotesFor == State->Armed->Attempt)
+    return;
+  VotesFor = State->Armed->Attempt;
+  ArmedVotes = {Self};
+  AskAt = now + Limits.AskAfter;
+}
+
+void GroupMember::askOthers(TimePoint now) {
+  AskAt = now + Limits.AskAfter;
+  GroupOrder order;
+  order.Group = Group;
+  order.GroupGeneration = State->GroupGeneration;
+  order.Attempt = State->Armed->Attempt;
+  order.Kind = GroupOrderKind::Ask;
+  order.Sender = Self;
+  for (const EndpointId &it : State->Members)
+    if (it != Self)
+      Out.push_back(SendGroupOrder{it, order});
+}
+
+void GroupMember::tellOthers(GroupOrderKind outcome) {
+  GroupOrder order;
+  order.Group = Group;
+  order.GroupGeneration = State->GroupGeneration;
+  order.Attempt = State->Armed->Attempt;
+  order.Kind = outcome;
+  order.Sender = Self;
+  for (const EndpointId &it : State->Members)
+    if (it != Self)
+      Out.push_back(SendGroupOrder{it, order});
+}
+
+GroupActions GroupMember::onReply(const GroupReply &answer, TimePoint now) {
+  if (!State || !State->Armed || answer.Attempt != State->Armed->Attempt ||
+      answer.GroupGeneration != State->GroupGeneration)
+    return takeActions();
+  GroupOrder outcome;
+  outcome.Attempt = answer.Attempt;
+  switch (answer.Kind) {
+  case GroupReplyKind::Armed:
+    ArmedVotes.insert(answer.Member);
+    if (ArmedVotes.size() < State->Members.size())
+      return takeActions();
+    tellOthers(GroupOrderKind::Commit);
+    outcome.Kind = GroupOrderKind::Commit;
+    return onOrder(outcome, now);
+  case GroupReplyKind::Committed:
+    outcome.Kind = GroupOrderKind::Commit;
+    return onOrder(outcome, now);
+  case GroupReplyKind::Refused:
+    tellOthers(GroupOrderKind::Abort);
+    outcome.Kind = GroupOrderKind::Abort;
+    return onOrder(outcome, now);
+  default:
+    return takeActions();
+  }
+}
+
+GroupActions GroupMember::onTimer(TimePoint now) {
+  if (InFlight && InFlight->GiveUpAt <= now) {
+    // Whether the engine took the order is not known; its state will tell, and
+    // whoever wants an answer asks again.
+    InFlight.reset();
+    orderRank(RankOrderKind::Report, {}, false, now);
+  }
+  if (AskAt && *AskAt <= now && State && State->Armed)
+    askOthers(now);
+  return takeActions();
+}
+
+std::optional<TimePoint> GroupMember::nextTimer() const {
+  std::optional<TimePoint> next = AskAt;
+  if (InFlight && (!next || InFlight->GiveUpAt < *next))
+    next = InFlight->GiveUpAt;
+  return next;
+}
+
+void GroupMember::orderRank(RankOrderKind kind, const GroupOrder &cause,
+                            bool isReplyDue, TimePoint now) {
+  assert(!InFlight && "an engine gets one order at a time");
+  RankOrder order;
+  order.Kind = kind;
+  order.CoordinatorEpoch = cause.CoordinatorEpoch;
+  order.GroupGeneration = cause.GroupGeneration;
+  order.Attempt = cause.Attempt;
+  order.Version = cause.Version;
+  order.Step = cause.Step;
+  order.Map = cause.Map;
+  order.Members = cause.Members;
+  RankOrderId id(++LastRankOrder);
+  InFlight = Pending{id, order, std::nullopt, now + Limits.RankTimeout};
+  if (isReplyDue)
+    InFlight->Cause = cause;
+  Out.push_back(OrderRank{id, std::move(order)});
+}
+
+void GroupMember::reply(const GroupOrder &to, GroupReplyKind kind) {
+  GroupReply answer;
+  answer.Group = Group;
+  answer.Member = Self;
+  answer.CoordinatorEpoch = to.CoordinatorEpoch;
+  answer.GroupGeneration = State->GroupGeneration;
+  answer.Attempt = to.Attempt;
+  answer.Version = State->Running;
+  answer.Step = State->Step;
+  answer.Kind = kind;
+  if (kind == GroupReplyKind::State && State->Armed) {
+    answer.Kind = GroupReplyKind::Armed;
+    answer.Attempt = State->Armed->Attempt;
+  }
+  Out.push_back(SendGroupReply{to.Sender, answer});
+}
+
+GroupActions GroupMember::takeActions() { return std::exchange(Out, {}); }
--- /dev/null
+++ b/lib/Experts/LeaseHolder.cpp
@@ -0,0 +1,62 @@
+//===- LeaseHolder.cpp - gets and keeps a lease ---------------------------===//
+//
+// The lease's span is counted from the moment the call was sent: the platform
+// cannot have started it earlier.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/LeaseHolder.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+
+LeaseHolder::LeaseHolder(std::string key, std::string self, LeaseLimits limits)
+    : Key(std::move(key)), Self(std::move(self)), Limits(limits) {}
+
+std::optional<KvCall> LeaseHolder::nextCall(TimePoint now) {
+  if (Holder.get() > 0 && now >= ActUntil)
+    lose(now);
+  bool isLost = IsCalling && now >= SentAt + Limits.CallTimeout;
+  if (IsStopped || now < NextCall || (IsCalling && !isLost))
+    return std::nullopt;
+  IsCalling = true;
+  SentAt = now;
+  if (Holder.get() > 0) {
+    NextCall = now + Limits.RenewEvery;
+    return KvRenew{Key, Holder};
+  }
+  NextCall = now + Limits.RetryEvery;
+  return KvPut{Key, Self, Revision(0), Limits.Span};
+}
+
+void LeaseHolder::onReply(const KvReply &reply, TimePoint now) {
+  if (!IsCalling)
+    return;
+  IsCalling = false;
+  if (reply.Code == ResultCode::Ok) {
+    Holder = reply.At;
+    ActUntil = SentAt + Limits.Span - Limits.Margin;
+    NextCall = SentAt + Limits.RenewEvery;
+    return;
+  }
+  bool isGone = reply.Code == ResultCode::NotFound ||
+                reply.Code == ResultCode::PlatformConflict;
+  if (Holder.get() > 0 && isGone)
+    lose(now);
+}
+
+TimePoint LeaseHolder::nextTimer() const {
+  TimePoint next = NextCall;
+  if (IsCalling)
+    next = std::max(next, SentAt + Limits.CallTimeout);
+  if (Holder.get() > 0)
+    next = std::min(next, ActUntil);
+  return next;
+}
+
+void LeaseHolder::lose(TimePoint now) {
+  Holder = Revision(0);
+  IsCalling = false;
+  NextCall = now + Limits.RetryEvery;
+}
--- a/lib/Http/CallerApi.cpp
+++ b/lib/Http/CallerApi.cpp
@@ -170,7 +170,7 @@
   response.set(http::field::content_type, "application/json");
   std::string_view outcome = toString(info.Kind);
   response.set(OutcomeHeader, {outcome.data(), outcome.size()});
-  if (info.Kind == Outcome::NotRun) {
+  if (info.Kind == Outcome::NotRun || code == ResultCode::ClaimUnchecked) {
     auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter).count();
     response.set(http::field::retry_after,
                  std::to_string(std::max<std::int64_t>(1, seconds)));
--- a/lib/Routing/EntryClaims.cpp
+++ b/lib/Routing/EntryClaims.cpp
@@ -1,11 +1,12 @@
 //===- EntryClaims.cpp - idempotency keys at an entry ---------------------===//
 //
-// A key is bound to a ticket by one create-if-absent in the platform's service.
-// Whoever finds the key bound attaches to the same ticket, and the agent's
-// ledger sees to it that the ticket runs once.
+// A key is read first, then bound to a ticket by one create-if-absent in the
+// platform's service. Whoever finds the key bound attaches to the same ticket,
+// and the agent's ledger sees to it that the ticket runs once.
 //
-// Once a claim was sent, another entry may have read it and run the ticket. A
-// call may then say "not run" only after the agent has voided the ticket.
+// "Not run" is said of a key only if the key was read as free, or as bound to a
+// ticket that is now void. Once a claim was sent, another entry may have read
+// it and run the ticket; then the agent must void the ticket first.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,11 +17,11 @@
 
 using namespace ospreyspur;
 
-static constexpr unsigned MaxClaimReads = 3;
+static constexpr unsigned MaxClaimTries = 3;
+static constexpr Duration PlatformRetryAfter = std::chrono::seconds(2);
 
 void EntryNode::claim(Call &call, TimePoint now) {
   call.Stage = CallStage::Claiming;
-  call.Tries = 0;
   Claim value{fingerprint(call.Request), *call.Permit};
   callPlatform(
       call,
@@ -57,11 +58,12 @@
     dispatch(call, now);
     return;
   }
-  if (reply.Code == ResultCode::PlatformConflict) {
+  if (reply.Code == ResultCode::PlatformConflict && reply.At.get() > 0) {
     adoptClaim(call, reply, now);
     return;
   }
-  // The write may have taken effect, also later: read back.
+  // Either the claim that we meant to replace has lapsed, or the write may have
+  // taken effect, perhaps later: read back.
   readClaim(call, now);
 }
 
@@ -71,24 +73,30 @@
     return;
   }
   if (reply.Code != ResultCode::NotFound) {
-    abandonClaim(call, now);
+    retryClaim(call, now);
     return;
   }
   call.ClaimAt = Revision(0);
-  if (++call.Tries < MaxClaimReads)
+  if (!call.Permit) {
+    call.Tries = 0;
+    startProbing(call, now);
+    return;
+  }
+  if (++call.Tries < MaxClaimTries)
     claim(call, now);
   else
     abandonClaim(call, now);
 }
 
+void EntryNode::retryClaim(Call &call, TimePoint now) {
+  if (++call.Tries < MaxClaimTries)
+    readClaim(call, now);
+  else
+    abandonClaim(call, now);
+}
+
 /// The key is bound as \p reply says, by us or by another entry.
 void EntryNode::adoptClaim(Call &call, const KvReply &reply, TimePoint now) {
-  if (reply.At.get() == 0) {
-    // The claim that we meant to replace has lapsed meanwhile.
-    call.ClaimAt = Revision(0);
-    readClaim(call, now);
-    return;
-  }
   Result<Claim> claim = parseClaim(reply.Value);
   if (!claim) {
     abandonClaim(call, now);
@@ -103,11 +111,16 @@
   dispatch(call, now);
 }
 
-/// The platform does not answer. Nothing was dispatched from here, but the
-/// claim may stand, so the ticket is voided before the caller hears "not run".
+/// The platform does not answer. If the key was never read, an earlier try may
+/// have run. If it was read as free, only our own claim may stand, so its
+/// ticket is voided before the caller hears "not run".
 void EntryNode::abandonClaim(Call &call, TimePoint now) {
+  call.RetryAfter = PlatformRetryAfter;
+  if (!call.Permit) {
+    finishWith(call, ResultCode::ClaimUnchecked);
+    return;
+  }
   call.GiveUp = ResultCode::PlatformUnavailable;
-  call.RetryAfter = std::chrono::seconds(2);
   startResolving(call, now);
 }
 
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -51,6 +51,8 @@
   }
   if (!findService(call))
     finishWith(call, ResultCode::UnknownService);
+  else if (call.Request.IdempotencyKey && !call.Request.WantsTicket)
+    readClaim(call, now);
   else
     startProbing(call, now);
   return takeActions();
@@ -65,7 +67,8 @@
   if (service) {
     auto isExcluded = [&](const EndpointId &id) {
       auto suspect = SuspectUntil.find(id);
-      bool isSuspect = suspect != SuspectUntil.end() && suspect->second > now;
+      bool isSuspect = !call.IgnoresSilence && suspect != SuspectUntil.end() &&
+                       suspect->second > now;
       return isSuspect || KnownLeaving.contains(id) || call.Tried.contains(id);
     };
     candidates = Picker.pickCandidates(*service, call.Request.Prefix,
@@ -97,6 +100,11 @@
       call.LastRefusal = it.Reply.Code;
       call.RetryAfter = std::max(call.RetryAfter, it.Reply.RetryAfter);
     }
+    if (call.Offers.empty()) {
+      // Nobody answered: ask again, the answers may only be late.
+      call.Tried.clear();
+      call.IgnoresSilence = true;
+    }
     if (++call.Tries < MaxProbeRounds)
       startProbing(call, now);
     else
@@ -113,6 +121,7 @@
     erase(call);
     return;
   }
+  call.Tries = 0;
   bind(call, offer.Reply.Permit);
   if (call.Request.IdempotencyKey)
     claim(call, now);
@@ -157,8 +166,13 @@
 /// Whether the call may run at another endpoint although its present dispatch
 /// may have run.
 bool EntryNode::mayRunElsewhere(const Call &call) const {
-  return call.Request.IsRepeatable && !call.Request.CallerTicket &&
-         !call.Request.IdempotencyKey;
+  if (!call.Request.IsRepeatable || call.Request.CallerTicket ||
+      call.Request.IdempotencyKey)
+    return false;
+  // A begun answer goes on elsewhere only if it can be resumed; another plain
+  // endpoint would begin anew, perhaps with another answer.
+  const ServiceView *service = findService(call);
+  return !call.HasHead || (service && service->Kind == ServiceKind::Model);
 }
 
 /// Goes to another endpoint. The caller of this function has made sure that the
@@ -250,7 +264,7 @@
     readClaim(call, now);
     return;
   case CallStage::ReadingClaim:
-    abandonClaim(call, now);
+    retryClaim(call, now);
     return;
   case CallStage::Dispatched:
     if (++call.Tries < MaxDispatchTries)
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -198,6 +198,8 @@
   out->set_kind(static_cast<std::uint32_t>(in.Kind));
   out->set_sender(in.Sender.get());
   out->set_map(in.Map);
+  for (const EndpointId &it : in.Members)
+    out->add_members(it.get());
 }
 
 static std::optional<Message> get(const wire::GroupOrder &in) {
@@ -213,6 +215,8 @@
   out.Kind = static_cast<GroupOrderKind>(in.kind());
   out.Sender = EndpointId(in.sender());
   out.Map = in.map();
+  for (const std::string &it : in.members())
+    out.Members.emplace_back(it);
   return out;
 }
 
--- /dev/null
+++ b/test/standin/RankModel.h
@@ -0,0 +1,124 @@
+//===- RankModel.h - an engine's side of map changes ------------*- C++ -*-===//
+//
+// A fake of what a real engine does with an agent's orders. Used by the engine
+// stand-in and by the tests of the group's decisions.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_TEST_RANKMODEL_H
+#define OSPREYSPUR_TEST_RANKMODEL_H
+
+#include "ospreyspur/Experts/RankState.h"
+
+#include <algorithm>
+#include <string>
+
+namespace standin {
+
+using namespace ospreyspur;
+
+/// One rank's engine.
+class RankModel {
+public:
+  /// \p checksFences: whether the engine compares epochs itself.
+  explicit RankModel(bool checksFences) : ChecksFences(checksFences) {}
+
+  const RankState &state() const { return State; }
+  const std::string &runningMap() const { return RunningMap; }
+  void setCanLoad(bool canLoad) { CanLoad = canLoad; }
+
+  RankReply handle(const RankOrder &order) {
+    bool isFenced = ChecksFences && order.CoordinatorEpoch < State.HighestEpoch;
+    State.HighestEpoch = std::max(State.HighestEpoch, order.CoordinatorEpoch);
+    return {perform(order, isFenced), State};
+  }
+
+  /// Whether the next step may start.
+  bool mayStart() const {
+    return State.GroupGeneration.get() > 0 &&
+           !(State.Armed && State.Step >= State.Armed->Step);
+  }
+
+  /// Runs the next step; the version of the map that it uses.
+  MapVersion run() {
+    if (State.IsSwitching && State.Step >= SwitchStep) {
+      State.Running = State.Spare;
+      RunningMap = SpareMap;
+      State.Spare = MapVersion(0);
+      State.IsSwitching = false;
+    }
+    State.Step = StepNumber(State.Step.get() + 1);
+    return State.Running;
+  }
+
+private:
+  bool perform(const RankOrder &order, bool isFenced) {
+    bool isCurrent = order.GroupGeneration == State.GroupGeneration;
+    bool isBusy = State.Armed || State.IsSwitching;
+    bool isArmedFor = State.Armed && State.Armed->Attempt == order.Attempt;
+    switch (order.Kind) {
+    case RankOrderKind::Report:
+      return true;
+    case RankOrderKind::Join:
+      if (isFenced || order.GroupGeneration <= State.GroupGeneration)
+        return false;
+      State.GroupGeneration = order.GroupGeneration;
+      State.Members = order.Members;
+      State.Step = StepNumber(1);
+      State.Running = order.Version;
+      RunningMap = order.Map;
+      State.Spare = MapVersion(0);
+      State.Armed.reset();
+      State.IsSwitching = false;
+      return true;
+    case RankOrderKind::Load:
+      if (isFenced || !isCurrent || isBusy || !CanLoad)
+        return false;
+      State.Spare = order.Version;
+      SpareMap = order.Map;
+      return true;
+    case RankOrderKind::Arm:
+      if (isFenced || !isCurrent || isBusy || State.Spare != order.Version ||
+          order.Attempt <= State.RefusedThrough || State.Step >= order.Step)
+        return false;
+      State.Armed = ArmedChange{order.Attempt, order.Version, order.Step};
+      return true;
+    case RankOrderKind::Refuse:
+      if (!isCurrent || isArmedFor || State.LastCommitted == order.Attempt)
+        return false;
+      close(order.Attempt);
+      return true;
+    case RankOrderKind::Commit:
+      if (!isArmedFor)
+        return false;
+      State.IsSwitching = true;
+      SwitchStep = State.Armed->Step;
+      State.LastCommitted = order.Attempt;
+      State.Armed.reset();
+      close(order.Attempt);
+      return true;
+    case RankOrderKind::Abort:
+      if (!isArmedFor)
+        return false;
+      State.Armed.reset();
+      close(order.Attempt);
+      return true;
+    }
+    return false;
+  }
+
+  void close(ChangeAttempt attempt) {
+    State.RefusedThrough = std::max(State.RefusedThrough, attempt);
+  }
+
+  bool ChecksFences;
+  bool CanLoad = true;
+  RankState State;
+  std::string RunningMap;
+  std::string SpareMap;
+  StepNumber SwitchStep;
+};
+
+} // namespace standin
+
+#endif // OSPREYSPUR_TEST_RANKMODEL_H
--- /dev/null
+++ b/unittests/Experts/OneMapTest.cpp
@@ -0,0 +1,390 @@
+//===- OneMapTest.cpp - all ranks use one map in every step ---------------===//
+//
+// Thousands of seeded interleavings of map changes with killed and frozen
+// agents, lost engines, lost, doubled and late messages and platform faults.
+// The ranks run in lock-step and record the map that each used in each step.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RandomScheduler.h"
+#include "standin/RankModel.h"
+
+#include "ospreyspur/Experts/GroupCoordinator.h"
+#include "ospreyspur/Experts/GroupMember.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <sstream>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using standin::RankModel;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr std::uint64_t Seeds = 1000;
+static constexpr std::size_t RankCount = 4;
+static constexpr Duration StepTime = milliseconds(5);
+static constexpr Duration KvTimeout = milliseconds(1500);
+
+namespace {
+struct FaultRates {
+  unsigned Message = 4;
+  unsigned Platform = 10;
+  unsigned Late = 3;
+};
+
+/// A group of ranks with their agents on virtual time.
+class GroupWorld {
+public:
+  GroupWorld(std::uint64_t seed, FaultRates rates, bool checksFences)
+      : Scheduler(seed, rates.Late), Rates(rates), ChecksFences(checksFences) {
+    for (std::size_t i = 0; i < RankCount; ++i)
+      Ids.push_back(EndpointId("r" + std::to_string(i)));
+    for (std::size_t i = 0; i < RankCount; ++i) {
+      Agents[i].Rank = std::make_unique<RankModel>(checksFences);
+      startAgent(i);
+    }
+    step();
+  }
+
+  RandomScheduler Scheduler;
+  std::string Fault;
+  std::uint64_t StepsDone = 0;
+  std::uint64_t Switches = 0;
+
+  void setWanted(const std::string &map) {
+    Wanted = map;
+    for (Agent &it : Agents)
+      it.Coordinator->setWanted(map);
+  }
+
+  bool isInForce(const std::string &map) const {
+    auto runs = [&](const Agent &it) { return it.Rank->runningMap() == map; };
+    return std::all_of(std::begin(Agents), std::end(Agents), runs);
+  }
+
+  void breakSomething() {
+    std::size_t i = Scheduler.below(RankCount);
+    switch (Scheduler.below(7)) {
+    case 0:
+    case 1:
+      return startAgent(i);
+    case 2:
+    case 3:
+      Agents[i].FrozenUntil =
+          Scheduler.now() + milliseconds(Scheduler.below(12000));
+      return;
+    case 4:
+      Agents[i].Rank = std::make_unique<RankModel>(ChecksFences);
+      Agents[i].StartedStep = {};
+      return startAgent(i);
+    case 5:
+      OutageUntil = Scheduler.now() + milliseconds(Scheduler.below(9000));
+      return;
+    default:
+      Agents[i].Rank->setCanLoad(Scheduler.chance(50));
+      return;
+    }
+  }
+
+  /// Where everybody stands, for failure messages.
+  std::string describe() const {
+    std::ostringstream os;
+    for (const Agent &it : Agents) {
+      const RankState &rank = it.Rank->state();
+      os << "\nphase " << static_cast<unsigned>(it.Coordinator->phase())
+         << " generation " << rank.GroupGeneration.get() << " step "
+         << rank.Step.get() << " running " << rank.Running.get() << " spare "
+         << rank.Spare.get() << " refused " << rank.RefusedThrough.get();
+      const GroupRecord &record = it.Coordinator->record();
+      os << " | committed " << record.Committed.Map << " attempt "
+         << record.Attempt.get();
+      if (rank.Armed)
+        os << " armed " << rank.Armed->Attempt.get() << " at "
+           << rank.Armed->Step.get();
+    }
+    return os.str();
+  }
+
+  void heal() {
+    Rates = {0, 0, 0};
+    Scheduler.setLatePercent(0);
+    OutageUntil = TimePoint();
+    for (Agent &it : Agents)
+      it.Rank->setCanLoad(true);
+  }
+
+private:
+  struct Agent {
+    std::unique_ptr<RankModel> Rank;
+    std::unique_ptr<GroupMember> Member;
+    std::unique_ptr<GroupCoordinator> Coordinator;
+    std::uint64_t Life = 0;
+    TimePoint FrozenUntil;
+    /// The step begun last, and the map it uses.
+    std::pair<Generation, StepNumber> StartedStep;
+    std::pair<MapVersion, std::string> StartedMap;
+  };
+
+  void startAgent(std::size_t i) {
+    Agent &agent = Agents[i];
+    agent.Life = ++LastLife;
+    agent.FrozenUntil = TimePoint();
+    CoordinatorLimits limits;
+    limits.StepsAhead = 100;
+    agent.Member =
+        std::make_unique<GroupMember>(GroupId("g"), Ids[i], MemberLimits());
+    agent.Coordinator =
+        std::make_unique<GroupCoordinator>(GroupId("g"), Ids[i], limits);
+    agent.Coordinator->setMembers(Ids);
+    if (!Wanted.empty())
+      agent.Coordinator->setWanted(Wanted);
+    apply(i, agent.Member->start(Scheduler.now()));
+    apply(i, agent.Coordinator->onTimer(Scheduler.now()));
+  }
+
+  /// Hands an input to agent \p i unless it was replaced; later if frozen.
+  void input(std::size_t i, std::uint64_t life,
+             const std::function<GroupActions(Agent &)> &give) {
+    Agent &agent = Agents[i];
+    if (agent.Life != life)
+      return;
+    if (Scheduler.now() < agent.FrozenUntil)
+      Scheduler.at(agent.FrozenUntil, [=, this] {
+        Scheduler.soon([=, this] { input(i, life, give); });
+      });
+    else
+      apply(i, give(agent));
+  }
+
+  void apply(std::size_t i, const GroupActions &actions) {
+    for (const GroupAction &action : actions)
+      std::visit([this, i](const auto &it) { perform(i, it); }, action);
+    armTimer(i);
+  }
+
+  void armTimer(std::size_t i) {
+    TimePoint due = Agents[i].Coordinator->nextTimer();
+    if (auto member = Agents[i].Member->nextTimer())
+      due = std::min(due, *member);
+    std::uint64_t life = Agents[i].Life;
+    if (Agents[i].Coordinator->nextTimer() <= Scheduler.now())
+      due = Scheduler.now() + milliseconds(1);
+    auto &armed = TimersArmed[{i, life}];
+    if (armed > Scheduler.now() && armed <= due)
+      return;
+    armed = due;
+    Scheduler.at(due, [this, i, life] {
+      input(i, life, [this](Agent &agent) {
+        GroupActions out = agent.Member->onTimer(Scheduler.now());
+        for (GroupAction &it : agent.Coordinator->onTimer(Scheduler.now()))
+          out.push_back(std::move(it));
+        return out;
+      });
+    });
+  }
+
+  std::size_t indexOf(const EndpointId &id) const {
+    return std::find(Ids.begin(), Ids.end(), id) - Ids.begin();
+  }
+
+  void perform(std::size_t /*i*/, const SendGroupOrder &action) {
+    std::size_t k = indexOf(action.To);
+    Scheduler.unreliably(Rates.Message, [=, this] {
+      input(k, Agents[k].Life, [=, this](Agent &agent) {
+        return agent.Member->onOrder(action.Order, Scheduler.now());
+      });
+    });
+  }
+
+  void perform(std::size_t /*i*/, const SendGroupReply &action) {
+    std::size_t k = indexOf(action.To);
+    Scheduler.unreliably(Rates.Message, [=, this] {
+      input(k, Agents[k].Life, [=, this](Agent &agent) {
+        GroupActions out = agent.Member->onReply(action.Reply, Scheduler.now());
+        for (GroupAction &it :
+             agent.Coordinator->onReply(action.Reply, Scheduler.now()))
+          out.push_back(std::move(it));
+        return out;
+      });
+    });
+  }
+
+  /// The order and its answer may be lost, also one after the other.
+  void perform(std::size_t i, const OrderRank &action) {
+    std::uint64_t life = Agents[i].Life;
+    if (Scheduler.chance(Rates.Message))
+      return;
+    Scheduler.soon([=, this] {
+      RankReply answer = Agents[i].Rank->handle(action.Order);
+      if (!Scheduler.chance(Rates.Message))
+        Scheduler.soon([=, this] {
+          input(i, life, [=, this](Agent &agent) {
+            return agent.Member->onRankReply(action.Id, answer,
+                                             Scheduler.now());
+          });
+        });
+    });
+  }
+
+  void perform(std::size_t i, const CallPlatformForGroup &action) {
+    std::uint64_t life = Agents[i].Life;
+    KvCallId id = action.Request.Id;
+    auto reply = [=, this](const KvReply &it) {
+      input(i, life, [=, this](Agent &agent) {
+        return agent.Coordinator->onKvReply(id, it, Scheduler.now());
+      });
+    };
+    bool isOut = Scheduler.now() < OutageUntil;
+    if (isOut || Scheduler.chance(Rates.Platform)) {
+      if (Scheduler.chance(50))
+        Scheduler.at(Scheduler.now() + Duration(Scheduler.below(3000000)),
+                     [=, this] { callKv(action.Request.Call); });
+      KvReply lost;
+      lost.Code = ResultCode::PlatformTimeout;
+      Scheduler.at(Scheduler.now() + KvTimeout, [=] { reply(lost); });
+      return;
+    }
+    Scheduler.soon([=, this] { reply(callKv(action.Request.Call)); });
+  }
+
+  KvReply callKv(const KvCall &call) {
+    std::erase_if(Kv, [this](const auto &it) {
+      return it.second.Lease > Duration::zero() &&
+             it.second.Expires <= Scheduler.now();
+    });
+    if (const auto *get = std::get_if<KvGet>(&call)) {
+      auto it = Kv.find(get->Key);
+      if (it == Kv.end())
+        return {ResultCode::NotFound, {}, {}};
+      return {ResultCode::Ok, Revision(it->second.At), it->second.Value};
+    }
+    if (const auto *renew = std::get_if<KvRenew>(&call)) {
+      auto it = Kv.find(renew->Key);
+      if (it == Kv.end() || it->second.At != renew->Holder.get())
+        return {ResultCode::NotFound, {}, {}};
+      it->second.Expires = Scheduler.now() + it->second.Lease;
+      return {ResultCode::Ok, renew->Holder, {}};
+    }
+    const auto &put = std::get<KvPut>(call);
+    auto it = Kv.find(put.Key);
+    std::uint64_t present = it == Kv.end() ? 0 : it->second.At;
+    if (present != put.Expected.get())
+      return {ResultCode::PlatformConflict, Revision(present), {}};
+    Kv[put.Key] = {put.Value, ++LastRevision, put.Lease,
+                   Scheduler.now() + put.Lease};
+    return {ResultCode::Ok, Revision(LastRevision), {}};
+  }
+
+  /// One tick of the fabric: each rank begins its next step once all ranks of
+  /// its generation have begun the one before.
+  void step() {
+    for (std::size_t i = 0; i < RankCount; ++i) {
+      Agent &agent = Agents[i];
+      const RankState &state = agent.Rank->state();
+      bool isFirst = state.Step.get() == 1;
+      std::pair before{state.GroupGeneration, StepNumber(state.Step.get() - 1)};
+      auto hasBegun = [&](const Agent &it) {
+        return it.StartedStep.first == before.first &&
+               it.StartedStep.second >= before.second;
+      };
+      bool isPast = isFirst ||
+                    std::all_of(std::begin(Agents), std::end(Agents), hasBegun);
+      if (!isPast || !agent.Rank->mayStart() || Scheduler.chance(10))
+        continue;
+      StepNumber number = state.Step;
+      MapVersion old = state.Running;
+      MapVersion version = agent.Rank->run();
+      Switches += version != old;
+      agent.StartedStep = {state.GroupGeneration, number};
+      agent.StartedMap = {version, agent.Rank->runningMap()};
+      checkStep(agent);
+    }
+    Scheduler.at(Scheduler.now() + StepTime, [this] { step(); });
+  }
+
+  void checkStep(const Agent &agent) {
+    ++StepsDone;
+    for (const Agent &it : Agents)
+      if (it.StartedStep == agent.StartedStep &&
+          it.StartedMap != agent.StartedMap)
+        Fault = "two maps in step " +
+                std::to_string(agent.StartedStep.second.get());
+  }
+
+  struct KvEntry {
+    std::string Value;
+    std::uint64_t At = 0;
+    Duration Lease{};
+    TimePoint Expires;
+  };
+
+  FaultRates Rates;
+  bool ChecksFences;
+  std::vector<EndpointId> Ids;
+  Agent Agents[RankCount];
+  std::map<std::pair<std::size_t, std::uint64_t>, TimePoint> TimersArmed;
+  std::map<std::string, KvEntry> Kv;
+  std::uint64_t LastRevision = 0;
+  std::uint64_t LastLife = 0;
+  std::string Wanted;
+  TimePoint OutageUntil;
+};
+} // namespace
+
+/// Changes maps under faults, then heals and waits for the last map.
+static void runFaultySeed(std::uint64_t seed, bool checksFences,
+                          std::uint64_t &switches) {
+  GroupWorld world(seed, FaultRates(), checksFences);
+  RandomScheduler &random = world.Scheduler;
+  TimePoint begin = random.now();
+  world.setWanted("map 0");
+  for (unsigned i = 1; i <= 6; ++i)
+    random.at(begin + seconds(3 * i),
+              [&world, i] { world.setWanted("map " + std::to_string(i)); });
+  for (unsigned i = 0; i < 8; ++i)
+    random.at(begin + milliseconds(random.below(25000)),
+              [&world] { world.breakSomething(); });
+  random.runUntil(begin + seconds(30));
+  REQUIRE(world.Fault == "");
+  world.heal();
+  world.setWanted("last map");
+  random.runUntil(begin + seconds(90));
+  REQUIRE(world.Fault == "");
+  INFO(world.describe());
+  REQUIRE(world.isInForce("last map"));
+  switches += world.Switches;
+}
+
+TEST_CASE("under random faults every step uses one map and changes go on") {
+  std::uint64_t switches = 0;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    INFO("seed ", seed);
+    runFaultySeed(seed, true, switches);
+  }
+  // The group must have switched in most seeds, or they prove little.
+  CHECK(switches > Seeds * RankCount);
+  MESSAGE("rank switches: ", switches);
+}
+
+TEST_CASE("engines that check no fences are kept to one map by their agents") {
+  std::uint64_t switches = 0;
+  for (std::uint64_t seed = 1; seed <= Seeds / 4; ++seed) {
+    INFO("seed ", seed);
+    runFaultySeed(seed, false, switches);
+  }
+  CHECK(switches > Seeds / 4 * RankCount);
+}
+
+TEST_CASE("without faults a map comes into force") {
+  GroupWorld world(3, {0, 0, 0}, true);
+  world.setWanted("first");
+  world.Scheduler.runUntil(world.Scheduler.now() + seconds(20));
+  world.setWanted("second");
+  world.Scheduler.runUntil(world.Scheduler.now() + seconds(20));
+  CHECK(world.Fault == "");
+  CHECK(world.isInForce("second"));
+  CHECK(world.Switches == RankCount);
+}
--- /dev/null
+++ b/unittests/RandomScheduler.h
@@ -0,0 +1,82 @@
+//===- RandomScheduler.h - seeded events on virtual time --------*- C++ -*-===//
+//
+// Drives state machines through interleavings: every event happens after a
+// delay drawn from a seed, so that messages overtake one another. The same seed
+// gives the same run.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_UNITTESTS_RANDOMSCHEDULER_H
+#define OSPREYSPUR_UNITTESTS_RANDOMSCHEDULER_H
+
+#include "ospreyspur/Support/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace ospreyspur::test {
+
+/// A queue of events on virtual time.
+class RandomScheduler {
+public:
+  using Event = std::function<void()>;
+
+  /// \p latePercent of the events come up to 0.9 s late.
+  RandomScheduler(std::uint64_t seed, unsigned latePercent)
+      : Random(seed), LatePercent(latePercent) {}
+
+  TimePoint now() const { return Now; }
+
+  void setLatePercent(unsigned percent) { LatePercent = percent; }
+
+  /// True in \p percent of 100 draws.
+  bool chance(unsigned percent) { return below(100) < percent; }
+
+  /// A number from 0 to \p n - 1.
+  std::uint64_t below(std::uint64_t n) {
+    return std::uniform_int_distribution<std::uint64_t>(0, n - 1)(Random);
+  }
+
+  /// Runs \p event at \p due, or now if that has passed.
+  void at(TimePoint due, Event event) {
+    Events.emplace(std::pair(std::max(due, Now), Random()), std::move(event));
+  }
+
+  /// Runs \p event after a random delay, mostly short, at times long.
+  void soon(Event event) {
+    auto limit = chance(LatePercent) ? 900000U : 3000U;
+    at(Now + Duration(below(limit)), std::move(event));
+  }
+
+  /// Like soon(), but the event may be lost or happen twice.
+  void unreliably(unsigned faultPercent, const Event &event) {
+    if (!chance(faultPercent))
+      soon(event);
+    if (chance(faultPercent))
+      soon(event);
+  }
+
+  /// Runs events until none is left or the time is past \p end.
+  void runUntil(TimePoint end) {
+    while (!Events.empty() && Events.begin()->first.first <= end) {
+      auto node = Events.extract(Events.begin());
+      Now = node.key().first;
+      node.mapped()();
+    }
+    Now = std::max(Now, end);
+  }
+
+private:
+  std::mt19937_64 Random;
+  unsigned LatePercent;
+  TimePoint Now{std::chrono::hours(1)};
+  std::map<std::pair<TimePoint, std::uint64_t>, Event> Events;
+};
+
+} // namespace ospreyspur::test
+
+#endif // OSPREYSPUR_UNITTESTS_RANDOMSCHEDULER_H
--- /dev/null
+++ b/unittests/Routing/AtMostOnceTest.cpp
@@ -0,0 +1,173 @@
+//===- AtMostOnceTest.cpp - "not run" is true, nothing runs twice ---------===//
+//
+// Thousands of seeded interleavings with kills, freezes, lost, doubled and late
+// messages, platform faults and callers that ask again. The checker joins what
+// callers were told with what endpoints ran.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr std::uint64_t Seeds = 3000;
+static constexpr std::size_t EntryCount = 3;
+static constexpr std::size_t AgentCount = 3;
+
+static void breakSomething(RequestWorld &world) {
+  RandomScheduler &random = world.Scheduler;
+  std::size_t agent = random.below(AgentCount);
+  switch (random.below(6)) {
+  case 0:
+    return world.killEntry(random.below(EntryCount));
+  case 1:
+    return world.killAgent(agent);
+  case 2:
+    return world.freezeAgent(agent, milliseconds(random.below(6000)));
+  case 3:
+    return world.setLeaving(agent, random.chance(50));
+  case 4:
+    return world.cutLink(random.below(EntryCount), agent);
+  default:
+    return world.setOutage(milliseconds(random.below(2500)));
+  }
+}
+
+/// Asks under an idempotency key, up to three times, at times at once.
+static void askWithKey(RequestWorld &world, const std::string &name) {
+  std::uint64_t tries = 1 + world.Scheduler.below(3);
+  for (std::uint64_t i = 0; i < tries; ++i) {
+    auto after = milliseconds(world.Scheduler.below(6000));
+    world.Scheduler.at(world.Scheduler.now() + after, [&world, name] {
+      world.ask(world.Scheduler.below(EntryCount), name,
+                [&](CallerRequest &it) { it.IdempotencyKey = name; });
+    });
+  }
+}
+
+/// Gets a ticket and sends the request under it through several entries.
+static void askWithTicket(RequestWorld &world, const std::string &name) {
+  CallRecord &record =
+      world.ask(world.Scheduler.below(EntryCount), "ticket",
+                [](CallerRequest &it) { it.WantsTicket = true; });
+  for (unsigned i = 0; i < 2; ++i) {
+    auto after = milliseconds(500 + world.Scheduler.below(4000));
+    world.Scheduler.at(world.Scheduler.now() + after, [&world, &record, name] {
+      if (record.Given)
+        world.ask(world.Scheduler.below(EntryCount), name,
+                  [&](CallerRequest &it) { it.CallerTicket = record.Given; });
+    });
+  }
+}
+
+static void askOnce(RequestWorld &world, const std::string &name) {
+  world.ask(world.Scheduler.below(EntryCount), name, [](CallerRequest &) {});
+}
+
+/// Asks for something that may run more than once.
+static void askRepeatable(RequestWorld &world, const std::string &name) {
+  world.ask(world.Scheduler.below(EntryCount), "again " + name,
+            [&](CallerRequest &it) {
+              it.IsRepeatable = true;
+              if (world.Scheduler.chance(50))
+                it.Service = ServiceId("ask");
+            });
+}
+
+static constexpr void (*Kinds[])(RequestWorld &, const std::string &) = {
+    askOnce, askWithKey, askWithTicket, askRepeatable};
+
+static bool overlaps(const CallRecord &a, const CallRecord &b) {
+  return a.Began <= *b.Ended && b.Began <= *a.Ended;
+}
+
+/// Whether \p run proves that \p call was wrongly told "not run".
+static bool contradicts(const RequestWorld &world, const CallRecord &call,
+                        const RunRecord &run) {
+  if (run.Name != call.Name || run.Began > *call.Ended)
+    return false;
+  if (run.Began < call.Began)
+    return true;
+  // A run during the call is another's only if another call was under way.
+  for (const auto &it : world.Calls)
+    if (it.get() != &call && it->Name == call.Name && overlaps(*it, call))
+      return false;
+  return true;
+}
+
+/// The first broken promise, or "".
+static std::string findFault(const RequestWorld &world) {
+  std::map<std::string, unsigned> runs;
+  for (const RunRecord &it : world.Runs)
+    if (++runs[it.Name] > 1 && !it.Name.starts_with("again"))
+      return it.Name + " ran twice";
+  for (const auto &call : world.Calls) {
+    if (!call->Ended)
+      return call->Name + " got no final answer";
+    if (*call->Ended > call->Deadline)
+      return call->Name + " was answered after its deadline";
+    if (call->IsCut || call->Name == "ticket")
+      continue;
+    if (call->Code == ResultCode::Ok &&
+        call->Body != RequestWorld::expectedBody(call->Name))
+      return call->Name + " got a wrong answer: " + call->Body;
+    if (call->Code == ResultCode::Ok && runs[call->Name] == 0)
+      return call->Name + " was answered but did not run";
+    if (describe(call->Code).Kind != Outcome::NotRun)
+      continue;
+    for (const RunRecord &run : world.Runs)
+      if (contradicts(world, *call, run))
+        return call->Name + " was told not-run but ran";
+  }
+  return "";
+}
+
+TEST_CASE("under random faults nothing runs twice and not-run is true") {
+  std::map<Outcome, unsigned> told;
+  std::size_t runs = 0;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    RequestWorld world(seed, FaultRates(), EntryCount, AgentCount);
+    RandomScheduler &random = world.Scheduler;
+    TimePoint begin = random.now();
+    for (unsigned i = 0; i < 12; ++i) {
+      std::string name = "r" + std::to_string(i);
+      auto ask = Kinds[i % std::size(Kinds)];
+      random.at(begin + milliseconds(random.below(3000)),
+                [&world, ask, name] { ask(world, name); });
+    }
+    for (unsigned i = 0; i < 5; ++i)
+      random.at(begin + milliseconds(random.below(8000)),
+                [&world] { breakSomething(world); });
+    random.runUntil(begin + seconds(20));
+    std::string fault = findFault(world);
+    INFO("seed ", seed);
+    REQUIRE(fault == "");
+    runs += world.Runs.size();
+    for (const auto &it : world.Calls)
+      if (!it->IsCut)
+        ++told[describe(it->Code).Kind];
+  }
+  // The runs must have reached every kind of end, or they prove little.
+  CHECK(runs > Seeds);
+  CHECK(told[Outcome::Complete] > Seeds);
+  CHECK(told[Outcome::NotRun] > Seeds / 10);
+  CHECK(told[Outcome::Unknown] > Seeds / 10);
+  MESSAGE("runs ", runs, ", complete ", told[Outcome::Complete], ", not-run ",
+          told[Outcome::NotRun], ", failed ", told[Outcome::Failed],
+          ", unknown ", told[Outcome::Unknown]);
+}
+
+TEST_CASE("without faults every request is answered whole") {
+  RequestWorld world(7, {0, 0, 0, 0}, EntryCount, AgentCount);
+  for (unsigned i = 0; i < 6; ++i)
+    askOnce(world, "r" + std::to_string(i));
+  world.Scheduler.runUntil(world.Scheduler.now() + seconds(10));
+  CHECK(findFault(world) == "");
+  for (const auto &it : world.Calls)
+    CHECK(it->Code == ResultCode::Ok);
+}
--- /dev/null
+++ b/unittests/Routing/RequestWorld.h
@@ -0,0 +1,134 @@
+//===- RequestWorld.h - entries, agents and faults in one process -*- C++
+//-*-===//
+//
+// Connects real EntryNodes and AgentNodes through a RandomScheduler that loses,
+// doubles and reorders messages, kills and freezes nodes and breaks the
+// platform, and records what callers were told and what endpoints ran.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_UNITTESTS_ROUTING_REQUESTWORLD_H
+#define OSPREYSPUR_UNITTESTS_ROUTING_REQUESTWORLD_H
+
+#include "RandomScheduler.h"
+
+#include "ospreyspur/Routing/AgentNode.h"
+#include "ospreyspur/Routing/EntryNode.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ospreyspur::test {
+
+/// One try of a caller.
+struct CallRecord {
+  std::string Name;
+  TimePoint Began;
+  TimePoint Deadline;
+  std::optional<TimePoint> Ended;
+  /// Set if the entry that held the call was killed.
+  bool IsCut = false;
+  ResultCode Code = ResultCode::Ok;
+  std::string Body;
+  std::optional<Ticket> Given;
+};
+
+/// One run at an endpoint.
+struct RunRecord {
+  std::string Name;
+  TimePoint Began;
+};
+
+/// How often things go wrong, in percent.
+struct FaultRates {
+  unsigned Message = 5;
+  unsigned Platform = 15;
+  unsigned Endpoint = 5;
+  /// Events that come much later than the others.
+  unsigned Late = 5;
+};
+
+/// A small deployment on virtual time.
+class RequestWorld {
+public:
+  RequestWorld(std::uint64_t seed, FaultRates rates, std::size_t entries,
+               std::size_t agents);
+
+  RandomScheduler Scheduler;
+  /// Stable addresses: records are added only.
+  std::vector<std::unique_ptr<CallRecord>> Calls;
+  std::vector<RunRecord> Runs;
+
+  /// A caller asks for \p name at \p entry; the record is in Calls.
+  CallRecord &ask(std::size_t entry, const std::string &name,
+                  const std::function<void(CallerRequest &)> &change);
+
+  void killEntry(std::size_t i);
+  void killAgent(std::size_t i);
+  void freezeAgent(std::size_t i, Duration span);
+  void setLeaving(std::size_t i, bool leaving);
+  void cutLink(std::size_t entry, std::size_t agent);
+  void setOutage(Duration span) { OutageUntil = Scheduler.now() + span; }
+
+  /// The whole answer to \p name.
+  static std::string expectedBody(const std::string &name);
+
+private:
+  struct Entry {
+    std::unique_ptr<EntryNode> Node;
+    std::uint64_t Life = 0;
+    std::uint64_t LastCall = 0;
+    std::map<CallId, CallRecord *> Open;
+  };
+  struct Agent {
+    EndpointId Id;
+    std::unique_ptr<AgentNode> Node;
+    std::uint64_t Life = 0;
+    TimePoint FrozenUntil;
+  };
+  struct KvEntry {
+    std::string Value;
+    std::uint64_t At = 0;
+    TimePoint Expires;
+  };
+
+  void startEntry(std::size_t i);
+  void startAgent(std::size_t i);
+  std::size_t agentOf(const EndpointId &id) const;
+  LinkId linkOf(std::size_t entry, std::uint64_t life) const;
+  void toEntry(std::size_t i, std::uint64_t life,
+               const std::function<EntryActions(EntryNode &)> &input);
+  void toAgent(std::size_t i, std::uint64_t life,
+               const std::function<AgentActions(AgentNode &)> &input);
+  void apply(std::size_t i, EntryActions actions);
+  void apply(std::size_t i, AgentActions actions);
+  void perform(std::size_t i, const SendToAgent &action);
+  void perform(std::size_t i, const CallPlatform &action);
+  void perform(std::size_t i, const AnswerHead &action);
+  void perform(std::size_t i, const AnswerData &action);
+  void perform(std::size_t i, const AnswerEnd &action);
+  void perform(std::size_t i, const AnswerError &action);
+  void perform(std::size_t i, const AnswerTicket &action);
+  void perform(std::size_t i, const SendToLink &action);
+  void perform(std::size_t i, const StartRun &action);
+  void perform(std::size_t i, const StopRun &action);
+  void end(std::size_t i, CallId id, ResultCode code);
+  void stepRun(std::size_t agent, std::uint64_t life, RequestId id,
+               std::string rest);
+  KvReply callKv(const KvCall &call);
+
+  FaultRates Rates;
+  std::shared_ptr<RoutingSnapshot> Snapshot;
+  std::vector<Entry> Entries;
+  std::vector<Agent> Agents;
+  std::map<std::string, KvEntry> Kv;
+  std::uint64_t LastRevision = 0;
+  std::uint64_t LastLife = 0;
+  TimePoint OutageUntil;
+};
+
+} // namespace ospreyspur::test
+
+#endif // OSPREYSPUR_UNITTESTS_ROUTING_REQUESTWORLD_H
