Plan expert maps by the skew that a move saves

Ways weighed: full greedy re-placement each time (the naive version), single changes judged by the layer's skew, single changes judged by the ranks concerned with the lower hull of (moves, skew) choosing how many to make.

--- /dev/null
+++ b/include/ospreyspur/Experts/ExpertMap.h
@@ -0,0 +1,73 @@
+//===- ExpertMap.h - which expert stands in which slot ----------*- C++ -*-===//
+//
+// For every layer, the expert in each slot of each rank. An expert may stand in
+// several slots; its work is then shared between them.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_EXPERTMAP_H
+#define OSPREYSPUR_EXPERTS_EXPERTMAP_H
+
+#include "ospreyspur/Support/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ospreyspur {
+
+/// An expert's number within its layer.
+using ExpertIndex = std::uint16_t;
+
+/// The measures of a group's maps.
+struct MapShape {
+  std::size_t Layers = 0;
+  std::size_t Experts = 0;
+  std::size_t Ranks = 0;
+  /// Slots in use on each rank in each layer.
+  std::size_t SlotsPerRank = 0;
+
+  std::size_t slotsPerLayer() const { return Ranks * SlotsPerRank; }
+  friend bool operator==(const MapShape &, const MapShape &) = default;
+};
+
+/// Tokens that each expert got: [layer][expert].
+using ExpertDemand = std::vector<std::vector<double>>;
+
+/// A group's expert map.
+struct ExpertMap {
+  MapShape Shape;
+  /// [layer][rank * SlotsPerRank + slot].
+  std::vector<std::vector<ExpertIndex>> Slots;
+
+  friend bool operator==(const ExpertMap &, const ExpertMap &) = default;
+};
+
+/// The map that deals experts out in turn. Needs at least one slot an expert.
+ExpertMap makeDealtMap(const MapShape &shape);
+
+/// Why \p map cannot be used: an expert without a slot, or twice on one rank;
+/// empty if it can.
+std::string findMapFault(const ExpertMap &map);
+
+/// Each rank's share of \p layer's tokens.
+std::vector<double> rankLoads(const ExpertMap &map, std::size_t layer,
+                              const std::vector<double> &demand);
+
+/// Mean over layers of the highest rank load divided by the mean one; 1 is
+/// even.
+double measureSkew(const ExpertMap &map, const ExpertDemand &demand);
+
+/// Number of slots that hold another expert in \p after than in \p before; each
+/// is one expert's weights to load.
+std::size_t countMoves(const ExpertMap &before, const ExpertMap &after);
+
+/// \p map as text.
+std::string formatMap(const ExpertMap &map);
+
+/// Reads formatMap()'s text. Errors: BadRequest.
+Result<ExpertMap> parseMap(const std::string &text);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_EXPERTMAP_H
--- /dev/null
+++ b/lib/Experts/ExpertPlanner.cpp
@@ -0,0 +1,126 @@
+//===- ExpertPlanner.cpp - the next map for a drifting demand -------------===//
+//
+// Each layer is improved step by step, and each step is noted with the moves
+// and the skew so far. The lower hull of these points tells what skew a number
+// of moves buys at best. Layers then compete for the budget by the steepness of
+// their hulls.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/ExpertPlanner.h"
+
+#include "ospreyspur/Experts/LayerPlanner.h"
+
+#include <algorithm>
+#include <cassert>
+
+using namespace ospreyspur;
+
+namespace {
+/// A layer after some of its changes.
+struct PathPoint {
+  std::size_t Moves = 0;
+  double Skew = 1;
+  /// How many of the path's changes were made.
+  std::size_t Changes = 0;
+};
+
+/// The changes that improve one layer, in order.
+struct LayerPath {
+  std::vector<LayerChange> Changes;
+  /// The corners of the lower hull of (moves, skew), from the present layer on.
+  std::vector<PathPoint> Hull;
+};
+
+/// A step from one corner of a layer's hull to the next.
+struct HullStep {
+  std::size_t Layer = 0;
+  std::size_t Corner = 0;
+  std::size_t Moves = 0;
+  /// Skew saved by each move.
+  double Worth = 0;
+};
+} // namespace
+
+static double slope(const PathPoint &from, const PathPoint &to) {
+  return (from.Skew - to.Skew) / static_cast<double>(to.Moves - from.Moves);
+}
+
+/// Adds \p point and drops corners that it makes pointless.
+static void extendHull(std::vector<PathPoint> &hull, PathPoint point) {
+  if (point.Skew >= hull.back().Skew)
+    return;
+  while (hull.size() > 1 &&
+         slope(hull[hull.size() - 2], hull.back()) <= slope(hull.back(), point))
+    hull.pop_back();
+  hull.push_back(point);
+}
+
+/// Improves one layer until the next change would save less than \p minWorth.
+static LayerPath findPath(LayerPlanner layer, double minWorth) {
+  LayerPath path;
+  path.Hull.push_back({0, layer.skew(), 0});
+  std::size_t moves = 0;
+  while (std::optional<LayerChange> change = layer.findChange()) {
+    if (change->Gain <= minWorth * static_cast<double>(change->Moves))
+      break;
+    layer.apply(*change);
+    moves += change->Moves;
+    path.Changes.push_back(*change);
+    extendHull(path.Hull, {moves, layer.skew(), path.Changes.size()});
+  }
+  return path;
+}
+
+/// All layers' steps that are worth \p minWorth, the most worthwhile first.
+static std::vector<HullStep> rankSteps(const std::vector<LayerPath> &paths,
+                                       double minWorth) {
+  std::vector<HullStep> steps;
+  for (std::size_t layer = 0; layer < paths.size(); ++layer) {
+    const std::vector<PathPoint> &hull = paths[layer].Hull;
+    for (std::size_t i = 1; i < hull.size(); ++i) {
+      double worth = slope(hull[i - 1], hull[i]);
+      if (worth > minWorth)
+        steps.push_back({layer, i, hull[i].Moves - hull[i - 1].Moves, worth});
+    }
+  }
+  std::stable_sort(
+      steps.begin(), steps.end(),
+      [](const HullStep &a, const HullStep &b) { return a.Worth > b.Worth; });
+  return steps;
+}
+
+MapPlan ExpertPlanner::plan(const ExpertMap &current,
+                            const ExpertDemand &demand) const {
+  assert(demand.size() == current.Shape.Layers && "one demand a layer");
+  double minWorth = Weights.Move / Weights.Skew;
+  std::vector<LayerPath> paths;
+  for (std::size_t i = 0; i < current.Shape.Layers; ++i)
+    paths.push_back(findPath(LayerPlanner(current, i, demand[i]), minWorth));
+
+  std::vector<std::size_t> corners(paths.size(), 0);
+  std::size_t moves = 0;
+  for (const HullStep &step : rankSteps(paths, minWorth)) {
+    if (moves + step.Moves > Weights.MaxMoves)
+      break;
+    moves += step.Moves;
+    corners[step.Layer] = step.Corner;
+  }
+
+  MapPlan plan;
+  plan.SkewBefore = measureSkew(current, demand);
+  plan.Map = current;
+  for (std::size_t i = 0; i < paths.size(); ++i) {
+    LayerPlanner layer(current, i, demand[i]);
+    for (std::size_t k = 0; k < paths[i].Hull[corners[i]].Changes; ++k)
+      layer.apply(paths[i].Changes[k]);
+    plan.Map.Slots[i] = layer.slots();
+  }
+  plan.SkewAfter = measureSkew(plan.Map, demand);
+  if (plan.SkewBefore - plan.SkewAfter < Weights.MinGain) {
+    plan.Map = current;
+    plan.SkewAfter = plan.SkewBefore;
+  }
+  plan.Moves = countMoves(current, plan.Map);
+  return plan;
+}
