--- a/include/ospreyspur/Experts/GroupCoordinator.h
+++ b/include/ospreyspur/Experts/GroupCoordinator.h
@@ -30,7 +30,7 @@
   Duration ArmTimeout = std::chrono::seconds(2);
   Duration LoadTimeout = std::chrono::seconds(120);
   /// How often an idle coordinator looks at its members.
-  Duration SurveyEvery = std::chrono::seconds(5);
+  Duration SurveyEvery = std::chrono::seconds(15);
   /// After this time without an end, a phase looks whether the group changed.
   Duration PhasePatience = std::chrono::seconds(10);
   /// How many steps ahead a switch is armed.
--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -25,8 +25,9 @@
   /// Not acted on in the lease's last part.
   Duration Margin = std::chrono::seconds(1);
   Duration RenewEvery = std::chrono::seconds(2);
-  /// How often a candidate looks whether the lease is free.
-  Duration RetryEvery = std::chrono::seconds(3);
+  /// How often a candidate looks whether the lease is free. It reads first:
+  /// most agents of a large fleet are candidates, and writes are scarce.
+  Duration RetryEvery = std::chrono::seconds(4);
   /// After this time a call without an answer is given up.
   Duration CallTimeout = std::chrono::seconds(2);
 };
@@ -64,6 +65,10 @@
   TimePoint NextCall;
   TimePoint SentAt;
   bool IsCalling = false;
+  /// Whether the key was read as absent.
+  bool IsFree = false;
+  /// Whether the call under way tries to take the lease.
+  bool IsTaking = false;
   bool IsStopped = false;
 };
 
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -8,6 +8,7 @@
 #include "ospreyspur/Experts/LeaseHolder.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace ospreyspur;
 
@@ -27,6 +28,9 @@
     return KvRenew{Key, Holder};
   }
   NextCall = now + Limits.RetryEvery;
+  if (!std::exchange(IsFree, false))
+    return KvGet{Key};
+  IsTaking = true;
   return KvPut{Key, Self, Revision(0), Limits.Span};
 }
 
@@ -34,6 +38,13 @@
   if (!IsCalling)
     return;
   IsCalling = false;
+  bool wasTaking = std::exchange(IsTaking, false);
+  if (Holder.get() == 0 && !wasTaking) {
+    IsFree = reply.Code == ResultCode::NotFound;
+    if (IsFree)
+      NextCall = now;
+    return;
+  }
   if (reply.Code == ResultCode::Ok) {
     Holder = reply.At;
     ActUntil = SentAt + Limits.Span - Limits.Margin;
@@ -58,5 +69,6 @@
 void LeaseHolder::lose(TimePoint now) {
   Holder = Revision(0);
   IsCalling = false;
+  IsTaking = false;
   NextCall = now + Limits.RetryEvery;
 }
--- a/lib/Rpc/PeerClient.cpp
+++ b/lib/Rpc/PeerClient.cpp
@@ -18,7 +18,7 @@
 using namespace ospreyspur;
 
 static constexpr int MaxEnvelopeBytes = 64 << 20;
-static constexpr int KeepaliveMs = 10000;
+static constexpr int KeepaliveMs = 30000;
 static constexpr int KeepaliveTimeoutMs = 3000;
 static constexpr int FirstReconnectMs = 100;
 static constexpr int MaxReconnectMs = 1000;
--- a/unittests/Experts/OneMapTest.cpp
+++ b/unittests/Experts/OneMapTest.cpp
@@ -134,6 +134,7 @@
     agent.FrozenUntil = TimePoint();
     CoordinatorLimits limits;
     limits.StepsAhead = 100;
+    limits.SurveyEvery = seconds(5);
     agent.Member =
         std::make_unique<GroupMember>(GroupId("g"), Ids[i], MemberLimits());
     agent.Coordinator =
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -1,7 +1,8 @@
 //===- bench.cpp - what the decisions cost --------------------------------===//
 //
 // Drives the shipped state machines without I/O and prints slopes: time and
-// bytes for each request, token, endpoint or map. Not a test;
+// bytes for each request, token, endpoint or map. With the argument "links" it
+// measures the links between processes instead. Not a test;
 // docs/BENCHMARKS.md and docs/CAPACITY.md name the command for each figure.
 //
 //===----------------------------------------------------------------------===//
@@ -12,14 +13,22 @@
 #include "ospreyspur/Routing/AgentNode.h"
 #include "ospreyspur/Routing/EntryNode.h"
 #include "ospreyspur/Rpc/Codec.h"
+#include "ospreyspur/Rpc/PeerClient.h"
+#include "ospreyspur/Rpc/PeerServer.h"
 
 #include "generated/peer.pb.h"
 
 #include <malloc.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <cmath>
 #include <cstdio>
+#include <ctime>
+#include <fstream>
 #include <random>
+#include <semaphore>
+#include <thread>
 
 using namespace ospreyspur;
 
@@ -203,7 +212,81 @@
               plain, wireBytes(order), wireBytes(reply));
 }
 
-int main() {
+/// Resident memory of this process, in bytes.
+static double residentBytes() {
+  std::ifstream is("/proc/self/statm");
+  double pages = 0;
+  double resident = 0;
+  is >> pages >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// One server and \p count clients in this process: memory of both ends of a
+/// link, and processor time of idle links.
+static void benchLinks(std::size_t count) {
+  PeerServer server({[](LinkId) {}, [](LinkId, const auto &) {}, [](LinkId) {}});
+  if (!server.listen("0.0.0.0:7990"))
+    return;
+  double before = residentBytes();
+  std::vector<std::unique_ptr<PeerClient>> clients;
+  std::atomic<std::size_t> answered = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    PeerClientHandlers handlers{[](const auto &) {}, [&] { ++answered; }};
+    // A different address for each, or gRPC shares one connection.
+    std::string address = "127.0." + std::to_string(1 + i / 250) + "." +
+                          std::to_string(1 + i % 250) + ":7990";
+    clients.push_back(std::make_unique<PeerClient>(address, handlers));
+    clients.back()->send(Probe{CallId(1), WorkspaceId("w"), {}, 0});
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  double after = residentBytes();
+  auto cpu = std::clock();
+  std::this_thread::sleep_for(std::chrono::seconds(12));
+  double idle = double(std::clock() - cpu) / CLOCKS_PER_SEC / 12;
+  std::printf("links=%zu failed %zu: %.0f bytes a link for both ends, idle "
+              "%.3f%% of a core\n",
+              count, answered.load(), (after - before) / double(count),
+              idle * 100);
+}
+
+/// Round trips on one link, with a pause between two or without.
+static void benchRoundTrip(std::chrono::milliseconds gap) {
+  constexpr std::size_t Trips = 300;
+  PeerServer *echo = nullptr;
+  PeerServer server({[](LinkId) {},
+                     [&](LinkId link, const std::vector<Message> &messages) {
+                       echo->send(link, messages.front());
+                     },
+                     [](LinkId) {}});
+  echo = &server;
+  if (!server.listen("127.0.0.1:7991"))
+    return;
+  std::binary_semaphore arrived(0);
+  PeerClientHandlers handlers{[&](const auto &) { arrived.release(); }, [] {}};
+  PeerClient client("127.0.0.1:7991", handlers);
+  std::vector<double> times;
+  for (std::size_t i = 0; i < Trips; ++i) {
+    std::this_thread::sleep_for(gap);
+    TimePoint began = monotonicNow();
+    client.send(Probe{CallId(i), WorkspaceId("w"), {}, 0});
+    arrived.acquire();
+    times.push_back(secondsSince(began) * 1e6);
+  }
+  std::sort(times.begin(), times.end());
+  std::printf("round trip on a link, %lld ms between two: median %.0f us, p99 "
+              "%.0f us\n",
+              static_cast<long long>(gap.count()), times[Trips / 2],
+              times[Trips * 99 / 100]);
+}
+
+int main(int argc, char **argv) {
+  setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc > 1 && std::string(argv[1]) == "links") {
+    benchRoundTrip(std::chrono::milliseconds(0));
+    benchRoundTrip(std::chrono::milliseconds(10));
+    benchLinks(200);
+    return 0;
+  }
   benchPlanner();
   benchRequest(0);
   benchRequest(100);
