--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -63,6 +63,9 @@
 /// Reads an agent's settings; faults are in \p reader afterwards.
 AgentSettings readAgentSettings(SettingsReader &reader);
 
+/// Every key of both roles as rows of a Markdown table.
+std::string formatSettingsTable();
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_CONFIG_SETTINGS_H
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -8,6 +8,8 @@
 
 #include "ospreyspur/Config/SettingsReader.h"
 
+#include <set>
+
 using namespace ospreyspur;
 using std::chrono::hours;
 using std::chrono::milliseconds;
@@ -131,3 +133,19 @@
       "how long a finished request is remembered");
   return out;
 }
+
+std::string ospreyspur::formatSettingsTable() {
+  SettingsReader reader("", "");
+  readEntrySettings(reader);
+  readAgentSettings(reader);
+  std::set<std::string> seen;
+  std::string table = "| Key | Default | Range | Meaning |\n"
+                      "| --- | --- | --- | --- |\n";
+  for (const SettingDoc &it : reader.docs()) {
+    if (!seen.insert(it.Key).second)
+      continue;
+    table += "| `" + it.Key + "` | " + it.Default + " | " + it.Range + " | " +
+             it.Help + " |\n";
+  }
+  return table;
+}
--- a/test/standin/Load.cpp
+++ b/test/standin/Load.cpp
@@ -96,10 +96,11 @@
 
 /// Under an idempotency key a caller asks again, at another entry, until it is
 /// told for sure; each try has a record of its own.
-static asio::awaitable<void>
-sendWithRetries(std::vector<HttpClient> &clients, std::size_t first,
-                HttpRequest request, CallRecord &record,
-                std::list<CallRecord> &records) {
+static asio::awaitable<void> sendWithRetries(std::vector<HttpClient> &clients,
+                                             std::size_t first,
+                                             HttpRequest request,
+                                             CallRecord &record,
+                                             std::list<CallRecord> &records) {
   bool hasKey = request.count("Idempotency-Key") > 0;
   CallRecord *current = &record;
   for (std::size_t i = 0; i < MaxTries; ++i) {
@@ -133,10 +134,10 @@
     record.Id = std::to_string(plan.Seed) + "-" + std::to_string(i);
     HttpRequest request = makeRequest(plan, record.Id, choice, record);
     auto first = static_cast<std::size_t>(i);
-    asio::co_spawn(executor,
-                   sendWithRetries(clients, first, std::move(request), record,
-                                   records),
-                   asio::detached);
+    asio::co_spawn(
+        executor,
+        sendWithRetries(clients, first, std::move(request), record, records),
+        asio::detached);
   }
 }
 
--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -98,19 +98,24 @@
                        "Examples:\n"
                        "  ospreyspur entry --settings entry.ini\n"
                        "  ospreyspur agent --settings agent.ini\n"
-                       "  ospreyspur check --kind config --settings doc.json",
+                       "  ospreyspur check --kind config --settings doc.json\n"
+                       "  ospreyspur settings   (prints every key)",
                        ' ', Version);
-    std::vector<std::string> commands{"entry", "agent", "check"};
+    std::vector<std::string> commands{"entry", "agent", "check", "settings"};
     TCLAP::ValuesConstraint<std::string> allowed(commands);
     TCLAP::UnlabeledValueArg<std::string> command("command", "what to do", true,
                                                   "", &allowed, cmd);
     TCLAP::ValueArg<std::string> settings("s", "settings", "the file to read",
-                                          true, "", "file", cmd);
+                                          false, "", "file", cmd);
     std::vector<std::string> kinds{"entry", "agent", "config"};
     TCLAP::ValuesConstraint<std::string> allowedKinds(kinds);
     TCLAP::ValueArg<std::string> kind("k", "kind", "what check reads", false,
                                       "entry", &allowedKinds, cmd);
     cmd.parse(argc, argv);
+    if (command.getValue() == "settings") {
+      std::cout << formatSettingsTable();
+      return 0;
+    }
     if (command.getValue() == "check")
       return check(kind.getValue(), settings.getValue());
     return run(command.getValue(), settings.getValue());
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -224,7 +224,8 @@
 /// One server and \p count clients in this process: memory of both ends of a
 /// link, and processor time of idle links.
 static void benchLinks(std::size_t count) {
-  PeerServer server({[](LinkId) {}, [](LinkId, const auto &) {}, [](LinkId) {}});
+  PeerServer server(
+      {[](LinkId) {}, [](LinkId, const auto &) {}, [](LinkId) {}});
   if (!server.listen("0.0.0.0:7990"))
     return;
   double before = residentBytes();
