Accept operators' changes through the admin port and ctl, with an audit trail

One compare-and-swap on the document carries the change and its audit entry. A change that lost a race is applied anew to the newer document; If-Match makes it a conflict instead if the object itself changed. A lost answer is settled by the change's id.

--- /dev/null
+++ b/include/ospreyspur/Config/ConfigChange.h
@@ -0,0 +1,59 @@
+//===- ConfigChange.h - one operator's change -------------------*- C++ -*-===//
+//
+// Puts or deletes one object of the configuration document and adds the audit
+// entry, in one new document.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_CONFIG_CONFIGCHANGE_H
+#define OSPREYSPUR_CONFIG_CONFIGCHANGE_H
+
+#include "ospreyspur/Support/Result.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace ospreyspur {
+
+/// The tag of an object that does not exist.
+inline constexpr char AbsentTag[] = "absent";
+
+/// A change of one object.
+struct ConfigChange {
+  /// "workspaces", "services", "groups" or "events".
+  std::string Section;
+  std::string Name;
+  /// The object's new JSON; nothing deletes it.
+  std::optional<std::string> Body;
+  /// Accept only if the object still has this tag.
+  std::optional<std::string> IfMatch;
+  /// Names the change for good; tells whether it was accepted.
+  std::string ChangeId;
+  std::string Operator;
+  /// Seconds since 1970, for the audit entry.
+  std::int64_t AtUnix = 0;
+};
+
+/// The document \p text with \p change made. Errors: ConfigInvalid,
+/// ConfigConflict, ConfigTooLarge, NotFound for a delete.
+Result<std::string> applyChange(const std::string &text,
+                                const ConfigChange &change);
+
+/// Whether the document's audit entries name \p changeId.
+bool hasChange(const std::string &text, const std::string &changeId);
+
+/// An object of the document as JSON. Errors: NotFound.
+Result<std::string> readObject(const std::string &text,
+                               const std::string &section,
+                               const std::string &name);
+
+/// The tag of an object's JSON; changes whenever the object does.
+std::string objectTag(const std::string &object);
+
+/// The document's audit entries as a JSON array.
+std::string readAuditEntries(const std::string &text);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_CONFIG_CONFIGCHANGE_H
--- a/include/ospreyspur/Control/ControlPlane.h
+++ b/include/ospreyspur/Control/ControlPlane.h
@@ -35,6 +35,8 @@
   /// Whether the configuration and the host list were both read.
   bool isReady() const;
   Revision configRevision() const { return Config.revision(); }
+  /// The configuration document as last read.
+  const std::string &configText() const { return Config.value(); }
   Revision hostsRevision() const { return Hosts.revision(); }
   const ConfigDocument &document() const { return Document; }
   const std::vector<EndpointView> &endpoints() const { return Endpoints; }
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -26,10 +26,10 @@
   /// \p timeout does not include the wait of a watch.
   void call(KvCall call, Duration timeout, Handler handler);
 
-private:
-  boost::asio::awaitable<void> exchange(KvCall call, Duration timeout,
-                                        Handler handler);
+  /// Makes \p call from a coroutine on the context's thread.
+  boost::asio::awaitable<KvReply> ask(KvCall call, Duration timeout);
 
+private:
   boost::asio::io_context &Context;
   HttpClient Client;
 };
--- a/include/ospreyspur/Process/AdminServer.h
+++ b/include/ospreyspur/Process/AdminServer.h
@@ -1,13 +1,15 @@
 //===- AdminServer.h - status, metrics and configuration --------*- C++ -*-===//
 //
 // The admin port of a process: who asks must hold a token, except for liveness
-// and readiness.
+// and readiness. Queries answer from this process's copy; commands go through
+// the platform's service.
 //
 //===----------------------------------------------------------------------===//
 
 #ifndef OSPREYSPUR_PROCESS_ADMINSERVER_H
 #define OSPREYSPUR_PROCESS_ADMINSERVER_H
 
+#include "ospreyspur/Config/ConfigWriter.h"
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Control/ControlPlane.h"
 #include "ospreyspur/Http/HttpServer.h"
@@ -22,18 +24,23 @@
 class AdminServer {
 public:
   AdminServer(boost::asio::io_context &ioc, const CommonSettings &settings,
-              ControlPlane &control, Metrics &metrics);
+              ControlPlane &control, PlatformClient &platform,
+              Metrics &metrics);
 
   /// Begins to accept. Errors: SettingInvalid.
   Result<void> start();
 
 private:
   boost::asio::awaitable<void> handle(HttpExchange &exchange);
+  boost::asio::awaitable<void> handleQuery(HttpExchange &exchange);
+  boost::asio::awaitable<void> handleCommand(HttpExchange &exchange);
+  boost::asio::awaitable<ConfigWriter::Done> write(ConfigChange change);
   bool isAllowed(const HttpExchange &exchange) const;
   std::string statusText() const;
 
   const CommonSettings &Settings;
   ControlPlane &Control;
+  PlatformClient &Platform;
   Metrics &Measures;
   HttpServer Server;
 };
--- /dev/null
+++ b/lib/Config/ConfigWriter.cpp
@@ -0,0 +1,90 @@
+//===- ConfigWriter.cpp - gets a change accepted, or says why not ---------===//
+//
+// A write in doubt can only land while the document still has the revision that
+// it expects. So once the document was read with another revision, or a later
+// write of ours was refused for its revision, the change's id in the audit
+// entries tells its fate for good.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Config/ConfigWriter.h"
+
+#include "ospreyspur/Config/ConfigDocument.h"
+
+using namespace ospreyspur;
+
+static constexpr Duration RetryPause = std::chrono::milliseconds(100);
+
+ConfigWriter::Step ConfigWriter::next(TimePoint now) {
+  if (Now == Stage::Ended)
+    return Result;
+  if (now >= Deadline) {
+    if (IsInDoubt)
+      end(ResultCode::ConfigUnknownFate, "ask again with the same change id");
+    else
+      end(ResultCode::PlatformUnavailable, "the platform did not answer");
+    return Result;
+  }
+  switch (Now) {
+  case Stage::Pausing:
+    Now = Stage::Reading;
+    return Pause{RetryPause};
+  case Stage::Writing:
+    return KvPut{std::string(ConfigKey), NextDocument, ReadAt, {}};
+  default:
+    return KvGet{std::string(ConfigKey)};
+  }
+}
+
+void ConfigWriter::onReply(const KvReply &reply) {
+  if (Now == Stage::Reading)
+    onRead(reply);
+  else
+    onWritten(reply);
+}
+
+void ConfigWriter::onRead(const KvReply &reply) {
+  if (reply.Code != ResultCode::Ok && reply.Code != ResultCode::NotFound) {
+    Now = Stage::Pausing;
+    return;
+  }
+  std::string text = reply.Code == ResultCode::Ok ? reply.Value : "{}";
+  if (hasChange(text, Change.ChangeId)) {
+    end(ResultCode::Ok, "", reply.At);
+    return;
+  }
+  bool isSettled = reply.At != ReadAt;
+  if (isSettled)
+    IsInDoubt = false;
+  ReadAt = reply.At;
+  auto next = applyChange(text, Change);
+  if (next) {
+    NextDocument = std::move(next.value());
+    Now = Stage::Writing;
+    return;
+  }
+  end(next.error().Code, next.error().Detail);
+}
+
+void ConfigWriter::onWritten(const KvReply &reply) {
+  switch (reply.Code) {
+  case ResultCode::Ok:
+    end(ResultCode::Ok, "", reply.At);
+    return;
+  case ResultCode::PlatformConflict:
+    Now = Stage::Reading;
+    return;
+  case ResultCode::PlatformRefused:
+    Now = Stage::Pausing;
+    return;
+  default:
+    IsInDoubt = true;
+    Now = Stage::Pausing;
+    return;
+  }
+}
+
+void ConfigWriter::end(ResultCode code, std::string detail, Revision at) {
+  Result = {{code, std::move(detail)}, at};
+  Now = Stage::Ended;
+}
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -9,9 +9,10 @@
 #include "ospreyspur/Platform/PlatformClient.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include <memory>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -87,13 +88,17 @@
     : Context(ioc), Client(ioc, std::move(server)) {}
 
 void PlatformClient::call(KvCall call, Duration timeout, Handler handler) {
-  asio::co_spawn(Context,
-                 exchange(std::move(call), timeout, std::move(handler)),
-                 asio::detached);
+  auto exchange = [this, timeout, handler = std::move(handler)](
+                      KvCall body) -> asio::awaitable<void> {
+    handler(co_await ask(std::move(body), timeout));
+  };
+  // The frame of a coroutine lambda dies with the lambda; keep both.
+  auto kept = std::make_shared<decltype(exchange)>(std::move(exchange));
+  asio::co_spawn(Context, (*kept)(std::move(call)),
+                 [kept](const std::exception_ptr &) {});
 }
 
-asio::awaitable<void> PlatformClient::exchange(KvCall call, Duration timeout,
-                                               Handler handler) {
+asio::awaitable<KvReply> PlatformClient::ask(KvCall call, Duration timeout) {
   KvWire wire = std::visit([](const auto &it) { return toWire(it); }, call);
   if (const auto *watch = std::get_if<KvWatch>(&call))
     timeout += watch->Wait;
@@ -104,10 +109,9 @@
   request.body() = json::serialize(wire.Body);
   Result<HttpResponse> response =
       co_await Client.call(std::move(request), timeout);
-  KvReply reply;
   if (response)
-    reply = readReply(response.value());
-  else
-    reply.Code = response.error().Code;
-  handler(std::move(reply));
+    co_return readReply(response.value());
+  KvReply reply;
+  reply.Code = response.error().Code;
+  co_return reply;
 }
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -78,7 +78,7 @@
       };
   ControlPlane plane(control, client, onSnapshot);
   view = &plane;
-  AdminServer admin(control, settings.Common, plane, metrics);
+  AdminServer admin(control, settings.Common, plane, client, metrics);
   PlannedStop::Handlers handlers;
   handlers.Begin = [&] {
     isStopping = true;
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -43,7 +43,7 @@
           entry.setSnapshot(snapshot);
         });
       });
-  AdminServer admin(control, settings.Common, plane, metrics);
+  AdminServer admin(control, settings.Common, plane, client, metrics);
   PlannedStop::Handlers handlers;
   handlers.Begin = [&] { asio::post(traffic, [&] { entry.stopAccepting(); }); };
   handlers.CountInFlight = [&](std::function<void(std::size_t)> done) {
--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -6,8 +6,10 @@
 
 #include "ospreyspur/Config/ConfigDocument.h"
 #include "ospreyspur/Config/SettingsReader.h"
+#include "ospreyspur/Process/OperatorClient.h"
 #include "ospreyspur/Process/Roles.h"
 
+#include <boost/algorithm/string/trim.hpp>
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
 
@@ -99,9 +101,14 @@
                        "  ospreyspur entry --settings entry.ini\n"
                        "  ospreyspur agent --settings agent.ini\n"
                        "  ospreyspur check --kind config --settings doc.json\n"
-                       "  ospreyspur settings   (prints every key)",
+                       "  ospreyspur settings   (prints every key)\n"
+                       "  ospreyspur ctl --admin 127.0.0.1:7311 --token-file t "
+                       "get status\n"
+                       "  ospreyspur ctl --admin 127.0.0.1:7311 --token-file t "
+                       "--body e.json put events/dusk",
                        ' ', Version);
-    std::vector<std::string> commands{"entry", "agent", "check", "settings"};
+    std::vector<std::string> commands{"entry", "agent", "check", "settings",
+                                      "ctl"};
     TCLAP::ValuesConstraint<std::string> allowed(commands);
     TCLAP::UnlabeledValueArg<std::string> command("command", "what to do", true,
                                                   "", &allowed, cmd);
@@ -111,7 +118,34 @@
     TCLAP::ValuesConstraint<std::string> allowedKinds(kinds);
     TCLAP::ValueArg<std::string> kind("k", "kind", "what check reads", false,
                                       "entry", &allowedKinds, cmd);
+    using Text = TCLAP::ValueArg<std::string>;
+    TCLAP::UnlabeledMultiArg<std::string> words(
+        "words", "for ctl: get, put or delete, and the object", false,
+        "get|put|delete OBJECT", cmd);
+    Text admin("", "admin", "for ctl: a process's admin port", false, "",
+               "ip:port", cmd);
+    Text tokenFile("", "token-file", "for ctl: file that holds the token",
+                   false, "", "file", cmd);
+    Text body("", "body", "for ctl put: file with the object's JSON", false, "",
+              "file", cmd);
+    Text ifMatch("", "if-match", "for ctl: the tag the object must have", false,
+                 "", "tag", cmd);
+    Text changeId("", "change-id", "for ctl: names the change", false, "", "id",
+                  cmd);
     cmd.parse(argc, argv);
+    if (command.getValue() == "ctl") {
+      const std::vector<std::string> &given = words.getValue();
+      OperatorCommand order;
+      order.Verb = given.empty() ? "" : given[0];
+      order.Object = given.size() < 2 ? "" : given[1];
+      order.Address = admin.getValue();
+      order.Token = readFile(tokenFile.getValue()).value_or("");
+      boost::algorithm::trim(order.Token);
+      order.Body = readFile(body.getValue()).value_or("");
+      order.IfMatch = ifMatch.getValue();
+      order.ChangeId = changeId.getValue();
+      return runOperatorCommand(order);
+    }
     if (command.getValue() == "settings") {
       std::cout << formatSettingsTable();
       return 0;
--- /dev/null
+++ b/unittests/Config/ConfigWriterTest.cpp
@@ -0,0 +1,144 @@
+//===- ConfigWriterTest.cpp - racing operators lose no change -------------===//
+//
+// Operators change the same document at once while the platform loses calls and
+// answers. Each change that was told accepted must stand in the history once,
+// each that was told refused must not.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RandomScheduler.h"
+
+#include "ospreyspur/Config/ConfigDocument.h"
+#include "ospreyspur/Config/ConfigWriter.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr std::uint64_t Seeds = 300;
+static constexpr unsigned Writers = 8;
+static constexpr unsigned ChangesEach = 5;
+static constexpr unsigned FaultPercent = 20;
+
+namespace {
+/// Operators at work on one key.
+class WriterWorld {
+public:
+  explicit WriterWorld(std::uint64_t seed) : Scheduler(seed, 5) {}
+
+  RandomScheduler Scheduler;
+  /// Every accepted document, in order.
+  std::vector<std::string> History{"{}"};
+  std::map<std::string, ResultCode> Told;
+
+  void begin(unsigned writer, unsigned number) {
+    if (number == ChangesEach)
+      return;
+    ConfigChange change;
+    change.Section = "groups";
+    // Two objects are fought over, the others are each operator's own.
+    bool isShared = Scheduler.chance(30);
+    change.Name = "g" + std::to_string(isShared ? 0 : 100 + writer);
+    change.ChangeId = std::to_string(writer) + "-" + std::to_string(number);
+    change.Body = "{\"labels\":{\"by\":\"" + change.ChangeId + "\"}}";
+    change.Operator = "op" + std::to_string(writer);
+    if (isShared && Scheduler.chance(50)) {
+      auto object = readObject(History.back(), "groups", change.Name);
+      change.IfMatch = object ? objectTag(object.value()) : AbsentTag;
+    }
+    auto work =
+        std::make_shared<ConfigWriter>(change, Scheduler.now() + seconds(3));
+    step(work, writer, number, change.ChangeId);
+  }
+
+private:
+  void step(const std::shared_ptr<ConfigWriter> &work, unsigned writer,
+            unsigned number, const std::string &id) {
+    ConfigWriter::Step next = work->next(Scheduler.now());
+    auto again = [=, this] { step(work, writer, number, id); };
+    if (auto *done = std::get_if<ConfigWriter::Done>(&next)) {
+      Told[id] = done->Outcome.Code;
+      Scheduler.soon([=, this] { begin(writer, number + 1); });
+      return;
+    }
+    if (auto *pause = std::get_if<ConfigWriter::Pause>(&next)) {
+      Scheduler.at(Scheduler.now() + pause->Span, again);
+      return;
+    }
+    KvCall call = std::get<KvCall>(next);
+    if (Scheduler.chance(FaultPercent)) {
+      // Lost before or after the effect, which may come late.
+      if (Scheduler.chance(50))
+        Scheduler.at(Scheduler.now() + Duration(Scheduler.below(2000000)),
+                     [=, this] { perform(call); });
+      Scheduler.at(Scheduler.now() + milliseconds(400), [=] {
+        KvReply lost;
+        lost.Code = ResultCode::PlatformTimeout;
+        work->onReply(lost);
+        again();
+      });
+      return;
+    }
+    Scheduler.soon([=, this] {
+      KvReply reply = perform(call);
+      Scheduler.soon([=] {
+        work->onReply(reply);
+        again();
+      });
+    });
+  }
+
+  KvReply perform(const KvCall &call) {
+    Revision at(History.size() - 1);
+    if (std::holds_alternative<KvGet>(call)) {
+      if (at.get() == 0)
+        return {ResultCode::NotFound, {}, {}};
+      return {ResultCode::Ok, at, History.back()};
+    }
+    const auto &put = std::get<KvPut>(call);
+    if (put.Expected != at)
+      return {ResultCode::PlatformConflict, at, History.back()};
+    History.push_back(put.Value);
+    return {ResultCode::Ok, Revision(at.get() + 1), {}};
+  }
+};
+} // namespace
+
+TEST_CASE("racing operators lose no change and none stands twice") {
+  std::map<ResultCode, unsigned> told;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    INFO("seed ", seed);
+    WriterWorld world(seed);
+    for (unsigned i = 0; i < Writers; ++i)
+      world.begin(i, 0);
+    world.Scheduler.runUntil(world.Scheduler.now() + seconds(60));
+    REQUIRE(world.Told.size() == std::size_t(Writers) * ChangesEach);
+    Result<ConfigDocument> last = parseConfig(world.History.back());
+    REQUIRE(last.has_value());
+    std::map<std::string, unsigned> accepted;
+    for (const AuditEntry &it : last.value().Audit)
+      ++accepted[it.ChangeId];
+    // Each accepted document is its predecessor with one change more.
+    REQUIRE(last.value().Audit.size() == world.History.size() - 1);
+    for (const auto &[id, code] : world.Told) {
+      INFO("change ", id, " told ", static_cast<unsigned>(code));
+      ++told[code];
+      CHECK(accepted[id] <= 1);
+      if (code == ResultCode::Ok)
+        CHECK(accepted[id] == 1);
+      else if (code != ResultCode::ConfigUnknownFate)
+        CHECK(accepted[id] == 0);
+    }
+  }
+  CHECK(told[ResultCode::Ok] > Seeds * Writers);
+  CHECK(told[ResultCode::ConfigConflict] > Seeds / 10);
+  MESSAGE("accepted ", told[ResultCode::Ok], ", conflicts ",
+          told[ResultCode::ConfigConflict], ", unknown ",
+          told[ResultCode::ConfigUnknownFate], ", unavailable ",
+          told[ResultCode::PlatformUnavailable]);
+}
