Answer at once when a claim cannot be written

Cause: an entry that had read a key as free and could not write its claim asked the agent to void the ticket before it said not-run, which held the answer back. Ruled out: that another try could make the answer wrong. The key was read as free during the call, so the answer holds for that moment; a claim that lands late serves the next try.

Also tests of the lease holder's clock and of epochs at an agent whose engine checks none.

--- a/include/ospreyspur/Routing/Call.h
+++ b/include/ospreyspur/Routing/Call.h
@@ -68,8 +68,6 @@
   /// The claim's revision as last seen; 0 if there is none.
   Revision ClaimAt;
   KvCallId PendingKv;
-  /// What to answer once the agent has confirmed that it will never start.
-  std::optional<ResultCode> GiveUp;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -95,7 +95,7 @@
   void onClaimRead(Call &call, const KvReply &reply, TimePoint now);
   void retryClaim(Call &call, TimePoint now);
   void adoptClaim(Call &call, const KvReply &reply, TimePoint now);
-  void abandonClaim(Call &call, TimePoint now);
+  void abandonClaim(Call &call);
   void dispatch(Call &call, TimePoint now);
   void sendDispatch(Call &call, TimePoint now);
   void startResolving(Call &call, TimePoint now);
--- a/lib/Routing/EntryClaims.cpp
+++ b/lib/Routing/EntryClaims.cpp
@@ -4,17 +4,14 @@
 // platform's service. Whoever finds the key bound attaches to the same ticket,
 // and the agent's ledger sees to it that the ticket runs once.
 //
-// "Not run" is said of a key only if the key was read as free, or as bound to a
-// ticket that is now void. Once a claim was sent, another entry may have read
-// it and run the ticket; then the agent must void the ticket first.
+// "Not run" is said of a key only if, during the call, the key was read as free
+// or as bound to a ticket that is now void.
 //
 //===----------------------------------------------------------------------===//
 
 #include "ospreyspur/Routing/Claim.h"
 #include "ospreyspur/Routing/EntryNode.h"
 
-#include <cassert>
-
 using namespace ospreyspur;
 
 static constexpr unsigned MaxClaimTries = 3;
@@ -85,21 +82,21 @@
   if (++call.Tries < MaxClaimTries)
     claim(call, now);
   else
-    abandonClaim(call, now);
+    abandonClaim(call);
 }
 
 void EntryNode::retryClaim(Call &call, TimePoint now) {
   if (++call.Tries < MaxClaimTries)
     readClaim(call, now);
   else
-    abandonClaim(call, now);
+    abandonClaim(call);
 }
 
 /// The key is bound as \p reply says, by us or by another entry.
 void EntryNode::adoptClaim(Call &call, const KvReply &reply, TimePoint now) {
   Result<Claim> claim = parseClaim(reply.Value);
   if (!claim) {
-    abandonClaim(call, now);
+    abandonClaim(call);
     return;
   }
   if (claim.value().Fingerprint != fingerprint(call.Request)) {
@@ -112,16 +109,12 @@
 }
 
 /// The platform does not answer. If the key was never read, an earlier try may
-/// have run. If it was read as free, only our own claim may stand, so its
-/// ticket is voided before the caller hears "not run".
-void EntryNode::abandonClaim(Call &call, TimePoint now) {
+/// have run. If it was read as free, no earlier try had run by then, and this
+/// one sent nothing to run; a claim of ours that stands serves the next try.
+void EntryNode::abandonClaim(Call &call) {
   call.RetryAfter = PlatformRetryAfter;
-  if (!call.Permit) {
-    finishWith(call, ResultCode::ClaimUnchecked);
-    return;
-  }
-  call.GiveUp = ResultCode::PlatformUnavailable;
-  startResolving(call, now);
+  finishWith(call, call.Permit ? ResultCode::PlatformUnavailable
+                               : ResultCode::ClaimUnchecked);
 }
 
 void EntryNode::callPlatform(Call &call, KvCall body) {
--- a/lib/Routing/EntryMessages.cpp
+++ b/lib/Routing/EntryMessages.cpp
@@ -136,10 +136,7 @@
       dispatch(call, now);
       break;
     case RunState::NeverStarts:
-      if (call.GiveUp)
-        finishWith(call, *call.GiveUp);
-      else
-        moveElsewhere(call, ResultCode::TicketVoid, now);
+      moveElsewhere(call, ResultCode::TicketVoid, now);
       break;
     case RunState::CannotTell:
       finishWith(call, ResultCode::IncarnationGone);
--- /dev/null
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -0,0 +1,113 @@
+//===- LeaseHolderTest.cpp - a holder acts only within its lease ----------===//
+//
+// The holder's own clock ends its right to act, however late it hears of the
+// loss; and receivers turn away what an earlier holder sent.
+//
+//===----------------------------------------------------------------------===//
+
+#include "standin/RankModel.h"
+
+#include "ospreyspur/Experts/GroupMember.h"
+#include "ospreyspur/Experts/LeaseHolder.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using std::chrono::seconds;
+
+static const TimePoint Start{std::chrono::hours(1)};
+
+/// Reads the key as free and takes it; the holder then has revision 7.
+static void take(LeaseHolder &holder, TimePoint now) {
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(now)));
+  holder.onReply({ResultCode::NotFound, {}, {}}, now);
+  REQUIRE(std::holds_alternative<KvPut>(*holder.nextCall(now)));
+  holder.onReply({ResultCode::Ok, Revision(7), {}}, now);
+}
+
+TEST_CASE("a candidate writes only a key that it read as free") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(Start)));
+  holder.onReply({ResultCode::Ok, Revision(3), "other"}, Start);
+  CHECK_FALSE(holder.nextCall(Start).has_value());
+  CHECK_FALSE(holder.isHeld(Start));
+}
+
+TEST_CASE("a holder that was paused past its lease does not act") {
+  LeaseLimits limits;
+  LeaseHolder holder("k", "a", limits);
+  take(holder, Start);
+  CHECK(holder.isHeld(Start));
+  CHECK(holder.epoch() == Epoch(7));
+  CHECK(holder.isHeld(Start + limits.Span - limits.Margin - Duration(1)));
+  CHECK_FALSE(holder.isHeld(Start + limits.Span - limits.Margin));
+}
+
+TEST_CASE("a renewal counts from when it was sent, not answered") {
+  LeaseLimits limits;
+  LeaseHolder holder("k", "a", limits);
+  take(holder, Start);
+  TimePoint sent = Start + limits.RenewEvery;
+  REQUIRE(std::holds_alternative<KvRenew>(*holder.nextCall(sent)));
+  holder.onReply({ResultCode::Ok, Revision(7), {}}, sent + seconds(1));
+  CHECK_FALSE(holder.isHeld(sent + limits.Span - limits.Margin));
+  CHECK(holder.isHeld(sent + limits.Span - limits.Margin - Duration(1)));
+}
+
+TEST_CASE("a lost lease is taken anew, with another epoch") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  take(holder, Start);
+  TimePoint late = Start + seconds(60);
+  REQUIRE(std::holds_alternative<KvRenew>(
+      *holder.nextCall(Start + LeaseLimits().RenewEvery)));
+  holder.onReply({ResultCode::NotFound, {}, {}}, late);
+  CHECK_FALSE(holder.isHeld(late));
+  CHECK(std::holds_alternative<KvGet>(*holder.nextCall(late + seconds(10))));
+}
+
+/// Gives \p order to the member and has \p rank answer what it asks.
+static GroupReply exchange(GroupMember &member, standin::RankModel &rank,
+                           const GroupOrder &order) {
+  GroupReply last;
+  GroupActions actions = member.onOrder(order, Start);
+  while (!actions.empty()) {
+    GroupAction action = actions.front();
+    actions.erase(actions.begin());
+    if (auto *sent = std::get_if<SendGroupReply>(&action))
+      last = sent->Reply;
+    if (auto *asked = std::get_if<OrderRank>(&action))
+      actions = member.onRankReply(asked->Id, rank.handle(asked->Order), Start);
+  }
+  return last;
+}
+
+TEST_CASE("orders of an earlier epoch are turned away by the agent") {
+  // The engine checks nothing, so the agent must.
+  standin::RankModel rank(false);
+  GroupMember member(GroupId("g"), EndpointId("a"), MemberLimits());
+  GroupActions begun = member.start(Start);
+  auto &report = std::get<OrderRank>(begun.at(0));
+  member.onRankReply(report.Id, rank.handle(report.Order), Start);
+
+  GroupOrder order;
+  order.Kind = GroupOrderKind::Join;
+  order.CoordinatorEpoch = Epoch(9);
+  order.GroupGeneration = Generation(1);
+  order.Members = {EndpointId("a")};
+  CHECK(exchange(member, rank, order).Kind == GroupReplyKind::Joined);
+
+  order.Kind = GroupOrderKind::Load;
+  order.Version = MapVersion(2);
+  order.CoordinatorEpoch = Epoch(8);
+  CHECK(exchange(member, rank, order).Kind == GroupReplyKind::Fenced);
+  CHECK(rank.state().Spare == MapVersion(0));
+  order.CoordinatorEpoch = Epoch(9);
+  CHECK(exchange(member, rank, order).Kind == GroupReplyKind::Loaded);
+
+  order.Kind = GroupOrderKind::Arm;
+  order.Attempt = ChangeAttempt(2);
+  order.Step = StepNumber(100);
+  order.CoordinatorEpoch = Epoch(8);
+  CHECK(exchange(member, rank, order).Kind == GroupReplyKind::Fenced);
+  CHECK_FALSE(rank.state().Armed.has_value());
+}
