--- a/include/ospreyspur/Config/ConfigDocument.h
+++ b/include/ospreyspur/Config/ConfigDocument.h
@@ -10,6 +10,7 @@
 #ifndef OSPREYSPUR_CONFIG_CONFIGDOCUMENT_H
 #define OSPREYSPUR_CONFIG_CONFIGDOCUMENT_H
 
+#include "ospreyspur/Config/Selector.h"
 #include "ospreyspur/Routing/RoutingSnapshot.h"
 #include "ospreyspur/Support/Result.h"
 
@@ -30,8 +31,6 @@
 /// Audit entries kept in the document.
 inline constexpr std::size_t MaxAuditEntries = 64;
 
-using Labels = std::map<std::string, std::string>;
-
 /// A workspace's configuration.
 struct WorkspaceConfig {
   /// SHA-256 of its bearer key, in hex.
@@ -52,9 +51,9 @@
   /// Seconds since 1970, UTC.
   std::int64_t StartUnix = 0;
   std::uint32_t DurationSeconds = 0;
-  /// Selects workspaces; see docs/API.md for the grammar.
+  /// Selects workspaces by their labels; see Selector.h for the grammar.
   std::string Selector;
-  /// Added to the priority of the workspaces that it covers.
+  /// Priority of the workspaces that it covers, while it is in force.
   std::uint32_t Priority = 1;
   Labels OwnLabels;
 };
@@ -86,9 +85,11 @@
 /// PlatformBadAnswer.
 Result<std::vector<EndpointView>> parseHosts(std::string_view text);
 
-/// What traffic threads need of \p document and \p endpoints.
+/// What traffic threads need of \p document and \p endpoints, with the
+/// priorities of \p nowUnix, in seconds since 1970.
 RoutingSnapshot makeSnapshot(const ConfigDocument &document,
-                             const std::vector<EndpointView> &endpoints);
+                             const std::vector<EndpointView> &endpoints,
+                             std::int64_t nowUnix);
 
 } // namespace ospreyspur
 
--- a/include/ospreyspur/Control/ControlPlane.h
+++ b/include/ospreyspur/Control/ControlPlane.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Platform/PlatformClient.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/system_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -46,6 +47,7 @@
   void takeConfig();
   void takeHosts();
   void publish();
+  void waitForEvent(std::int64_t nowUnix);
 
   PlatformClient &Platform;
   SnapshotHandler OnSnapshot;
@@ -53,6 +55,7 @@
   KeyFollower Hosts;
   boost::asio::steady_timer ConfigTimer;
   boost::asio::steady_timer HostsTimer;
+  boost::asio::system_timer EventTimer;
   ConfigDocument Document;
   std::vector<EndpointView> Endpoints;
 };
--- a/include/ospreyspur/Experts/GroupCoordinator.h
+++ b/include/ospreyspur/Experts/GroupCoordinator.h
@@ -117,7 +117,6 @@
   GroupRecord Record;
   Revision RecordAt;
   GroupRecord Writing;
-  CoordinatorPhase AfterWrite = CoordinatorPhase::Idle;
   KvCallId LeaseCall;
   KvCallId RecordCall;
   std::uint64_t LastCall = 0;
--- a/lib/Config/ConfigDocument.cpp
+++ b/lib/Config/ConfigDocument.cpp
@@ -7,6 +7,8 @@
 
 #include "ospreyspur/Config/ConfigDocument.h"
 
+#include "ospreyspur/Config/EventSchedule.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -126,6 +128,8 @@
   out.DurationSeconds = static_cast<std::uint32_t>(
       numberOr(in, "duration_s", 3600, 1, LongestSeconds, place));
   out.Selector = textOr(in, "selector", "", place);
+  if (Result<Selector> selector = Selector::parse(out.Selector); !selector)
+    throw BadField{place + ".selector: " + selector.error().Detail};
   out.Priority =
       static_cast<std::uint32_t>(numberOr(in, "priority", 1, 0, 10, place));
   out.OwnLabels = readLabels(in, place);
@@ -262,7 +266,8 @@
 
 RoutingSnapshot
 ospreyspur::makeSnapshot(const ConfigDocument &document,
-                         const std::vector<EndpointView> &endpoints) {
+                         const std::vector<EndpointView> &endpoints,
+                         std::int64_t nowUnix) {
   RoutingSnapshot out;
   for (const auto &[name, it] : document.Services)
     out.Services[ServiceId(name)] = {it.Kind, it.IsRepeatable, {}};
@@ -272,6 +277,8 @@
       service->second.Endpoints.push_back(it);
   }
   for (const auto &[name, it] : document.Workspaces)
-    out.WorkspacesByKeyHash[it.KeyHash] = {WorkspaceId(name), it.Weight, 0};
+    out.WorkspacesByKeyHash[it.KeyHash] = {
+        WorkspaceId(name), it.Weight,
+        findPriority(document, it.OwnLabels, nowUnix)};
   return out;
 }
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -6,10 +6,13 @@
 
 #include "ospreyspur/Control/ControlPlane.h"
 
+#include "ospreyspur/Config/EventSchedule.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <glog/logging.h>
 
+#include <ctime>
+
 using namespace ospreyspur;
 
 static constexpr Duration CallTimeout = std::chrono::seconds(2);
@@ -19,7 +22,7 @@
     : Platform(platform), OnSnapshot(std::move(onSnapshot)),
       Config(std::string(ConfigKey), FollowerLimits()),
       Hosts(std::string(HostsKey), FollowerLimits()), ConfigTimer(ioc),
-      HostsTimer(ioc) {}
+      HostsTimer(ioc), EventTimer(ioc) {}
 
 void ControlPlane::start() {
   poll(Config, ConfigTimer);
@@ -84,9 +87,24 @@
 void ControlPlane::publish() {
   if (!isReady())
     return;
+  std::int64_t now = std::time(nullptr);
   auto snapshot =
-      std::make_shared<RoutingSnapshot>(makeSnapshot(Document, Endpoints));
+      std::make_shared<RoutingSnapshot>(makeSnapshot(Document, Endpoints, now));
   snapshot->ConfigRevision = Config.revision();
   snapshot->HostsRevision = Hosts.revision();
   OnSnapshot(std::move(snapshot));
+  waitForEvent(now);
+}
+
+/// Publishes anew when an event next starts or ends.
+void ControlPlane::waitForEvent(std::int64_t nowUnix) {
+  EventTimer.cancel();
+  std::optional<std::int64_t> next = findNextEventChange(Document, nowUnix);
+  if (!next)
+    return;
+  EventTimer.expires_at(std::chrono::system_clock::from_time_t(*next));
+  EventTimer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      publish();
+  });
 }
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -185,7 +185,7 @@
   ConfigDocument read = parseConfig(text).value();
   double parse = secondsSince(began);
   began = monotonicNow();
-  RoutingSnapshot snapshot = makeSnapshot(read, endpoints);
+  RoutingSnapshot snapshot = makeSnapshot(read, endpoints, 0);
   std::printf("config workspaces=1200 document %zu bytes, parse %.1f ms, "
               "snapshot %.1f ms, document+snapshot %zu bytes in memory\n",
               text.size(), parse * 1e3, secondsSince(began) * 1e3,
