--- a/include/ospreyspur/Process/AgentGroup.h
+++ b/include/ospreyspur/Process/AgentGroup.h
@@ -38,7 +38,7 @@
   void setEndpoints(const std::vector<EndpointView> &endpoints);
 
 private:
-  void apply(GroupActions actions);
+  void apply(const GroupActions &actions);
   void perform(const SendGroupOrder &action);
   void perform(const SendGroupReply &action);
   void perform(const OrderRank &action);
--- a/lib/Config/Selector.cpp
+++ b/lib/Config/Selector.cpp
@@ -48,14 +48,14 @@
 
 Result<Selector::Requirement>
 Selector::parseRequirement(const std::string &text) {
-  static const std::regex Equality(R"(([\w./-]+)\s*(=|!=)\s*([\w./-]*))");
-  static const std::regex Membership(
+  static const std::regex equality(R"(([\w./-]+)\s*(=|!=)\s*([\w./-]*))");
+  static const std::regex membership(
       R"(([\w./-]+)\s+(in|notin)\s*\(([\w./,\s-]*)\))");
-  static const std::regex Presence(R"((!?)\s*([\w./-]+))");
+  static const std::regex presence(R"((!?)\s*([\w./-]+))");
   std::smatch match;
-  if (std::regex_match(text, match, Equality))
+  if (std::regex_match(text, match, equality))
     return Requirement{match[1], {match[3].str()}, match[2] == "!="};
-  if (std::regex_match(text, match, Membership)) {
+  if (std::regex_match(text, match, membership)) {
     std::vector<std::string> values;
     std::string list = match[3];
     boost::algorithm::split(values, list, boost::algorithm::is_any_of(","));
@@ -64,7 +64,7 @@
       out.Values.insert(boost::algorithm::trim_copy(it));
     return out;
   }
-  if (std::regex_match(text, match, Presence))
+  if (std::regex_match(text, match, presence))
     return Requirement{match[2], {}, match[1] == "!"};
   return Error{ResultCode::ConfigInvalid,
                "the selector has a bad requirement: '" + text + "'"};
--- a/lib/Http/CallerApi.cpp
+++ b/lib/Http/CallerApi.cpp
@@ -21,7 +21,7 @@
 static constexpr std::string_view ServicesPrefix = "/services/";
 static constexpr std::size_t PrefixBlockBytes = 256;
 static constexpr std::size_t MaxIdempotencyKey = 256;
-static constexpr std::uint64_t MaxDeadlineMs = 3600U * 1000U;
+static constexpr std::uint64_t MaxDeadlineMs = 3600000; // an hour
 
 static std::string_view headerOf(const HttpRequest &request, const char *name) {
   auto it = request.find(name);
--- a/lib/Process/AgentGroup.cpp
+++ b/lib/Process/AgentGroup.cpp
@@ -98,7 +98,7 @@
   Coordinator.setWanted(formatMap(plan->Map));
 }
 
-void AgentGroup::apply(GroupActions actions) {
+void AgentGroup::apply(const GroupActions &actions) {
   for (const GroupAction &action : actions)
     std::visit([this](const auto &it) { perform(it); }, action);
   if (Coordinator.phase() != LastPhase) {
--- a/unittests/Config/ConfigWriterTest.cpp
+++ b/unittests/Config/ConfigWriterTest.cpp
@@ -125,14 +125,15 @@
       ++accepted[it.ChangeId];
     // Each accepted document is its predecessor with one change more.
     REQUIRE(last.value().Audit.size() == world.History.size() - 1);
-    for (const auto &[id, code] : world.Told) {
-      INFO("change ", id, " told ", static_cast<unsigned>(code));
+    for (const auto &it : world.Told) {
+      ResultCode code = it.second;
+      INFO("change ", it.first, " told ", static_cast<unsigned>(code));
       ++told[code];
-      CHECK(accepted[id] <= 1);
+      CHECK(accepted[it.first] <= 1);
       if (code == ResultCode::Ok)
-        CHECK(accepted[id] == 1);
+        CHECK(accepted[it.first] == 1);
       else if (code != ResultCode::ConfigUnknownFate)
-        CHECK(accepted[id] == 0);
+        CHECK(accepted[it.first] == 0);
     }
   }
   CHECK(told[ResultCode::Ok] > Seeds * Writers);
--- a/unittests/Config/SettingsTest.cpp
+++ b/unittests/Config/SettingsTest.cpp
@@ -15,11 +15,11 @@
 
 using namespace ospreyspur;
 
-static const std::string GoodEntry = "[process]\n"
-                                     "data_centre = osborne\n"
-                                     "platform = 127.0.0.1:7000\n"
-                                     "[entry]\n"
-                                     "listen = 127.0.0.1:7301\n";
+static constexpr char GoodEntry[] = "[process]\n"
+                                    "data_centre = osborne\n"
+                                    "platform = 127.0.0.1:7000\n"
+                                    "[entry]\n"
+                                    "listen = 127.0.0.1:7301\n";
 
 static std::vector<SettingError> readEntry(const std::string &text) {
   SettingsReader reader(text, "e.ini");
@@ -49,7 +49,8 @@
   };
   for (const auto &it : bad) {
     INFO(it.Line);
-    std::vector<SettingError> errors = readEntry(GoodEntry + it.Line + "\n");
+    std::vector<SettingError> errors =
+        readEntry(std::string(GoodEntry) + it.Line + "\n");
     REQUIRE(errors.size() == 1);
     CHECK(errors[0].Code == it.Code);
     CHECK(errors[0].Key == it.Key);
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -15,7 +15,7 @@
 using namespace ospreyspur;
 using std::chrono::seconds;
 
-static const TimePoint Start{std::chrono::hours(1)};
+static constexpr TimePoint Start{std::chrono::hours(1)};
 
 /// Reads the key as free and takes it; the holder then has revision 7.
 static void take(LeaseHolder &holder, TimePoint now) {
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -87,7 +87,7 @@
 
 /// One entry and one agent, wired directly: the decisions' share of a request.
 static void benchRequest(std::size_t tokens) {
-  const std::size_t Requests = tokens == 0 ? 20000 : 2000;
+  const std::size_t requests = tokens == 0 ? 20000 : 2000;
   auto snapshot = std::make_shared<RoutingSnapshot>();
   EndpointId id("endpoint-1");
   snapshot->Services[ServiceId("m")] = {
@@ -95,7 +95,7 @@
   EntryNode entry(DataCentreId("d"), EntryLimits(), 1);
   entry.setSnapshot(snapshot);
   AgentLimits limits;
-  limits.Ledger.MaxRecords = 10 * Requests;
+  limits.Ledger.MaxRecords = 10 * requests;
   limits.Ledger.MaxAnswerBytes = 1U << 30U;
   AgentNode agent(id, Incarnation(1), "0123456789abcdef", limits, 1);
   TimePoint now(std::chrono::hours(1));
@@ -131,7 +131,7 @@
   };
   std::size_t heap = heapBytes();
   TimePoint began = monotonicNow();
-  for (std::size_t i = 1; i <= Requests; ++i) {
+  for (std::size_t i = 1; i <= requests; ++i) {
     CallerRequest request;
     request.Id = CallId(i);
     request.Workspace = WorkspaceId("workspace-1");
@@ -156,10 +156,10 @@
       "request tokens=%zu decisions+encoding %.2f us/request, %.2f "
       "us/token; messages %.1f; bytes to agent %.0f, to entry %.0f a "
       "request; ledger %.0f bytes/record (%zu records)\n",
-      tokens, seconds * 1e6 / double(Requests),
-      seconds * 1e6 / double(Requests * std::max<std::size_t>(tokens, 1)),
-      double(count) / double(Requests), double(toAgent) / double(Requests),
-      double(toEntry) / double(Requests),
+      tokens, seconds * 1e6 / double(requests),
+      seconds * 1e6 / double(requests * std::max<std::size_t>(tokens, 1)),
+      double(count) / double(requests), double(toAgent) / double(requests),
+      double(toEntry) / double(requests),
       double(heapBytes() - heap) / double(agent.ledger().size()),
       agent.ledger().size());
 }
@@ -174,6 +174,7 @@
     document.Services["model-" + std::to_string(i)] = {
         ServiceKind::Model, true, {}};
   std::vector<EndpointView> endpoints;
+  endpoints.reserve(600);
   for (int i = 0; i < 600; ++i)
     endpoints.push_back({EndpointId("endpoint-" + std::to_string(i)),
                          ServiceId("model-" + std::to_string(i % 6)),
@@ -266,6 +267,7 @@
   PeerClientHandlers handlers{[&](const auto &) { arrived.release(); }, [] {}};
   PeerClient client("127.0.0.1:7991", handlers);
   std::vector<double> times;
+  times.reserve(Trips);
   for (std::size_t i = 0; i < Trips; ++i) {
     std::this_thread::sleep_for(gap);
     TimePoint began = monotonicNow();
