Ask an endpoint again once its leaving agent was replaced

Cause: an entry kept "leaving" by endpoint and forgot it only when told. A new agent at the same endpoint says nothing, as it is not leaving, so the endpoint stayed unused until the entry was restarted. Ruled out: the agent's gate and the host list.

--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -207,6 +207,9 @@
 }
 
 EntryActions EntryNode::onLinkDown(const EndpointId &to, TimePoint now) {
+  // Another agent may stand there next; one that is still leaving says so on
+  // the new link.
+  KnownLeaving.erase(to);
   SuspectUntil[to] = now + Limits.SuspectTime;
   std::vector<CallId> touched;
   for (auto &[id, call] : Calls)
