Pass HEAD through; one fake key-value service in the tests; one sender in GroupMember

Cause of the first: the answer to HEAD was read as if a body followed, so the run waited for its idle limit.

--- a/include/ospreyspur/Experts/GroupMember.h
+++ b/include/ospreyspur/Experts/GroupMember.h
@@ -81,7 +81,7 @@
   void finish(const GroupOrder &cause, bool isDone, TimePoint now);
   std::optional<GroupReplyKind> knownOutcome(ChangeAttempt attempt) const;
   void askOthers(TimePoint now);
-  void tellOthers(GroupOrderKind outcome);
+  void sendToOthers(GroupOrderKind kind);
   void watchArmed(TimePoint now);
   void orderRank(RankOrderKind kind, const GroupOrder &cause, bool isReplyDue,
                  TimePoint now);
--- a/lib/Experts/GroupMember.cpp
+++ b/lib/Experts/GroupMember.cpp
@@ -196,23 +196,16 @@
 
 void GroupMember::askOthers(TimePoint now) {
   AskAt = now + Limits.AskAfter;
-  GroupOrder order;
-  order.Group = Group;
-  order.GroupGeneration = State->GroupGeneration;
-  order.Attempt = State->Armed->Attempt;
-  order.Kind = GroupOrderKind::Ask;
-  order.Sender = Self;
-  for (const EndpointId &it : State->Members)
-    if (it != Self)
-      Out.push_back(SendGroupOrder{it, order});
+  sendToOthers(GroupOrderKind::Ask);
 }
 
-void GroupMember::tellOthers(GroupOrderKind outcome) {
+/// Sends a question about the armed attempt, or its outcome, to all others.
+void GroupMember::sendToOthers(GroupOrderKind kind) {
   GroupOrder order;
   order.Group = Group;
   order.GroupGeneration = State->GroupGeneration;
   order.Attempt = State->Armed->Attempt;
-  order.Kind = outcome;
+  order.Kind = kind;
   order.Sender = Self;
   for (const EndpointId &it : State->Members)
     if (it != Self)
@@ -230,14 +223,14 @@
     ArmedVotes.insert(answer.Member);
     if (ArmedVotes.size() < State->Members.size())
       return takeActions();
-    tellOthers(GroupOrderKind::Commit);
+    sendToOthers(GroupOrderKind::Commit);
     outcome.Kind = GroupOrderKind::Commit;
     return onOrder(outcome, now);
   case GroupReplyKind::Committed:
     outcome.Kind = GroupOrderKind::Commit;
     return onOrder(outcome, now);
   case GroupReplyKind::Refused:
-    tellOthers(GroupOrderKind::Abort);
+    sendToOthers(GroupOrderKind::Abort);
     outcome.Kind = GroupOrderKind::Abort;
     return onOrder(outcome, now);
   default:
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -95,6 +95,7 @@
   beast::flat_buffer buf;
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(MaxAnswerBytes);
+  parser.skip(request.method() == http::verb::head);
   stream.expires_after(idle);
   auto [headError, headBytes] =
       co_await http::async_read_header(stream, buf, parser, AsTuple);
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -45,7 +45,9 @@
   response.version(Request.version());
   response.keep_alive(Request.keep_alive());
   response.prepare_payload();
-  MustClose = MustClose || !response.keep_alive();
+  // A client that sent HEAD takes no body; closing tells it where we are.
+  bool isHead = Request.method() == http::verb::head;
+  MustClose = MustClose || isHead || !response.keep_alive();
   Stream.expires_after(Limits.WriteTimeout);
   auto [ec, n] = co_await http::async_write(Stream, response, AsTuple);
   MustClose = MustClose || ec;
@@ -82,6 +84,8 @@
 }
 
 asio::awaitable<bool> HttpExchange::writeStream(std::string data) {
+  if (Request.method() == http::verb::head)
+    co_return true;
   Stream.expires_after(Limits.WriteTimeout);
   auto chunk = http::make_chunk(asio::buffer(data));
   auto [ec, n] = co_await asio::async_write(Stream, chunk, AsTuple);
@@ -90,6 +94,9 @@
 }
 
 asio::awaitable<bool> HttpExchange::endStream() {
+  // The answer to HEAD ends with its head.
+  if (Request.method() == http::verb::head)
+    co_return true;
   Stream.expires_after(Limits.WriteTimeout);
   auto last = http::make_chunk_last();
   auto [ec, n] = co_await asio::async_write(Stream, last, AsTuple);
--- a/unittests/Experts/OneMapTest.cpp
+++ b/unittests/Experts/OneMapTest.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "FakeKeyValue.h"
 #include "RandomScheduler.h"
 #include "standin/RankModel.h"
 
@@ -252,31 +253,7 @@
   }
 
   KvReply callKv(const KvCall &call) {
-    std::erase_if(Kv, [this](const auto &it) {
-      return it.second.Lease > Duration::zero() &&
-             it.second.Expires <= Scheduler.now();
-    });
-    if (const auto *get = std::get_if<KvGet>(&call)) {
-      auto it = Kv.find(get->Key);
-      if (it == Kv.end())
-        return {ResultCode::NotFound, {}, {}};
-      return {ResultCode::Ok, Revision(it->second.At), it->second.Value};
-    }
-    if (const auto *renew = std::get_if<KvRenew>(&call)) {
-      auto it = Kv.find(renew->Key);
-      if (it == Kv.end() || it->second.At != renew->Holder.get())
-        return {ResultCode::NotFound, {}, {}};
-      it->second.Expires = Scheduler.now() + it->second.Lease;
-      return {ResultCode::Ok, renew->Holder, {}};
-    }
-    const auto &put = std::get<KvPut>(call);
-    auto it = Kv.find(put.Key);
-    std::uint64_t present = it == Kv.end() ? 0 : it->second.At;
-    if (present != put.Expected.get())
-      return {ResultCode::PlatformConflict, Revision(present), {}};
-    Kv[put.Key] = {put.Value, ++LastRevision, put.Lease,
-                   Scheduler.now() + put.Lease};
-    return {ResultCode::Ok, Revision(LastRevision), {}};
+    return Kv.perform(call, Scheduler.now());
   }
 
   /// One tick of the fabric: each rank begins its next step once all ranks of
@@ -315,20 +292,12 @@
                 std::to_string(agent.StartedStep.second.get());
   }
 
-  struct KvEntry {
-    std::string Value;
-    std::uint64_t At = 0;
-    Duration Lease{};
-    TimePoint Expires;
-  };
-
   FaultRates Rates;
   bool ChecksFences;
   std::vector<EndpointId> Ids;
   Agent Agents[RankCount];
   std::map<std::pair<std::size_t, std::uint64_t>, TimePoint> TimersArmed;
-  std::map<std::string, KvEntry> Kv;
-  std::uint64_t LastRevision = 0;
+  FakeKeyValue Kv;
   std::uint64_t LastLife = 0;
   std::string Wanted;
   TimePoint OutageUntil;
--- /dev/null
+++ b/unittests/FakeKeyValue.h
@@ -0,0 +1,65 @@
+//===- FakeKeyValue.h - the platform's service on virtual time --*- C++ -*-===//
+//
+// Compare-and-swap and leases as the tests' worlds need them. Losing calls and
+// answers is the worlds' part.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_UNITTESTS_FAKEKEYVALUE_H
+#define OSPREYSPUR_UNITTESTS_FAKEKEYVALUE_H
+
+#include "ospreyspur/Platform/KeyValue.h"
+
+#include <map>
+#include <string>
+
+namespace ospreyspur::test {
+
+/// A key-value service without faults.
+class FakeKeyValue {
+public:
+  /// Performs \p call at \p now.
+  KvReply perform(const KvCall &call, TimePoint now) {
+    std::erase_if(Entries, [now](const auto &it) {
+      return it.second.Lease > Duration::zero() && it.second.Expires <= now;
+    });
+    if (const auto *get = std::get_if<KvGet>(&call))
+      return read(get->Key);
+    if (const auto *renew = std::get_if<KvRenew>(&call)) {
+      auto it = Entries.find(renew->Key);
+      if (it == Entries.end() || it->second.At != renew->Holder)
+        return {ResultCode::NotFound, {}, {}};
+      it->second.Expires = now + it->second.Lease;
+      return {ResultCode::Ok, renew->Holder, {}};
+    }
+    const auto &put = std::get<KvPut>(call);
+    KvReply present = read(put.Key);
+    if (present.At != put.Expected)
+      return {ResultCode::PlatformConflict, present.At, present.Value};
+    Last = Revision(Last.get() + 1);
+    Entries[put.Key] = {put.Value, Last, put.Lease, now + put.Lease};
+    return {ResultCode::Ok, Last, {}};
+  }
+
+private:
+  struct Entry {
+    std::string Value;
+    Revision At;
+    Duration Lease{};
+    TimePoint Expires;
+  };
+
+  KvReply read(const std::string &key) const {
+    auto it = Entries.find(key);
+    if (it == Entries.end())
+      return {ResultCode::NotFound, {}, {}};
+    return {ResultCode::Ok, it->second.At, it->second.Value};
+  }
+
+  std::map<std::string, Entry> Entries;
+  Revision Last;
+};
+
+} // namespace ospreyspur::test
+
+#endif // OSPREYSPUR_UNITTESTS_FAKEKEYVALUE_H
--- a/unittests/Routing/RequestWorld.cpp
+++ b/unittests/Routing/RequestWorld.cpp
@@ -239,27 +239,7 @@
 }
 
 KvReply RequestWorld::callKv(const KvCall &call) {
-  KvReply reply;
-  std::erase_if(Kv, [this](const auto &it) {
-    return it.second.Expires <= Scheduler.now();
-  });
-  if (const auto *get = std::get_if<KvGet>(&call)) {
-    auto it = Kv.find(get->Key);
-    if (it == Kv.end())
-      reply.Code = ResultCode::NotFound;
-    else
-      reply = {ResultCode::Ok, Revision(it->second.At), it->second.Value};
-    return reply;
-  }
-  const auto &put = std::get<KvPut>(call);
-  auto it = Kv.find(put.Key);
-  std::uint64_t present = it == Kv.end() ? 0 : it->second.At;
-  if (present != put.Expected.get())
-    return {ResultCode::PlatformConflict, Revision(present),
-            it == Kv.end() ? "" : it->second.Value};
-  Kv[put.Key] = {put.Value, ++LastRevision, Scheduler.now() + put.Lease};
-  reply.At = Revision(LastRevision);
-  return reply;
+  return Kv.perform(call, Scheduler.now());
 }
 
 void RequestWorld::perform(std::size_t /*i*/, const AnswerHead & /*head*/) {}
--- a/unittests/Routing/RequestWorld.h
+++ b/unittests/Routing/RequestWorld.h
@@ -10,6 +10,7 @@
 #ifndef OSPREYSPUR_UNITTESTS_ROUTING_REQUESTWORLD_H
 #define OSPREYSPUR_UNITTESTS_ROUTING_REQUESTWORLD_H
 
+#include "FakeKeyValue.h"
 #include "RandomScheduler.h"
 
 #include "ospreyspur/Routing/AgentNode.h"
@@ -88,12 +89,6 @@
     std::uint64_t Life = 0;
     TimePoint FrozenUntil;
   };
-  struct KvEntry {
-    std::string Value;
-    std::uint64_t At = 0;
-    TimePoint Expires;
-  };
-
   void startEntry(std::size_t i);
   void startAgent(std::size_t i);
   std::size_t agentOf(const EndpointId &id) const;
@@ -123,8 +118,7 @@
   std::shared_ptr<RoutingSnapshot> Snapshot;
   std::vector<Entry> Entries;
   std::vector<Agent> Agents;
-  std::map<std::string, KvEntry> Kv;
-  std::uint64_t LastRevision = 0;
+  FakeKeyValue Kv;
   std::uint64_t LastLife = 0;
   TimePoint OutageUntil;
 };
