Planned stops: announce, confirm, drain; a starting entry takes no callers

Ruled out: load of the machine as the only reason (it failed on an idle machine too, more rarely); the checker (the records show the 401 and the refusals).

The load stand-in now leaves out an entry that says it is not ready, as the platform's balancer does.

Conclusion: a stop is a sequence with a notice, decided by StopSequence; entries confirm that an agent leaves.

--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -27,6 +27,8 @@
   std::string AdminListen;
   /// SHA-256 of the first operator's token, in hex; empty: none.
   std::string AdminTokenHash;
+  /// How long a planned stop is announced before new work is refused.
+  Duration StopNotice{};
   /// How long a planned stop waits for requests in flight.
   Duration StopLimit{};
 };
--- a/include/ospreyspur/Http/HttpExchange.h
+++ b/include/ospreyspur/Http/HttpExchange.h
@@ -48,6 +48,9 @@
   /// Makes the connection close without ending the answer, so that the client
   /// sees it as cut.
   void cut() { MustClose = true; }
+  /// Makes the answer ask the client to close the connection. Call before the
+  /// answer begins.
+  void closeAfterAnswer() { MustClose = true; }
 
   bool mustClose() const { return MustClose; }
   bool hasBegun() const { return HasBegun; }
--- a/include/ospreyspur/Http/HttpServer.h
+++ b/include/ospreyspur/Http/HttpServer.h
@@ -26,19 +26,30 @@
   HttpServer(boost::asio::io_context &ioc, HttpLimits limits,
              HttpHandler handler);
 
-  /// Begins to accept. Errors: SettingInvalid.
+  /// Takes the address without accepting yet. Errors: SettingInvalid.
+  Result<void> bind(const TcpAddress &address);
+
+  /// Begins to accept on the bound address. Errors: SettingInvalid.
+  Result<void> beginAccepting();
+
+  /// bind(), then beginAccepting().
   Result<void> listen(const TcpAddress &address);
 
-  /// Accepts no further connections; open ones finish what they do.
+  /// From now on every answer asks its client to close the connection.
+  void closeAfterAnswers();
+
+  /// Accepts no connections but those that clients have opened by now.
   void stopAccepting();
 
-  /// Number of open connections.
-  std::size_t connectionCount() const;
+  /// Number of connections with a request begun or answered, or still without
+  /// their first request.
+  std::size_t busyCount() const;
 
 private:
   struct Shared;
 
   boost::asio::awaitable<void> acceptLoop();
+  void admit(boost::asio::ip::tcp::socket socket);
   static boost::asio::awaitable<void>
   serve(std::shared_ptr<Shared> shared, boost::asio::ip::tcp::socket socket);
 
--- a/include/ospreyspur/Process/AdminServer.h
+++ b/include/ospreyspur/Process/AdminServer.h
@@ -30,6 +30,9 @@
   /// Begins to accept. Errors: SettingInvalid.
   Result<void> start();
 
+  /// Says "not ready" from now on, so that the balancer sends nothing more.
+  void setStopping() { IsStopping = true; }
+
 private:
   boost::asio::awaitable<void> handle(HttpExchange &exchange);
   boost::asio::awaitable<void> handleQuery(HttpExchange &exchange);
@@ -43,6 +46,7 @@
   PlatformClient &Platform;
   Metrics &Measures;
   HttpServer Server;
+  bool IsStopping = false;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/AgentTraffic.h
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Rpc/PeerServer.h"
 #include "ospreyspur/Support/Metrics.h"
+#include "ospreyspur/Support/StopSequence.h"
 
 #include <functional>
 #include <map>
@@ -46,9 +47,10 @@
   /// Sends to one link. May be called from any thread.
   void send(LinkId to, const Message &message);
 
-  /// Whether nothing runs or waits.
-  bool isIdle() const { return Node.isIdle(); }
-  std::size_t runningCount() const { return Node.runningCount(); }
+  /// How far a planned stop is.
+  StopProgress stopProgress() const {
+    return {Node.runningCount(), Node.isLeavingSeen()};
+  }
 
 private:
   void onMessages(LinkId from, const std::vector<Message> &messages);
--- a/include/ospreyspur/Process/EntryTraffic.h
+++ b/include/ospreyspur/Process/EntryTraffic.h
@@ -27,17 +27,21 @@
   EntryTraffic(boost::asio::io_context &ioc, const EntrySettings &settings,
                TcpAddress platform, Metrics &metrics, std::uint64_t seed);
 
-  /// Begins to accept callers. Errors: SettingInvalid.
+  /// Takes the callers' address; callers are accepted from the first snapshot
+  /// on. Errors: SettingInvalid.
   Result<void> start();
 
   /// Takes a newer view of the fleet.
   void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
 
-  /// Refuses new requests; those in flight go on.
-  void stopAccepting();
+  /// Asks callers to close their connections; their requests are served.
+  void announceStop() { Server.closeAfterAnswers(); }
 
-  /// Number of requests whose answers are not yet written to their callers.
-  std::size_t callCount() const { return Inboxes.size(); }
+  /// Takes no new connections; what has come is served.
+  void stopAccepting() { Server.stopAccepting(); }
+
+  /// Number of requests begun whose answers are not yet written.
+  std::size_t busyCount() const { return Server.busyCount(); }
 
 private:
   using Inbox = Mailbox<EntryAction>;
@@ -63,6 +67,7 @@
   std::map<EndpointId, std::unique_ptr<PeerClient>> Peers;
   std::map<CallId, Inbox *> Inboxes;
   std::uint64_t LastCall = 0;
+  bool IsAccepting = false;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/PlannedStop.h
+++ b/include/ospreyspur/Process/PlannedStop.h
@@ -1,20 +1,18 @@
 //===- PlannedStop.h - ends a process without cutting requests --*- C++ -*-===//
 //
-// On SIGTERM or SIGINT: no new work, then wait until nothing is in flight or
-// the operator's limit is reached, then end.
+// On SIGTERM or SIGINT the process goes through the phases of a StopSequence.
 //
 //===----------------------------------------------------------------------===//
 
 #ifndef OSPREYSPUR_PROCESS_PLANNEDSTOP_H
 #define OSPREYSPUR_PROCESS_PLANNEDSTOP_H
 
-#include "ospreyspur/Support/Time.h"
+#include "ospreyspur/Support/StopSequence.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <cstddef>
 #include <functional>
 
 namespace ospreyspur {
@@ -24,15 +22,18 @@
 public:
   /// What the stop needs from its process; called on the control thread.
   struct Handlers {
-    /// Refuse new work.
-    std::function<void()> Begin;
-    /// Asks for the number of requests in flight.
-    std::function<void(std::function<void(std::size_t)>)> CountInFlight;
+    /// Say that the process will stop.
+    std::function<void()> Announce;
+    /// Take no new work.
+    std::function<void()> Close;
+    /// Asks how far the stop is.
+    std::function<void(std::function<void(StopProgress)>)> AskProgress;
     /// End the process.
     std::function<void()> End;
   };
 
-  PlannedStop(boost::asio::io_context &ioc, Duration limit, Handlers handlers);
+  PlannedStop(boost::asio::io_context &ioc, StopSequence sequence,
+              Handlers handlers);
 
   /// Begins to listen for the signals.
   void start();
@@ -40,13 +41,12 @@
 private:
   void begin();
   void poll();
-  void onCount(std::size_t inFlight);
+  void onProgress(StopProgress progress);
 
-  Duration Limit;
+  StopSequence Sequence;
   Handlers Calls;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer Timer;
-  TimePoint Deadline;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Routing/AgentNode.h
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -61,7 +61,7 @@
   /// The run ended: Ok (whole answer), EndpointUnreachable (no byte of the
   /// request left this host) or EndpointFailed (anything else).
   AgentActions onRunEnd(RequestId id, ResultCode code, TimePoint now);
-  /// Opens or closes the gate for new work.
+  /// Opens or closes the gate for new work and tells the entries.
   AgentActions setLeaving(bool leaving, TimePoint now);
   /// Takes over shares from the configuration.
   void setWeights(std::shared_ptr<const WorkspaceWeights> weights);
@@ -75,6 +75,8 @@
   /// Whether nothing runs or waits.
   bool isIdle() const { return Running.empty() && Queue.size() == 0; }
   bool isLeaving() const { return IsLeaving; }
+  /// Whether every entry with a link has confirmed that this endpoint leaves.
+  bool isLeavingSeen() const { return IsLeaving && Unaware.empty(); }
   std::size_t runningCount() const { return Running.size(); }
   std::size_t queuedCount() const { return Queue.size(); }
   const Ledger &ledger() const { return Book; }
@@ -98,11 +100,13 @@
   void handle(LinkId from, const Dispatch &dispatch, TimePoint now);
   void handle(LinkId from, const Resolve &resolve, TimePoint now);
   void handle(LinkId from, const Cancel &cancel, TimePoint now);
+  void handle(LinkId from, const LeavingSeen &seen, TimePoint now);
   template <typename T> void handle(LinkId from, const T &other, TimePoint now);
 
   ResultCode whyNotAccepting(Duration wait) const;
   Duration estimateWait() const;
   Duration spreadRetryAfter();
+  void meetEntry(LinkId link);
   void enqueue(LinkId from, const Dispatch &dispatch, TimePoint now);
   void attach(LinkId from, const Dispatch &dispatch, TimePoint now);
   void sendStored(LinkId from, const Dispatch &dispatch,
@@ -125,6 +129,10 @@
   std::shared_ptr<const WorkspaceWeights> Weights;
   std::mt19937_64 Random;
   bool IsLeaving = false;
+  /// Links on which work has come; other agents' links are not among them.
+  std::set<LinkId> Entries;
+  /// Entries that have not confirmed yet that this endpoint leaves.
+  std::set<LinkId> Unaware;
   std::map<RequestId, Job> Jobs;
   std::set<RequestId> Running;
   std::set<std::pair<TimePoint, RequestId>> Deadlines;
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -74,8 +74,6 @@
   EntryActions onKvReply(KvCallId id, const KvReply &reply, TimePoint now);
   /// A newer view of the fleet.
   void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
-  /// Refuses new calls from now on; those in flight go on.
-  void stopAccepting() { IsStopping = true; }
   /// Does what is due at \p now.
   EntryActions onTimer(TimePoint now);
 
@@ -136,7 +134,6 @@
   RetryBudget Retries;
   std::mt19937_64 Random;
   std::shared_ptr<const RoutingSnapshot> Snapshot;
-  bool IsStopping = false;
   std::uint64_t LastKvCall = 0;
   /// Attempts are numbered across all calls, as several calls of this entry may
   /// attach to one request.
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -128,10 +128,15 @@
   bool IsLeaving = false;
 };
 
+/// Entry to agent: the entry has taken note of Leaving and sends no new
+/// request; what it sent before has arrived, as links keep the order.
+struct LeavingSeen {};
+
 /// Any message between two of our processes.
-using Message = std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel,
-                             Accepted, Refused, Head, Chunk, Finish,
-                             ResolveReply, Leaving, GroupOrder, GroupReply>;
+using Message =
+    std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel, Accepted,
+                 Refused, Head, Chunk, Finish, ResolveReply, Leaving,
+                 LeavingSeen, GroupOrder, GroupReply>;
 
 } // namespace ospreyspur
 
--- a/include/ospreyspur/Rpc/PeerServer.h
+++ b/include/ospreyspur/Rpc/PeerServer.h
@@ -19,7 +19,6 @@
 
 /// What a PeerServer reports; called on gRPC's threads.
 struct PeerServerHandlers {
-  std::function<void(LinkId)> OnLinkUp;
   std::function<void(LinkId, std::vector<Message>)> OnMessages;
   std::function<void(LinkId)> OnLinkDown;
 };
@@ -36,9 +35,6 @@
   /// Sends on a link; a message for a link that is gone is dropped.
   void send(LinkId link, const Message &message);
 
-  /// Sends to all links.
-  void broadcast(const Message &message);
-
   /// Closes all links.
   void stop();
 
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -28,9 +28,14 @@
   out.AdminTokenHash =
       reader.readText("process.admin_token_sha256", "",
                       "SHA-256, in hex, of the first operator's token");
+  out.StopNotice = reader.readMillis(
+      "process.stop_notice_ms", seconds(2), milliseconds(0), minutes(5),
+      "how long a planned stop is announced while work is still taken; "
+      "entries: "
+      "the balancer's time to notice, agents: the longest wait for entries");
   out.StopLimit = reader.readMillis(
       "process.stop_limit_ms", seconds(30), milliseconds(0), hours(1),
-      "how long a planned stop waits for requests in flight");
+      "how long a planned stop may take; then what is in flight is cut");
   return out;
 }
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -14,6 +14,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <optional>
+#include <tuple>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -29,7 +32,23 @@
   HttpLimits Limits;
   HttpHandler Handler;
   std::size_t Connections = 0;
+  std::size_t Busy = 0;
+  bool ClosesAfterAnswers = false;
+};
+
+namespace {
+/// Counts something for as long as it is held.
+class Count {
+public:
+  explicit Count(std::size_t &n) : N(n) { ++N; }
+  Count(const Count &) = delete;
+  Count &operator=(const Count &) = delete;
+  ~Count() { --N; }
+
+private:
+  std::size_t &N;
 };
+} // namespace
 
 HttpExchange::HttpExchange(beast::tcp_stream &stream,
                            const HttpRequest &request, const HttpLimits &limits)
@@ -43,7 +62,7 @@
 asio::awaitable<bool> HttpExchange::respond(HttpResponse response) {
   HasBegun = true;
   response.version(Request.version());
-  response.keep_alive(Request.keep_alive());
+  response.keep_alive(Request.keep_alive() && !MustClose);
   response.prepare_payload();
   // A client that sent HEAD takes no body; closing tells it where we are.
   bool isHead = Request.method() == http::verb::head;
@@ -74,7 +93,7 @@
   head.set(http::field::content_type,
            beast::string_view(contentType.data(), contentType.size()));
   head.chunked(true);
-  head.keep_alive(Request.keep_alive());
+  head.keep_alive(Request.keep_alive() && !MustClose);
   MustClose = MustClose || !head.keep_alive();
   http::response_serializer<http::empty_body> serializer(head);
   Stream.expires_after(Limits.WriteTimeout);
@@ -108,7 +127,14 @@
                        HttpHandler handler)
     : State(std::make_shared<Shared>(ioc, limits, std::move(handler))) {}
 
-Result<void> HttpServer::listen(const TcpAddress &address) {
+static Error makeListenError(const TcpAddress &address,
+                             const boost::system::error_code &ec) {
+  return {ResultCode::SettingInvalid,
+          "cannot listen on " + address.address().to_string() + ":" +
+              std::to_string(address.port()) + ": " + ec.message()};
+}
+
+Result<void> HttpServer::bind(const TcpAddress &address) {
   boost::system::error_code ec;
   auto &acceptor = State->Acceptor;
   acceptor.open(address.protocol(), ec);
@@ -116,34 +142,61 @@
     acceptor.set_option(asio::socket_base::reuse_address(true), ec);
   if (!ec)
     acceptor.bind(address, ec);
-  if (!ec)
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
   if (ec)
-    return Error{ResultCode::SettingInvalid,
-                 "cannot listen on " + address.address().to_string() + ":" +
-                     std::to_string(address.port()) + ": " + ec.message()};
+    return makeListenError(address, ec);
+  return boost::outcome_v2::success();
+}
+
+Result<void> HttpServer::beginAccepting() {
+  boost::system::error_code ec;
+  auto &acceptor = State->Acceptor;
+  acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return makeListenError(acceptor.local_endpoint(), ec);
   asio::co_spawn(acceptor.get_executor(), acceptLoop(), asio::detached);
   return boost::outcome_v2::success();
 }
 
+Result<void> HttpServer::listen(const TcpAddress &address) {
+  Result<void> bound = bind(address);
+  return bound ? beginAccepting() : bound;
+}
+
+void HttpServer::closeAfterAnswers() { State->ClosesAfterAnswers = true; }
+
 void HttpServer::stopAccepting() {
+  auto &acceptor = State->Acceptor;
+  State->ClosesAfterAnswers = true;
+  // Connections that wait to be accepted would be reset by close().
   boost::system::error_code ec;
-  State->Acceptor.close(ec);
+  acceptor.non_blocking(true, ec);
+  while (!ec) {
+    asio::ip::tcp::socket socket(acceptor.get_executor());
+    acceptor.accept(socket, ec);
+    if (!ec)
+      admit(std::move(socket));
+  }
+  acceptor.close(ec);
 }
 
-std::size_t HttpServer::connectionCount() const { return State->Connections; }
+std::size_t HttpServer::busyCount() const { return State->Busy; }
 
 asio::awaitable<void> HttpServer::acceptLoop() {
   auto shared = State;
   while (shared->Acceptor.is_open()) {
     auto [ec, socket] = co_await shared->Acceptor.async_accept(AsTuple);
-    if (ec || shared->Connections >= shared->Limits.MaxConnections)
-      continue;
-    asio::co_spawn(shared->Acceptor.get_executor(),
-                   serve(shared, std::move(socket)), asio::detached);
+    if (!ec)
+      admit(std::move(socket));
   }
 }
 
+void HttpServer::admit(asio::ip::tcp::socket socket) {
+  if (State->Connections >= State->Limits.MaxConnections)
+    return;
+  asio::co_spawn(State->Acceptor.get_executor(),
+                 serve(State, std::move(socket)), asio::detached);
+}
+
 /// The status for a request that could not be read; 0 to just close.
 static unsigned statusOfReadError(const boost::system::error_code &ec) {
   if (ec == http::error::body_limit)
@@ -160,12 +213,9 @@
 
 asio::awaitable<void> HttpServer::serve(std::shared_ptr<Shared> shared,
                                         asio::ip::tcp::socket socket) {
-  struct Counter {
-    std::size_t &N;
-    explicit Counter(std::size_t &n) : N(n) { ++N; }
-    ~Counter() { --N; }
-  } counter(shared->Connections);
-
+  Count connection(shared->Connections);
+  // A new connection counts as busy, as its first request is under way.
+  std::optional<Count> busy(std::in_place, shared->Busy);
   boost::system::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   beast::tcp_stream stream(std::move(socket));
@@ -176,9 +226,16 @@
         static_cast<std::uint32_t>(shared->Limits.MaxHeaderBytes));
     parser.body_limit(shared->Limits.MaxBodyBytes);
     stream.expires_after(shared->Limits.ReadTimeout);
-    auto [ec, n] = co_await http::async_read(stream, buf, parser, AsTuple);
+    auto [ec, begun] =
+        co_await http::async_read_some(stream, buf, parser, AsTuple);
+    if (!busy)
+      busy.emplace(shared->Busy);
+    if (!ec && !parser.is_done())
+      ec = std::get<0>(co_await http::async_read(stream, buf, parser, AsTuple));
     HttpRequest request = parser.release();
     HttpExchange exchange(stream, request, shared->Limits);
+    if (shared->ClosesAfterAnswers)
+      exchange.closeAfterAnswer();
     if (ec) {
       exchange.cut();
       if (unsigned status = statusOfReadError(ec))
@@ -188,7 +245,8 @@
     }
     stream.expires_never();
     co_await shared->Handler(exchange);
-    isOpen = !exchange.mustClose() && shared->Acceptor.is_open();
+    isOpen = !exchange.mustClose();
+    busy.reset();
   }
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
 }
--- a/lib/Process/AdminServer.cpp
+++ b/lib/Process/AdminServer.cpp
@@ -75,7 +75,7 @@
     co_return;
   }
   if (target == "/ready") {
-    bool isReady = Control.isReady();
+    bool isReady = Control.isReady() && !IsStopping;
     co_await exchange.respond(isReady ? 200 : 503, "text/plain",
                               isReady ? "ready\n" : "not ready\n");
     co_return;
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -78,20 +78,27 @@
       });
   AdminServer admin(control, settings.Common, plane, client, metrics);
   PlannedStop::Handlers handlers;
-  handlers.Begin = [&] {
+  handlers.Announce = [&] {
     isStopping = true;
+    admin.setStopping();
     asio::post(traffic, [&] { agent.setLeaving(true); });
   };
-  handlers.CountInFlight = [&](std::function<void(std::size_t)> done) {
+  // The gate is closed since the announcement.
+  handlers.Close = [] {};
+  handlers.AskProgress = [&](std::function<void(StopProgress)> done) {
     asio::post(traffic, [&, done = std::move(done)] {
-      asio::post(control, [done, n = agent.runningCount()] { done(n); });
+      asio::post(control,
+                 [done, progress = agent.stopProgress()] { done(progress); });
     });
   };
   handlers.End = [&] {
     traffic.stop();
     control.stop();
   };
-  PlannedStop stop(control, settings.Common.StopLimit, handlers);
+  PlannedStop stop(
+      control,
+      StopSequence(settings.Common.StopNotice, settings.Common.StopLimit),
+      handlers);
 
   for (const Result<void> &started : {agent.start(), admin.start()}) {
     if (started)
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -30,13 +30,7 @@
            settings.Limits, seed),
       Endpoint(ioc, std::move(endpoint)),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
-      Server({[this](LinkId link) {
-                asio::post(Context, [this, link] {
-                  if (Node.isLeaving())
-                    Server.send(link, Leaving{true});
-                });
-              },
-              [this](LinkId link, std::vector<Message> messages) {
+      Server({[this](LinkId link, std::vector<Message> messages) {
                 asio::post(Context,
                            [this, link, messages = std::move(messages)] {
                              onMessages(link, messages);
@@ -54,10 +48,7 @@
 }
 
 void AgentTraffic::setLeaving(bool leaving) {
-  if (leaving == Node.isLeaving())
-    return;
   apply(Node.setLeaving(leaving, monotonicNow()));
-  Server.broadcast(Leaving{leaving});
 }
 
 void AgentTraffic::setWeights(std::shared_ptr<const WorkspaceWeights> weights) {
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -45,17 +45,25 @@
       });
   AdminServer admin(control, settings.Common, plane, client, metrics);
   PlannedStop::Handlers handlers;
-  handlers.Begin = [&] { asio::post(traffic, [&] { entry.stopAccepting(); }); };
-  handlers.CountInFlight = [&](std::function<void(std::size_t)> done) {
+  handlers.Announce = [&] {
+    admin.setStopping();
+    asio::post(traffic, [&] { entry.announceStop(); });
+  };
+  handlers.Close = [&] { asio::post(traffic, [&] { entry.stopAccepting(); }); };
+  // The platform's balancer confirms nothing: the whole notice is waited out.
+  handlers.AskProgress = [&](std::function<void(StopProgress)> done) {
     asio::post(traffic, [&, done = std::move(done)] {
-      asio::post(control, [done, n = entry.callCount()] { done(n); });
+      asio::post(control, [done, n = entry.busyCount()] { done({n, false}); });
     });
   };
   handlers.End = [&] {
     traffic.stop();
     control.stop();
   };
-  PlannedStop stop(control, settings.Common.StopLimit, handlers);
+  PlannedStop stop(
+      control,
+      StopSequence(settings.Common.StopNotice, settings.Common.StopLimit),
+      handlers);
 
   for (const Result<void> &started : {entry.start(), admin.start()})
     if (!started)
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
+#include <utility>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
@@ -33,7 +35,7 @@
   Result<TcpAddress> address = parseAddress(Settings.Listen);
   if (!address)
     return address.error();
-  return Server.listen(address.value());
+  return Server.bind(address.value());
 }
 
 void EntryTraffic::setSnapshot(std::shared_ptr<const RoutingSnapshot> next) {
@@ -44,11 +46,12 @@
     return !endpoint || endpoint->Address != it.second->address();
   });
   Node.setSnapshot(Snapshot);
-}
-
-void EntryTraffic::stopAccepting() {
-  Server.stopAccepting();
-  Node.stopAccepting();
+  // Before the first snapshot every caller's key would be unknown.
+  if (std::exchange(IsAccepting, true))
+    return;
+  if (Result<void> accepting = Server.beginAccepting(); !accepting)
+    LOG(FATAL) << LogEvent("entry.cannot_listen")
+                      .with("detail", accepting.error().Detail);
 }
 
 asio::awaitable<void> EntryTraffic::handle(HttpExchange &exchange) {
--- a/lib/Process/PlannedStop.cpp
+++ b/lib/Process/PlannedStop.cpp
@@ -16,10 +16,10 @@
 
 static constexpr Duration PollInterval = std::chrono::milliseconds(50);
 
-PlannedStop::PlannedStop(boost::asio::io_context &ioc, Duration limit,
+PlannedStop::PlannedStop(boost::asio::io_context &ioc, StopSequence sequence,
                          Handlers handlers)
-    : Limit(limit), Calls(std::move(handlers)), Signals(ioc, SIGTERM, SIGINT),
-      Timer(ioc) {}
+    : Sequence(sequence), Calls(std::move(handlers)),
+      Signals(ioc, SIGTERM, SIGINT), Timer(ioc) {}
 
 void PlannedStop::start() {
   Signals.async_wait([this](boost::system::error_code ec, int /*signal*/) {
@@ -30,22 +30,30 @@
 
 void PlannedStop::begin() {
   LOG(INFO) << LogEvent("stop.begin");
-  Deadline = monotonicNow() + Limit;
-  Calls.Begin();
+  Sequence.begin(monotonicNow());
+  Calls.Announce();
   poll();
 }
 
 void PlannedStop::poll() {
-  Calls.CountInFlight([this](std::size_t n) { onCount(n); });
+  Calls.AskProgress([this](StopProgress progress) { onProgress(progress); });
 }
 
-void PlannedStop::onCount(std::size_t inFlight) {
-  bool isLate = monotonicNow() >= Deadline;
-  if (inFlight == 0 || isLate) {
-    LOG(INFO) << LogEvent("stop.end").with("cut_requests", inFlight);
+void PlannedStop::onProgress(StopProgress progress) {
+  StopPhase before = Sequence.phase();
+  Sequence.advance(progress, monotonicNow());
+  if (Sequence.phase() == StopPhase::Ended) {
+    LOG(INFO) << LogEvent("stop.end").with("cut_requests", progress.InFlight);
     Calls.End();
     return;
   }
+  if (Sequence.phase() == StopPhase::Draining &&
+      before != StopPhase::Draining) {
+    LOG(INFO) << LogEvent("stop.draining")
+                     .with("in_flight", progress.InFlight)
+                     .with("confirmed", progress.IsConfirmed);
+    Calls.Close();
+  }
   Timer.expires_after(PollInterval);
   Timer.async_wait([this](boost::system::error_code ec) {
     if (!ec)
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -38,7 +38,21 @@
   // Messages of other roles are not for this side of the agent.
 }
 
+/// Takes note of an entry's link; a leaving agent says so before anything else.
+void AgentNode::meetEntry(LinkId link) {
+  if (!Entries.insert(link).second || !IsLeaving)
+    return;
+  Unaware.insert(link);
+  send(link, Leaving{true});
+}
+
+void AgentNode::handle(LinkId from, const LeavingSeen & /*seen*/,
+                       TimePoint /*now*/) {
+  Unaware.erase(from);
+}
+
 void AgentNode::handle(LinkId from, const Probe &probe, TimePoint now) {
+  meetEntry(from);
   ProbeReply reply;
   reply.Call = probe.Call;
   reply.Wait = estimateWait();
@@ -52,6 +66,7 @@
 }
 
 void AgentNode::handle(LinkId from, const Dispatch &dispatch, TimePoint now) {
+  meetEntry(from);
   const Ticket &ticket = dispatch.Permit;
   ResultCode reason = whyNotAccepting(estimateWait());
   Ledger::Verdict verdict = reason == ResultCode::Ok
@@ -280,6 +295,8 @@
 }
 
 AgentActions AgentNode::onLinkDown(LinkId link, TimePoint now) {
+  Entries.erase(link);
+  Unaware.erase(link);
   std::vector<RequestId> touched;
   for (auto &[id, job] : Jobs) {
     auto n = std::erase_if(job.Subscribers, [link](const Subscriber &sub) {
@@ -295,7 +312,12 @@
 }
 
 AgentActions AgentNode::setLeaving(bool leaving, TimePoint now) {
+  if (leaving == IsLeaving)
+    return takeActions();
   IsLeaving = leaving;
+  Unaware = leaving ? Entries : std::set<LinkId>();
+  for (LinkId it : Entries)
+    send(it, Leaving{leaving});
   if (!leaving)
     return takeActions();
   // What waits has not begun: hand it back, so that it runs elsewhere at once.
--- a/lib/Routing/EntryMessages.cpp
+++ b/lib/Routing/EntryMessages.cpp
@@ -147,10 +147,12 @@
 
 void EntryNode::handle(const EndpointId &from, const Leaving &msg,
                        TimePoint /*now*/) {
-  if (msg.IsLeaving)
-    KnownLeaving.insert(from);
-  else
+  if (!msg.IsLeaving) {
     KnownLeaving.erase(from);
+    return;
+  }
+  KnownLeaving.insert(from);
+  send(from, LeavingSeen{});
 }
 
 Call *EntryNode::findCurrent(RequestId id, AttemptNumber attempt) {
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -32,10 +32,6 @@
   call.Deadline = now + call.Request.Deadline;
   call.Timer = call.Deadline;
   Timers.emplace(call.Timer, id);
-  if (IsStopping) {
-    finishWith(call, ResultCode::Stopping);
-    return takeActions();
-  }
   if (Calls.size() > Limits.MaxCalls) {
     finishWith(call, ResultCode::TooManyCalls);
     return takeActions();
@@ -92,6 +88,10 @@
 
 void EntryNode::chooseOffer(Call &call, TimePoint now) {
   const ServiceView *service = findService(call);
+  // Whoever has left since its offer was promised no new request.
+  std::erase_if(call.Offers, [this](const ProbeOffer &it) {
+    return KnownLeaving.contains(it.Endpoint);
+  });
   std::optional<std::size_t> best;
   if (service)
     best = Picker.pickOffer(call.Offers, *service, call.Request.Prefix);
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -187,6 +187,10 @@
   message.mutable_leaving()->set_leaving(in.IsLeaving);
 }
 
+static void put(const LeavingSeen & /*in*/, wire::Message &message) {
+  message.mutable_leaving_seen();
+}
+
 static void put(const GroupOrder &in, wire::Message &message) {
   auto *out = message.mutable_group_order();
   out->set_group(in.Group.get());
@@ -280,6 +284,8 @@
     return get(in.resolve_reply());
   case wire::Message::kLeaving:
     return Leaving{in.leaving().leaving()};
+  case wire::Message::kLeavingSeen:
+    return LeavingSeen{};
   case wire::Message::kGroupOrder:
     return get(in.group_order());
   case wire::Message::kGroupReply:
--- a/lib/Rpc/PeerServer.cpp
+++ b/lib/Rpc/PeerServer.cpp
@@ -90,7 +90,6 @@
     auto onDone = [this](LinkId gone) { forget(gone); };
     auto *link = new ServerLink(id, Handlers, onDone);
     Links.emplace(id, link);
-    Handlers.OnLinkUp(id);
     link->start();
     return link;
   }
@@ -137,12 +136,6 @@
     it->second->send(message);
 }
 
-void PeerServer::broadcast(const Message &message) {
-  std::lock_guard lock(Pimpl->Mutex);
-  for (auto &[id, link] : Pimpl->Links)
-    link->send(message);
-}
-
 void PeerServer::stop() {
   if (!Pimpl->Server)
     return;
--- a/test/standin/Load.cpp
+++ b/test/standin/Load.cpp
@@ -117,7 +117,43 @@
   }
 }
 
-static asio::awaitable<void> sendAll(const LoadPlan &plan,
+namespace {
+/// Which entries the platform's balancer would use.
+class Balancer {
+public:
+  explicit Balancer(std::size_t entries) : IsReady(entries, true) {}
+
+  /// Asks \p admin whether entry \p i is ready, again and again.
+  asio::awaitable<void> watch(HttpClient &admin, std::size_t i) {
+    while (!IsStopped) {
+      HttpRequest request(http::verb::get, "/ready", 11);
+      Result<HttpResponse> reply =
+          co_await admin.call(std::move(request), ReadyTimeout);
+      IsReady[i] = reply && reply.value().result_int() == 200;
+      co_await pause(ReadyIntervalMs);
+    }
+  }
+
+  /// The entry for request \p n.
+  std::size_t pick(std::size_t n) const {
+    for (std::size_t i = 0; i < IsReady.size(); ++i)
+      if (IsReady[(n + i) % IsReady.size()])
+        return (n + i) % IsReady.size();
+    return n % IsReady.size();
+  }
+
+  void stop() { IsStopped = true; }
+
+private:
+  static constexpr Duration ReadyTimeout = std::chrono::seconds(1);
+  static constexpr std::int64_t ReadyIntervalMs = 50;
+
+  std::vector<bool> IsReady;
+  bool IsStopped = false;
+};
+} // namespace
+
+static asio::awaitable<void> sendAll(const LoadPlan &plan, Balancer &balancer,
                                      std::vector<HttpClient> &clients,
                                      std::list<CallRecord> &records) {
   std::mt19937_64 random(plan.Seed);
@@ -135,12 +171,13 @@
     CallRecord &record = records.emplace_back();
     record.Id = std::to_string(plan.Seed) + "-" + std::to_string(i);
     HttpRequest request = makeRequest(plan, record.Id, choice, record);
-    auto first = static_cast<std::size_t>(i);
+    std::size_t first = balancer.pick(static_cast<std::size_t>(i));
     asio::co_spawn(
         executor,
         sendWithRetries(clients, first, std::move(request), record, records),
         asio::detached);
   }
+  balancer.stop();
 }
 
 static double percentile(std::vector<double> &values, double part) {
@@ -180,7 +217,16 @@
   for (const std::string &it : plan.Entries)
     clients.emplace_back(ioc, parseAddress(it).value());
   std::list<CallRecord> records;
-  asio::co_spawn(ioc, sendAll(plan, clients, records), asio::detached);
+  Balancer balancer(clients.size());
+  std::list<HttpClient> admins;
+  for (std::size_t i = 0; i < plan.Admins.size(); ++i)
+    asio::co_spawn(
+        ioc,
+        balancer.watch(
+            admins.emplace_back(ioc, parseAddress(plan.Admins[i]).value()), i),
+        asio::detached);
+  asio::co_spawn(ioc, sendAll(plan, balancer, clients, records),
+                 asio::detached);
   ioc.run();
   if (!plan.HistoryFile.empty()) {
     std::ofstream os(plan.HistoryFile);
--- a/test/standin/Standins.h
+++ b/test/standin/Standins.h
@@ -65,6 +65,9 @@
   std::int64_t Tokens = 16;
   std::uint64_t Seed = 1;
   std::string HistoryFile;
+  /// Admin addresses of Entries; an entry that is not ready is left out, as the
+  /// platform's balancer does. Empty: all are used.
+  std::vector<std::string> Admins;
 };
 
 /// Joins a history with what the endpoints at \p runs ran; prints what broke
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -72,6 +72,9 @@
     Number seconds("", "seconds", "length of the run", false, 5, "s", cmd);
     Number tokens("", "tokens", "tokens of an answer", false, 16, "n", cmd);
     Number seed("", "seed", "seed of the schedule", false, 1, "n", cmd);
+    TCLAP::MultiArg<std::string> ready(
+        "", "ready", "an entry's admin address: use it only while ready", false,
+        "ip:port", cmd);
     cmd.parse(argc, argv);
 
     const std::string &listen = address.getValue().front();
@@ -89,7 +92,7 @@
         model.getValue(),   service.getValue(),
         rate.getValue(),    seconds.getValue(),
         tokens.getValue(),  static_cast<std::uint64_t>(seed.getValue()),
-        history.getValue()};
+        history.getValue(), ready.getValue()};
     return runLoad(plan);
   } catch (const TCLAP::ArgException &error) {
     std::cerr << error.error() << " " << error.argId() << '\n';
--- /dev/null
+++ b/unittests/Http/HttpServerTest.cpp
@@ -0,0 +1,95 @@
+//===- HttpServerTest.cpp - a server that stops ---------------------------===//
+//
+// Real sockets on loopback, each step awaited: what a client has begun before
+// the server stops accepting is answered whole.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Http/HttpServer.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+static constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+static asio::awaitable<void> answer(HttpExchange &exchange) {
+  co_await exchange.respond(200, "text/plain", "whole");
+}
+
+namespace {
+/// A server on a free port of loopback.
+class Fixture {
+public:
+  Fixture() : Server(Context, HttpLimits(), answer) {
+    // A port that was free a moment ago; the address may be taken again.
+    tcp::acceptor probe(Context, {asio::ip::make_address("127.0.0.1"), 0});
+    Address = probe.local_endpoint();
+    probe.close();
+    REQUIRE(Server.listen(Address));
+  }
+
+  /// A connection that the system has opened and the server has not accepted.
+  tcp::socket connect() {
+    tcp::socket socket(Context);
+    socket.connect(Address);
+    return socket;
+  }
+
+  /// Everything that the server sends until it closes; its error, if any.
+  std::string readAll(tcp::socket &socket) {
+    std::string text;
+    boost::system::error_code ec;
+    asio::async_read(socket, asio::dynamic_buffer(text),
+                     [&](boost::system::error_code it, std::size_t /*n*/) {
+                       ec = it;
+                       Context.stop();
+                     });
+    Context.restart();
+    Context.run();
+    return ec == asio::error::eof ? text : ec.message();
+  }
+
+  asio::io_context Context;
+  HttpServer Server;
+  tcp::endpoint Address;
+};
+} // namespace
+
+TEST_CASE("connections opened before a server stops accepting are served") {
+  Fixture fixture;
+  tcp::socket first = fixture.connect();
+  tcp::socket second = fixture.connect();
+  asio::write(first, asio::buffer(Request));
+  fixture.Server.stopAccepting();
+  fixture.Context.poll();
+  CHECK(fixture.Server.busyCount() > 0);
+  // The second client's request comes after the stop.
+  asio::write(second, asio::buffer(Request));
+  for (tcp::socket *it : {&first, &second}) {
+    std::string text = fixture.readAll(*it);
+    CHECK(text.starts_with("HTTP/1.1 200"));
+    CHECK(text.ends_with("whole"));
+  }
+  boost::system::error_code ec;
+  tcp::socket late(fixture.Context);
+  late.connect(fixture.Address, ec);
+  CHECK(ec == asio::error::connection_refused);
+}
+
+TEST_CASE("a stopping server asks its clients to close and counts none idle") {
+  Fixture fixture;
+  tcp::socket client = fixture.connect();
+  fixture.Context.poll();
+  CHECK(fixture.Server.busyCount() == 1);
+  fixture.Server.closeAfterAnswers();
+  asio::write(client, asio::buffer(Request));
+  CHECK(fixture.readAll(client).find("Connection: close") != std::string::npos);
+  fixture.Context.restart();
+  fixture.Context.poll();
+  CHECK(fixture.Server.busyCount() == 0);
+}
--- a/unittests/Routing/LeavingTest.cpp
+++ b/unittests/Routing/LeavingTest.cpp
@@ -92,8 +92,9 @@
   CHECK(agent.queuedCount() == 1);
 
   AgentActions actions = agent.setLeaving(true, Start);
-  REQUIRE(actions.size() == 1);
-  auto refused = std::get<Refused>(std::get<SendToLink>(actions[0]).Body);
+  REQUIRE(actions.size() == 2);
+  CHECK(std::get<Leaving>(std::get<SendToLink>(actions[0]).Body).IsLeaving);
+  auto refused = std::get<Refused>(std::get<SendToLink>(actions[1]).Body);
   CHECK(refused.Id == waits.Permit.Id);
   CHECK(refused.Code == ResultCode::EndpointLeaving);
   actions = agent.onMessage(Link, late, Start);
@@ -114,3 +115,39 @@
         ResultCode::Ok);
   CHECK(agent.isIdle());
 }
+
+TEST_CASE("a leaving agent knows which entries have not confirmed yet") {
+  AgentNode agent(EndpointId("e"), Incarnation(1), "key", AgentLimits(), 1);
+  constexpr LinkId Other{2};
+  constexpr LinkId Late{3};
+  agent.onMessage(Link, Probe{CallId(1), {}, seconds(5)}, Start);
+  agent.onMessage(Other, Probe{CallId(2), {}, seconds(5)}, Start);
+  AgentActions actions = agent.setLeaving(true, Start);
+  CHECK(actions.size() == 2);
+  CHECK(agent.setLeaving(true, Start).empty());
+  agent.onMessage(Link, LeavingSeen{}, Start);
+  CHECK_FALSE(agent.isLeavingSeen());
+  agent.onLinkDown(Other, Start);
+  CHECK(agent.isLeavingSeen());
+  // A new entry is told before it is refused.
+  actions = agent.onMessage(Late, Probe{CallId(3), {}, seconds(5)}, Start);
+  REQUIRE(actions.size() == 2);
+  CHECK(std::get<Leaving>(std::get<SendToLink>(actions[0]).Body).IsLeaving);
+  CHECK_FALSE(agent.isLeavingSeen());
+}
+
+TEST_CASE(
+    "an entry that confirmed sends nothing more, whatever it was offered") {
+  OneEndpoint fixture;
+  CHECK(fixture.isAsked());
+  EntryActions actions =
+      fixture.Entry.onMessage(fixture.Id, Leaving{true}, Start);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::holds_alternative<LeavingSeen>(
+      std::get<SendToAgent>(actions[0]).Body));
+  ProbeReply offer;
+  offer.Call = CallId(1);
+  actions = fixture.Entry.onMessage(fixture.Id, offer, Start);
+  for (const EntryAction &it : actions)
+    CHECK_FALSE(std::holds_alternative<SendToAgent>(it));
+}
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -225,8 +225,7 @@
 /// One server and \p count clients in this process: memory of both ends of a
 /// link, and processor time of idle links.
 static void benchLinks(std::size_t count) {
-  PeerServer server(
-      {[](LinkId) {}, [](LinkId, const auto &) {}, [](LinkId) {}});
+  PeerServer server({[](LinkId, const auto &) {}, [](LinkId) {}});
   if (!server.listen("0.0.0.0:7990"))
     return;
   double before = residentBytes();
@@ -255,8 +254,7 @@
 static void benchRoundTrip(std::chrono::milliseconds gap) {
   constexpr std::size_t Trips = 300;
   PeerServer *echo = nullptr;
-  PeerServer server({[](LinkId) {},
-                     [&](LinkId link, const std::vector<Message> &messages) {
+  PeerServer server({[&](LinkId link, const std::vector<Message> &messages) {
                        echo->send(link, messages.front());
                      },
                      [](LinkId) {}});
