Wait for a link's end before its gRPC channel goes

A first try signalled the end after the deletion only; a sender could then use a deleted link ('pure virtual method called'). Now the link is withdrawn first, deleted, then reported.

--- a/include/ospreyspur/Rpc/PeerClient.h
+++ b/include/ospreyspur/Rpc/PeerClient.h
@@ -28,6 +28,8 @@
 class PeerClient {
 public:
   PeerClient(std::string address, PeerClientHandlers handlers);
+  /// Closes the link; no handler is called afterwards, but for an OnDown that
+  /// is under way. Must not run on gRPC's threads.
   ~PeerClient();
 
   /// Sends \p message, opening the link if need be. A message that cannot be
@@ -39,7 +41,7 @@
 
 private:
   class Impl;
-  std::shared_ptr<Impl> Pimpl;
+  std::unique_ptr<Impl> Pimpl;
 };
 
 } // namespace ospreyspur
--- a/lib/Rpc/PeerClient.cpp
+++ b/lib/Rpc/PeerClient.cpp
@@ -3,6 +3,10 @@
 // Retries of gRPC's own are off: whether something may be sent again is decided
 // by the nodes.
 //
+// A channel must not lose its last reference on one of gRPC's own threads, as
+// that thread would then tear down the queue it is working for. A link holds
+// such a reference, so closing waits until the link has been deleted.
+//
 //===----------------------------------------------------------------------===//
 
 #include "ospreyspur/Rpc/PeerClient.h"
@@ -13,6 +17,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <condition_variable>
 #include <mutex>
 
 using namespace ospreyspur;
@@ -26,14 +31,20 @@
 namespace {
 using ClientReactor = grpc::ClientBidiReactor<wire::Envelope, wire::Envelope>;
 
+/// What a ClientLink reports to its owner.
+struct ClientLinkHandlers {
+  std::function<void(std::vector<Message>)> OnMessages;
+  /// The link must not be used any more.
+  std::function<void()> OnEnded;
+  /// The link has been deleted.
+  std::function<void()> OnDeleted;
+};
+
 /// One stream; deletes itself when gRPC is done with it.
 class ClientLink final : public ClientReactor {
 public:
-  ClientLink(wire::Peer::Stub &stub,
-             std::function<void(std::vector<Message>)> onMessages,
-             std::function<void()> onDone)
-      : OnMessages(std::move(onMessages)), Done(std::move(onDone)),
-        Writer(*this) {
+  ClientLink(wire::Peer::Stub &stub, ClientLinkHandlers handlers)
+      : Handlers(std::move(handlers)), Writer(*this) {
     stub.async()->Link(&Context, this);
     // Writes come from other threads, outside of the reactions.
     AddHold();
@@ -58,15 +69,17 @@
     for (const wire::Message &it : Incoming.messages())
       if (std::optional<Message> message = decode(it))
         messages.push_back(std::move(*message));
-    OnMessages(std::move(messages));
+    Handlers.OnMessages(std::move(messages));
     StartRead(&Incoming);
   }
 
   void OnWriteDone(bool isOk) override { Writer.onWriteDone(isOk); }
 
   void OnDone(const grpc::Status & /*status*/) override {
-    Done();
+    Handlers.OnEnded();
+    auto onDeleted = std::move(Handlers.OnDeleted);
     delete this;
+    onDeleted();
   }
 
 private:
@@ -75,8 +88,7 @@
       RemoveHold();
   }
 
-  std::function<void(std::vector<Message>)> OnMessages;
-  std::function<void()> Done;
+  ClientLinkHandlers Handlers;
   grpc::ClientContext Context;
   LinkWriter<ClientLink> Writer;
   wire::Envelope Incoming;
@@ -84,7 +96,7 @@
 };
 } // namespace
 
-class PeerClient::Impl : public std::enable_shared_from_this<Impl> {
+class PeerClient::Impl {
 public:
   Impl(std::string address, PeerClientHandlers handlers)
       : Address(std::move(address)), Handlers(std::move(handlers)) {
@@ -113,35 +125,46 @@
       Current->cancel();
   }
 
+  /// Ends the link and waits until gRPC is done with it.
   void close() {
-    std::lock_guard lock(Mutex);
+    std::unique_lock lock(Mutex);
     IsClosed = true;
     if (Current)
       Current->cancel();
+    Deleted.wait(lock, [this] { return LiveLinks == 0; });
   }
 
   const std::string Address;
 
 private:
   void open() {
-    auto self = shared_from_this();
-    auto onMessages = [self](std::vector<Message> messages) {
-      self->Handlers.OnMessages(std::move(messages));
+    ClientLinkHandlers handlers;
+    handlers.OnMessages = [this](std::vector<Message> messages) {
+      Handlers.OnMessages(std::move(messages));
+    };
+    handlers.OnEnded = [this] {
+      std::lock_guard lock(Mutex);
+      Current = nullptr;
     };
-    auto onDone = [self] {
+    handlers.OnDeleted = [this, onDown = Handlers.OnDown] {
       {
-        std::lock_guard lock(self->Mutex);
-        self->Current = nullptr;
-        if (self->IsClosed)
+        std::lock_guard lock(Mutex);
+        --LiveLinks;
+        Deleted.notify_all();
+        if (IsClosed)
           return;
       }
-      self->Handlers.OnDown();
+      // From here on this object may be gone.
+      onDown();
     };
-    Current = new ClientLink(*Stub, onMessages, onDone);
+    ++LiveLinks;
+    Current = new ClientLink(*Stub, std::move(handlers));
   }
 
   PeerClientHandlers Handlers;
   std::mutex Mutex;
+  std::condition_variable Deleted;
+  std::size_t LiveLinks = 0;
   std::shared_ptr<grpc::Channel> Channel;
   std::unique_ptr<wire::Peer::Stub> Stub;
   ClientLink *Current = nullptr;
@@ -149,7 +172,7 @@
 };
 
 PeerClient::PeerClient(std::string address, PeerClientHandlers handlers)
-    : Pimpl(std::make_shared<Impl>(std::move(address), std::move(handlers))) {}
+    : Pimpl(std::make_unique<Impl>(std::move(address), std::move(handlers))) {}
 
 PeerClient::~PeerClient() { Pimpl->close(); }
 
