--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -1,8 +1,9 @@
 //===- KeyFollower.h - follows one key of the platform ----------*- C++ -*-===//
 //
-// The state machine that keeps a copy of one value: waits for a newer revision,
-// and takes a value only if its revision is higher than the one it has. An
-// outage costs freshness, never the copy.
+// The state machine that keeps a copy of one value: asks the service for a
+// newer revision, takes values from peers too, and takes a value only if its
+// revision is higher than the one it has. An outage costs freshness, never the
+// copy.
 //
 //===----------------------------------------------------------------------===//
 
@@ -17,11 +18,8 @@
 
 namespace ospreyspur {
 
-/// Waits of a follower.
+/// Pauses of a follower after failures of the service.
 struct FollowerLimits {
-  /// How long the service may hold a watch.
-  Duration WatchWait = std::chrono::seconds(20);
-  /// First and longest pause after a failure.
   Duration MinPause = std::chrono::milliseconds(200);
   Duration MaxPause = std::chrono::seconds(5);
 };
@@ -32,28 +30,43 @@
   KeyFollower(std::string key, FollowerLimits limits)
       : Key(std::move(key)), Limits(limits) {}
 
-  /// The call to make now, if one is due and none is out.
-  std::optional<KvCall> nextCall(TimePoint now);
+  /// The call to make now, if none is out and no pause is on. The service may
+  /// hold it for \p wait; zero asks once.
+  std::optional<KvCall> nextCall(Duration wait, TimePoint now);
 
   /// Takes the answer to nextCall(). True if the copy changed.
   bool onReply(const KvReply &reply, TimePoint now);
 
-  /// Takes a value from a peer. True if it was newer.
-  bool offer(Revision at, const std::string &value);
+  /// Takes a value from a peer; the service is known to have held it at
+  /// \p confirmed. True if it was newer.
+  bool offer(Revision at, const std::string &value, TimePoint confirmed);
+
+  /// The service is known to have held revision \p at at \p confirmed.
+  void confirm(Revision at, TimePoint confirmed);
 
   /// When nextCall() may have a call after a pause.
   TimePoint resumeAt() const { return PausedUntil; }
+  /// When the last call was made.
+  TimePoint askedAt() const { return AskedAt; }
+  /// Whether the service itself has answered at least once.
+  bool hasReadService() const { return HasReadService; }
   /// The copy's revision; 0 before the first value.
   Revision revision() const { return At; }
   /// The copy.
   const std::string &value() const { return Value; }
+  /// When the service last was known to hold the copy's revision.
+  TimePoint confirmedAt() const { return Confirmed; }
 
 private:
   std::string Key;
   FollowerLimits Limits;
   Revision At;
   std::string Value;
+  TimePoint Confirmed;
+  TimePoint AskedAt;
+  Revision AskedFor;
   bool IsWaiting = false;
+  bool HasReadService = false;
   TimePoint PausedUntil;
   Duration Pause{};
 };
--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Routing/EntryNode.h"
 
 #include <string>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -23,6 +24,8 @@
   std::string DataCentre;
   /// The platform's key-value service.
   std::string PlatformAddress;
+  /// Agents to learn the shared values from when the platform is out at start.
+  std::vector<std::string> Peers;
   /// Admin API and metrics.
   std::string AdminListen;
   /// SHA-256 of the first operator's token, in hex; empty: none.
--- a/include/ospreyspur/Config/SettingsReader.h
+++ b/include/ospreyspur/Config/SettingsReader.h
@@ -56,6 +56,9 @@
   /// An "ip:port" that may be absent.
   std::string readAddress(const std::string &key, const std::string &def,
                           const std::string &help);
+  /// "ip:port" entries with commas between them; may be absent.
+  std::vector<std::string> readAddresses(const std::string &key,
+                                         const std::string &help);
   /// A whole number from \p min to \p max.
   std::uint64_t readNumber(const std::string &key, std::uint64_t def,
                            std::uint64_t min, std::uint64_t max,
--- a/include/ospreyspur/Control/ControlPlane.h
+++ b/include/ospreyspur/Control/ControlPlane.h
@@ -1,7 +1,7 @@
 //===- ControlPlane.h - the control thread of a process ---------*- C++ -*-===//
 //
-// Follows the configuration and the host list and hands immutable snapshots to
-// the traffic side. Entries and agents both have one.
+// Keeps the configuration and the host list new with a GossipNode and hands
+// immutable snapshots to the traffic side. Entries and agents both have one.
 //
 //===----------------------------------------------------------------------===//
 
@@ -9,55 +9,80 @@
 #define OSPREYSPUR_CONTROL_CONTROLPLANE_H
 
 #include "ospreyspur/Config/ConfigDocument.h"
-#include "ospreyspur/Config/KeyFollower.h"
+#include "ospreyspur/Config/GossipNode.h"
 #include "ospreyspur/Platform/PlatformClient.h"
+#include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Process/PeerLinks.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/system_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace ospreyspur {
 
-/// Follows the platform's keys on the control thread.
+/// What the control plane needs of its process; called on the control thread.
+struct ControlHandlers {
+  /// There is a new snapshot.
+  std::function<void(std::shared_ptr<const RoutingSnapshot>)> OnSnapshot;
+  /// Answer another node on the link that it has dialled.
+  std::function<void(LinkId, const Message &)> Answer;
+};
+
+/// Follows the platform's values on the control thread.
 class ControlPlane {
 public:
-  using SnapshotHandler =
-      std::function<void(std::shared_ptr<const RoutingSnapshot>)>;
-
-  /// \p onSnapshot is called on the control thread for each new snapshot.
+  /// \p peers are the addresses of agents to start from; \p seed feeds the
+  /// choice of peers.
   ControlPlane(boost::asio::io_context &ioc, PlatformClient &platform,
-               SnapshotHandler onSnapshot);
+               const GossipIdentity &self,
+               const std::vector<std::string> &peers, std::uint64_t seed,
+               ControlHandlers handlers);
 
   /// Begins to follow.
   void start();
 
-  /// Whether the configuration and the host list were both read.
-  bool isReady() const;
-  Revision configRevision() const { return Config.revision(); }
+  /// A message on a link that another node has dialled.
+  void onMessage(LinkId from, const Message &message);
+  /// The link that another node had dialled is gone.
+  void onLinkDown(LinkId link) { Node.onLinkDown(link); }
+
+  /// Whether the configuration and the host list are good enough to start with.
+  bool isReady() const { return Node.isReady(); }
+  Revision configRevision() const;
+  Revision hostsRevision() const;
   /// The configuration document as last read.
-  const std::string &configText() const { return Config.value(); }
-  Revision hostsRevision() const { return Hosts.revision(); }
+  const std::string &configText() const;
   const ConfigDocument &document() const { return Document; }
   const std::vector<EndpointView> &endpoints() const { return Endpoints; }
 
 private:
-  void poll(KeyFollower &follower, boost::asio::steady_timer &timer);
+  void onTimer();
+  void apply(const GossipActions &actions);
+  void perform(const SendDigestTo &action);
+  void perform(const SendUpdateTo &action);
+  void perform(const AnswerDigest &action);
+  void perform(const AnswerUpdate &action);
+  void perform(const CallPlatformForGossip &action);
+  void perform(const CopyChanged &action);
+  void onAnswer(const EndpointId &from, const Message &message);
+  void setPeers(const std::vector<EndpointView> &peers);
   void takeConfig();
   void takeHosts();
   void publish();
   void waitForEvent(std::int64_t nowUnix);
 
   PlatformClient &Platform;
-  SnapshotHandler OnSnapshot;
-  KeyFollower Config;
-  KeyFollower Hosts;
-  boost::asio::steady_timer ConfigTimer;
-  boost::asio::steady_timer HostsTimer;
+  ControlHandlers Handlers;
+  GossipNode Node;
+  NodeTimer Timer;
   boost::asio::system_timer EventTimer;
+  bool HasPublished = false;
   ConfigDocument Document;
   std::vector<EndpointView> Endpoints;
+  PeerLinks Peers;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/AgentGroup.h
+++ b/include/ospreyspur/Process/AgentGroup.h
@@ -15,13 +15,10 @@
 #include "ospreyspur/Http/HttpClient.h"
 #include "ospreyspur/Platform/PlatformClient.h"
 #include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Process/PeerLinks.h"
 #include "ospreyspur/Routing/RoutingSnapshot.h"
-#include "ospreyspur/Rpc/PeerClient.h"
 #include "ospreyspur/Support/Metrics.h"
 
-#include <map>
-#include <memory>
-
 namespace ospreyspur {
 
 /// An agent's part in its lock-step group.
@@ -59,8 +56,7 @@
   HttpClient Engine;
   NodeTimer Timer;
   CoordinatorPhase LastPhase = CoordinatorPhase::Following;
-  std::map<EndpointId, std::string> Addresses;
-  std::map<EndpointId, std::unique_ptr<PeerClient>> Peers;
+  PeerLinks Peers;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/AgentTraffic.h
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -25,16 +25,20 @@
 /// The traffic side of an agent process.
 class AgentTraffic {
 public:
-  /// Takes the messages that belong to the group's side; called on the traffic
-  /// thread.
-  using GroupHandler = std::function<void(LinkId, const Message &)>;
+  /// Takes what belongs to the control side; called on the traffic thread.
+  struct ControlHandlers {
+    std::function<void(LinkId, const Message &)> OnMessage;
+    std::function<void(LinkId)> OnLinkDown;
+  };
 
   AgentTraffic(boost::asio::io_context &ioc, const AgentSettings &settings,
                TcpAddress endpoint, Incarnation incarnation, std::string key,
                Metrics &metrics, std::uint64_t seed);
 
-  /// Sends group messages to \p handler. Call before start().
-  void setGroupHandler(GroupHandler handler) { OnGroup = std::move(handler); }
+  /// Call before start().
+  void setControlHandlers(ControlHandlers handlers) {
+    Control = std::move(handlers);
+  }
 
   /// Begins to accept links. Errors: SettingInvalid.
   Result<void> start();
@@ -67,7 +71,7 @@
   AgentNode Node;
   HttpClient Endpoint;
   NodeTimer Timer;
-  GroupHandler OnGroup;
+  ControlHandlers Control;
   std::map<RequestId, std::shared_ptr<HttpRunHandle>> Runs;
   PeerServer Server;
 };
--- a/include/ospreyspur/Process/EntryTraffic.h
+++ b/include/ospreyspur/Process/EntryTraffic.h
@@ -13,7 +13,7 @@
 #include "ospreyspur/Http/Mailbox.h"
 #include "ospreyspur/Platform/PlatformClient.h"
 #include "ospreyspur/Process/NodeTimer.h"
-#include "ospreyspur/Rpc/PeerClient.h"
+#include "ospreyspur/Process/PeerLinks.h"
 #include "ospreyspur/Support/Metrics.h"
 
 #include <map>
@@ -53,7 +53,6 @@
   void perform(const SendToAgent &action);
   void perform(CallPlatform action);
   template <typename Answer> void perform(Answer action);
-  PeerClient *findPeer(const EndpointId &id);
   void finishCall(CallId id, ResultCode code, TimePoint began);
 
   boost::asio::io_context &Context;
@@ -64,7 +63,7 @@
   PlatformClient Platform;
   NodeTimer Timer;
   std::shared_ptr<const RoutingSnapshot> Snapshot;
-  std::map<EndpointId, std::unique_ptr<PeerClient>> Peers;
+  PeerLinks Peers;
   std::map<CallId, Inbox *> Inboxes;
   std::uint64_t LastCall = 0;
   bool IsAccepting = false;
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_RPC_MESSAGES_H
 #define OSPREYSPUR_RPC_MESSAGES_H
 
+#include "ospreyspur/Config/GossipMessages.h"
 #include "ospreyspur/Experts/GroupMessages.h"
 #include "ospreyspur/Ledger/Ticket.h"
 #include "ospreyspur/Support/Ids.h"
@@ -133,10 +134,10 @@
 struct LeavingSeen {};
 
 /// Any message between two of our processes.
-using Message =
-    std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel, Accepted,
-                 Refused, Head, Chunk, Finish, ResolveReply, Leaving,
-                 LeavingSeen, GroupOrder, GroupReply>;
+using Message = std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel,
+                             Accepted, Refused, Head, Chunk, Finish,
+                             ResolveReply, Leaving, LeavingSeen, GroupOrder,
+                             GroupReply, GossipDigest, GossipUpdate>;
 
 } // namespace ospreyspur
 
--- /dev/null
+++ b/lib/Config/GossipNode.cpp
@@ -0,0 +1,268 @@
+//===- GossipNode.cpp - spreads the platform's values ---------------------===//
+//
+// See GossipNode.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Config/GossipNode.h"
+
+#include "ospreyspur/Config/ConfigDocument.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+using namespace ospreyspur;
+
+/// A round is due a little before or after its interval, so that nodes that
+/// started together drift apart.
+static constexpr int JitterPercent = 10;
+
+static std::uint64_t drawBelow(std::uint64_t n, std::mt19937_64 &random) {
+  return std::uniform_int_distribution<std::uint64_t>(0, n - 1)(random);
+}
+
+static Duration drawSpread(Duration limit, std::mt19937_64 &random) {
+  return Duration(drawBelow(std::uint64_t(limit.count()) + 1, random));
+}
+
+GossipNode::GossipNode(GossipIdentity self, GossipLimits limits,
+                       std::uint64_t seed)
+    : Self(std::move(self)), Limits(limits), Random(seed), LeafNumber(Random()),
+      OwnSpread(drawSpread(limits.MaxAgeSpread, Random)),
+      Copies{KeyFollower(std::string(ConfigKey), limits.Follower),
+             KeyFollower(std::string(HostsKey), limits.Follower)} {}
+
+KeyFollower &GossipNode::copyOf(SharedKey key) {
+  return Copies[static_cast<std::size_t>(key)];
+}
+
+const KeyFollower &GossipNode::copy(SharedKey key) const {
+  return Copies[static_cast<std::size_t>(key)];
+}
+
+void GossipNode::setPeers(const std::vector<EndpointView> &peers) {
+  Order.clear();
+  FarPeers.clear();
+  OwnPlace.reset();
+  for (const EndpointView &it : peers) {
+    if (it.IsLeaving)
+      continue;
+    bool isNear = it.DataCentre == Self.DataCentre;
+    (isNear ? Order : FarPeers).push_back(it.Id);
+  }
+  if (Order.empty())
+    std::swap(Order, FarPeers);
+  // All nodes derive the same order from the same list; a host that comes or
+  // goes moves few of the others.
+  std::sort(Order.begin(), Order.end(),
+            [](const EndpointId &a, const EndpointId &b) {
+              std::hash<EndpointId> hash;
+              return std::pair(hash(a), a) < std::pair(hash(b), b);
+            });
+  auto own = std::find(Order.begin(), Order.end(), Self.Endpoint);
+  if (own != Order.end())
+    OwnPlace = static_cast<std::size_t>(own - Order.begin());
+  ParentShift = 0;
+  Misses = 0;
+  Parent = pickParent();
+}
+
+bool GossipNode::isWatcher() const {
+  return OwnPlace && *OwnPlace < Limits.WatchersPerDataCentre;
+}
+
+/// The agent that this node subscribes to; none for watchers.
+std::optional<EndpointId> GossipNode::pickParent() const {
+  std::size_t n = Order.size();
+  if (n == 0 || isWatcher())
+    return std::nullopt;
+  std::size_t place = 0;
+  if (!OwnPlace) {
+    // Agents that have no children in the tree serve the entries.
+    std::size_t firstLeaf = std::min(n / Limits.FanOut + 1, n - 1);
+    place = firstLeaf + LeafNumber % (n - firstLeaf);
+  } else {
+    place = (*OwnPlace - Limits.WatchersPerDataCentre) / Limits.FanOut;
+  }
+  place = (place + ParentShift) % n;
+  if (OwnPlace == place)
+    place = (place + 1) % n;
+  return Order[place];
+}
+
+std::optional<EndpointId> GossipNode::pickRandomPeer() {
+  bool isFar = !FarPeers.empty() &&
+               (isWatcher() || drawBelow(Limits.FarPeerOneIn, Random) == 0);
+  const std::vector<EndpointId> &peers = isFar ? FarPeers : Order;
+  if (peers.empty())
+    return std::nullopt;
+  const EndpointId &peer = peers[drawBelow(peers.size(), Random)];
+  if (peer == Self.Endpoint || peer == Parent)
+    return std::nullopt;
+  return peer;
+}
+
+GossipActions GossipNode::onTimer(TimePoint now) {
+  std::erase_if(Subscribers,
+                [now](const auto &it) { return it.second <= now; });
+  askPlatform(now);
+  if (now >= NextRound)
+    sendDigests(now);
+  return takeActions();
+}
+
+/// Watchers always have a watch out; others ask once if their copy is too old.
+void GossipNode::askPlatform(TimePoint now) {
+  for (SharedKey key : SharedKeys) {
+    KeyFollower &follower = copyOf(key);
+    bool isOld = now - follower.confirmedAt() >= Limits.MaxAge + OwnSpread ||
+                 follower.revision().get() == 0;
+    if (!isWatcher() && !isOld)
+      continue;
+    Duration wait = isWatcher() ? Limits.WatchWait : Duration::zero();
+    std::optional<KvCall> call = follower.nextCall(wait, now);
+    if (!call)
+      continue;
+    KvCallId id(++LastKvCall);
+    CallsOut.emplace(id, key);
+    Out.push_back(CallPlatformForGossip{{id, std::move(*call)}});
+  }
+}
+
+void GossipNode::sendDigests(TimePoint now) {
+  Duration interval = isReady() ? Limits.Interval : Limits.StartInterval;
+  auto jitter = interval.count() * JitterPercent / 100;
+  NextRound = now + interval - Duration(jitter) +
+              drawSpread(Duration(2 * jitter), Random);
+  if (Misses >= Limits.MaxMisses) {
+    ++ParentShift;
+    Misses = 0;
+    Parent = pickParent();
+  }
+  if (Parent) {
+    ++Misses;
+    Out.push_back(SendDigestTo{*Parent, makeDigest(true, now)});
+  }
+  if (std::optional<EndpointId> peer = pickRandomPeer())
+    Out.push_back(SendDigestTo{*peer, makeDigest(false, now)});
+}
+
+GossipDigest GossipNode::makeDigest(bool isSubscription, TimePoint now) const {
+  GossipDigest digest;
+  digest.IsSubscription = isSubscription;
+  for (SharedKey key : SharedKeys) {
+    const KeyFollower &follower = copy(key);
+    digest.Copies[static_cast<std::size_t>(key)] = {
+        follower.revision(), now - follower.confirmedAt()};
+  }
+  return digest;
+}
+
+GossipUpdate GossipNode::makeUpdate(SharedKey key, TimePoint now) const {
+  const KeyFollower &follower = copy(key);
+  return {key,
+          {follower.revision(), now - follower.confirmedAt()},
+          follower.value()};
+}
+
+/// A peer that holds the same revision may know that it is newer confirmed.
+void GossipNode::confirmFrom(const GossipDigest &digest, TimePoint now) {
+  for (SharedKey key : SharedKeys) {
+    const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
+    copyOf(key).confirm(theirs.At, now - theirs.Age);
+  }
+}
+
+bool GossipNode::take(const GossipUpdate &update, TimePoint now) {
+  return copyOf(update.Key)
+      .offer(update.State.At, update.Value, now - update.State.Age);
+}
+
+/// The copy of \p key is new: put it into force and hand it on.
+void GossipNode::announce(SharedKey key, std::optional<LinkId> except,
+                          TimePoint now) {
+  Out.push_back(CopyChanged{key});
+  for (const auto &[link, until] : Subscribers)
+    if (link != except)
+      Out.push_back(AnswerUpdate{link, makeUpdate(key, now)});
+}
+
+GossipActions GossipNode::onKvReply(KvCallId id, const KvReply &reply,
+                                    TimePoint now) {
+  auto it = CallsOut.find(id);
+  if (it == CallsOut.end())
+    return takeActions();
+  SharedKey key = it->second;
+  CallsOut.erase(it);
+  if (copyOf(key).onReply(reply, now))
+    announce(key, std::nullopt, now);
+  // A service that did not hold the watch is asked again at the next round.
+  bool wasHeld = now - copyOf(key).askedAt() >= Limits.WatchWait / 2;
+  if (isWatcher() && (reply.Code == ResultCode::Ok || wasHeld))
+    askPlatform(now);
+  return takeActions();
+}
+
+/// Begins or prolongs a subscription. False if there are enough others.
+bool GossipNode::subscribe(LinkId link, TimePoint now) {
+  bool isKnown = Subscribers.contains(link);
+  if (!isKnown && Subscribers.size() >= Limits.MaxSubscribers)
+    return false;
+  Subscribers[link] = now + Limits.SubscriptionTime;
+  return true;
+}
+
+GossipActions GossipNode::onMessage(LinkId from, const GossipDigest &digest,
+                                    TimePoint now) {
+  bool isSubscribed = digest.IsSubscription && subscribe(from, now);
+  confirmFrom(digest, now);
+  for (SharedKey key : SharedKeys) {
+    const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
+    if (theirs.At < copy(key).revision())
+      Out.push_back(AnswerUpdate{from, makeUpdate(key, now)});
+  }
+  // The answer also shows a sender with newer copies what this node lacks.
+  Out.push_back(AnswerDigest{from, makeDigest(isSubscribed, now)});
+  return takeActions();
+}
+
+GossipActions GossipNode::onMessage(LinkId from, const GossipUpdate &update,
+                                    TimePoint now) {
+  if (take(update, now))
+    announce(update.Key, from, now);
+  return takeActions();
+}
+
+GossipActions GossipNode::onAnswer(const EndpointId &from,
+                                   const GossipDigest &digest, TimePoint now) {
+  // A parent that has enough subscribers counts like a silent one.
+  if (from == Parent)
+    Misses = digest.IsSubscription ? 0 : Limits.MaxMisses;
+  Answered.insert(from);
+  confirmFrom(digest, now);
+  for (SharedKey key : SharedKeys) {
+    const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
+    if (theirs.At < copy(key).revision())
+      Out.push_back(SendUpdateTo{from, makeUpdate(key, now)});
+  }
+  return takeActions();
+}
+
+GossipActions GossipNode::onAnswer(const EndpointId & /*from*/,
+                                   const GossipUpdate &update, TimePoint now) {
+  if (take(update, now))
+    announce(update.Key, std::nullopt, now);
+  return takeActions();
+}
+
+bool GossipNode::isReady() const {
+  std::size_t peers = Order.size() + FarPeers.size();
+  bool hasPeers =
+      peers > 0 && Answered.size() >= std::min(peers, Limits.PeersToStart);
+  return std::all_of(Copies.begin(), Copies.end(), [&](const auto &it) {
+    return it.revision().get() > 0 && (it.hasReadService() || hasPeers);
+  });
+}
+
+GossipActions GossipNode::takeActions() { return std::exchange(Out, {}); }
--- a/lib/Config/KeyFollower.cpp
+++ b/lib/Config/KeyFollower.cpp
@@ -10,33 +10,46 @@
 
 using namespace ospreyspur;
 
-std::optional<KvCall> KeyFollower::nextCall(TimePoint now) {
+std::optional<KvCall> KeyFollower::nextCall(Duration wait, TimePoint now) {
   if (IsWaiting || now < PausedUntil)
     return std::nullopt;
   IsWaiting = true;
-  return KvWatch{Key, At, Limits.WatchWait};
+  AskedAt = now;
+  AskedFor = At;
+  return KvWatch{Key, At, wait};
 }
 
 bool KeyFollower::onReply(const KvReply &reply, TimePoint now) {
   IsWaiting = false;
-  if (reply.Code == ResultCode::Ok) {
-    Pause = Duration::zero();
-    return offer(reply.At, reply.Value);
-  }
-  if (reply.Code == ResultCode::NotFound) {
-    // Nothing newer within the wait.
-    Pause = Duration::zero();
+  bool isNewer = reply.Code == ResultCode::Ok;
+  // "Not found" says that there was nothing newer.
+  if (!isNewer && reply.Code != ResultCode::NotFound) {
+    Pause = std::clamp(Pause * 2, Limits.MinPause, Limits.MaxPause);
+    PausedUntil = now + Pause;
     return false;
   }
-  Pause = std::clamp(Pause * 2, Limits.MinPause, Limits.MaxPause);
-  PausedUntil = now + Pause;
+  Pause = Duration::zero();
+  HasReadService = true;
+  // The value is at least as new as the question.
+  if (isNewer)
+    return offer(reply.At, reply.Value, AskedAt);
+  confirm(AskedFor, AskedAt);
   return false;
 }
 
-bool KeyFollower::offer(Revision at, const std::string &value) {
-  if (at <= At)
+bool KeyFollower::offer(Revision at, const std::string &value,
+                        TimePoint confirmed) {
+  if (at <= At) {
+    confirm(at, confirmed);
     return false;
+  }
   At = at;
   Value = value;
+  Confirmed = std::max(Confirmed, confirmed);
   return true;
 }
+
+void KeyFollower::confirm(Revision at, TimePoint confirmed) {
+  if (at == At)
+    Confirmed = std::max(Confirmed, confirmed);
+}
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -22,6 +22,9 @@
                                    "name of this process's data centre");
   out.PlatformAddress = reader.readAddress("process.platform",
                                            "the platform's key-value service");
+  out.Peers = reader.readAddresses(
+      "process.peers",
+      "a few agents to start from when the platform does not answer");
   out.AdminListen =
       reader.readAddress("process.admin_listen", "127.0.0.1:0",
                          "admin API and metrics; port 0 picks a free one");
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -86,6 +86,22 @@
   return value;
 }
 
+std::vector<std::string>
+SettingsReader::readAddresses(const std::string &key, const std::string &help) {
+  Docs.push_back({key, "(none)", "ip:port, ...", help});
+  std::vector<std::string> out;
+  const std::string *value = find(key);
+  if (!value)
+    return out;
+  boost::algorithm::split(out, *value, boost::algorithm::is_any_of(","));
+  for (std::string &it : out) {
+    boost::algorithm::trim(it);
+    if (Result<TcpAddress> address = parseAddress(it); !address)
+      fail(ResultCode::SettingInvalid, key, address.error().Detail);
+  }
+  return out;
+}
+
 std::uint64_t SettingsReader::readNumber(const std::string &key,
                                          std::uint64_t def, std::uint64_t min,
                                          std::uint64_t max,
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -1,6 +1,6 @@
-//===- ControlPlane.cpp - following the platform's keys -------------------===//
+//===- ControlPlane.cpp - the control thread of a process -----------------===//
 //
-// Each key has a follower and a timer; a follower has at most one watch out.
+// Bytes become inputs of the GossipNode, its actions become bytes.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,48 +16,117 @@
 using namespace ospreyspur;
 
 static constexpr Duration CallTimeout = std::chrono::seconds(2);
+/// Random peers are rarely asked twice; their links are not kept.
+static constexpr Duration KeepUnusedLinks = std::chrono::seconds(10);
 
 ControlPlane::ControlPlane(boost::asio::io_context &ioc,
-                           PlatformClient &platform, SnapshotHandler onSnapshot)
-    : Platform(platform), OnSnapshot(std::move(onSnapshot)),
-      Config(std::string(ConfigKey), FollowerLimits()),
-      Hosts(std::string(HostsKey), FollowerLimits()), ConfigTimer(ioc),
-      HostsTimer(ioc), EventTimer(ioc) {}
+                           PlatformClient &platform, const GossipIdentity &self,
+                           const std::vector<std::string> &peers,
+                           std::uint64_t seed, ControlHandlers handlers)
+    : Platform(platform), Handlers(std::move(handlers)),
+      Node(self, GossipLimits(), seed), Timer(ioc, [this] { onTimer(); }),
+      EventTimer(ioc),
+      Peers(ioc, {[this](const EndpointId &from, const Message &message) {
+                    onAnswer(from, message);
+                  },
+                  [](const EndpointId &) {}}) {
+  // Until the host list is known, an agent's address stands for its name.
+  std::vector<EndpointView> first;
+  first.reserve(peers.size());
+  for (const std::string &it : peers)
+    first.push_back({EndpointId(it), {}, self.DataCentre, it, {}, false});
+  setPeers(first);
+}
+
+void ControlPlane::start() { onTimer(); }
+
+Revision ControlPlane::configRevision() const {
+  return Node.copy(SharedKey::Config).revision();
+}
 
-void ControlPlane::start() {
-  poll(Config, ConfigTimer);
-  poll(Hosts, HostsTimer);
+Revision ControlPlane::hostsRevision() const {
+  return Node.copy(SharedKey::Hosts).revision();
 }
 
-bool ControlPlane::isReady() const {
-  return Config.revision().get() > 0 && Hosts.revision().get() > 0;
+const std::string &ControlPlane::configText() const {
+  return Node.copy(SharedKey::Config).value();
 }
 
-void ControlPlane::poll(KeyFollower &follower,
-                        boost::asio::steady_timer &timer) {
+void ControlPlane::onTimer() {
   TimePoint now = monotonicNow();
-  std::optional<KvCall> call = follower.nextCall(now);
-  if (!call) {
-    timer.expires_after(follower.resumeAt() - now);
-    timer.async_wait([this, &follower, &timer](boost::system::error_code ec) {
-      if (!ec)
-        poll(follower, timer);
-    });
-    return;
-  }
-  auto onReply = [this, &follower, &timer](const KvReply &reply) {
-    if (follower.onReply(reply, monotonicNow()))
-      &follower == &Config ? takeConfig() : takeHosts();
-    poll(follower, timer);
+  Peers.closeUnused(now - KeepUnusedLinks);
+  apply(Node.onTimer(now));
+}
+
+void ControlPlane::apply(const GossipActions &actions) {
+  for (const GossipAction &action : actions)
+    std::visit([this](const auto &it) { perform(it); }, action);
+  // Answers of peers can make the node ready without a new copy.
+  if (!HasPublished)
+    publish();
+  Timer.set(Node.nextTimer());
+}
+
+void ControlPlane::perform(const SendDigestTo &action) {
+  Peers.send(action.To, action.Body, monotonicNow());
+}
+
+void ControlPlane::perform(const SendUpdateTo &action) {
+  Peers.send(action.To, action.Body, monotonicNow());
+}
+
+void ControlPlane::perform(const AnswerDigest &action) {
+  Handlers.Answer(action.To, action.Body);
+}
+
+void ControlPlane::perform(const AnswerUpdate &action) {
+  Handlers.Answer(action.To, action.Body);
+}
+
+void ControlPlane::perform(const CallPlatformForGossip &action) {
+  KvCallId id = action.Request.Id;
+  auto onReply = [this, id](const KvReply &reply) {
+    apply(Node.onKvReply(id, reply, monotonicNow()));
   };
-  Platform.call(std::move(*call), CallTimeout, onReply);
+  Platform.call(action.Request.Call, CallTimeout, onReply);
+}
+
+void ControlPlane::perform(const CopyChanged &action) {
+  if (action.Key == SharedKey::Config)
+    takeConfig();
+  else
+    takeHosts();
+}
+
+void ControlPlane::onMessage(LinkId from, const Message &message) {
+  TimePoint now = monotonicNow();
+  if (const auto *digest = std::get_if<GossipDigest>(&message))
+    apply(Node.onMessage(from, *digest, now));
+  else if (const auto *update = std::get_if<GossipUpdate>(&message))
+    apply(Node.onMessage(from, *update, now));
+}
+
+void ControlPlane::onAnswer(const EndpointId &from, const Message &message) {
+  TimePoint now = monotonicNow();
+  if (const auto *digest = std::get_if<GossipDigest>(&message))
+    apply(Node.onAnswer(from, *digest, now));
+  else if (const auto *update = std::get_if<GossipUpdate>(&message))
+    apply(Node.onAnswer(from, *update, now));
+}
+
+void ControlPlane::setPeers(const std::vector<EndpointView> &peers) {
+  std::map<EndpointId, std::string> addresses;
+  for (const EndpointView &it : peers)
+    addresses.emplace(it.Id, it.Address);
+  Peers.setAddresses(std::move(addresses));
+  Node.setPeers(peers);
 }
 
 void ControlPlane::takeConfig() {
-  Result<ConfigDocument> document = parseConfig(Config.value());
+  Result<ConfigDocument> document = parseConfig(configText());
   if (!document) {
     LOG(ERROR) << LogEvent("config.unreadable")
-                      .with("revision", Config.revision().get())
+                      .with("revision", configRevision().get())
                       .with("code",
                             static_cast<unsigned>(document.error().Code))
                       .with("detail", document.error().Detail);
@@ -65,21 +134,23 @@
   }
   Document = std::move(document.value());
   LOG(INFO)
-      << LogEvent("config.in_force").with("revision", Config.revision().get());
+      << LogEvent("config.in_force").with("revision", configRevision().get());
   publish();
 }
 
 void ControlPlane::takeHosts() {
-  Result<std::vector<EndpointView>> endpoints = parseHosts(Hosts.value());
+  Result<std::vector<EndpointView>> endpoints =
+      parseHosts(Node.copy(SharedKey::Hosts).value());
   if (!endpoints) {
     LOG(ERROR) << LogEvent("hosts.unreadable")
-                      .with("revision", Hosts.revision().get())
+                      .with("revision", hostsRevision().get())
                       .with("detail", endpoints.error().Detail);
     return;
   }
   Endpoints = std::move(endpoints.value());
+  setPeers(Endpoints);
   LOG(INFO) << LogEvent("hosts.in_force")
-                   .with("revision", Hosts.revision().get())
+                   .with("revision", hostsRevision().get())
                    .with("endpoints", Endpoints.size());
   publish();
 }
@@ -90,9 +161,10 @@
   std::int64_t now = std::time(nullptr);
   auto snapshot =
       std::make_shared<RoutingSnapshot>(makeSnapshot(Document, Endpoints, now));
-  snapshot->ConfigRevision = Config.revision();
-  snapshot->HostsRevision = Hosts.revision();
-  OnSnapshot(std::move(snapshot));
+  snapshot->ConfigRevision = configRevision();
+  snapshot->HostsRevision = hostsRevision();
+  HasPublished = true;
+  Handlers.OnSnapshot(std::move(snapshot));
   waitForEvent(now);
 }
 
--- a/lib/Process/AgentGroup.cpp
+++ b/lib/Process/AgentGroup.cpp
@@ -33,7 +33,11 @@
       Coordinator(GroupId(settings.Group), Self, CoordinatorLimits()),
       Planner(settings.Weights, settings.PlanInterval),
       Engine(ioc, parseAddress(settings.EndpointAddress).value()),
-      Timer(ioc, [this] { onTimer(); }) {}
+      Timer(ioc, [this] { onTimer(); }),
+      // What comes back on a link and its loss need no handling: replies arrive
+      // as messages of the peer, and every order is sent again until answered.
+      Peers(ioc, {[](const EndpointId &, const Message &) {},
+                  [](const EndpointId &) {}}) {}
 
 void AgentGroup::start() {
   Coordinator.setWanted(formatMap(makeDealtMap(Settings.Shape)));
@@ -42,18 +46,14 @@
 
 void AgentGroup::setEndpoints(const std::vector<EndpointView> &endpoints) {
   std::vector<EndpointId> members;
-  Addresses.clear();
+  std::map<EndpointId, std::string> addresses;
   for (const EndpointView &it : endpoints) {
     if (it.Group.get() != Settings.Group)
       continue;
     members.push_back(it.Id);
-    Addresses[it.Id] = it.Address;
+    addresses[it.Id] = it.Address;
   }
-  std::erase_if(Peers, [this](const auto &it) {
-    auto address = Addresses.find(it.first);
-    return address == Addresses.end() ||
-           address->second != it.second->address();
-  });
+  Peers.setAddresses(std::move(addresses));
   Coordinator.setMembers(std::move(members));
   onTimer();
 }
@@ -158,15 +158,5 @@
                [this, message = std::move(message)] { onMessage(message); });
     return;
   }
-  auto address = Addresses.find(to);
-  if (address == Addresses.end())
-    return;
-  std::unique_ptr<PeerClient> &peer = Peers[to];
-  // What comes back on a link and its loss need no handling: replies arrive as
-  // messages of the peer, and every order is sent again until answered.
-  if (!peer)
-    peer = std::make_unique<PeerClient>(
-        address->second,
-        PeerClientHandlers{[](const std::vector<Message> &) {}, [] {}});
-  peer->send(message);
+  Peers.send(to, message, monotonicNow());
 }
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -40,6 +40,14 @@
   return Incarnation((high << 32U) | source());
 }
 
+static std::shared_ptr<const WorkspaceWeights>
+weightsOf(const RoutingSnapshot &snapshot) {
+  auto weights = std::make_shared<WorkspaceWeights>();
+  for (const auto &[hash, workspace] : snapshot.WorkspacesByKeyHash)
+    weights->emplace(workspace.Id, workspace.Weight);
+  return weights;
+}
+
 int ospreyspur::runAgent(const AgentSettings &settings) {
   asio::io_context control(1);
   asio::io_context traffic(1);
@@ -56,27 +64,41 @@
   std::unique_ptr<AgentGroup> group;
   if (!settings.Group.empty()) {
     group = std::make_unique<AgentGroup>(control, settings, client, metrics);
-    agent.setGroupHandler([&](LinkId /*from*/, const Message &message) {
-      asio::post(control, [&, message] { group->onMessage(message); });
-    });
   }
   bool isStopping = false;
-  ControlPlane plane(
-      control, client,
+  std::unique_ptr<ControlPlane> plane;
+  ControlHandlers planeHandlers;
+  planeHandlers.Answer = [&](LinkId to, const Message &message) {
+    agent.send(to, message);
+  };
+  planeHandlers.OnSnapshot =
       [&](const std::shared_ptr<const RoutingSnapshot> &snapshot) {
-        auto weights = std::make_shared<WorkspaceWeights>();
-        for (const auto &[hash, workspace] : snapshot->WorkspacesByKeyHash)
-          weights->emplace(workspace.Id, workspace.Weight);
         const EndpointView *own = snapshot->findEndpoint(self);
         if (group)
-          group->setEndpoints(plane.endpoints());
+          group->setEndpoints(plane->endpoints());
         bool isLeaving = isStopping || (own && own->IsLeaving);
-        asio::post(traffic, [&agent, weights, isLeaving] {
-          agent.setWeights(weights);
-          agent.setLeaving(isLeaving);
-        });
-      });
-  AdminServer admin(control, settings.Common, plane, client, metrics);
+        asio::post(traffic,
+                   [&agent, weights = weightsOf(*snapshot), isLeaving] {
+                     agent.setWeights(weights);
+                     agent.setLeaving(isLeaving);
+                   });
+      };
+  plane = std::make_unique<ControlPlane>(
+      control, client,
+      GossipIdentity{self, DataCentreId(settings.Common.DataCentre)},
+      settings.Common.Peers, source(), planeHandlers);
+  agent.setControlHandlers(
+      {[&](LinkId from, const Message &message) {
+         asio::post(control, [&, from, message] {
+           if (group)
+             group->onMessage(message);
+           plane->onMessage(from, message);
+         });
+       },
+       [&](LinkId link) {
+         asio::post(control, [&, link] { plane->onLinkDown(link); });
+       }});
+  AdminServer admin(control, settings.Common, *plane, client, metrics);
   PlannedStop::Handlers handlers;
   handlers.Announce = [&] {
     isStopping = true;
@@ -108,7 +130,7 @@
               << started.error().Detail << '\n';
     return 1;
   }
-  plane.start();
+  plane->start();
   if (group)
     group->start();
   stop.start();
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -39,6 +39,7 @@
               [this](LinkId link) {
                 asio::post(Context, [this, link] {
                   apply(Node.onLinkDown(link, monotonicNow()));
+                  Control.OnLinkDown(link);
                 });
               }}) {}
 
@@ -59,16 +60,21 @@
   Server.send(to, message);
 }
 
+static bool isForControl(const Message &message) {
+  return std::holds_alternative<GroupOrder>(message) ||
+         std::holds_alternative<GroupReply>(message) ||
+         std::holds_alternative<GossipDigest>(message) ||
+         std::holds_alternative<GossipUpdate>(message);
+}
+
 void AgentTraffic::onMessages(LinkId from,
                               const std::vector<Message> &messages) {
   TimePoint now = monotonicNow();
   for (const Message &message : messages) {
-    bool isGroup = std::holds_alternative<GroupOrder>(message) ||
-                   std::holds_alternative<GroupReply>(message);
-    if (!isGroup)
+    if (isForControl(message))
+      Control.OnMessage(from, message);
+    else
       apply(Node.onMessage(from, message, now));
-    else if (OnGroup)
-      OnGroup(from, message);
   }
 }
 
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -37,12 +37,19 @@
   EntryTraffic entry(traffic, settings, platform, metrics,
                      std::random_device{}());
   PlatformClient client(control, platform);
-  ControlPlane plane(
-      control, client, [&](std::shared_ptr<const RoutingSnapshot> snapshot) {
+  ControlHandlers planeHandlers;
+  planeHandlers.OnSnapshot =
+      [&](std::shared_ptr<const RoutingSnapshot> snapshot) {
         asio::post(traffic, [&entry, snapshot = std::move(snapshot)] {
           entry.setSnapshot(snapshot);
         });
-      });
+      };
+  // Nobody dials an entry.
+  planeHandlers.Answer = [](LinkId, const Message &) {};
+  ControlPlane plane(
+      control, client,
+      GossipIdentity{EndpointId(), DataCentreId(settings.Common.DataCentre)},
+      settings.Common.Peers, std::random_device{}(), planeHandlers);
   AdminServer admin(control, settings.Common, plane, client, metrics);
   PlannedStop::Handlers handlers;
   handlers.Announce = [&] {
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -29,7 +29,13 @@
              [this](HttpExchange &exchange) { return handle(exchange); }),
       Platform(ioc, std::move(platform)),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
-      Snapshot(std::make_shared<RoutingSnapshot>()) {}
+      Snapshot(std::make_shared<RoutingSnapshot>()),
+      Peers(ioc, {[this](const EndpointId &from, const Message &message) {
+                    apply(Node.onMessage(from, message, monotonicNow()));
+                  },
+                  [this](const EndpointId &to) {
+                    apply(Node.onLinkDown(to, monotonicNow()));
+                  }}) {}
 
 Result<void> EntryTraffic::start() {
   Result<TcpAddress> address = parseAddress(Settings.Listen);
@@ -40,11 +46,11 @@
 
 void EntryTraffic::setSnapshot(std::shared_ptr<const RoutingSnapshot> next) {
   Snapshot = std::move(next);
-  // Drop links to endpoints that are gone or moved.
-  std::erase_if(Peers, [this](const auto &it) {
-    const EndpointView *endpoint = Snapshot->findEndpoint(it.first);
-    return !endpoint || endpoint->Address != it.second->address();
-  });
+  std::map<EndpointId, std::string> addresses;
+  for (const auto &[name, service] : Snapshot->Services)
+    for (const EndpointView &it : service.Endpoints)
+      addresses.emplace(it.Id, it.Address);
+  Peers.setAddresses(std::move(addresses));
   Node.setSnapshot(Snapshot);
   // Before the first snapshot every caller's key would be unknown.
   if (std::exchange(IsAccepting, true))
@@ -123,10 +129,8 @@
 }
 
 void EntryTraffic::perform(const SendToAgent &action) {
-  if (PeerClient *peer = findPeer(action.To)) {
-    peer->send(action.Body);
+  if (Peers.send(action.To, action.Body, monotonicNow()))
     return;
-  }
   asio::post(Context, [this, to = action.To] {
     apply(Node.onLinkDown(to, monotonicNow()));
   });
@@ -146,29 +150,6 @@
     it->second->post(std::move(action));
 }
 
-PeerClient *EntryTraffic::findPeer(const EndpointId &id) {
-  auto it = Peers.find(id);
-  if (it != Peers.end())
-    return it->second.get();
-  const EndpointView *endpoint = Snapshot->findEndpoint(id);
-  if (!endpoint)
-    return nullptr;
-  PeerClientHandlers handlers;
-  handlers.OnMessages = [this, id](std::vector<Message> messages) {
-    asio::post(Context, [this, id, messages = std::move(messages)] {
-      TimePoint now = monotonicNow();
-      for (const Message &message : messages)
-        apply(Node.onMessage(id, message, now));
-    });
-  };
-  handlers.OnDown = [this, id] {
-    asio::post(Context,
-               [this, id] { apply(Node.onLinkDown(id, monotonicNow())); });
-  };
-  auto peer = std::make_unique<PeerClient>(endpoint->Address, handlers);
-  return Peers.emplace(id, std::move(peer)).first->second.get();
-}
-
 void EntryTraffic::finishCall(CallId id, ResultCode code, TimePoint began) {
   const ResultInfo &info = describe(code);
   Measures.count("requests_total{outcome=\"" +
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -253,6 +253,46 @@
   return out;
 }
 
+static void put(const CopyState &in, wire::CopyState &out) {
+  out.set_revision(in.At.get());
+  out.set_age_us(in.Age.count());
+}
+
+static CopyState get(const wire::CopyState &in) {
+  return {Revision(in.revision()), Duration(in.age_us())};
+}
+
+static void put(const GossipDigest &in, wire::Message &message) {
+  auto *out = message.mutable_gossip_digest();
+  for (const CopyState &it : in.Copies)
+    put(it, *out->add_copies());
+  out->set_is_subscription(in.IsSubscription);
+}
+
+static std::optional<Message> get(const wire::GossipDigest &in) {
+  if (in.copies_size() != static_cast<int>(SharedKeyCount))
+    return std::nullopt;
+  GossipDigest out;
+  for (std::size_t i = 0; i < SharedKeyCount; ++i)
+    out.Copies[i] = get(in.copies(static_cast<int>(i)));
+  out.IsSubscription = in.is_subscription();
+  return out;
+}
+
+static void put(const GossipUpdate &in, wire::Message &message) {
+  auto *out = message.mutable_gossip_update();
+  out->set_key(static_cast<std::uint32_t>(in.Key));
+  put(in.State, *out->mutable_state());
+  out->set_value(in.Value);
+}
+
+static std::optional<Message> get(const wire::GossipUpdate &in) {
+  if (in.key() >= SharedKeyCount)
+    return std::nullopt;
+  return GossipUpdate{static_cast<SharedKey>(in.key()), get(in.state()),
+                      in.value()};
+}
+
 void ospreyspur::encode(const Message &message, wire::Message &out) {
   std::visit([&out](const auto &it) { put(it, out); }, message);
 }
@@ -290,6 +330,10 @@
     return get(in.group_order());
   case wire::Message::kGroupReply:
     return get(in.group_reply());
+  case wire::Message::kGossipDigest:
+    return get(in.gossip_digest());
+  case wire::Message::kGossipUpdate:
+    return get(in.gossip_update());
   case wire::Message::BODY_NOT_SET:
     return std::nullopt;
   }
--- /dev/null
+++ b/unittests/Config/GossipTest.cpp
@@ -0,0 +1,153 @@
+//===- GossipTest.cpp - values spread, whatever fails ---------------------===//
+//
+// All on virtual time: how soon a change is in force, with watchers dead, links
+// cut and the platform out, and that no copy ever goes back.
+//
+//===----------------------------------------------------------------------===//
+
+#include "GossipWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What the users ask for.
+static constexpr Duration InForceLimit = seconds(8);
+static constexpr Duration StartTime = seconds(5);
+
+namespace {
+/// A fleet without message loss that has started.
+class StartedWorld : public GossipWorld {
+public:
+  explicit StartedWorld(FleetShape shape) : GossipWorld(1, shape, 0, 0) {
+    Scheduler.runUntil(Scheduler.now() + StartTime);
+  }
+
+  Duration timeInForce(const std::string &value) {
+    return awaitInForce(SharedKey::Config, write(SharedKey::Config, value),
+                        2 * InForceLimit);
+  }
+};
+} // namespace
+
+TEST_CASE("a change goes down the tree at once and only watchers ask") {
+  StartedWorld world({3, 30, 20});
+  for (std::size_t d = 0; d < 3; ++d)
+    CHECK(world.findWatchers(d).size() == 2);
+  CHECK(world.timeInForce("second") < milliseconds(100));
+  std::size_t before = world.PlatformCalls;
+  world.Scheduler.runUntil(world.Scheduler.now() + seconds(60));
+  // 6 watchers, 2 keys, a watch of one second each.
+  CHECK(world.PlatformCalls - before <= 6 * 2 * 61);
+  CHECK(world.Violations == 0);
+}
+
+TEST_CASE("a change is in force in time with both watchers dead") {
+  StartedWorld world({3, 30, 20});
+  for (std::size_t it : world.findWatchers(1))
+    world.kill(it);
+  CHECK(world.timeInForce("second") <= InForceLimit);
+  CHECK(world.timeInForce("third") <= InForceLimit);
+}
+
+TEST_CASE("a data centre cut off from the platform learns from the others") {
+  StartedWorld world({3, 30, 20});
+  world.cutFromPlatform(1, seconds(600));
+  CHECK(world.timeInForce("second") <= InForceLimit);
+}
+
+TEST_CASE("agents whose parents are frozen learn from others") {
+  StartedWorld world({1, 30, 20});
+  world.Scheduler.runUntil(world.Scheduler.now() + seconds(10));
+  // All but the watchers' first children, so that most parents are silent.
+  std::vector<std::size_t> watchers = world.findWatchers(0);
+  for (std::size_t i = 0; i < 15; ++i)
+    if (std::find(watchers.begin(), watchers.end(), i) == watchers.end())
+      world.kill(i);
+  CHECK(world.timeInForce("second") <= InForceLimit);
+}
+
+TEST_CASE("a node started in an outage starts from its peers") {
+  StartedWorld world({2, 6, 4});
+  world.setOutage(seconds(600));
+  std::size_t last = world.Nodes.size() - 1;
+  world.kill(last);
+  world.start(last);
+  CHECK_FALSE(world.Nodes[last].Machine->isReady());
+  world.Scheduler.runUntil(world.Scheduler.now() + seconds(3));
+  CHECK(world.Nodes[last].Machine->isReady());
+  CHECK(world.Nodes[last].Machine->copy(SharedKey::Config).value() == "first");
+}
+
+TEST_CASE("an old value from a slow read or a stale peer is not taken") {
+  GossipNode node({EndpointId("e0"), DataCentreId("d")}, GossipLimits(), 1);
+  TimePoint now(std::chrono::hours(1));
+  std::vector<KvRequest> calls;
+  for (const GossipAction &it : node.onTimer(now))
+    if (const auto *call = std::get_if<CallPlatformForGossip>(&it))
+      calls.push_back(call->Request);
+  REQUIRE(calls.size() == SharedKeyCount);
+  GossipUpdate newer{SharedKey::Config, {Revision(7), Duration(0)}, "seven"};
+  node.onMessage(LinkId(1), newer, now);
+  CHECK(node.onKvReply(calls[0].Id, {ResultCode::Ok, Revision(6), "six"}, now)
+            .empty());
+  GossipUpdate older{SharedKey::Config, {Revision(5), Duration(0)}, "five"};
+  CHECK(node.onAnswer(EndpointId("e1"), older, now).empty());
+  CHECK(node.copy(SharedKey::Config).value() == "seven");
+}
+
+/// Breaks something, drawn from the world's seed.
+static void breakSomething(GossipWorld &world) {
+  RandomScheduler &random = world.Scheduler;
+  std::size_t i = random.below(world.Nodes.size());
+  Duration span = milliseconds(random.below(10000));
+  switch (random.below(5)) {
+  case 0:
+    world.kill(i);
+    random.at(random.now() + span, [&world, i] {
+      if (world.Nodes[i].Life == 0)
+        world.start(i);
+    });
+    return;
+  case 1:
+    world.freeze(i, span);
+    return;
+  case 2:
+    world.setOutage(span);
+    return;
+  case 3:
+    world.cutFromPlatform(random.below(3), span);
+    return;
+  default:
+    // The host list lags or is wrong.
+    world.writeHosts({i, random.below(world.Nodes.size())});
+  }
+}
+
+TEST_CASE(
+    "under random faults copies never go back and all end with the last") {
+  Duration worst{};
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    INFO("seed " << seed);
+    GossipWorld world(seed, {3, 4, 2}, 5, 5);
+    RandomScheduler &random = world.Scheduler;
+    for (int i = 0; i < 8; ++i) {
+      random.at(random.now() + milliseconds(random.below(20000)),
+                [&world] { breakSomething(world); });
+      random.at(random.now() + milliseconds(random.below(20000)), [&world, i] {
+        world.write(SharedKey::Config, "change " + std::to_string(i));
+      });
+    }
+    random.runUntil(random.now() + seconds(31));
+    Revision last = world.write(SharedKey::Config, "the last");
+    Duration span =
+        world.awaitInForce(SharedKey::Config, last, 2 * InForceLimit);
+    CHECK(span <= InForceLimit);
+    CHECK(world.Violations == 0);
+    worst = std::max(worst, span);
+  }
+  MESSAGE("longest until in force: ", worst.count() / 1000, " ms");
+}
--- /dev/null
+++ b/unittests/Config/GossipWorld.cpp
@@ -0,0 +1,277 @@
+//===- GossipWorld.cpp - a fleet that spreads the platform's values -------===//
+//
+// The wires between the nodes. It holds no policy of its own.
+//
+//===----------------------------------------------------------------------===//
+
+#include "GossipWorld.h"
+
+#include "ospreyspur/Config/ConfigDocument.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr Duration CallTimeout = seconds(2);
+static constexpr Duration Step = milliseconds(10);
+static constexpr std::uint64_t NodesPerLife = 4096;
+static constexpr std::size_t SeedPeers = 3;
+
+static std::string nameOf(SharedKey key) {
+  return std::string(key == SharedKey::Config ? ConfigKey : HostsKey);
+}
+
+GossipWorld::GossipWorld(std::uint64_t seed, FleetShape shape,
+                         unsigned lossPercent, unsigned latePercent)
+    : Scheduler(seed, latePercent), LossPercent(lossPercent),
+      NodesPerDataCentre(shape.Agents + shape.Entries) {
+  for (std::size_t d = 0; d < shape.DataCentres; ++d) {
+    DataCentreId place("d" + std::to_string(d));
+    for (std::size_t i = 0; i < NodesPerDataCentre; ++i) {
+      Node &node = Nodes.emplace_back();
+      node.Id.DataCentre = place;
+      if (i < shape.Agents)
+        node.Id.Endpoint = EndpointId("e" + std::to_string(Nodes.size() - 1));
+    }
+  }
+  for (std::size_t i = 0; i < Nodes.size() && Seeds.size() < SeedPeers; ++i)
+    if (!Nodes[i].Id.Endpoint.get().empty())
+      Seeds.push_back(
+          {Nodes[i].Id.Endpoint, {}, Nodes[i].Id.DataCentre, "", {}, false});
+  writeHosts({});
+  write(SharedKey::Config, "first");
+  for (std::size_t i = 0; i < Nodes.size(); ++i)
+    start(i);
+}
+
+Revision GossipWorld::write(SharedKey key, const std::string &value) {
+  Last = Revision(Last.get() + 1);
+  History[Last] = value;
+  Values[nameOf(key)] = {ResultCode::Ok, Last, value};
+  std::list<HeldWatch> held = std::exchange(Held, {});
+  for (const HeldWatch &it : held)
+    if (it.Call.Key == nameOf(key))
+      reply(it, Values[it.Call.Key]);
+    else
+      Held.push_back(it);
+  return Last;
+}
+
+void GossipWorld::writeHosts(const std::vector<std::size_t> &absent) {
+  std::string text;
+  for (std::size_t i = 0; i < Nodes.size(); ++i) {
+    const GossipIdentity &id = Nodes[i].Id;
+    if (id.Endpoint.get().empty() ||
+        std::find(absent.begin(), absent.end(), i) != absent.end())
+      continue;
+    text += (text.empty() ? "[" : ",") + std::string(R"({"endpoint":")") +
+            id.Endpoint.get() + R"(","data_centre":")" + id.DataCentre.get() +
+            R"("})";
+  }
+  write(SharedKey::Hosts, text + "]");
+}
+
+void GossipWorld::start(std::size_t i) {
+  Node &node = Nodes[i];
+  node.Machine = std::make_unique<GossipNode>(node.Id, GossipLimits(),
+                                              Scheduler.below(1U << 30U));
+  node.Machine->setPeers(Seeds);
+  node.Life = ++LastLife;
+  node.Seen = {};
+  apply(i, node.Machine->onTimer(Scheduler.now()));
+}
+
+void GossipWorld::kill(std::size_t i) {
+  Nodes[i].Life = 0;
+  Nodes[i].Machine.reset();
+}
+
+void GossipWorld::freeze(std::size_t i, Duration span) {
+  Nodes[i].FrozenUntil = Scheduler.now() + span;
+}
+
+void GossipWorld::setOutage(Duration span) {
+  for (std::size_t i = 0; i < Nodes.size(); i += NodesPerDataCentre)
+    cutFromPlatform(i / NodesPerDataCentre, span);
+}
+
+void GossipWorld::cutFromPlatform(std::size_t dataCentre, Duration span) {
+  CutUntil[dataCentre] = Scheduler.now() + span;
+  std::erase_if(Held, [&](const HeldWatch &it) {
+    return it.Caller / NodesPerDataCentre == dataCentre;
+  });
+}
+
+bool GossipWorld::canReachPlatform(std::size_t i) const {
+  auto cut = CutUntil.find(i / NodesPerDataCentre);
+  return cut == CutUntil.end() || cut->second <= Scheduler.now();
+}
+
+bool GossipWorld::isInForce(SharedKey key, Revision at) const {
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const Node &it) {
+    return it.Life == 0 || it.Machine->copy(key).revision() >= at;
+  });
+}
+
+Duration GossipWorld::awaitInForce(SharedKey key, Revision at, Duration limit) {
+  TimePoint began = Scheduler.now();
+  while (!isInForce(key, at) && Scheduler.now() - began < limit)
+    Scheduler.runUntil(Scheduler.now() + Step);
+  return Scheduler.now() - began;
+}
+
+std::vector<std::size_t>
+GossipWorld::findWatchers(std::size_t dataCentre) const {
+  std::vector<std::size_t> out;
+  std::size_t first = dataCentre * NodesPerDataCentre;
+  for (std::size_t i = first; i < first + NodesPerDataCentre; ++i)
+    if (Nodes[i].Life != 0 && Nodes[i].Machine->isWatcher())
+      out.push_back(i);
+  return out;
+}
+
+std::size_t GossipWorld::nodeOf(const EndpointId &id) const {
+  return std::stoul(id.get().substr(1));
+}
+
+void GossipWorld::toNode(
+    std::size_t i, std::uint64_t life,
+    const std::function<GossipActions(GossipNode &)> &input) {
+  Node &node = Nodes[i];
+  if (life == 0 || node.Life != life)
+    return;
+  if (Scheduler.now() < node.FrozenUntil) {
+    Scheduler.at(node.FrozenUntil,
+                 [this, i, life, input] { toNode(i, life, input); });
+    return;
+  }
+  apply(i, input(*node.Machine));
+}
+
+void GossipWorld::apply(std::size_t i, const GossipActions &actions) {
+  for (const GossipAction &action : actions)
+    std::visit([this, i](const auto &it) { perform(i, it); }, action);
+  setTimer(i);
+}
+
+void GossipWorld::setTimer(std::size_t i) {
+  TimePoint due = Nodes[i].Machine->nextTimer();
+  Scheduler.at(due, [this, i, life = Nodes[i].Life, due] {
+    if (Nodes[i].Life != life || Nodes[i].Machine->nextTimer() != due)
+      return;
+    toNode(i, life,
+           [this](GossipNode &it) { return it.onTimer(Scheduler.now()); });
+  });
+}
+
+void GossipWorld::count(std::size_t i, const GossipMessage &message) {
+  Nodes[i].BytesOut += SizeOf(message);
+  ++Nodes[i].MessagesOut;
+}
+
+template <typename Body>
+void GossipWorld::dial(std::size_t i, const EndpointId &to, const Body &body) {
+  count(i, body);
+  std::size_t k = nodeOf(to);
+  LinkId link(Nodes[i].Life * NodesPerLife + i);
+  Scheduler.unreliably(LossPercent, [this, k, link, body] {
+    toNode(k, Nodes[k].Life, [this, link, body](GossipNode &it) {
+      return it.onMessage(link, body, Scheduler.now());
+    });
+  });
+}
+
+template <typename Body>
+void GossipWorld::answer(std::size_t i, LinkId to, const Body &body) {
+  count(i, body);
+  std::size_t k = to.get() % NodesPerLife;
+  std::uint64_t life = to.get() / NodesPerLife;
+  EndpointId from = Nodes[i].Id.Endpoint;
+  Scheduler.unreliably(LossPercent, [this, k, life, from, body] {
+    toNode(k, life, [this, from, body](GossipNode &it) {
+      return it.onAnswer(from, body, Scheduler.now());
+    });
+  });
+}
+
+void GossipWorld::perform(std::size_t i, const SendDigestTo &action) {
+  dial(i, action.To, action.Body);
+}
+
+void GossipWorld::perform(std::size_t i, const SendUpdateTo &action) {
+  dial(i, action.To, action.Body);
+}
+
+void GossipWorld::perform(std::size_t i, const AnswerDigest &action) {
+  answer(i, action.To, action.Body);
+}
+
+void GossipWorld::perform(std::size_t i, const AnswerUpdate &action) {
+  answer(i, action.To, action.Body);
+}
+
+void GossipWorld::perform(std::size_t i, const CallPlatformForGossip &action) {
+  ++PlatformCalls;
+  HeldWatch watch{i, Nodes[i].Life, action.Request.Id,
+                  std::get<KvWatch>(action.Request.Call)};
+  Scheduler.soon([this, watch] { hold(watch); });
+}
+
+/// Answers at once if there is a newer value, else at a write or at the end.
+void GossipWorld::hold(HeldWatch watch) {
+  if (!canReachPlatform(watch.Caller)) {
+    KvReply lost;
+    lost.Code = ResultCode::PlatformTimeout;
+    Scheduler.at(Scheduler.now() + CallTimeout,
+                 [this, watch, lost] { reply(watch, lost); });
+    return;
+  }
+  const KvReply &value = Values.at(watch.Call.Key);
+  if (value.At > watch.Call.After) {
+    reply(watch, value);
+    return;
+  }
+  KvReply nothing;
+  nothing.Code = ResultCode::NotFound;
+  if (watch.Call.Wait == Duration::zero()) {
+    reply(watch, nothing);
+    return;
+  }
+  Held.push_back(watch);
+  Scheduler.at(Scheduler.now() + watch.Call.Wait, [this, watch, nothing] {
+    auto isSame = [&](const HeldWatch &held) {
+      return held.Caller == watch.Caller && held.Life == watch.Life &&
+             held.Id == watch.Id;
+    };
+    if (std::erase_if(Held, isSame) > 0)
+      reply(watch, nothing);
+  });
+  // A watch that a cut takes away is lost to its caller; a second answer to a
+  // call changes nothing.
+  Scheduler.at(Scheduler.now() + watch.Call.Wait + CallTimeout, [this, watch] {
+    KvReply lost;
+    lost.Code = ResultCode::PlatformTimeout;
+    reply(watch, lost);
+  });
+}
+
+void GossipWorld::reply(const HeldWatch &watch, const KvReply &value) {
+  Scheduler.soon([this, watch, value] {
+    toNode(watch.Caller, watch.Life, [this, watch, value](GossipNode &it) {
+      return it.onKvReply(watch.Id, value, Scheduler.now());
+    });
+  });
+}
+
+void GossipWorld::perform(std::size_t i, const CopyChanged &action) {
+  const KeyFollower &copy = Nodes[i].Machine->copy(action.Key);
+  Revision &seen = Nodes[i].Seen[static_cast<std::size_t>(action.Key)];
+  if (copy.revision() <= seen || History.at(copy.revision()) != copy.value())
+    ++Violations;
+  seen = copy.revision();
+  if (action.Key == SharedKey::Hosts)
+    Nodes[i].Machine->setPeers(parseHosts(copy.value()).value());
+}
--- /dev/null
+++ b/unittests/Config/GossipWorld.h
@@ -0,0 +1,126 @@
+//===- GossipWorld.h - a fleet that spreads the platform's values -*- C++
+//-*-===//
+//
+// Connects real GossipNodes and a fake platform through a RandomScheduler, with
+// nodes that die and freeze and a platform that some or all cannot reach.
+// Checks that no copy ever goes back, and counts calls and messages. Tests and
+// the benchmark drive it.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_UNITTESTS_CONFIG_GOSSIPWORLD_H
+#define OSPREYSPUR_UNITTESTS_CONFIG_GOSSIPWORLD_H
+
+#include "RandomScheduler.h"
+
+#include "ospreyspur/Config/GossipNode.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreyspur::test {
+
+/// The measures of a fleet.
+struct FleetShape {
+  std::size_t DataCentres = 3;
+  /// In each data centre.
+  std::size_t Agents = 4;
+  std::size_t Entries = 2;
+};
+
+/// A fleet on virtual time.
+class GossipWorld {
+public:
+  using GossipMessage = std::variant<GossipDigest, GossipUpdate>;
+
+  /// One node of the fleet.
+  struct Node {
+    GossipIdentity Id;
+    std::unique_ptr<GossipNode> Machine;
+    /// 0 while the node is dead.
+    std::uint64_t Life = 0;
+    TimePoint FrozenUntil;
+    std::array<Revision, SharedKeyCount> Seen;
+    std::size_t BytesOut = 0;
+    std::size_t MessagesOut = 0;
+  };
+
+  /// \p lossPercent of the messages are lost and as many doubled.
+  GossipWorld(std::uint64_t seed, FleetShape shape, unsigned lossPercent,
+              unsigned latePercent);
+
+  RandomScheduler Scheduler;
+  std::vector<Node> Nodes;
+  /// Copies that went back or differ from what was written.
+  std::size_t Violations = 0;
+  std::size_t PlatformCalls = 0;
+  /// Bytes of a message on the wire; the benchmark sets the codec's.
+  std::function<std::size_t(const GossipMessage &)> SizeOf =
+      [](const GossipMessage &) { return std::size_t(0); };
+
+  /// Writes \p value to the platform.
+  Revision write(SharedKey key, const std::string &value);
+  /// Writes the host list anew, without the nodes in \p absent.
+  void writeHosts(const std::vector<std::size_t> &absent);
+  void start(std::size_t i);
+  void kill(std::size_t i);
+  void freeze(std::size_t i, Duration span);
+  /// Nobody reaches the platform for \p span.
+  void setOutage(Duration span);
+  /// One data centre does not reach the platform for \p span.
+  void cutFromPlatform(std::size_t dataCentre, Duration span);
+  /// Whether all that live have at least revision \p at of \p key.
+  bool isInForce(SharedKey key, Revision at) const;
+  /// Runs until isInForce(), at most for \p limit; the time that it took.
+  Duration awaitInForce(SharedKey key, Revision at, Duration limit);
+  /// The watchers of data centre \p i.
+  std::vector<std::size_t> findWatchers(std::size_t dataCentre) const;
+
+private:
+  /// A call that the platform holds.
+  struct HeldWatch {
+    std::size_t Caller;
+    std::uint64_t Life;
+    KvCallId Id;
+    KvWatch Call;
+  };
+
+  std::size_t nodeOf(const EndpointId &id) const;
+  bool canReachPlatform(std::size_t i) const;
+  void toNode(std::size_t i, std::uint64_t life,
+              const std::function<GossipActions(GossipNode &)> &input);
+  void apply(std::size_t i, const GossipActions &actions);
+  void setTimer(std::size_t i);
+  void perform(std::size_t i, const SendDigestTo &action);
+  void perform(std::size_t i, const SendUpdateTo &action);
+  void perform(std::size_t i, const AnswerDigest &action);
+  void perform(std::size_t i, const AnswerUpdate &action);
+  void perform(std::size_t i, const CallPlatformForGossip &action);
+  void perform(std::size_t i, const CopyChanged &action);
+  void count(std::size_t i, const GossipMessage &message);
+  template <typename Body>
+  void dial(std::size_t i, const EndpointId &to, const Body &body);
+  template <typename Body>
+  void answer(std::size_t i, LinkId to, const Body &body);
+  void hold(HeldWatch watch);
+  void reply(const HeldWatch &watch, const KvReply &reply);
+
+  unsigned LossPercent;
+  std::size_t NodesPerDataCentre;
+  std::map<std::string, KvReply> Values;
+  /// What was written at each revision.
+  std::map<Revision, std::string> History;
+  Revision Last;
+  std::list<HeldWatch> Held;
+  std::uint64_t LastLife = 0;
+  std::map<std::size_t, TimePoint> CutUntil;
+  std::vector<EndpointView> Seeds;
+};
+
+} // namespace ospreyspur::test
+
+#endif // OSPREYSPUR_UNITTESTS_CONFIG_GOSSIPWORLD_H
--- /dev/null
+++ b/utils/bench/SpreadBench.cpp
@@ -0,0 +1,141 @@
+//===- SpreadBench.cpp - how fast and how dear values spread --------------===//
+//
+// Drives the shipped GossipNodes of a whole fleet on virtual time, with the
+// real codec for sizes. Times are virtual: links take up to 3 ms.
+//
+//===----------------------------------------------------------------------===//
+
+#include "SpreadBench.h"
+
+#include "Config/GossipWorld.h"
+
+#include "ospreyspur/Rpc/Codec.h"
+
+#include "generated/peer.pb.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using std::chrono::seconds;
+
+static constexpr FleetShape Fleet{6, 100, 62};
+static constexpr std::size_t ConfigBytes = 172000;
+static constexpr Duration Patience = seconds(60);
+
+namespace {
+/// What the fleet spent between two moments.
+class Meter {
+public:
+  explicit Meter(GossipWorld &world)
+      : World(world), Began(world.Scheduler.now()), Calls(world.PlatformCalls) {
+    for (const GossipWorld::Node &it : world.Nodes)
+      Before.push_back({it.BytesOut, it.MessagesOut});
+  }
+
+  void print(const char *name) const {
+    double span =
+        std::chrono::duration<double>(World.Scheduler.now() - Began).count();
+    std::size_t most = 0;
+    std::size_t mostMessages = 0;
+    std::size_t sum = 0;
+    for (std::size_t i = 0; i < Before.size(); ++i) {
+      std::size_t bytes = World.Nodes[i].BytesOut - Before[i].first;
+      most = std::max(most, bytes);
+      sum += bytes;
+      mostMessages =
+          std::max(mostMessages, World.Nodes[i].MessagesOut - Before[i].second);
+    }
+    std::printf("%s, %.1f s: platform calls %.1f/s; out of a node: mean %.0f "
+                "B/s, most %.0f B/s (%zu B in all), most messages %.1f/s\n",
+                name, span, double(World.PlatformCalls - Calls) / span,
+                double(sum) / double(Before.size()) / span, double(most) / span,
+                most, double(mostMessages) / span);
+  }
+
+private:
+  GossipWorld &World;
+  TimePoint Began;
+  std::size_t Calls;
+  std::vector<std::pair<std::size_t, std::size_t>> Before;
+};
+
+/// A fleet that has started, with sizes from the codec.
+class BenchWorld : public GossipWorld {
+public:
+  BenchWorld(unsigned lossPercent, unsigned latePercent)
+      : GossipWorld(1, Fleet, lossPercent, latePercent) {
+    SizeOf = [](const GossipMessage &message) {
+      wire::Message out;
+      std::visit([&](const auto &it) { encode(it, out); }, message);
+      return out.ByteSizeLong();
+    };
+    run(seconds(10));
+  }
+
+  void run(Duration span) { Scheduler.runUntil(Scheduler.now() + span); }
+
+  /// Writes a configuration and waits until it is in force.
+  void change(const char *name) {
+    Meter meter(*this);
+    std::string value(ConfigBytes, static_cast<char>('a' + ++Changes));
+    Revision at = write(SharedKey::Config, value);
+    Duration span = awaitInForce(SharedKey::Config, at, Patience);
+    std::printf("%s: in force on all after %.2f s\n", name,
+                std::chrono::duration<double>(span).count());
+    meter.print("  the change");
+  }
+
+private:
+  int Changes = 0;
+};
+} // namespace
+
+void bench::benchSpread() {
+  {
+    BenchWorld world(0, 0);
+    std::printf("%zu nodes in %zu data centres\n", world.Nodes.size(),
+                Fleet.DataCentres);
+    Meter idle(world);
+    auto cpu = std::clock();
+    world.run(seconds(60));
+    double spent = double(std::clock() - cpu) / CLOCKS_PER_SEC;
+    idle.print("idle");
+    std::printf("  decisions and encoding of sizes: %.4f%% of a core a node\n",
+                100 * spent / 60 / double(world.Nodes.size()));
+    world.change("all well");
+    for (std::size_t it : world.findWatchers(1))
+      world.kill(it);
+    world.change("both watchers of a data centre just died");
+    world.cutFromPlatform(2, seconds(600));
+    world.change("a data centre just cut off from the platform");
+    world.run(seconds(30));
+    for (std::size_t d : {0, 1, 2})
+      world.cutFromPlatform(d, seconds(600));
+    world.change("a region cut off from the platform");
+    Meter outage(world);
+    world.setOutage(seconds(60));
+    world.run(seconds(60));
+    outage.print("platform out for a minute");
+    world.change("the platform just came back");
+  }
+  {
+    BenchWorld world(1, 5);
+    world.change("1% of messages lost, 1% doubled, 5% up to 0.9 s late");
+  }
+  {
+    // A data centre's agents leave the list one by one in a minute.
+    BenchWorld world(0, 0);
+    Meter meter(world);
+    std::vector<std::size_t> gone;
+    for (std::size_t i = 0; i < Fleet.Agents; ++i) {
+      gone.push_back(i);
+      world.kill(i);
+      world.writeHosts(gone);
+      world.run(std::chrono::milliseconds(600));
+    }
+    meter.print("a data centre goes, 100 host lists in a minute");
+  }
+}
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -2,11 +2,14 @@
 //
 // Drives the shipped state machines without I/O and prints slopes: time and
 // bytes for each request, token, endpoint or map. With the argument "links" it
-// measures the links between processes instead. Not a test;
+// measures the links between processes instead, with "spread" how shared values
+// spread. Not a test;
 // docs/BENCHMARKS.md and docs/CAPACITY.md name the command for each figure.
 //
 //===----------------------------------------------------------------------===//
 
+#include "SpreadBench.h"
+
 #include "ospreyspur/Config/ConfigDocument.h"
 #include "ospreyspur/Experts/ExpertPlanner.h"
 #include "ospreyspur/Experts/GroupRecord.h"
@@ -288,6 +291,10 @@
     benchLinks(200);
     return 0;
   }
+  if (argc > 1 && std::string(argv[1]) == "spread") {
+    bench::benchSpread();
+    return 0;
+  }
   benchPlanner();
   benchRequest(0);
   benchRequest(100);
--- a/utils/local-deployment.sh
+++ b/utils/local-deployment.sh
@@ -100,6 +100,7 @@
 platform = $platform
 admin_listen = 127.0.0.1:$((7310 + n))
 admin_token_sha256 = $(digest $token)
+peers = 127.0.0.1:7201, 127.0.0.1:7203, 127.0.0.1:7206
 [entry]
 listen = 127.0.0.1:$((7300 + n))
 probe_timeout_ms = ${probe_timeout_ms:-60}
