Pick endpoints by load as well as by wait; compare ways of picking

Cause: probes answered with the expected wait only, which is zero while slots are free, so the first of three offers won.

Measured in one run (ospreyspur-bench pickers, the shipped nodes before a simple model of lock-step engines, same arrivals): random, round robin, least known load at two ages, the paper's walk at its best, 2, 3 and 5 probes with and without load, five worths of the home.

Now: wait + 2 ms a request at the endpoint - 4 ms at the home.

--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -31,6 +31,7 @@
   std::size_t MaxEarlyBytes = 1U << 20U;
   unsigned MaxDispatches = 4;
   std::size_t Probes = 3;
+  PickerWeights Weights;
   Duration ProbeTimeout = std::chrono::milliseconds(60);
   Duration AcceptTimeout = std::chrono::milliseconds(300);
   /// Silence of an answer after which its agent is asked.
--- a/include/ospreyspur/Routing/ProbePicker.h
+++ b/include/ospreyspur/Routing/ProbePicker.h
@@ -29,6 +29,15 @@
   ProbeReply Reply;
 };
 
+/// What counts beside the expected wait, each as waiting time.
+struct PickerWeights {
+  /// What it is worth that the prompt's prefix may be cached.
+  Duration Prefix = std::chrono::milliseconds(4);
+  /// What each request at an endpoint costs a new one: all ranks of a group
+  /// step together, so the fullest endpoint holds up its whole group.
+  Duration Request = std::chrono::milliseconds(2);
+};
+
 /// Chooses probe candidates and the best offer.
 class ProbePicker {
 public:
@@ -36,8 +45,9 @@
   using Filter = std::function<bool(const EndpointId &)>;
 
   /// \p probes endpoints are asked for each request from \p dataCentre.
-  ProbePicker(std::size_t probes, DataCentreId dataCentre)
-      : Probes(probes), DataCentre(std::move(dataCentre)) {}
+  ProbePicker(std::size_t probes, PickerWeights weights,
+              DataCentreId dataCentre)
+      : Probes(probes), Weights(weights), DataCentre(std::move(dataCentre)) {}
 
   /// The endpoints of \p service to ask, without those that \p isExcluded.
   std::vector<EndpointId> pickCandidates(const ServiceView &service,
@@ -52,6 +62,7 @@
 
 private:
   std::size_t Probes;
+  PickerWeights Weights;
   DataCentreId DataCentre;
 };
 
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -37,6 +37,8 @@
   ResultCode Code = ResultCode::Ok;
   /// Expected time until the first token.
   Duration Wait{};
+  /// Requests that run or wait at the endpoint.
+  std::uint32_t Load = 0;
   /// When to ask again, if not accepting.
   Duration RetryAfter{};
   Ticket Permit;
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -54,6 +54,12 @@
                                       1000000, "requests held at one time");
   limits.Probes = reader.readNumber("entry.probes", limits.Probes, 1, 16,
                                     "endpoints asked for each request");
+  limits.Weights.Prefix = reader.readMillis(
+      "entry.prefix_worth_ms", limits.Weights.Prefix, milliseconds(0),
+      seconds(1), "waiting time that a cached prompt prefix is worth");
+  limits.Weights.Request = reader.readMillis(
+      "entry.request_worth_ms", limits.Weights.Request, milliseconds(0),
+      seconds(1), "waiting time that each request at an endpoint counts as");
   limits.MaxDispatches = static_cast<unsigned>(
       reader.readNumber("entry.max_dispatches", limits.MaxDispatches, 1, 16,
                         "endpoints tried for each request"));
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -56,6 +56,7 @@
   ProbeReply reply;
   reply.Call = probe.Call;
   reply.Wait = estimateWait();
+  reply.Load = static_cast<std::uint32_t>(Queue.size() + Running.size());
   reply.Code = whyNotAccepting(reply.Wait);
   if (reply.Code == ResultCode::Ok)
     reply.Permit = Office.issue(
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -20,7 +20,7 @@
 EntryNode::EntryNode(DataCentreId dataCentre, EntryLimits limits,
                      std::uint64_t seed)
     : DataCentre(std::move(dataCentre)), Limits(limits),
-      Picker(limits.Probes, DataCentre),
+      Picker(limits.Probes, limits.Weights, DataCentre),
       Retries(limits.RetryRatio, limits.RetryReserve), Random(seed),
       Snapshot(std::make_shared<RoutingSnapshot>()) {}
 
--- a/lib/Routing/ProbePicker.cpp
+++ b/lib/Routing/ProbePicker.cpp
@@ -12,9 +12,6 @@
 
 using namespace ospreyspur;
 
-/// What a cached prefix is worth in waiting time.
-static constexpr Duration PrefixWorth = std::chrono::milliseconds(30);
-
 const EndpointView *ospreyspur::findPrefixHome(const ServiceView &service,
                                                std::uint64_t prefix) {
   const EndpointView *home = nullptr;
@@ -65,17 +62,18 @@
                        const ServiceView &service, std::uint64_t prefix) const {
   const EndpointView *home = findPrefixHome(service, prefix);
   std::optional<std::size_t> best;
-  Duration bestWait{};
+  Duration bestCost{};
   for (std::size_t i = 0; i < offers.size(); ++i) {
     if (offers[i].Reply.Code != ResultCode::Ok)
       continue;
-    Duration wait = offers[i].Reply.Wait;
+    const ProbeReply &reply = offers[i].Reply;
+    Duration cost = reply.Wait + Weights.Request * reply.Load;
     if (home && offers[i].Endpoint == home->Id)
-      wait -= PrefixWorth;
-    if (best && wait >= bestWait)
+      cost -= Weights.Prefix;
+    if (best && cost >= bestCost)
       continue;
     best = i;
-    bestWait = wait;
+    bestCost = cost;
   }
   return best;
 }
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -65,14 +65,19 @@
   out->set_call(in.Call.get());
   out->set_code(putCode(in.Code));
   out->set_wait_us(in.Wait.count());
+  out->set_load(in.Load);
   out->set_retry_after_us(in.RetryAfter.count());
   if (in.Code == ResultCode::Ok)
     put(in.Permit, out->mutable_ticket());
 }
 
 static ProbeReply get(const wire::ProbeReply &in) {
-  return {CallId(in.call()), getCode(in.code()), Duration(in.wait_us()),
-          Duration(in.retry_after_us()), get(in.ticket())};
+  return {CallId(in.call()),
+          getCode(in.code()),
+          Duration(in.wait_us()),
+          in.load(),
+          Duration(in.retry_after_us()),
+          get(in.ticket())};
 }
 
 static void put(const Dispatch &in, wire::Message &message) {
--- /dev/null
+++ b/utils/bench/PickerBench.cpp
@@ -0,0 +1,127 @@
+//===- PickerBench.cpp - ways of picking an endpoint, compared ------------===//
+//
+// See PickerBench.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "PickerBench.h"
+
+#include "PickerWorld.h"
+
+#include <algorithm>
+#include <cstdio>
+
+using namespace ospreyspur;
+using namespace ospreyspur::bench;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr std::uint64_t Seed = 1;
+
+static double percentile(std::vector<double> &values, double part) {
+  if (values.empty())
+    return 0;
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(part * double(values.size() - 1))];
+}
+
+static Deployment makeToday() {
+  Deployment it;
+  it.Name = "today: 5 entries, 16 endpoints in 2 groups";
+  it.Entries = 5;
+  it.Endpoints = 16;
+  it.GroupSize = 8;
+  it.DataCentres = 3;
+  it.Slots = 12;
+  it.Rate = 76;
+  it.BurstFactor = 1.6;
+  it.Span = seconds(60);
+  it.BurstAt = seconds(20);
+  it.BurstFor = seconds(10);
+  it.Tokens = 80;
+  it.PromptTokens = 800;
+  it.PrefixTokens = 400;
+  it.Prefixes = 64;
+  it.CachedPrefixes = 12;
+  it.StepBase = microseconds(4840);
+  it.StepPerRequest = microseconds(200);
+  it.SlowAt = seconds(45);
+  it.SlowFactor = 1.5;
+  return it;
+}
+
+static Deployment makeLarge() {
+  Deployment it;
+  it.Name = "planned: 370 entries, 600 endpoints in 10 groups";
+  it.Entries = 370;
+  it.Endpoints = 600;
+  it.GroupSize = 60;
+  it.DataCentres = 6;
+  it.Slots = 32;
+  it.Rate = 900;
+  it.BurstFactor = 1.33;
+  it.Span = seconds(60);
+  it.BurstAt = seconds(20);
+  it.BurstFor = seconds(10);
+  it.Tokens = 367;
+  it.PromptTokens = 800;
+  it.PrefixTokens = 400;
+  it.Prefixes = 1200;
+  it.CachedPrefixes = 12;
+  it.StepBase = milliseconds(15);
+  it.StepPerRequest = microseconds(400);
+  it.SlowAt = seconds(45);
+  it.SlowFactor = 1.5;
+  return it;
+}
+
+static void print(const Method &method, PickerResult &it) {
+  std::printf("%-28s first %6.0f %6.0f %6.0f ms, between %5.1f %5.1f ms, "
+              "skew %.2f, hits %2.0f%%, messages %4.1f, refused %zu\n",
+              method.Name, percentile(it.FirstMs, 0.5),
+              percentile(it.FirstMs, 0.95), percentile(it.FirstMs, 0.99),
+              percentile(it.BetweenMs, 0.5), percentile(it.BetweenMs, 0.95),
+              it.SkewSum / double(it.Steps),
+              100 * double(it.Hits) / double(it.Runs),
+              double(it.Messages) / double(it.Runs), it.Refused);
+}
+
+void bench::benchPickers() {
+  using Kind = Method::Kind;
+  constexpr std::size_t WalkLength = 6;
+  const PickerWeights none{Duration::zero(), Duration::zero()};
+  const PickerWeights loadOnly{Duration::zero(), milliseconds(2)};
+  const PickerWeights prefixOnly{milliseconds(30), Duration::zero()};
+  auto both = [](int prefixMs) {
+    return PickerWeights{milliseconds(prefixMs), milliseconds(2)};
+  };
+  constexpr Kind Shipped = Kind::Shipped;
+  const Method methods[] = {
+      {"random", Shipped, 1, false, none},
+      {"round robin", Kind::RoundRobin, 1, false, none},
+      {"least known, 0.2 s old", Kind::LeastKnown, 1, false, none,
+       milliseconds(200)},
+      {"least known, 1 s old", Kind::LeastKnown, 1, false, none, seconds(1)},
+      {"free-capacity walk", Kind::FreeCapacityWalk, 1, false, none, seconds(1),
+       WalkLength},
+      {"3 probes, wait only", Shipped, 3, false, none},
+      {"3 probes, wait, prefix 30", Shipped, 3, true, prefixOnly},
+      {"2 probes, load", Shipped, 2, false, loadOnly},
+      {"3 probes, load", Shipped, 3, false, loadOnly},
+      {"5 probes, load", Shipped, 5, false, loadOnly},
+      {"3 probes, load, prefix 2", Shipped, 3, true, both(2)},
+      {"3 probes, load, prefix 4", Shipped, 3, true, both(4)},
+      {"3 probes, load, prefix 8", Shipped, 3, true, both(8)},
+      {"3 probes, load, prefix 16", Shipped, 3, true, both(16)},
+      {"5 probes, load, prefix 4", Shipped, 5, true, both(4)},
+  };
+  for (const Deployment &deployment : {makeToday(), makeLarge()}) {
+    std::printf("%s\n(first token p50 p95 p99; between tokens p50 p95)\n",
+                deployment.Name);
+    for (const Method &it : methods) {
+      PickerResult result = PickerWorld(deployment, it, Seed).run();
+      print(it, result);
+    }
+  }
+}
--- /dev/null
+++ b/utils/bench/PickerBench.h
@@ -0,0 +1,18 @@
+//===- PickerBench.h - ways of picking an endpoint, compared ----*- C++ -*-===//
+//
+// Part of ospreyspur-bench.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_BENCH_PICKERBENCH_H
+#define OSPREYSPUR_BENCH_PICKERBENCH_H
+
+namespace ospreyspur::bench {
+
+/// Prints latencies, skew of load over ranks, prefix hits and messages for each
+/// way of picking, on the same arrivals, at two sizes of deployment.
+void benchPickers();
+
+} // namespace ospreyspur::bench
+
+#endif // OSPREYSPUR_BENCH_PICKERBENCH_H
--- /dev/null
+++ b/utils/bench/PickerWorld.cpp
@@ -0,0 +1,277 @@
+//===- PickerWorld.cpp - entries, agents and lock-step engines ------------===//
+//
+// See PickerWorld.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "PickerWorld.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace ospreyspur;
+using namespace ospreyspur::bench;
+using std::chrono::milliseconds;
+
+static constexpr Duration NearDelay = std::chrono::microseconds(300);
+static constexpr Duration FarDelay = std::chrono::microseconds(1400);
+static constexpr double PrefixSkew = 0.8;
+static constexpr std::size_t TokensPerChunk = 32;
+static const ServiceId Model("model");
+
+static double toMs(Duration it) {
+  return std::chrono::duration<double, std::milli>(it).count();
+}
+
+PickerWorld::PickerWorld(const Deployment &deployment, const Method &method,
+                         std::uint64_t seed)
+    : Plan(deployment), How(method), Scheduler(seed, 0), Random(seed),
+      Began(Scheduler.now()), Everyone(std::make_shared<RoutingSnapshot>()),
+      Endpoints(Plan.Endpoints), Entries(Plan.Entries),
+      IsStepping(Plan.Endpoints / Plan.GroupSize) {
+  ServiceView &service = Everyone->Services[Model];
+  service = {ServiceKind::Model, true, {}};
+  for (std::size_t i = 0; i < Endpoints.size(); ++i) {
+    Endpoint &it = Endpoints[i];
+    it.Id = EndpointId("e" + std::to_string(i));
+    AgentLimits limits;
+    limits.Slots = Plan.Slots;
+    limits.Ledger.MaxRecords = 1000000;
+    it.Agent = std::make_unique<AgentNode>(it.Id, Incarnation(i + 1), "key",
+                                           limits, i);
+    DataCentreId place("d" + std::to_string(i % Plan.DataCentres));
+    EndpointView view{it.Id, Model, place, "", {}, false};
+    service.Endpoints.push_back(view);
+    auto alone = std::make_shared<RoutingSnapshot>();
+    alone->Services[Model] = {ServiceKind::Model, true, {view}};
+    it.Alone = alone;
+  }
+  for (std::size_t i = 0; i < Entries.size(); ++i) {
+    EntryLimits limits;
+    limits.Probes = How.Probes;
+    limits.Weights = How.Weights;
+    DataCentreId place("d" + std::to_string(i % Plan.DataCentres));
+    Entries[i].Node = std::make_unique<EntryNode>(place, limits, seed + i);
+    Entries[i].Node->setSnapshot(Everyone);
+    Entries[i].Turn = Random();
+  }
+  for (std::size_t i = 0; i < Plan.Prefixes; ++i)
+    PrefixWeights.push_back(1.0 / std::pow(double(i + 1), PrefixSkew));
+}
+
+PickerResult PickerWorld::run() {
+  report();
+  Scheduler.at(Began, [this] { arrive(0); });
+  while (!HasAllArrived || Open > 0)
+    Scheduler.runUntil(Scheduler.now() + std::chrono::seconds(1));
+  return std::move(Totals);
+}
+
+/// Refreshes what LeastKnown knows of all endpoints.
+void PickerWorld::report() {
+  for (Endpoint &it : Endpoints)
+    it.KnownLoad = it.Agent->runningCount() + it.Agent->queuedCount();
+  if (!HasAllArrived)
+    Scheduler.at(Scheduler.now() + How.ReportEvery, [this] { report(); });
+}
+
+void PickerWorld::arrive(std::uint64_t n) {
+  TimePoint now = Scheduler.now();
+  if (now - Began >= Plan.Span) {
+    HasAllArrived = true;
+    return;
+  }
+  bool isBurst =
+      now - Began >= Plan.BurstAt && now - Began < Plan.BurstAt + Plan.BurstFor;
+  std::exponential_distribution<double> gap(Plan.Rate *
+                                            (isBurst ? Plan.BurstFactor : 1));
+  Scheduler.at(now + Duration(std::int64_t(gap(Random) * 1e6)),
+               [this, n] { arrive(n + 1); });
+  std::size_t i = Random() % Entries.size();
+  Entry &entry = Entries[i];
+  std::uint64_t prefix = drawPrefix();
+  CallerRequest request;
+  request.Id = CallId(n + 1);
+  request.Workspace = WorkspaceId("w");
+  request.Service = Model;
+  request.IsRepeatable = true;
+  request.Deadline = std::chrono::seconds(60);
+  request.Prefix = How.UsesPrefix ? prefix : 0;
+  request.Body = std::to_string(prefix);
+  if (How.What != Method::Kind::Shipped)
+    entry.Node->setSnapshot(Endpoints[pickOutside(entry)].Alone);
+  Totals.Messages += How.ExtraMessages;
+  entry.Calls[request.Id] = {now, {}};
+  ++Open;
+  apply(i, entry.Node->onCall(std::move(request), now));
+}
+
+std::size_t PickerWorld::pickOutside(Entry &entry) {
+  if (How.What == Method::Kind::RoundRobin)
+    return entry.Turn++ % Endpoints.size();
+  if (How.What == Method::Kind::LeastKnown) {
+    std::size_t first = Random() % Endpoints.size();
+    std::size_t best = first;
+    for (std::size_t k = 0; k < Endpoints.size(); ++k) {
+      std::size_t i = (first + k) % Endpoints.size();
+      if (Endpoints[i].KnownLoad < Endpoints[best].KnownLoad)
+        best = i;
+    }
+    return best;
+  }
+  // A walk over edges that stand for free slots ends, when it is long enough,
+  // at an endpoint with a chance in proportion to its free slots.
+  std::vector<double> free;
+  for (const Endpoint &it : Endpoints) {
+    std::size_t used = it.Agent->runningCount() + it.Agent->queuedCount();
+    free.push_back(used < Plan.Slots ? double(Plan.Slots - used) : 0.01);
+  }
+  return std::discrete_distribution<std::size_t>(free.begin(),
+                                                 free.end())(Random);
+}
+
+std::uint64_t PickerWorld::drawPrefix() {
+  std::discrete_distribution<std::uint64_t> draw(PrefixWeights.begin(),
+                                                 PrefixWeights.end());
+  return draw(Random) + 1;
+}
+
+Duration PickerWorld::delay(std::size_t entry, std::size_t endpoint) const {
+  bool isNear = entry % Plan.DataCentres == endpoint % Plan.DataCentres;
+  return isNear ? NearDelay : FarDelay;
+}
+
+void PickerWorld::apply(std::size_t i, const EntryActions &actions) {
+  for (const EntryAction &action : actions) {
+    const auto *send = std::get_if<SendToAgent>(&action);
+    if (!send) {
+      onAnswer(i, action);
+      continue;
+    }
+    ++Totals.Messages;
+    std::size_t k = std::stoul(send->To.get().substr(1));
+    Scheduler.at(Scheduler.now() + delay(i, k), [this, i, k,
+                                                 body = send->Body] {
+      apply(k, Endpoints[k].Agent->onMessage(LinkId(i), body, Scheduler.now()));
+    });
+  }
+  setTimer(i);
+}
+
+void PickerWorld::setTimer(std::size_t i) {
+  if (auto due = Entries[i].Node->nextTimer())
+    Scheduler.at(*due, [this, i, due] {
+      if (Entries[i].Node->nextTimer() == due)
+        apply(i, Entries[i].Node->onTimer(Scheduler.now()));
+    });
+}
+
+void PickerWorld::onAnswer(std::size_t i, const EntryAction &action) {
+  TimePoint now = Scheduler.now();
+  auto &calls = Entries[i].Calls;
+  if (const auto *data = std::get_if<AnswerData>(&action)) {
+    Call &call = calls.at(data->Call);
+    if (call.First == TimePoint())
+      call.First = now;
+  } else if (const auto *end = std::get_if<AnswerEnd>(&action)) {
+    const Call &call = calls.at(end->Call);
+    Totals.FirstMs.push_back(toMs(call.First - call.Began));
+    Totals.BetweenMs.push_back(toMs(now - call.First) /
+                               double(Plan.Tokens - 1));
+    calls.erase(end->Call);
+    --Open;
+  } else if (const auto *error = std::get_if<AnswerError>(&action)) {
+    ++Totals.Refused;
+    calls.erase(error->Call);
+    --Open;
+  }
+}
+
+void PickerWorld::apply(std::size_t k, const AgentActions &actions) {
+  for (const AgentAction &action : actions) {
+    if (const auto *run = std::get_if<StartRun>(&action))
+      startRun(k, *run);
+    const auto *send = std::get_if<SendToLink>(&action);
+    if (!send)
+      continue;
+    ++Totals.Messages;
+    std::size_t i = send->To.get();
+    Scheduler.at(Scheduler.now() + delay(i, k),
+                 [this, i, k, body = send->Body] {
+                   apply(i, Entries[i].Node->onMessage(Endpoints[k].Id, body,
+                                                       Scheduler.now()));
+                 });
+  }
+}
+
+void PickerWorld::startRun(std::size_t k, const StartRun &run) {
+  Endpoint &endpoint = Endpoints[k];
+  std::uint64_t prefix = std::stoull(run.Body);
+  auto &cached = endpoint.Cached;
+  auto it = std::find(cached.begin(), cached.end(), prefix);
+  bool isHit = it != cached.end();
+  if (isHit)
+    cached.erase(it);
+  cached.push_front(prefix);
+  if (cached.size() > Plan.CachedPrefixes)
+    cached.pop_back();
+  ++Totals.Runs;
+  Totals.Hits += isHit;
+  std::size_t prefill = Plan.PromptTokens - (isHit ? Plan.PrefixTokens : 0);
+  endpoint.Jobs.push_back({run.Id, Plan.Tokens, prefill, false});
+  std::size_t group = k / Plan.GroupSize;
+  if (!IsStepping[group])
+    step(group);
+}
+
+/// Begins a step of all ranks; its length is that of the slowest.
+void PickerWorld::step(std::size_t group) {
+  std::size_t most = 0;
+  std::size_t sum = 0;
+  double prefill = 0;
+  for (std::size_t k = 0; k < Plan.GroupSize; ++k) {
+    Endpoint &it = Endpoints[group * Plan.GroupSize + k];
+    double own = 0;
+    for (Job &job : it.Jobs)
+      own += double(std::exchange(job.Prefill, 0)) / Plan.PrefillPerMs;
+    prefill = std::max(prefill, own);
+    most = std::max(most, it.Jobs.size());
+    sum += it.Jobs.size();
+  }
+  IsStepping[group] = sum > 0;
+  if (sum == 0)
+    return;
+  Totals.SkewSum += double(most * Plan.GroupSize) / double(sum);
+  ++Totals.Steps;
+  bool isSlow = group == 0 && Scheduler.now() - Began >= Plan.SlowAt;
+  double ms =
+      toMs(Plan.StepBase) + toMs(Plan.StepPerRequest) * double(most) + prefill;
+  ms *= isSlow ? Plan.SlowFactor : 1;
+  Scheduler.at(Scheduler.now() + Duration(std::int64_t(ms * 1000)),
+               [this, group] { endStep(group); });
+}
+
+void PickerWorld::endStep(std::size_t group) {
+  TimePoint now = Scheduler.now();
+  for (std::size_t k = 0; k < Plan.GroupSize; ++k) {
+    std::size_t i = group * Plan.GroupSize + k;
+    Endpoint &it = Endpoints[i];
+    std::vector<RequestId> spoken;
+    std::vector<RequestId> done;
+    for (Job &job : it.Jobs) {
+      if (!std::exchange(job.HasFirst, true))
+        apply(i, it.Agent->onRunHead(job.Id, 200, "text/event-stream", now));
+      // Every token would only cost time here; silence would end the call.
+      if (job.Left-- % TokensPerChunk == Plan.Tokens % TokensPerChunk)
+        spoken.push_back(job.Id);
+      if (job.Left == 0)
+        done.push_back(job.Id);
+    }
+    std::erase_if(it.Jobs, [](const Job &job) { return job.Left == 0; });
+    for (RequestId id : spoken)
+      apply(i, it.Agent->onRunData(id, "t", now));
+    for (RequestId id : done)
+      apply(i, it.Agent->onRunEnd(id, ResultCode::Ok, now));
+  }
+  step(group);
+}
--- /dev/null
+++ b/utils/bench/PickerWorld.h
@@ -0,0 +1,146 @@
+//===- PickerWorld.h - entries, agents and lock-step engines ----*- C++ -*-===//
+//
+// The shipped EntryNodes and AgentNodes on virtual time, in front of a simple
+// model of engines: ranks of a group step together, a step takes as long as its
+// busiest rank, and prompts whose prefix is cached are read faster.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_BENCH_PICKERWORLD_H
+#define OSPREYSPUR_BENCH_PICKERWORLD_H
+
+#include "RandomScheduler.h"
+
+#include "ospreyspur/Routing/AgentNode.h"
+#include "ospreyspur/Routing/EntryNode.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace ospreyspur::bench {
+
+/// A deployment and its load.
+struct Deployment {
+  const char *Name = "";
+  std::size_t Entries = 0;
+  std::size_t Endpoints = 0;
+  std::size_t GroupSize = 0;
+  std::size_t DataCentres = 0;
+  std::size_t Slots = 0;
+  /// Requests a second; BurstFactor times as many from BurstAt for BurstFor.
+  double Rate = 0;
+  double BurstFactor = 1;
+  Duration Span{};
+  Duration BurstAt{};
+  Duration BurstFor{};
+  std::size_t Tokens = 0;
+  std::size_t PromptTokens = 0;
+  std::size_t PrefixTokens = 0;
+  std::size_t Prefixes = 0;
+  std::size_t CachedPrefixes = 0;
+  /// An engine's step: this, and this for each request of its busiest rank.
+  Duration StepBase{};
+  Duration StepPerRequest{};
+  /// Prompt tokens read in a millisecond.
+  double PrefillPerMs = 75;
+  /// Group 0 steps so many times slower after SlowAt.
+  Duration SlowAt{};
+  double SlowFactor = 1;
+};
+
+/// How an entry picks. Shipped: the entry's own picker, with \c Probes and
+/// \c UsesPrefix. The others choose one endpoint and hand the entry only that.
+struct Method {
+  enum class Kind { Shipped, RoundRobin, LeastKnown, FreeCapacityWalk };
+  const char *Name = "";
+  Kind What = Kind::Shipped;
+  std::size_t Probes = 1;
+  bool UsesPrefix = false;
+  PickerWeights Weights;
+  /// Age of what is known of loads, for LeastKnown.
+  Duration ReportEvery = std::chrono::seconds(1);
+  /// Messages of a pick beside the entry's own.
+  std::size_t ExtraMessages = 0;
+};
+
+/// What a run gave.
+struct PickerResult {
+  std::vector<double> FirstMs;
+  std::vector<double> BetweenMs;
+  std::size_t Refused = 0;
+  std::size_t Hits = 0;
+  std::size_t Runs = 0;
+  std::size_t Messages = 0;
+  double SkewSum = 0;
+  std::size_t Steps = 0;
+};
+
+/// One run of one method.
+class PickerWorld {
+public:
+  PickerWorld(const Deployment &deployment, const Method &method,
+              std::uint64_t seed);
+
+  /// Runs all arrivals to their end.
+  PickerResult run();
+
+private:
+  /// A request at an engine.
+  struct Job {
+    RequestId Id;
+    std::size_t Left = 0;
+    std::size_t Prefill = 0;
+    bool HasFirst = false;
+  };
+  struct Endpoint {
+    EndpointId Id;
+    std::unique_ptr<AgentNode> Agent;
+    std::vector<Job> Jobs;
+    std::deque<std::uint64_t> Cached;
+    std::size_t KnownLoad = 0;
+    std::shared_ptr<const RoutingSnapshot> Alone;
+  };
+  struct Call {
+    TimePoint Began;
+    TimePoint First;
+  };
+  struct Entry {
+    std::unique_ptr<EntryNode> Node;
+    std::map<CallId, Call> Calls;
+    std::size_t Turn = 0;
+  };
+
+  void arrive(std::uint64_t n);
+  std::size_t pickOutside(Entry &entry);
+  std::uint64_t drawPrefix();
+  Duration delay(std::size_t entry, std::size_t endpoint) const;
+  void apply(std::size_t i, const EntryActions &actions);
+  void apply(std::size_t i, const AgentActions &actions);
+  void onAnswer(std::size_t i, const EntryAction &action);
+  void startRun(std::size_t i, const StartRun &run);
+  void step(std::size_t group);
+  void endStep(std::size_t group);
+  void setTimer(std::size_t i);
+  void report();
+
+  Deployment Plan;
+  Method How;
+  test::RandomScheduler Scheduler;
+  std::mt19937_64 Random;
+  TimePoint Began;
+  std::shared_ptr<RoutingSnapshot> Everyone;
+  std::vector<Endpoint> Endpoints;
+  std::vector<Entry> Entries;
+  std::vector<bool> IsStepping;
+  std::vector<double> PrefixWeights;
+  std::size_t Open = 0;
+  bool HasAllArrived = false;
+  PickerResult Totals;
+};
+
+} // namespace ospreyspur::bench
+
+#endif // OSPREYSPUR_BENCH_PICKERWORLD_H
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -3,11 +3,12 @@
 // Drives the shipped state machines without I/O and prints slopes: time and
 // bytes for each request, token, endpoint or map. With the argument "links" it
 // measures the links between processes instead, with "spread" how shared values
-// spread. Not a test;
+// spread, with "pickers" ways of picking an endpoint. Not a test;
 // docs/BENCHMARKS.md and docs/CAPACITY.md name the command for each figure.
 //
 //===----------------------------------------------------------------------===//
 
+#include "PickerBench.h"
 #include "SpreadBench.h"
 
 #include "ospreyspur/Config/ConfigDocument.h"
@@ -295,6 +296,10 @@
     bench::benchSpread();
     return 0;
   }
+  if (argc > 1 && std::string(argv[1]) == "pickers") {
+    bench::benchPickers();
+    return 0;
+  }
   benchPlanner();
   benchRequest(0);
   benchRequest(100);
