--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -89,6 +89,25 @@
   CHECK(world.Nodes[last].Machine->copy(SharedKey::Config).value() == "first");
 }
 
+TEST_CASE("one peer alone does not make a node ready") {
+  GossipNode node({EndpointId(), DataCentreId("d")}, GossipLimits(), 1);
+  TimePoint now(std::chrono::hours(1));
+  std::vector<EndpointView> peers;
+  for (const char *it : {"e1", "e2", "e3", "e4"})
+    peers.push_back({EndpointId(it), {}, DataCentreId("d"), "", {}, false});
+  node.setPeers(peers);
+  for (SharedKey key : SharedKeys)
+    node.onAnswer(EndpointId("e1"),
+                  GossipUpdate{key, {Revision(3), Duration(0)}, "v"}, now);
+  // The first may be the one whose copy is old.
+  for (const char *it : {"e1", "e1", "e2"}) {
+    node.onAnswer(EndpointId(it), GossipDigest(), now);
+    CHECK_FALSE(node.isReady());
+  }
+  node.onAnswer(EndpointId("e3"), GossipDigest(), now);
+  CHECK(node.isReady());
+}
+
 TEST_CASE("an old value from a slow read or a stale peer is not taken") {
   GossipNode node({EndpointId("e0"), DataCentreId("d")}, GossipLimits(), 1);
   TimePoint now(std::chrono::hours(1));
--- a/utils/bench/PickerBench.cpp
+++ b/utils/bench/PickerBench.cpp
@@ -125,3 +125,43 @@
     }
   }
 }
+
+void bench::benchOverload() {
+  constexpr double Capacity = 150;
+  const Method shipped{"shipped", Method::Kind::Shipped, 3, true};
+  Deployment base = makeToday();
+  base.Span = seconds(40);
+  base.BurstFactor = 1;
+  base.SlowFactor = 1;
+  base.Workspaces = 10;
+  base.Deadline = seconds(8);
+  std::printf("16 endpoints, callers who wait 8 s, offered load\n");
+  for (double factor : {0.5, 0.8, 1.0, 1.5, 2.0, 3.0, 4.0}) {
+    Deployment it = base;
+    it.Rate = factor * Capacity;
+    PickerResult result = PickerWorld(it, shipped, Seed).run();
+    double span = std::chrono::duration<double>(it.Span).count();
+    std::printf("offered %4.0f/s: whole %5.1f/s, first token p50 %5.0f p99 "
+                "%5.0f ms, refused %5.1f/s after p50 %5.0f p99 %5.0f ms, cut "
+                "%.1f/s\n",
+                it.Rate, double(result.Whole) / span,
+                percentile(result.FirstMs, 0.5),
+                percentile(result.FirstMs, 0.99), double(result.Refused) / span,
+                percentile(result.RefusedMs, 0.5),
+                percentile(result.RefusedMs, 0.99), double(result.Cut) / span);
+  }
+  std::printf("others at %.0f/s beside a flood of one workspace\n",
+              Capacity / 2);
+  for (double flood : {0.0, 1.0, 2.0, 4.0}) {
+    Deployment it = base;
+    it.Rate = Capacity / 2;
+    it.FloodRate = flood * Capacity;
+    PickerResult result = PickerWorld(it, shipped, Seed).run();
+    std::printf("flood %4.0f/s: others' first token p50 %5.0f p95 %5.0f p99 "
+                "%5.0f ms, refused %zu of %zu\n",
+                it.FloodRate, percentile(result.FirstMs, 0.5),
+                percentile(result.FirstMs, 0.95),
+                percentile(result.FirstMs, 0.99), result.Refused,
+                result.Refused + result.FirstMs.size());
+  }
+}
--- a/utils/bench/PickerBench.h
+++ b/utils/bench/PickerBench.h
@@ -13,6 +13,10 @@
 /// way of picking, on the same arrivals, at two sizes of deployment.
 void benchPickers();
 
+/// Prints what is served whole at half to four times the capacity, and what a
+/// flood of one workspace does to the others.
+void benchOverload();
+
 } // namespace ospreyspur::bench
 
 #endif // OSPREYSPUR_BENCH_PICKERBENCH_H
--- a/utils/bench/PickerWorld.cpp
+++ b/utils/bench/PickerWorld.cpp
@@ -62,7 +62,9 @@
 
 PickerResult PickerWorld::run() {
   report();
-  Scheduler.at(Began, [this] { arrive(0); });
+  arrive(false);
+  if (Plan.FloodRate > 0)
+    arrive(true);
   while (!HasAllArrived || Open > 0)
     Scheduler.runUntil(Scheduler.now() + std::chrono::seconds(1));
   return std::move(Totals);
@@ -76,7 +78,7 @@
     Scheduler.at(Scheduler.now() + How.ReportEvery, [this] { report(); });
 }
 
-void PickerWorld::arrive(std::uint64_t n) {
+void PickerWorld::arrive(bool isFlood) {
   TimePoint now = Scheduler.now();
   if (now - Began >= Plan.Span) {
     HasAllArrived = true;
@@ -84,25 +86,32 @@
   }
   bool isBurst =
       now - Began >= Plan.BurstAt && now - Began < Plan.BurstAt + Plan.BurstFor;
-  std::exponential_distribution<double> gap(Plan.Rate *
-                                            (isBurst ? Plan.BurstFactor : 1));
+  double rate =
+      isFlood ? Plan.FloodRate : Plan.Rate * (isBurst ? Plan.BurstFactor : 1);
+  std::exponential_distribution<double> gap(rate);
   Scheduler.at(now + Duration(std::int64_t(gap(Random) * 1e6)),
-               [this, n] { arrive(n + 1); });
+               [this, isFlood] { arrive(isFlood); });
+  ask(isFlood);
+}
+
+void PickerWorld::ask(bool isFlood) {
+  TimePoint now = Scheduler.now();
   std::size_t i = Random() % Entries.size();
   Entry &entry = Entries[i];
   std::uint64_t prefix = drawPrefix();
   CallerRequest request;
-  request.Id = CallId(n + 1);
-  request.Workspace = WorkspaceId("w");
+  request.Id = CallId(++LastCall);
+  request.Workspace = WorkspaceId(
+      isFlood ? "flood" : "w" + std::to_string(Random() % Plan.Workspaces));
   request.Service = model;
   request.IsRepeatable = true;
-  request.Deadline = std::chrono::seconds(60);
+  request.Deadline = Plan.Deadline;
   request.Prefix = How.UsesPrefix ? prefix : 0;
   request.Body = std::to_string(prefix);
   if (How.What != Method::Kind::Shipped)
     entry.Node->setSnapshot(Endpoints[pickOutside(entry)].Alone);
   Totals.Messages += How.ExtraMessages;
-  entry.Calls[request.Id] = {now, {}};
+  entry.Calls[request.Id] = {now, {}, isFlood};
   ++Open;
   apply(i, entry.Node->onCall(std::move(request), now));
 }
@@ -174,18 +183,28 @@
     Call &call = calls.at(data->Call);
     if (call.First == TimePoint())
       call.First = now;
-  } else if (const auto *end = std::get_if<AnswerEnd>(&action)) {
-    const Call &call = calls.at(end->Call);
-    Totals.FirstMs.push_back(toMs(call.First - call.Began));
-    Totals.BetweenMs.push_back(toMs(now - call.First) /
-                               double(Plan.Tokens - 1));
-    calls.erase(end->Call);
-    --Open;
-  } else if (const auto *error = std::get_if<AnswerError>(&action)) {
+    return;
+  }
+  const auto *end = std::get_if<AnswerEnd>(&action);
+  const auto *error = std::get_if<AnswerError>(&action);
+  if (!end && !error)
+    return;
+  CallId id = end ? end->Call : error->Call;
+  Call call = calls.at(id);
+  calls.erase(id);
+  --Open;
+  bool hasBegun = call.First != TimePoint();
+  Totals.Whole += end != nullptr;
+  Totals.Cut += error && hasBegun;
+  if (call.IsFlood)
+    return;
+  if (error) {
     ++Totals.Refused;
-    calls.erase(error->Call);
-    --Open;
+    Totals.RefusedMs.push_back(toMs(now - call.Began));
+    return;
   }
+  Totals.FirstMs.push_back(toMs(call.First - call.Began));
+  Totals.BetweenMs.push_back(toMs(now - call.First) / double(Plan.Tokens - 1));
 }
 
 void PickerWorld::apply(std::size_t k, const AgentActions &actions) {
--- a/utils/bench/PickerWorld.h
+++ b/utils/bench/PickerWorld.h
@@ -33,6 +33,12 @@
   /// Requests a second; BurstFactor times as many from BurstAt for BurstFor.
   double Rate = 0;
   double BurstFactor = 1;
+  /// Further requests a second, all of one workspace.
+  double FloodRate = 0;
+  /// Workspaces of the other requests.
+  std::size_t Workspaces = 1;
+  /// How long a caller waits for the whole answer.
+  Duration Deadline = std::chrono::seconds(60);
   Duration Span{};
   Duration BurstAt{};
   Duration BurstFor{};
@@ -66,11 +72,16 @@
   std::size_t ExtraMessages = 0;
 };
 
-/// What a run gave.
+/// What a run gave. Times and refusals leave out the flood.
 struct PickerResult {
   std::vector<double> FirstMs;
   std::vector<double> BetweenMs;
   std::size_t Refused = 0;
+  /// Answers that came whole before their deadline, the flood's too.
+  std::size_t Whole = 0;
+  /// Calls that began to be answered and did not end.
+  std::size_t Cut = 0;
+  std::vector<double> RefusedMs;
   std::size_t Hits = 0;
   std::size_t Runs = 0;
   std::size_t Messages = 0;
@@ -106,6 +117,7 @@
   struct Call {
     TimePoint Began;
     TimePoint First;
+    bool IsFlood = false;
   };
   struct Entry {
     std::unique_ptr<EntryNode> Node;
@@ -113,7 +125,8 @@
     std::size_t Turn = 0;
   };
 
-  void arrive(std::uint64_t n);
+  void arrive(bool isFlood);
+  void ask(bool isFlood);
   std::size_t pickOutside(Entry &entry);
   std::uint64_t drawPrefix();
   Duration delay(std::size_t entry, std::size_t endpoint) const;
@@ -137,6 +150,7 @@
   std::vector<bool> IsStepping;
   std::vector<double> PrefixWeights;
   std::size_t Open = 0;
+  std::uint64_t LastCall = 0;
   bool HasAllArrived = false;
   PickerResult Totals;
 };
--- a/utils/bench/bench.cpp
+++ b/utils/bench/bench.cpp
@@ -3,7 +3,8 @@
 // Drives the shipped state machines without I/O and prints slopes: time and
 // bytes for each request, token, endpoint or map. With the argument "links" it
 // measures the links between processes instead, with "spread" how shared values
-// spread, with "pickers" ways of picking an endpoint. Not a test;
+// spread, with "pickers" ways of picking an endpoint,
+// with "overload" what happens beyond the capacity. Not a test;
 // docs/BENCHMARKS.md and docs/CAPACITY.md name the command for each figure.
 //
 //===----------------------------------------------------------------------===//
@@ -301,6 +302,10 @@
     bench::benchPickers();
     return 0;
   }
+  if (argc > 1 && std::string(argv[1]) == "overload") {
+    bench::benchOverload();
+    return 0;
+  }
   benchPlanner();
   benchRequest(0);
   benchRequest(100);
