Take the roles and the agent's node apart into small parts

Cause: runAgent had grown to 110 lines of lambdas, AgentNode.cpp to 405 lines, and the end of a failed dispatch stood twice. EntryProcess and AgentProcess now have one small function for each job and share ProcessThreads; AgentRuns.cpp holds requests that were taken.

--- a/include/ospreyspur/Process/Roles.h
+++ b/include/ospreyspur/Process/Roles.h
@@ -8,14 +8,15 @@
 #define OSPREYSPUR_PROCESS_ROLES_H
 
 #include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Support/Result.h"
 
 namespace ospreyspur {
 
-/// Runs an entry until SIGTERM or SIGINT; the process's exit status.
-int runEntry(const EntrySettings &settings);
+/// Runs an entry until SIGTERM or SIGINT. Errors: SettingInvalid.
+Result<void> runEntry(const EntrySettings &settings);
 
-/// Runs an agent until SIGTERM or SIGINT; the process's exit status.
-int runAgent(const AgentSettings &settings);
+/// Runs an agent until SIGTERM or SIGINT. Errors: SettingInvalid.
+Result<void> runAgent(const AgentSettings &settings);
 
 } // namespace ospreyspur
 
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -101,6 +101,7 @@
   void startResolving(Call &call, TimePoint now);
   void moveElsewhere(Call &call, ResultCode reason, TimePoint now);
   void loseContact(Call &call, TimePoint now);
+  void onRunFailed(Call &call, ResultCode code, TimePoint now);
   void onStageTimer(Call &call, TimePoint now);
   void onDeadline(Call &call);
   void passOn(Call &call);
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -9,24 +9,22 @@
 #include "ospreyspur/Process/AgentGroup.h"
 #include "ospreyspur/Process/AgentTraffic.h"
 #include "ospreyspur/Process/PlannedStop.h"
+#include "ospreyspur/Process/ProcessThreads.h"
 #include "ospreyspur/Process/Roles.h"
 #include "ospreyspur/Support/LogEvent.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
-#include <iostream>
+#include <algorithm>
 #include <memory>
 #include <random>
-#include <thread>
 
 using namespace ospreyspur;
-namespace asio = boost::asio;
 
 static constexpr std::size_t TicketKeyWords = 8;
 
-static std::string drawKey(std::random_device &source) {
+static std::string drawKey() {
+  std::random_device source;
   std::string key;
   for (std::size_t i = 0; i < TicketKeyWords; ++i) {
     std::uint32_t n = source();
@@ -35,7 +33,8 @@
   return key;
 }
 
-static Incarnation drawIncarnation(std::random_device &source) {
+static Incarnation drawIncarnation() {
+  std::random_device source;
   std::uint64_t high = source();
   return Incarnation((high << 32U) | source());
 }
@@ -48,98 +47,138 @@
   return weights;
 }
 
-int ospreyspur::runAgent(const AgentSettings &settings) {
-  asio::io_context control(1);
-  asio::io_context traffic(1);
-  auto work = asio::make_work_guard(traffic);
-  Metrics metrics;
-  std::random_device source;
-  Incarnation incarnation = drawIncarnation(source);
-  AgentTraffic agent(traffic, settings,
-                     parseAddress(settings.EndpointAddress).value(),
-                     incarnation, drawKey(source), metrics, source());
-  PlatformClient client(control,
-                        parseAddress(settings.Common.PlatformAddress).value());
-  EndpointId self(settings.EndpointName);
-  std::unique_ptr<AgentGroup> group;
-  if (!settings.Group.empty()) {
-    group = std::make_unique<AgentGroup>(control, settings, client, metrics);
-  }
-  bool isStopping = false;
-  std::unique_ptr<ControlPlane> plane;
-  ControlHandlers planeHandlers;
-  planeHandlers.Answer = [&](LinkId to, const Message &message) {
-    agent.send(to, message);
-  };
-  planeHandlers.OnSnapshot =
-      [&](const std::shared_ptr<const RoutingSnapshot> &snapshot) {
-        const EndpointView *own = snapshot->findEndpoint(self);
-        if (group)
-          group->setEndpoints(plane->endpoints());
-        bool isLeaving = isStopping || (own && own->IsLeaving);
-        asio::post(traffic,
-                   [&agent, weights = weightsOf(*snapshot), isLeaving] {
-                     agent.setWeights(weights);
-                     agent.setLeaving(isLeaving);
-                   });
+namespace {
+/// All parts of an agent.
+class AgentProcess {
+public:
+  explicit AgentProcess(const AgentSettings &settings);
+
+  /// Runs until a planned stop has ended. Errors: SettingInvalid.
+  Result<void> run();
+
+private:
+  ControlHandlers makeControlHandlers();
+  AgentTraffic::ControlHandlers makeLinkHandlers();
+  PlannedStop::Handlers makeStopHandlers();
+  void onSnapshot(const RoutingSnapshot &snapshot);
+  void onPeerMessage(LinkId from, const Message &message);
+
+  const AgentSettings &Settings;
+  EndpointId Self;
+  Incarnation Life;
+  ProcessThreads Threads;
+  Metrics Measures;
+  AgentTraffic Traffic;
+  PlatformClient Platform;
+  std::unique_ptr<AgentGroup> Group;
+  ControlPlane Plane;
+  AdminServer Admin;
+  PlannedStop Stop;
+  bool IsStopping = false;
+};
+} // namespace
+
+AgentProcess::AgentProcess(const AgentSettings &settings)
+    : Settings(settings), Self(settings.EndpointName), Life(drawIncarnation()),
+      Traffic(Threads.traffic(), settings,
+              parseAddress(settings.EndpointAddress).value(), Life, drawKey(),
+              Measures, std::random_device{}()),
+      Platform(Threads.control(),
+               parseAddress(settings.Common.PlatformAddress).value()),
+      Plane(Threads.control(), Platform,
+            {Self, DataCentreId(settings.Common.DataCentre)},
+            settings.Common.Peers, std::random_device{}(),
+            makeControlHandlers()),
+      Admin(Threads.control(), settings.Common, Plane, Platform, Measures),
+      Stop(Threads.control(),
+           {settings.Common.StopNotice, settings.Common.StopLimit},
+           makeStopHandlers()) {
+  if (!settings.Group.empty())
+    Group = std::make_unique<AgentGroup>(Threads.control(), settings, Platform,
+                                         Measures);
+  Traffic.setControlHandlers(makeLinkHandlers());
+}
+
+ControlHandlers AgentProcess::makeControlHandlers() {
+  ControlHandlers handlers;
+  handlers.OnSnapshot =
+      [this](const std::shared_ptr<const RoutingSnapshot> &it) {
+        onSnapshot(*it);
       };
-  plane = std::make_unique<ControlPlane>(
-      control, client,
-      GossipIdentity{self, DataCentreId(settings.Common.DataCentre)},
-      settings.Common.Peers, source(), planeHandlers);
-  agent.setControlHandlers(
-      {[&](LinkId from, const Message &message) {
-         asio::post(control, [&, from, message] {
-           if (group)
-             group->onMessage(message);
-           plane->onMessage(from, message);
-         });
-       },
-       [&](LinkId link) {
-         asio::post(control, [&, link] { plane->onLinkDown(link); });
-       }});
-  AdminServer admin(control, settings.Common, *plane, client, metrics);
+  handlers.Answer = [this](LinkId to, const Message &message) {
+    Traffic.send(to, message);
+  };
+  return handlers;
+}
+
+AgentTraffic::ControlHandlers AgentProcess::makeLinkHandlers() {
+  AgentTraffic::ControlHandlers handlers;
+  handlers.OnMessage = [this](LinkId from, const Message &message) {
+    Threads.postToControl(
+        [this, from, message] { onPeerMessage(from, message); });
+  };
+  handlers.OnLinkDown = [this](LinkId link) {
+    Threads.postToControl([this, link] { Plane.onLinkDown(link); });
+  };
+  return handlers;
+}
+
+PlannedStop::Handlers AgentProcess::makeStopHandlers() {
   PlannedStop::Handlers handlers;
-  handlers.Announce = [&] {
-    isStopping = true;
-    admin.setStopping();
-    asio::post(traffic, [&] { agent.setLeaving(true); });
+  handlers.Announce = [this] {
+    IsStopping = true;
+    Admin.setStopping();
+    Threads.postToTraffic([this] { Traffic.setLeaving(true); });
   };
   // The gate is closed since the announcement.
   handlers.Close = [] {};
-  handlers.AskProgress = [&](std::function<void(StopProgress)> done) {
-    asio::post(traffic, [&, done = std::move(done)] {
-      asio::post(control,
-                 [done, progress = agent.stopProgress()] { done(progress); });
+  handlers.AskProgress = [this](std::function<void(StopProgress)> done) {
+    Threads.postToTraffic([this, done = std::move(done)] {
+      StopProgress progress = Traffic.stopProgress();
+      Threads.postToControl([done, progress] { done(progress); });
     });
   };
-  handlers.End = [&] {
-    traffic.stop();
-    control.stop();
-  };
-  PlannedStop stop(
-      control,
-      StopSequence(settings.Common.StopNotice, settings.Common.StopLimit),
-      handlers);
-
-  for (const Result<void> &started : {agent.start(), admin.start()}) {
-    if (started)
-      continue;
-    std::cerr << "ospreyspur: error "
-              << static_cast<unsigned>(started.error().Code) << ": "
-              << started.error().Detail << '\n';
-    return 1;
-  }
-  plane->start();
-  if (group)
-    group->start();
-  stop.start();
+  handlers.End = [this] { Threads.stop(); };
+  return handlers;
+}
+
+void AgentProcess::onSnapshot(const RoutingSnapshot &snapshot) {
+  if (Group)
+    Group->setEndpoints(Plane.endpoints());
+  const auto &endpoints = Plane.endpoints();
+  bool isLeaving =
+      IsStopping || std::any_of(endpoints.begin(), endpoints.end(),
+                                [this](const EndpointView &it) {
+                                  return it.Id == Self && it.IsLeaving;
+                                });
+  Threads.postToTraffic([this, weights = weightsOf(snapshot), isLeaving] {
+    Traffic.setWeights(weights);
+    Traffic.setLeaving(isLeaving);
+  });
+}
+
+void AgentProcess::onPeerMessage(LinkId from, const Message &message) {
+  if (Group)
+    Group->onMessage(message);
+  Plane.onMessage(from, message);
+}
+
+Result<void> AgentProcess::run() {
+  for (const Result<void> &started : {Traffic.start(), Admin.start()})
+    if (!started)
+      return started;
+  Plane.start();
+  if (Group)
+    Group->start();
+  Stop.start();
   LOG(INFO) << LogEvent("agent.start")
-                   .with("endpoint", settings.EndpointName)
-                   .with("listen", settings.Listen)
-                   .with("incarnation", incarnation.get());
-  std::thread trafficThread([&] { traffic.run(); });
-  control.run();
-  trafficThread.join();
-  return 0;
+                   .with("endpoint", Settings.EndpointName)
+                   .with("listen", Settings.Listen)
+                   .with("incarnation", Life.get());
+  Threads.run();
+  return boost::outcome_v2::success();
+}
+
+Result<void> ospreyspur::runAgent(const AgentSettings &settings) {
+  return AgentProcess(settings).run();
 }
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -8,80 +8,100 @@
 #include "ospreyspur/Process/AdminServer.h"
 #include "ospreyspur/Process/EntryTraffic.h"
 #include "ospreyspur/Process/PlannedStop.h"
+#include "ospreyspur/Process/ProcessThreads.h"
 #include "ospreyspur/Process/Roles.h"
 #include "ospreyspur/Support/LogEvent.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
-#include <iostream>
 #include <random>
-#include <thread>
 
 using namespace ospreyspur;
-namespace asio = boost::asio;
 
-static int failToStart(const Error &error) {
-  std::cerr << "ospreyspur: error " << static_cast<unsigned>(error.Code) << ": "
-            << error.Detail << '\n';
-  return 1;
-}
+namespace {
+/// All parts of an entry.
+class EntryProcess {
+public:
+  explicit EntryProcess(const EntrySettings &settings);
+
+  /// Runs until a planned stop has ended. Errors: SettingInvalid.
+  Result<void> run();
+
+private:
+  ControlHandlers makeControlHandlers();
+  PlannedStop::Handlers makeStopHandlers();
+
+  const EntrySettings &Settings;
+  ProcessThreads Threads;
+  Metrics Measures;
+  EntryTraffic Traffic;
+  PlatformClient Platform;
+  ControlPlane Plane;
+  AdminServer Admin;
+  PlannedStop Stop;
+};
+} // namespace
 
-int ospreyspur::runEntry(const EntrySettings &settings) {
-  asio::io_context control(1);
-  asio::io_context traffic(1);
-  auto work = asio::make_work_guard(traffic);
-  Metrics metrics;
-  TcpAddress platform = parseAddress(settings.Common.PlatformAddress).value();
-  EntryTraffic entry(traffic, settings, platform, metrics,
-                     std::random_device{}());
-  PlatformClient client(control, platform);
-  ControlHandlers planeHandlers;
-  planeHandlers.OnSnapshot =
-      [&](std::shared_ptr<const RoutingSnapshot> snapshot) {
-        asio::post(traffic, [&entry, snapshot = std::move(snapshot)] {
-          entry.setSnapshot(snapshot);
-        });
-      };
+EntryProcess::EntryProcess(const EntrySettings &settings)
+    : Settings(settings),
+      Traffic(Threads.traffic(), settings,
+              parseAddress(settings.Common.PlatformAddress).value(), Measures,
+              std::random_device{}()),
+      Platform(Threads.control(),
+               parseAddress(settings.Common.PlatformAddress).value()),
+      Plane(Threads.control(), Platform,
+            {EndpointId(), DataCentreId(settings.Common.DataCentre)},
+            settings.Common.Peers, std::random_device{}(),
+            makeControlHandlers()),
+      Admin(Threads.control(), settings.Common, Plane, Platform, Measures),
+      Stop(Threads.control(),
+           {settings.Common.StopNotice, settings.Common.StopLimit},
+           makeStopHandlers()) {}
+
+ControlHandlers EntryProcess::makeControlHandlers() {
+  ControlHandlers handlers;
+  handlers.OnSnapshot = [this](std::shared_ptr<const RoutingSnapshot> it) {
+    Threads.postToTraffic(
+        [this, it = std::move(it)] { Traffic.setSnapshot(it); });
+  };
   // Nobody dials an entry.
-  planeHandlers.Answer = [](LinkId, const Message &) {};
-  ControlPlane plane(
-      control, client,
-      GossipIdentity{EndpointId(), DataCentreId(settings.Common.DataCentre)},
-      settings.Common.Peers, std::random_device{}(), planeHandlers);
-  AdminServer admin(control, settings.Common, plane, client, metrics);
+  handlers.Answer = [](LinkId, const Message &) {};
+  return handlers;
+}
+
+PlannedStop::Handlers EntryProcess::makeStopHandlers() {
   PlannedStop::Handlers handlers;
-  handlers.Announce = [&] {
-    admin.setStopping();
-    asio::post(traffic, [&] { entry.announceStop(); });
+  handlers.Announce = [this] {
+    Admin.setStopping();
+    Threads.postToTraffic([this] { Traffic.announceStop(); });
+  };
+  handlers.Close = [this] {
+    Threads.postToTraffic([this] { Traffic.stopAccepting(); });
   };
-  handlers.Close = [&] { asio::post(traffic, [&] { entry.stopAccepting(); }); };
   // The platform's balancer confirms nothing: the whole notice is waited out.
-  handlers.AskProgress = [&](std::function<void(StopProgress)> done) {
-    asio::post(traffic, [&, done = std::move(done)] {
-      asio::post(control, [done, n = entry.busyCount()] { done({n, false}); });
+  handlers.AskProgress = [this](std::function<void(StopProgress)> done) {
+    Threads.postToTraffic([this, done = std::move(done)] {
+      StopProgress progress{Traffic.busyCount(), false};
+      Threads.postToControl([done, progress] { done(progress); });
     });
   };
-  handlers.End = [&] {
-    traffic.stop();
-    control.stop();
-  };
-  PlannedStop stop(
-      control,
-      StopSequence(settings.Common.StopNotice, settings.Common.StopLimit),
-      handlers);
+  handlers.End = [this] { Threads.stop(); };
+  return handlers;
+}
 
-  for (const Result<void> &started : {entry.start(), admin.start()})
+Result<void> EntryProcess::run() {
+  for (const Result<void> &started : {Traffic.start(), Admin.start()})
     if (!started)
-      return failToStart(started.error());
-  plane.start();
-  stop.start();
+      return started;
+  Plane.start();
+  Stop.start();
   LOG(INFO) << LogEvent("entry.start")
-                   .with("listen", settings.Listen)
-                   .with("data_centre", settings.Common.DataCentre);
-  std::thread trafficThread([&] { traffic.run(); });
-  control.run();
-  trafficThread.join();
-  return 0;
+                   .with("listen", Settings.Listen)
+                   .with("data_centre", Settings.Common.DataCentre);
+  Threads.run();
+  return boost::outcome_v2::success();
+}
+
+Result<void> ospreyspur::runEntry(const EntrySettings &settings) {
+  return EntryProcess(settings).run();
 }
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -1,7 +1,8 @@
 //===- AgentNode.cpp - the traffic side of an agent -----------------------===//
 //
-// One rule runs through this file: a refusal that says "not run" is recorded in
-// the ledger before it is sent, so that it stays true.
+// The gate, the queue and time. What concerns requests that have been taken
+// stands in AgentRuns.cpp. One rule runs through this file: a refusal that says
+// "not run" is recorded in the ledger before it is sent, so that it stays true.
 //
 //===----------------------------------------------------------------------===//
 
@@ -184,149 +185,11 @@
   send(from, Accepted{id, dispatch.Attempt});
 }
 
-void AgentNode::attach(LinkId from, const Dispatch &dispatch, TimePoint now) {
-  RequestId id = dispatch.Permit.Id;
-  const StoredAnswer *answer = Book.findAnswer(id);
-  assert(answer && "a known request has an answer");
-  bool isMissing = answer->Dropped || dispatch.ResumeFrom < answer->BaseOffset;
-  if (isMissing) {
-    refuse(from, id, dispatch.Attempt, ResultCode::AnswerForgotten);
-    return;
-  }
-  send(from, Accepted{id, dispatch.Attempt});
-  sendStored(from, dispatch, *answer);
-  auto it = Jobs.find(id);
-  if (it == Jobs.end())
-    return;
-  Job &job = it->second;
-  std::erase_if(job.Subscribers, [&](const Subscriber &sub) {
-    return sub.Link == from && sub.Attempt == dispatch.Attempt;
-  });
-  job.Subscribers.push_back({from, dispatch.Attempt});
-  TimePoint deadline = std::max(job.Deadline, now + dispatch.Deadline);
-  Deadlines.erase({job.Deadline, id});
-  Deadlines.emplace(deadline, id);
-  job.Deadline = deadline;
-}
-
-void AgentNode::sendStored(LinkId from, const Dispatch &dispatch,
-                           const StoredAnswer &answer) {
-  RequestId id = dispatch.Permit.Id;
-  AttemptNumber attempt = dispatch.Attempt;
-  if (answer.HasHead)
-    send(from, Head{id, attempt, answer.Status, answer.ContentType});
-  if (dispatch.ResumeFrom < answer.end()) {
-    std::size_t skip = dispatch.ResumeFrom - answer.BaseOffset;
-    send(from,
-         Chunk{id, attempt, dispatch.ResumeFrom, answer.Body.substr(skip)});
-  }
-  if (answer.Finished)
-    send(from, Finish{id, attempt, answer.end(), answer.Code});
-}
-
 void AgentNode::refuse(LinkId from, RequestId id, AttemptNumber attempt,
                        ResultCode code) {
   send(from, Refused{id, attempt, code, spreadRetryAfter()});
 }
 
-void AgentNode::startWaiting(TimePoint now) {
-  while (Running.size() < Limits.Slots) {
-    std::optional<QueuedRequest> next = Queue.pop();
-    if (!next)
-      return;
-    Job &job = Jobs.at(next->Id);
-    job.Started = now;
-    Running.insert(next->Id);
-    Dispatch &order = job.Order;
-    Out.push_back(StartRun{next->Id, order.Method, order.Target,
-                           order.ContentType, std::move(order.Body),
-                           order.ResumeFrom, order.Priority});
-  }
-}
-
-AgentActions AgentNode::onRunHead(RequestId id, std::uint32_t status,
-                                  std::string contentType, TimePoint now) {
-  noticeTime(now);
-  auto it = Jobs.find(id);
-  if (it == Jobs.end())
-    return takeActions();
-  StoredAnswer *answer = Book.findAnswer(id);
-  assert(answer && "a running request has an answer");
-  answer->HasHead = true;
-  answer->Status = status;
-  answer->ContentType = std::move(contentType);
-  for (const Subscriber &sub : it->second.Subscribers)
-    send(sub.Link, Head{id, sub.Attempt, status, answer->ContentType});
-  return takeActions();
-}
-
-AgentActions AgentNode::onRunData(RequestId id, std::string_view data,
-                                  TimePoint now) {
-  noticeTime(now);
-  auto it = Jobs.find(id);
-  if (it == Jobs.end())
-    return takeActions();
-  std::uint64_t offset = Book.findAnswer(id)->end();
-  ResultCode code = Book.append(id, data);
-  if (code != ResultCode::Ok) {
-    Out.push_back(StopRun{id});
-    endRun(id, code, now);
-    return takeActions();
-  }
-  for (const Subscriber &sub : it->second.Subscribers)
-    send(sub.Link, Chunk{id, sub.Attempt, offset, std::string(data)});
-  return takeActions();
-}
-
-AgentActions AgentNode::onRunEnd(RequestId id, ResultCode code, TimePoint now) {
-  noticeTime(now);
-  if (!Running.contains(id))
-    return takeActions();
-  if (code == ResultCode::EndpointUnreachable) {
-    withdrawQueued(id, code, now);
-    startWaiting(now);
-    return takeActions();
-  }
-  endRun(id, code, now);
-  return takeActions();
-}
-
-void AgentNode::endRun(RequestId id, ResultCode code, TimePoint now) {
-  auto it = Jobs.find(id);
-  Drain.record(now - *it->second.Started);
-  std::uint64_t length = Book.findAnswer(id)->end();
-  Book.finish(id, code, now);
-  for (const Subscriber &sub : it->second.Subscribers)
-    send(sub.Link, Finish{id, sub.Attempt, length, code});
-  Deadlines.erase({it->second.Deadline, id});
-  Running.erase(id);
-  Jobs.erase(it);
-  startWaiting(now);
-}
-
-void AgentNode::withdrawQueued(RequestId id, ResultCode reason, TimePoint now) {
-  auto it = Jobs.find(id);
-  Book.withdraw(id, reason, now);
-  for (const Subscriber &sub : it->second.Subscribers)
-    refuse(sub.Link, id, sub.Attempt, reason);
-  Deadlines.erase({it->second.Deadline, id});
-  Running.erase(id);
-  Jobs.erase(it);
-}
-
-void AgentNode::stopIfUnwanted(RequestId id, TimePoint now) {
-  Job &job = Jobs.at(id);
-  if (!job.Subscribers.empty() || !job.Order.Repeatable)
-    return;
-  if (!job.Started) {
-    Queue.remove(id);
-    withdrawQueued(id, ResultCode::TicketVoid, now);
-    return;
-  }
-  Out.push_back(StopRun{id});
-  endRun(id, ResultCode::Cancelled, now);
-}
-
 AgentActions AgentNode::onLinkDown(LinkId link, TimePoint now) {
   noticeTime(now);
   Entries.erase(link);
--- a/lib/Routing/EntryMessages.cpp
+++ b/lib/Routing/EntryMessages.cpp
@@ -48,6 +48,16 @@
   touch(*call, call->Deadline - now, now);
 }
 
+/// The present dispatch ran or may have run, and gives no whole answer.
+void EntryNode::onRunFailed(Call &call, ResultCode code, TimePoint now) {
+  if (!mayRunElsewhere(call)) {
+    finishWith(call, code);
+    return;
+  }
+  call.MayHaveRun = true;
+  moveElsewhere(call, code, now);
+}
+
 void EntryNode::handle(const EndpointId & /*from*/, const Refused &msg,
                        TimePoint now) {
   Call *call = findCurrent(msg.Id, msg.Attempt);
@@ -58,12 +68,7 @@
     moveElsewhere(*call, msg.Code, now);
     return;
   }
-  if (!mayRunElsewhere(*call)) {
-    finishWith(*call, msg.Code);
-    return;
-  }
-  call->MayHaveRun = true;
-  moveElsewhere(*call, msg.Code, now);
+  onRunFailed(*call, msg.Code, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const Head &msg,
@@ -113,12 +118,7 @@
     passOn(*call);
     return;
   }
-  if (!mayRunElsewhere(*call)) {
-    finishWith(*call, msg.Code);
-    return;
-  }
-  call->MayHaveRun = true;
-  moveElsewhere(*call, msg.Code, now);
+  onRunFailed(*call, msg.Code, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const ResolveReply &msg,
--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -83,13 +83,22 @@
   return isGood ? 0 : 1;
 }
 
+/// Says why a role could not start, if so.
+static int exitStatus(const Result<void> &ended) {
+  if (ended)
+    return 0;
+  std::cerr << "ospreyspur: error " << static_cast<unsigned>(ended.error().Code)
+            << ": " << ended.error().Detail << '\n';
+  return 1;
+}
+
 static int run(const std::string &role, const std::string &path) {
   if (role == "entry") {
     auto settings = loadSettings(path, readEntrySettings);
-    return settings ? runEntry(*settings) : 1;
+    return settings ? exitStatus(runEntry(*settings)) : 1;
   }
   auto settings = loadSettings(path, readAgentSettings);
-  return settings ? runAgent(*settings) : 1;
+  return settings ? exitStatus(runAgent(*settings)) : 1;
 }
 
 int main(int argc, char **argv) {
