Say which revisions are in force; a ticket's end tested on its own

Cause: a node whose first configuration cannot be read would have published an empty one once its peers had answered, and /status named the revision of a document that was not in force. Both now count only what could be read.

--- a/include/ospreyspur/Control/ControlPlane.h
+++ b/include/ospreyspur/Control/ControlPlane.h
@@ -49,10 +49,12 @@
   /// The link that another node had dialled is gone.
   void onLinkDown(LinkId link) { Node.onLinkDown(link); }
 
-  /// Whether the configuration and the host list are good enough to start with.
-  bool isReady() const { return Node.isReady(); }
-  Revision configRevision() const;
-  Revision hostsRevision() const;
+  /// Whether there is a snapshot: both values could be read and are good enough
+  /// to start with.
+  bool isReady() const { return HasPublished; }
+  /// The revisions in force; a value that cannot be read never is.
+  Revision configRevision() const { return ConfigInForce; }
+  Revision hostsRevision() const { return HostsInForce; }
   /// The configuration document as last read.
   const std::string &configText() const;
   const ConfigDocument &document() const { return Document; }
@@ -79,6 +81,9 @@
   GossipNode Node;
   NodeTimer Timer;
   boost::asio::system_timer EventTimer;
+  /// 0 before the first value that could be read.
+  Revision ConfigInForce;
+  Revision HostsInForce;
   bool HasPublished = false;
   ConfigDocument Document;
   std::vector<EndpointView> Endpoints;
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -40,14 +40,6 @@
 
 void ControlPlane::start() { onTimer(); }
 
-Revision ControlPlane::configRevision() const {
-  return Node.copy(SharedKey::Config).revision();
-}
-
-Revision ControlPlane::hostsRevision() const {
-  return Node.copy(SharedKey::Hosts).revision();
-}
-
 const std::string &ControlPlane::configText() const {
   return Node.copy(SharedKey::Config).value();
 }
@@ -123,31 +115,33 @@
 }
 
 void ControlPlane::takeConfig() {
+  Revision at = Node.copy(SharedKey::Config).revision();
   Result<ConfigDocument> document = parseConfig(configText());
   if (!document) {
     LOG(ERROR) << LogEvent("config.unreadable")
-                      .with("revision", configRevision().get())
+                      .with("revision", at.get())
                       .with("code",
                             static_cast<unsigned>(document.error().Code))
                       .with("detail", document.error().Detail);
     return;
   }
   Document = std::move(document.value());
-  LOG(INFO)
-      << LogEvent("config.in_force").with("revision", configRevision().get());
+  ConfigInForce = at;
+  LOG(INFO) << LogEvent("config.in_force").with("revision", at.get());
   publish();
 }
 
 void ControlPlane::takeHosts() {
-  Result<std::vector<EndpointView>> endpoints =
-      parseHosts(Node.copy(SharedKey::Hosts).value());
+  const KeyFollower &copy = Node.copy(SharedKey::Hosts);
+  Result<std::vector<EndpointView>> endpoints = parseHosts(copy.value());
   if (!endpoints) {
     LOG(ERROR) << LogEvent("hosts.unreadable")
-                      .with("revision", hostsRevision().get())
+                      .with("revision", copy.revision().get())
                       .with("detail", endpoints.error().Detail);
     return;
   }
   Endpoints = std::move(endpoints.value());
+  HostsInForce = copy.revision();
   setPeers(Endpoints);
   LOG(INFO) << LogEvent("hosts.in_force")
                    .with("revision", hostsRevision().get())
@@ -156,13 +150,14 @@
 }
 
 void ControlPlane::publish() {
-  if (!isReady())
+  bool hasBoth = ConfigInForce.get() > 0 && HostsInForce.get() > 0;
+  if (!hasBoth || !Node.isReady())
     return;
   std::int64_t now = std::time(nullptr);
   auto snapshot =
       std::make_shared<RoutingSnapshot>(makeSnapshot(Document, Endpoints, now));
-  snapshot->ConfigRevision = configRevision();
-  snapshot->HostsRevision = hostsRevision();
+  snapshot->ConfigRevision = ConfigInForce;
+  snapshot->HostsRevision = HostsInForce;
   HasPublished = true;
   Handlers.OnSnapshot(std::move(snapshot));
   waitForEvent(now);
--- a/unittests/Routing/LeavingTest.cpp
+++ b/unittests/Routing/LeavingTest.cpp
@@ -192,3 +192,24 @@
   CHECK(refused.Code == ResultCode::EndpointPaused);
   CHECK(agent.isIdle());
 }
+
+TEST_CASE(
+    "a ticket starts nothing after its end, even when its record is gone") {
+  AgentNode agent(EndpointId("e"), Incarnation(1), "key", AgentLimits(), 1);
+  agent.setLeaving(false, Start);
+  Dispatch refused = makeDispatch(agent, 1);
+  Dispatch late = makeDispatch(agent, 2);
+  // An entry was told that the first never starts.
+  AgentActions actions = agent.onMessage(Link, Resolve{refused.Permit}, Start);
+  auto reply = std::get<ResolveReply>(std::get<SendToLink>(actions[0]).Body);
+  CHECK(reply.State == RunState::NeverStarts);
+  TimePoint end = Start + seconds(60);
+  agent.onTimer(end);
+  CHECK(agent.ledger().size() == 0);
+  for (const Dispatch &it : {refused, late}) {
+    actions = agent.onMessage(Link, it, end);
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<Refused>(std::get<SendToLink>(actions[0]).Body).Code ==
+          ResultCode::TicketExpired);
+  }
+}
