Parsers on damaged texts; bound the experts of a map

A map comes from another agent or the platform, so one damaged message could end an agent.

Now a map has at most as many experts as slots in a layer, which every valid map has.

--- a/lib/Experts/ExpertMap.cpp
+++ b/lib/Experts/ExpertMap.cpp
@@ -117,7 +117,8 @@
       digits;
   bool isInRange = shape.Layers <= MaxSlots && shape.Ranks <= MaxSlots &&
                    shape.SlotsPerRank <= MaxSlots &&
-                   shape.slotsPerLayer() <= MaxSlots;
+                   shape.slotsPerLayer() <= MaxSlots &&
+                   shape.Experts <= shape.slotsPerLayer();
   if (!is || !isInRange ||
       digits.size() != shape.Layers * shape.slotsPerLayer() * DigitsPerSlot)
     return bad;
