--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -15,6 +15,7 @@
 #ifndef OSPREYSPUR_CONFIG_GOSSIPNODE_H
 #define OSPREYSPUR_CONFIG_GOSSIPNODE_H
 
+#include "ospreyspur/Config/ConfigDocument.h"
 #include "ospreyspur/Config/GossipActions.h"
 #include "ospreyspur/Config/KeyFollower.h"
 #include "ospreyspur/Routing/RoutingSnapshot.h"
@@ -64,6 +65,9 @@
   /// The endpoint of an agent; empty for an entry, which nobody dials.
   EndpointId Endpoint;
   DataCentreId DataCentre;
+  /// The platform's keys of the shared values.
+  std::array<std::string, SharedKeyCount> Keys = {std::string(ConfigKey),
+                                                  std::string(HostsKey)};
 };
 
 /// Keeps one node's copies new.
--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -65,6 +65,8 @@
   TimePoint Confirmed;
   TimePoint AskedAt;
   Revision AskedFor;
+  /// Where the service's watch goes on; at or above the copy's revision.
+  Revision SeenAt;
   bool IsWaiting = false;
   bool HasReadService = false;
   TimePoint PausedUntil;
--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_CONFIG_SETTINGS_H
 #define OSPREYSPUR_CONFIG_SETTINGS_H
 
+#include "ospreyspur/Direct/RetryWindow.h"
 #include "ospreyspur/Experts/ExpertPlanner.h"
 #include "ospreyspur/Routing/AgentNode.h"
 #include "ospreyspur/Routing/EntryNode.h"
@@ -62,6 +63,34 @@
   AgentLimits Limits;
 };
 
+/// Settings of `ospreyspur direct`.
+struct DirectSettings {
+  std::string Name;
+  std::string DataCentre;
+  std::string PlatformAddress;
+  /// Processes to learn the shared values from before the store answers.
+  std::vector<std::string> Peers;
+  /// Callers' requests.
+  std::string Listen;
+  /// Where the platform asks whether this process is ready.
+  std::string ReadyListen;
+  /// Links from the other processes.
+  std::string LinkListen;
+  /// First and last port for what the processes say to each other.
+  std::string PeerPorts;
+  /// How long a planned stop may take.
+  Duration StopLimit{};
+  Duration StopNotice{};
+  RetryBounds Retries;
+
+  /// Load reports from the other entries: the first of the peer ports, on the
+  /// host of the links.
+  std::string loadListen() const;
+};
+
+/// Reads the direct path's settings; faults are in \p reader afterwards.
+DirectSettings readDirectSettings(SettingsReader &reader);
+
 /// Reads an entry's settings; faults are in \p reader afterwards.
 EntrySettings readEntrySettings(SettingsReader &reader);
 
--- a/include/ospreyspur/Config/SettingsReader.h
+++ b/include/ospreyspur/Config/SettingsReader.h
@@ -67,6 +67,10 @@
   Duration readMillis(const std::string &key, Duration def, Duration min,
                       Duration max, const std::string &help);
 
+  /// A number with an optional fraction from \p min to \p max.
+  double readFraction(const std::string &key, double def, double min,
+                      double max, const std::string &help);
+
   /// Call after all reads: adds an error for each key that was not read.
   void finish();
 
--- /dev/null
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -0,0 +1,92 @@
+//===- DirectControl.h - control thread of the direct path ------*- C++ -*-===//
+//
+// Keeps the configuration, the endpoint list and the list of our processes new,
+// from the platform's store and from the other processes, and hands immutable
+// snapshots to the traffic side.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_CONTROL_DIRECTCONTROL_H
+#define OSPREYSPUR_CONTROL_DIRECTCONTROL_H
+
+#include "ospreyspur/Config/GossipNode.h"
+#include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Control/ListReader.h"
+#include "ospreyspur/Direct/EndpointList.h"
+#include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Direct/NodeRegistry.h"
+#include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Process/PeerLinks.h"
+#include "ospreyspur/Rpc/PeerServer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ospreyspur {
+
+/// What the traffic side of the direct path needs, of one moment.
+struct DirectSnapshot {
+  std::shared_ptr<const FleetConfig> Config;
+  std::vector<ListedEndpoint> Endpoints;
+  std::vector<NodeRecord> Nodes;
+};
+
+/// Follows the shared values on the control thread.
+class DirectControl {
+public:
+  using Handler = std::function<void(std::shared_ptr<const DirectSnapshot>)>;
+
+  /// \p seed feeds the choice of peers; \p onSnapshot runs on the control
+  /// thread.
+  DirectControl(boost::asio::io_context &ioc, const DirectSettings &settings,
+                std::uint64_t seed, Handler onSnapshot);
+
+  /// Begins to follow. Errors: SettingInvalid.
+  Result<void> start();
+  /// Closes the links.
+  void stop() { Server.stop(); }
+
+  /// Whether a snapshot has been published.
+  bool isReady() const { return HasPublished; }
+
+private:
+  void onTimer();
+  void onRegistryTimer();
+  void onListTimer();
+  void apply(const GossipActions &actions);
+  void perform(const SendDigestTo &action);
+  void perform(const SendUpdateTo &action);
+  void perform(const AnswerDigest &action);
+  void perform(const AnswerUpdate &action);
+  void perform(const CallPlatformForGossip &action);
+  void perform(const CopyChanged &action);
+  void onMessage(LinkId from, const Message &message);
+  void onAnswer(const EndpointId &from, const Message &message);
+  void usePeers();
+  void takeConfig();
+  void takeEndpoints();
+  void publish();
+
+  boost::asio::io_context &Context;
+  const DirectSettings &Settings;
+  Handler OnSnapshot;
+  PlatformClient Platform;
+  ListReader Reader;
+  GossipNode Node;
+  NodeRegistry Registry;
+  EndpointList Endpoints;
+  std::shared_ptr<const FleetConfig> Config;
+  bool HasEndpoints = false;
+  bool HasPublished = false;
+  NodeTimer Timer;
+  NodeTimer RegistryTimer;
+  NodeTimer ListTimer;
+  PeerServer Server;
+  PeerLinks Peers;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_CONTROL_DIRECTCONTROL_H
--- /dev/null
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -0,0 +1,91 @@
+//===- DirectActions.h - inputs and outputs of a DirectNode -----*- C++ -*-===//
+//
+// What the shell hands to the direct path's state machine, and what that asks
+// for.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_DIRECTACTIONS_H
+#define OSPREYSPUR_DIRECT_DIRECTACTIONS_H
+
+#include "ospreyspur/Direct/EndpointRecord.h"
+#include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Support/ResultCode.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ospreyspur {
+
+/// The sizes that a caller states for a generation.
+struct TokenCounts {
+  unsigned Prompt = 0;
+  /// Most tokens that come out.
+  unsigned Answer = 0;
+};
+
+/// A caller's request that has a route and, if needed, a known key.
+struct DirectRequest {
+  CallId Id;
+  /// The caller's name for it, for logs.
+  std::string Label;
+  /// Keeps \c Route alive.
+  std::shared_ptr<const FleetConfig> Config;
+  const RouteRule *Route = nullptr;
+  WorkspaceId Workspace;
+  unsigned Priority = 0;
+  /// What the caller says is left; nothing if it says nothing.
+  std::optional<Duration> TimeLeft;
+  TokenCounts Tokens;
+};
+
+/// How an attempt at an endpoint ended.
+enum class AttemptEnd : std::uint8_t {
+  /// The whole answer came.
+  Complete,
+  /// The endpoint said that it did not run it as it is full.
+  Full,
+  /// Another incarnation has the address; it did not run it.
+  OtherEndpoint,
+  /// Nothing was sent: no connection.
+  NeverSent,
+  /// A whole answer that says the run failed.
+  Failed,
+  /// Sent; no answer, a broken one, or one that is not its own.
+  Lost,
+  /// The answer had begun to be passed on and broke off.
+  BrokeOff,
+};
+
+/// Send the request to this endpoint.
+struct StartAttempt {
+  CallId Call;
+  EndpointRecord Endpoint;
+  /// Give it up at this moment.
+  TimePoint Deadline;
+  unsigned Number = 1;
+};
+
+/// Answer the caller with this code at once.
+struct EndCall {
+  CallId Call;
+  ResultCode Code = ResultCode::Ok;
+  /// When to come back; zero for none.
+  Duration RetryAfter{};
+};
+
+/// Pass on the endpoint's own failed answer.
+struct PassOnAnswer {
+  CallId Call;
+};
+
+/// One output of the direct path's state machine.
+using DirectAction = std::variant<StartAttempt, EndCall, PassOnAnswer>;
+using DirectActions = std::vector<DirectAction>;
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_DIRECTACTIONS_H
--- /dev/null
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -0,0 +1,113 @@
+//===- DirectNode.h - takes requests straight to endpoints ------*- C++ -*-===//
+//
+// The state machine of an entry's traffic on the direct path. For each request
+// it picks an endpoint, waits for room or refuses, and decides what follows a
+// failed attempt. "Not run" is only said when nothing was sent or the endpoint
+// said so. It does no I/O: inputs and the time go in, actions come out.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_DIRECTNODE_H
+#define OSPREYSPUR_DIRECT_DIRECTNODE_H
+
+#include "ospreyspur/Direct/DirectActions.h"
+#include "ospreyspur/Direct/EndpointBook.h"
+#include "ospreyspur/Direct/RetryWindow.h"
+
+#include <list>
+#include <map>
+#include <random>
+#include <set>
+
+namespace ospreyspur {
+
+/// Bounds and waits of a DirectNode.
+struct DirectLimits {
+  /// Part of the route's target that a request may wait for room. A refusal
+  /// after a quarter of it is worth less to the caller.
+  double WaitPart = 0.2;
+  std::size_t MaxWaiting = 256;
+  RetryBounds Retries;
+  /// Requests that an endpoint of a plain service may have, by its slots.
+  double PlainOverload = 2.0;
+};
+
+/// Decides for the requests of one entry.
+class DirectNode {
+public:
+  /// \p seed feeds ties and splits between services.
+  DirectNode(DataCentreId dataCentre, DirectLimits limits, std::uint64_t seed);
+
+  // Commands: each takes one input and gives the actions that follow.
+
+  void setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
+    Book.setEndpoints(endpoints);
+  }
+  void setPeerLoad(const std::string &peer,
+                   const std::vector<EndpointLoad> &loads, TimePoint now) {
+    Book.setPeerLoad(peer, loads, now);
+  }
+  /// A new request. Its id must be new.
+  DirectActions onCall(DirectRequest request, TimePoint now);
+  /// The first byte of the answer came.
+  void onFirstByte(CallId id, TimePoint now);
+  /// The attempt under way has ended.
+  DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
+  /// The caller hung up, or its answer was given; the call is forgotten.
+  DirectActions onCallGone(CallId id, TimePoint now);
+  /// Does what is due at \p now.
+  DirectActions onTimer(TimePoint now);
+
+  // Queries.
+
+  std::optional<TimePoint> nextTimer() const;
+  const EndpointBook &book() const { return Book; }
+  /// Whether the call still has no final answer.
+  bool isKnown(CallId id) const { return Calls.contains(id); }
+  std::size_t callCount() const { return Calls.size(); }
+  std::size_t waitingCount() const { return Waiting.size(); }
+
+private:
+  struct Call {
+    DirectRequest Request;
+    ServiceId Service;
+    TimePoint Arrived;
+    TimePoint Deadline;
+    TimePoint WaitUntil;
+    unsigned Attempts = 0;
+    bool HasFirstByte = false;
+    /// Whether an attempt was sent whose fate is unknown.
+    bool MayHaveRun = false;
+    std::set<EndpointId> Tried;
+    std::optional<EndpointId> Current;
+  };
+
+  void startOrWait(Call &call, TimePoint now);
+  bool tryStart(Call &call, TimePoint now);
+  void startWaiting(TimePoint now);
+  void retry(Call &call, ResultCode reason, TimePoint now);
+  void end(Call &call, ResultCode code, Duration retryAfter);
+  void endNotRun(Call &call, ResultCode code, TimePoint now);
+  void endAttempt(Call &call);
+  void noteEvidence(const Call &call, AttemptEnd end, TimePoint now);
+  const EndpointState *pick(const Call &call, TimePoint now);
+  bool hasRoom(const EndpointState &state, const Call &call,
+               TimePoint now) const;
+  ServiceId pickService(const RouteRule &route);
+  Duration expectedDrain(const Call &call, TimePoint now) const;
+  DirectActions takeActions();
+
+  DataCentreId DataCentre;
+  DirectLimits Limits;
+  std::mt19937_64 Random;
+  EndpointBook Book;
+  RetryWindow Retries;
+  std::map<CallId, Call> Calls;
+  /// Calls without an endpoint, the most urgent first, then the oldest.
+  std::set<std::tuple<unsigned, TimePoint, CallId>> Waiting;
+  DirectActions Out;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_DIRECTNODE_H
--- /dev/null
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -0,0 +1,93 @@
+//===- EndpointBook.h - load and health of each endpoint --------*- C++ -*-===//
+//
+// What an entry knows of the endpoints: its own requests there, those of the
+// other entries, and evidence of failures. An endpoint that fails is left out
+// for a time that doubles with each failure in a row.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
+#define OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
+
+#include "ospreyspur/Direct/EndpointList.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace ospreyspur {
+
+/// Requests of one entry at one endpoint.
+struct EndpointLoad {
+  EndpointId Endpoint;
+  unsigned Running = 0;
+};
+
+/// One endpoint as an entry sees it.
+struct EndpointState {
+  EndpointRecord Record;
+  bool IsMissing = false;
+  /// This entry's requests there.
+  unsigned Own = 0;
+  /// Prompt tokens of this entry's requests without a first byte.
+  unsigned OwnUnread = 0;
+  unsigned FailuresInRow = 0;
+  /// Left out until then, if there is any other.
+  TimePoint SuspectUntil;
+  /// It said that it was full; taken as full until then.
+  TimePoint FullUntil;
+};
+
+/// Load and health by endpoint.
+class EndpointBook {
+public:
+  static constexpr Duration FirstSuspicion = std::chrono::milliseconds(500);
+  static constexpr Duration LongestSuspicion = std::chrono::seconds(8);
+  /// How long an endpoint that said it was full gets nothing new: about two
+  /// passes of an engine.
+  static constexpr Duration FullTime = std::chrono::milliseconds(100);
+  /// After this time another entry's report no longer counts.
+  static constexpr Duration PeerLoadAge = std::chrono::seconds(1);
+
+  // Commands.
+
+  void setEndpoints(const std::vector<ListedEndpoint> &endpoints);
+  /// What the entry \p peer has at the endpoints.
+  void setPeerLoad(const std::string &peer,
+                   const std::vector<EndpointLoad> &loads, TimePoint now);
+  void onStarted(const EndpointId &id, unsigned promptTokens);
+  /// The first byte of an answer came.
+  void onFirstByte(const EndpointId &id, unsigned promptTokens);
+  void onEnded(const EndpointId &id);
+  void onSuccess(const EndpointId &id);
+  void onFailure(const EndpointId &id, TimePoint now);
+  void onFull(const EndpointId &id, TimePoint now);
+
+  // Queries.
+
+  const std::map<EndpointId, EndpointState> &states() const { return States; }
+  const EndpointState *find(const EndpointId &id) const;
+  /// Requests of all entries at \p state's endpoint.
+  unsigned totalLoad(const EndpointState &state, TimePoint now) const;
+  /// This entry's load, for the other entries.
+  std::vector<EndpointLoad> ownLoads() const;
+  /// Other entries heard of lately.
+  std::size_t livePeers(TimePoint now) const;
+
+private:
+  struct PeerLoad {
+    TimePoint At;
+    std::unordered_map<EndpointId, unsigned> Running;
+  };
+
+  EndpointState *findMutable(const EndpointId &id);
+
+  std::map<EndpointId, EndpointState> States;
+  std::map<std::string, PeerLoad> Peers;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
--- a/include/ospreyspur/Http/HttpExchange.h
+++ b/include/ospreyspur/Http/HttpExchange.h
@@ -13,6 +13,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -24,6 +26,9 @@
 public:
   HttpExchange(boost::beast::tcp_stream &stream, const HttpRequest &request,
                const HttpLimits &limits);
+  HttpExchange(const HttpExchange &) = delete;
+  HttpExchange &operator=(const HttpExchange &) = delete;
+  ~HttpExchange();
 
   /// The request, with its whole body.
   const HttpRequest &request() const { return Request; }
@@ -41,6 +46,13 @@
   /// Begins an answer whose length is not known.
   boost::asio::awaitable<bool> beginStream(unsigned status,
                                            std::string_view contentType);
+  /// Begins an answer whose length is not known with the status and headers of
+  /// \p head.
+  boost::asio::awaitable<bool> beginStream(const HttpResponse &head);
+  /// Calls \p onHangUp once if the client closes its connection before the
+  /// handler has ended. A client that has sent more than this request is not
+  /// watched.
+  void watchHangUp(std::function<void()> onHangUp);
   /// Adds to a streamed answer.
   boost::asio::awaitable<bool> writeStream(std::string data);
   /// Ends a streamed answer as whole.
@@ -56,9 +68,16 @@
   bool hasBegun() const { return HasBegun; }
 
 private:
+  /// Outlives the exchange, as the wait for the socket may.
+  struct HangUpWatch {
+    bool IsOn = true;
+    std::function<void()> OnHangUp;
+  };
+
   boost::beast::tcp_stream &Stream;
   const HttpRequest &Request;
   const HttpLimits &Limits;
+  std::shared_ptr<HangUpWatch> Watch;
   bool HasBegun = false;
   bool MustClose = false;
 };
--- a/include/ospreyspur/Http/HttpServer.h
+++ b/include/ospreyspur/Http/HttpServer.h
@@ -35,6 +35,9 @@
   /// bind(), then beginAccepting().
   Result<void> listen(const TcpAddress &address);
 
+  /// Bounds for what is read from now on.
+  void setLimits(const HttpLimits &limits);
+
   /// From now on every answer asks its client to close the connection.
   void closeAfterAnswers();
 
--- a/include/ospreyspur/Platform/KeyValue.h
+++ b/include/ospreyspur/Platform/KeyValue.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -41,15 +42,32 @@
   Revision Holder;
 };
 
-/// Waits, up to \c Wait, until a key has a revision above \c After.
+/// Waits, up to \c Wait, until a key has a revision above \c After, which is
+/// the SeenAt of the last reply. With \c After 0 it does not wait.
 struct KvWatch {
   std::string Key;
   Revision After;
   Duration Wait{};
 };
 
+/// Reads all keys that begin with \c Prefix.
+struct KvList {
+  std::string Prefix;
+  /// Whether an answer that is seconds old will do; it costs a tenth.
+  bool MayBeStale = false;
+};
+
+/// Waits, up to \c Wait, for changes of keys that begin with \c Prefix after
+/// \c After, which is the SeenAt of the last reply.
+struct KvWatchList {
+  std::string Prefix;
+  Revision After;
+  Duration Wait{};
+};
+
 /// Any call on the service.
-using KvCall = std::variant<KvGet, KvPut, KvRenew, KvWatch>;
+using KvCall =
+    std::variant<KvGet, KvPut, KvRenew, KvWatch, KvList, KvWatchList>;
 
 /// A call and the id that its reply will carry.
 struct KvRequest {
@@ -57,13 +75,27 @@
   KvCall Call;
 };
 
+/// One key in a list, or one change of it.
+struct KvItem {
+  std::string Key;
+  /// Its last change.
+  Revision At;
+  std::string Value;
+  bool IsRemoved = false;
+};
+
 /// The answer to a call.
 struct KvReply {
   /// Ok, NotFound, PlatformConflict (with the present value), PlatformRefused
-  /// (no effect), PlatformTimeout or PlatformBadAnswer (effect not known).
+  /// (no effect), PlatformHistoryGone (read anew), PlatformTimeout or
+  /// PlatformBadAnswer (effect not known).
   ResultCode Code = ResultCode::Ok;
   Revision At;
   std::string Value;
+  /// The revision up to which the service has answered; a watch goes on here.
+  Revision SeenAt = Revision(0);
+  /// With KvList and KvWatchList.
+  std::vector<KvItem> Items = {};
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -1,7 +1,8 @@
 //===- PlatformClient.h - the platform's service over HTTP ------*- C++ -*-===//
 //
-// Turns KvCalls into HTTP requests with JSON bodies and answers into KvReplies.
-// It neither retries nor decides; that is for the nodes.
+// Makes the nodes' KvCalls; platform/StoreWire.h has their wire form. It
+// neither retries nor decides; that is for the nodes. It remembers the leases
+// under which it wrote.
 //
 //===----------------------------------------------------------------------===//
 
@@ -10,8 +11,11 @@
 
 #include "ospreyspur/Http/HttpClient.h"
 #include "ospreyspur/Platform/KeyValue.h"
+#include "platform/StoreWire.h"
 
 #include <functional>
+#include <string>
+#include <unordered_map>
 
 namespace ospreyspur {
 
@@ -30,8 +34,25 @@
   boost::asio::awaitable<KvReply> ask(KvCall call, Duration timeout);
 
 private:
+  /// The lease of a key that this client wrote.
+  struct HeldLease {
+    /// The key's revision then.
+    Revision Holder;
+    platform::StoreLease Lease;
+  };
+
+  template <typename T> using Task = boost::asio::awaitable<T>;
+
+  Task<KvReply> get(std::string key, Duration timeout);
+  Task<KvReply> put(KvPut call, Duration timeout);
+  Task<KvReply> renew(KvRenew call, Duration timeout);
+  Task<KvReply> watch(KvWatch call, Duration timeout);
+  Task<KvReply> list(KvList call, Duration timeout);
+  Task<KvReply> watchList(KvWatchList call, Duration timeout);
+
   boost::asio::io_context &Context;
   HttpClient Client;
+  std::unordered_map<std::string, HeldLease> Leases;
 };
 
 } // namespace ospreyspur
--- /dev/null
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -0,0 +1,68 @@
+//===- DirectTraffic.h - traffic thread of the direct path ------*- C++ -*-===//
+//
+// Turns callers' requests into inputs of a DirectNode and its actions into
+// attempts and answers.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_DIRECTTRAFFIC_H
+#define OSPREYSPUR_PROCESS_DIRECTTRAFFIC_H
+
+#include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Control/DirectControl.h"
+#include "ospreyspur/Direct/DirectNode.h"
+#include "ospreyspur/Http/EndpointPool.h"
+#include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Process/DirectCall.h"
+#include "ospreyspur/Process/LoadExchange.h"
+#include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Support/Metrics.h"
+
+#include <unordered_map>
+
+namespace ospreyspur {
+
+/// The traffic side; all functions run on its thread.
+class DirectTraffic {
+public:
+  DirectTraffic(boost::asio::io_context &ioc, const DirectSettings &settings,
+                Metrics &metrics, std::uint64_t seed);
+
+  /// Begins to accept. Errors: SettingInvalid.
+  Result<void> start();
+  void setSnapshot(const std::shared_ptr<const DirectSnapshot> &snapshot);
+  /// From now on answers ask their callers to use another entry.
+  void announceStop() { Server.closeAfterAnswers(); }
+  void stopAccepting() { Server.stopAccepting(); }
+  std::size_t busyCount() const { return Server.busyCount(); }
+
+private:
+  boost::asio::awaitable<void> handle(HttpExchange &exchange);
+  boost::asio::awaitable<void> serve(HttpExchange &exchange, DirectCall &call);
+  boost::asio::awaitable<void> refuse(HttpExchange &exchange, DirectCall &call,
+                                      EndCall end);
+  Result<DirectRequest> readRequest(const HttpRequest &request);
+  boost::asio::awaitable<void> attempt(HttpExchange &exchange, DirectCall &call,
+                                       StartAttempt order);
+  void apply(DirectActions actions);
+  void onCallerGone(CallId id);
+  void finish(const DirectCall &call, ResultCode code);
+  void closeUnused();
+
+  boost::asio::io_context &Context;
+  const DirectSettings &Settings;
+  Metrics &Measures;
+  DirectNode Node;
+  NodeTimer Timer;
+  EndpointPool Pool;
+  boost::asio::steady_timer PoolTimer;
+  HttpServer Server;
+  LoadExchange Loads;
+  std::shared_ptr<const FleetConfig> Config;
+  std::uint64_t LastCall = 0;
+  std::unordered_map<CallId, DirectCall *> Calls;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_DIRECTTRAFFIC_H
--- a/include/ospreyspur/Process/Roles.h
+++ b/include/ospreyspur/Process/Roles.h
@@ -18,6 +18,10 @@
 /// Runs an agent until SIGTERM or SIGINT. Errors: SettingInvalid.
 Result<void> runAgent(const AgentSettings &settings);
 
+/// Runs an entry of the direct path until SIGTERM or SIGINT. Errors:
+/// SettingInvalid.
+Result<void> runDirect(const DirectSettings &settings);
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_PROCESS_ROLES_H
--- /dev/null
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -0,0 +1,32 @@
+//===- LoadCodec.h - load reports as datagrams ------------------*- C++ -*-===//
+//
+// One report fits one datagram.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_RPC_LOADCODEC_H
+#define OSPREYSPUR_RPC_LOADCODEC_H
+
+#include "ospreyspur/Direct/EndpointBook.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ospreyspur {
+
+/// What one entry has at the endpoints.
+struct LoadReport {
+  std::string Node;
+  std::vector<EndpointLoad> Loads;
+};
+
+std::string encodeLoad(const LoadReport &report);
+
+/// The report in \p bytes; nothing if it cannot be read.
+std::optional<LoadReport> decodeLoad(std::string_view bytes);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_RPC_LOADCODEC_H
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -6,8 +6,6 @@
 
 #include "ospreyspur/Config/GossipNode.h"
 
-#include "ospreyspur/Config/ConfigDocument.h"
-
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -30,8 +28,8 @@
                        std::uint64_t seed)
     : Self(std::move(self)), Limits(limits), Random(seed), LeafNumber(Random()),
       OwnSpread(drawSpread(limits.MaxAgeSpread, Random)),
-      Copies{KeyFollower(std::string(ConfigKey), limits.Follower),
-             KeyFollower(std::string(HostsKey), limits.Follower)} {}
+      Copies{KeyFollower(Self.Keys[0], limits.Follower),
+             KeyFollower(Self.Keys[1], limits.Follower)} {}
 
 KeyFollower &GossipNode::copyOf(SharedKey key) {
   return Copies[static_cast<std::size_t>(key)];
--- a/lib/Config/KeyFollower.cpp
+++ b/lib/Config/KeyFollower.cpp
@@ -16,7 +16,7 @@
   IsWaiting = true;
   AskedAt = now;
   AskedFor = At;
-  return KvWatch{Key, At, wait};
+  return KvWatch{Key, std::max(SeenAt, At), wait};
 }
 
 bool KeyFollower::onReply(const KvReply &reply, TimePoint now) {
@@ -30,6 +30,7 @@
   }
   Pause = Duration::zero();
   HasReadService = true;
+  SeenAt = std::max(SeenAt, reply.SeenAt);
   // The value is at least as new as the question.
   if (isNewer)
     return offer(reply.At, reply.Value, AskedAt);
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -148,10 +148,66 @@
   return out;
 }
 
+static Duration secondsToDuration(double it) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(it));
+}
+
+/// What a planned stop leaves of the platform's grace for the end itself.
+static constexpr double StopPart = 0.93;
+
+DirectSettings ospreyspur::readDirectSettings(SettingsReader &reader) {
+  DirectSettings out;
+  out.Name = reader.readText("direct.name", "this process's name");
+  out.DataCentre = reader.readText("process.data_centre",
+                                   "name of this process's data centre");
+  out.PlatformAddress = reader.readAddress("process.platform",
+                                           "the platform's key-value service");
+  out.Peers = reader.readAddresses(
+      "process.peers",
+      "a few agents to start from when the platform does not answer");
+  out.Listen = reader.readAddress("direct.listen", "callers' requests");
+  out.ReadyListen = reader.readAddress(
+      "direct.ready_listen", "where the platform asks whether it is ready");
+  out.LinkListen = reader.readAddress("direct.link_listen",
+                                      "links from the other processes");
+  out.PeerPorts = reader.readText("direct.peer_ports",
+                                  "first and last port between our processes");
+  out.StopNotice = reader.readMillis(
+      "process.stop_notice_ms", seconds(2), milliseconds(0), minutes(5),
+      "how long a planned stop is announced while work is still taken; "
+      "entries: "
+      "the balancer's time to notice, agents: the longest wait for entries");
+  constexpr double DefaultGrace = 8;
+  constexpr double MaxGrace = 3600;
+  out.StopLimit = secondsToDuration(
+      StopPart * reader.readFraction("direct.grace_s", DefaultGrace, 1,
+                                     MaxGrace,
+                                     "from SIGTERM until the process is "
+                                     "killed"));
+  RetryBounds &retries = out.Retries;
+  retries.Ratio =
+      reader.readFraction("direct.retry_ratio", retries.Ratio, 0, 10,
+                          "repeated arrivals for each request of a service");
+  retries.Allowance = reader.readFraction(
+      "direct.retry_allowance", retries.Allowance, 0, 1000000,
+      "repeated arrivals in each window beside these, all entries together");
+  retries.Window = secondsToDuration(
+      reader.readFraction("direct.retry_window_s", 10, 1, MaxGrace,
+                          "the window in which repeated arrivals count"));
+  return out;
+}
+
+std::string DirectSettings::loadListen() const {
+  std::string host = LinkListen.substr(0, LinkListen.rfind(':'));
+  return host + ":" + PeerPorts.substr(0, PeerPorts.find(','));
+}
+
 std::string ospreyspur::formatSettingsTable() {
   SettingsReader reader("", "");
   readEntrySettings(reader);
   readAgentSettings(reader);
+  readDirectSettings(reader);
   std::set<std::string> seen;
   std::string table = "| Key | Default | Range | Meaning |\n"
                       "| --- | --- | --- | --- |\n";
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -135,6 +135,29 @@
   return std::chrono::milliseconds(n);
 }
 
+/// \p n without trailing zeros.
+static std::string formatFraction(double n) {
+  std::ostringstream os;
+  os << n;
+  return os.str();
+}
+
+double SettingsReader::readFraction(const std::string &key, double def,
+                                    double min, double max,
+                                    const std::string &help) {
+  std::string range = formatFraction(min) + " to " + formatFraction(max);
+  Docs.push_back({key, formatFraction(def), range, help});
+  const std::string *value = find(key);
+  if (!value)
+    return def;
+  double n = 0;
+  if (boost::conversion::try_lexical_convert(*value, n) && n >= min && n <= max)
+    return n;
+  fail(ResultCode::SettingInvalid, key,
+       "expected a number from " + range + ", got '" + *value + "'");
+  return def;
+}
+
 void SettingsReader::finish() {
   for (const auto &[section, keys] : Tree) {
     if (keys.empty())
--- /dev/null
+++ b/lib/Control/DirectControl.cpp
@@ -0,0 +1,236 @@
+//===- DirectControl.cpp - control thread of the direct path --------------===//
+//
+// Bytes become inputs of the state machines, their actions become bytes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Control/DirectControl.h"
+
+#include "ospreyspur/Direct/EndpointDocument.h"
+#include "ospreyspur/Support/LogEvent.h"
+#include "platform/ConfigWire.h"
+#include "platform/EndpointWire.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+/// Beyond the time that the service may hold a watch.
+static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
+/// Links to random peers are rarely used twice.
+static constexpr Duration KeepUnusedLinks = std::chrono::seconds(10);
+
+static GossipLimits makeLimits() {
+  GossipLimits limits;
+  // A watch whose answer is lost must end within the time in which a process
+  // has to be in touch again; each watch is one call that is paid for.
+  limits.WatchWait = std::chrono::milliseconds(1500);
+  return limits;
+}
+
+static GossipIdentity makeIdentity(const DirectSettings &settings) {
+  return {EndpointId(settings.Name),
+          DataCentreId(settings.DataCentre),
+          {platform::ConfigDocumentKey, platform::EndpointPrefix}};
+}
+
+DirectControl::DirectControl(asio::io_context &ioc,
+                             const DirectSettings &settings, std::uint64_t seed,
+                             Handler onSnapshot)
+    : Context(ioc), Settings(settings), OnSnapshot(std::move(onSnapshot)),
+      Platform(ioc, parseAddress(settings.PlatformAddress).value()),
+      Reader(Platform), Node(makeIdentity(settings), makeLimits(), seed),
+      Registry({settings.Name, DataCentreId(settings.DataCentre),
+                settings.LinkListen, settings.loadListen()}),
+      Timer(ioc, [this] { onTimer(); }),
+      RegistryTimer(ioc, [this] { onRegistryTimer(); }),
+      ListTimer(ioc, [this] { onListTimer(); }),
+      Server({[this](LinkId from, std::vector<Message> messages) {
+                asio::post(Context, [this, from, messages] {
+                  for (const Message &it : messages)
+                    onMessage(from, it);
+                });
+              },
+              [this](LinkId link) {
+                asio::post(Context, [this, link] { Node.onLinkDown(link); });
+              }}),
+      Peers(ioc, {[this](const EndpointId &from, const Message &message) {
+                    onAnswer(from, message);
+                  },
+                  [](const EndpointId &) {}}) {}
+
+Result<void> DirectControl::start() {
+  Result<void> listening = Server.listen(Settings.LinkListen);
+  if (!listening)
+    return listening;
+  usePeers();
+  onTimer();
+  onRegistryTimer();
+  return boost::outcome_v2::success();
+}
+
+void DirectControl::onTimer() {
+  TimePoint now = monotonicNow();
+  Peers.closeUnused(now - KeepUnusedLinks);
+  apply(Node.onTimer(now));
+}
+
+void DirectControl::onRegistryTimer() {
+  TimePoint now = monotonicNow();
+  if (std::optional<KvCall> call = Registry.nextWrite(now))
+    Platform.call(std::move(*call), CallTimeout, [this](const KvReply &reply) {
+      Registry.onWritten(reply, monotonicNow());
+      RegistryTimer.set(Registry.nextTimer());
+    });
+  if (std::optional<KvCall> call = Registry.nextRead(now))
+    Platform.call(std::move(*call), CallTimeout, [this](const KvReply &reply) {
+      if (Registry.onRead(reply, monotonicNow())) {
+        usePeers();
+        publish();
+      }
+      RegistryTimer.set(Registry.nextTimer());
+    });
+  RegistryTimer.set(Registry.nextTimer());
+}
+
+void DirectControl::onListTimer() {
+  if (Endpoints.onTimer(monotonicNow()))
+    publish();
+  ListTimer.set(Endpoints.nextTimer());
+}
+
+void DirectControl::apply(const GossipActions &actions) {
+  for (const GossipAction &action : actions)
+    std::visit([this](const auto &it) { perform(it); }, action);
+  Timer.set(Node.nextTimer());
+}
+
+void DirectControl::perform(const SendDigestTo &action) {
+  Peers.send(action.To, action.Body, monotonicNow());
+}
+
+void DirectControl::perform(const SendUpdateTo &action) {
+  Peers.send(action.To, action.Body, monotonicNow());
+}
+
+void DirectControl::perform(const AnswerDigest &action) {
+  Server.send(action.To, action.Body);
+}
+
+void DirectControl::perform(const AnswerUpdate &action) {
+  Server.send(action.To, action.Body);
+}
+
+void DirectControl::perform(const CallPlatformForGossip &action) {
+  KvCallId id = action.Request.Id;
+  auto onReply = [this, id](const KvReply &reply) {
+    apply(Node.onKvReply(id, reply, monotonicNow()));
+  };
+  const auto &watch = std::get<KvWatch>(action.Request.Call);
+  if (watch.Key != platform::EndpointPrefix) {
+    Platform.call(watch, CallTimeout, onReply);
+    return;
+  }
+  auto ask = [this, wait = watch.Wait, onReply]() -> asio::awaitable<void> {
+    onReply(co_await Reader.ask(wait, CallTimeout));
+  };
+  // The frame of a coroutine lambda dies with the lambda; keep both.
+  auto kept = std::make_shared<decltype(ask)>(std::move(ask));
+  asio::co_spawn(Context, (*kept)(), [kept](const std::exception_ptr &) {});
+}
+
+void DirectControl::perform(const CopyChanged &action) {
+  if (action.Key == SharedKey::Config)
+    takeConfig();
+  else
+    takeEndpoints();
+}
+
+void DirectControl::onMessage(LinkId from, const Message &message) {
+  TimePoint now = monotonicNow();
+  if (const auto *digest = std::get_if<GossipDigest>(&message))
+    apply(Node.onMessage(from, *digest, now));
+  else if (const auto *update = std::get_if<GossipUpdate>(&message))
+    apply(Node.onMessage(from, *update, now));
+}
+
+void DirectControl::onAnswer(const EndpointId &from, const Message &message) {
+  TimePoint now = monotonicNow();
+  if (const auto *digest = std::get_if<GossipDigest>(&message))
+    apply(Node.onAnswer(from, *digest, now));
+  else if (const auto *update = std::get_if<GossipUpdate>(&message))
+    apply(Node.onAnswer(from, *update, now));
+}
+
+/// The registered processes; those of the settings until there are any.
+void DirectControl::usePeers() {
+  std::map<EndpointId, std::string> addresses;
+  std::vector<EndpointView> views;
+  auto add = [&](const std::string &name, const DataCentreId &dataCentre,
+                 const std::string &address) {
+    addresses.emplace(EndpointId(name), address);
+    views.push_back({EndpointId(name), {}, dataCentre, address, {}, false});
+  };
+  DataCentreId own(Settings.DataCentre);
+  std::vector<NodeRecord> nodes = Registry.others();
+  for (const NodeRecord &it : nodes)
+    add(it.Name, it.DataCentre, it.LinkAddress);
+  if (nodes.empty())
+    for (const std::string &it : Settings.Peers)
+      if (it != Settings.LinkListen)
+        add(it, own, it);
+  add(Settings.Name, own, Settings.LinkListen);
+  Peers.setAddresses(std::move(addresses));
+  Node.setPeers(views);
+}
+
+void DirectControl::takeConfig() {
+  const KeyFollower &copy = Node.copy(SharedKey::Config);
+  Result<FleetConfig> config = platform::readConfig(copy.value());
+  if (!config) {
+    LOG(ERROR) << LogEvent("config.unreadable")
+                      .with("revision", copy.revision().get())
+                      .with("code", static_cast<unsigned>(config.error().Code))
+                      .with("detail", config.error().Detail);
+    return;
+  }
+  Config = std::make_shared<const FleetConfig>(std::move(config.value()));
+  LOG(INFO) << LogEvent("config.in_force")
+                   .with("revision", copy.revision().get())
+                   .with("version", Config->Version)
+                   .with("routes", Config->Routes.size());
+  publish();
+}
+
+void DirectControl::takeEndpoints() {
+  const KeyFollower &copy = Node.copy(SharedKey::Hosts);
+  Result<std::vector<EndpointRecord>> records = parseEndpoints(copy.value());
+  if (!records) {
+    LOG(ERROR) << LogEvent("endpoints.unreadable")
+                      .with("revision", copy.revision().get())
+                      .with("detail", records.error().Detail);
+    return;
+  }
+  Endpoints.replace(records.value(), monotonicNow());
+  HasEndpoints = true;
+  LOG(INFO) << LogEvent("endpoints.in_force")
+                   .with("revision", copy.revision().get())
+                   .with("endpoints", records.value().size());
+  ListTimer.set(Endpoints.nextTimer());
+  publish();
+}
+
+void DirectControl::publish() {
+  if (!Config || !HasEndpoints)
+    return;
+  auto snapshot = std::make_shared<DirectSnapshot>();
+  snapshot->Config = Config;
+  snapshot->Endpoints = Endpoints.endpoints();
+  snapshot->Nodes = Registry.others();
+  HasPublished = true;
+  OnSnapshot(std::move(snapshot));
+}
--- /dev/null
+++ b/lib/Control/ListReader.cpp
@@ -0,0 +1,74 @@
+//===- ListReader.cpp - the endpoint list as one value --------------------===//
+//
+// See ListReader.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Control/ListReader.h"
+
+#include "ospreyspur/Direct/EndpointDocument.h"
+#include "ospreyspur/Support/LogEvent.h"
+#include "platform/EndpointWire.h"
+
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+asio::awaitable<KvReply> ListReader::ask(Duration wait, Duration timeout) {
+  if (SeenAt.get() == 0)
+    co_return co_await readAll(timeout);
+  KvCall watch = KvWatchList{platform::EndpointPrefix, SeenAt, wait};
+  KvReply page = co_await Platform.ask(std::move(watch), timeout);
+  if (page.Code == ResultCode::PlatformHistoryGone)
+    co_return co_await readAll(timeout);
+  if (page.Code != ResultCode::Ok)
+    co_return page;
+  for (const KvItem &it : page.Items)
+    take(it);
+  SeenAt = std::max(SeenAt, page.SeenAt);
+  if (page.Items.empty()) {
+    page.Code = ResultCode::NotFound;
+    co_return page;
+  }
+  co_return makeReply();
+}
+
+asio::awaitable<KvReply> ListReader::readAll(Duration timeout) {
+  KvCall call = KvList{platform::EndpointPrefix, false};
+  KvReply list = co_await Platform.ask(std::move(call), timeout);
+  if (list.Code != ResultCode::Ok)
+    co_return list;
+  Rows.clear();
+  for (const KvItem &it : list.Items)
+    take(it);
+  SeenAt = list.SeenAt;
+  co_return makeReply();
+}
+
+void ListReader::take(const KvItem &item) {
+  if (item.IsRemoved) {
+    Rows.erase(item.Key);
+    return;
+  }
+  Result<EndpointRecord> record = platform::readEndpoint(item);
+  if (record) {
+    Rows[item.Key] = std::move(record.value());
+    return;
+  }
+  LOG(ERROR) << LogEvent("endpoint.unreadable")
+                    .with("key", item.Key)
+                    .with("revision", item.At.get())
+                    .with("detail", record.error().Detail);
+}
+
+KvReply ListReader::makeReply() const {
+  std::vector<EndpointRecord> records;
+  for (const auto &[key, record] : Rows)
+    records.push_back(record);
+  KvReply reply;
+  reply.At = SeenAt;
+  reply.SeenAt = SeenAt;
+  reply.Value = formatEndpoints(records);
+  return reply;
+}
--- /dev/null
+++ b/lib/Direct/DirectNode.cpp
@@ -0,0 +1,284 @@
+//===- DirectNode.cpp - takes requests straight to endpoints --------------===//
+//
+// See DirectNode.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/DirectNode.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+using namespace ospreyspur;
+
+/// Bounds of the time after which a refused caller should come back.
+static constexpr Duration MinRetryAfter = std::chrono::milliseconds(150);
+static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
+
+DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
+                       std::uint64_t seed)
+    : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
+      Retries(limits.Retries) {}
+
+DirectActions DirectNode::onCall(DirectRequest request, TimePoint now) {
+  CallId id = request.Id;
+  const RouteRule &route = *request.Route;
+  Call &call = Calls[id];
+  call.Service = pickService(route);
+  call.Arrived = now;
+  Duration left =
+      std::min(request.TimeLeft.value_or(route.Timeout), route.Timeout);
+  call.Deadline = now + left;
+  auto wait =
+      std::chrono::duration_cast<Duration>(route.Target * Limits.WaitPart);
+  call.WaitUntil = std::min(now + wait, call.Deadline);
+  call.Request = std::move(request);
+  Retries.onRequest(call.Service, now);
+  startOrWait(call, now);
+  return takeActions();
+}
+
+void DirectNode::onFirstByte(CallId id, TimePoint /*now*/) {
+  auto it = Calls.find(id);
+  if (it == Calls.end() || !it->second.Current || it->second.HasFirstByte)
+    return;
+  it->second.HasFirstByte = true;
+  Book.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt);
+}
+
+DirectActions DirectNode::onAttemptEnded(CallId id, AttemptEnd end,
+                                         TimePoint now) {
+  auto it = Calls.find(id);
+  if (it == Calls.end() || !it->second.Current)
+    return takeActions();
+  Call &call = it->second;
+  const RouteRule &route = *call.Request.Route;
+  bool isRepeatable = route.Kind == RequestKind::Repeatable;
+  noteEvidence(call, end, now);
+  endAttempt(call);
+  switch (end) {
+  case AttemptEnd::Complete:
+    Calls.erase(it);
+    break;
+  case AttemptEnd::Full:
+    retry(call, ResultCode::QueueFull, now);
+    break;
+  case AttemptEnd::OtherEndpoint:
+    retry(call, ResultCode::EndpointLeaving, now);
+    break;
+  case AttemptEnd::NeverSent:
+    // It did not arrive, so it counts as no attempt.
+    --call.Attempts;
+    startOrWait(call, now);
+    break;
+  case AttemptEnd::Failed:
+    if (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now))
+      break;
+    Out.push_back(PassOnAnswer{id});
+    break;
+  case AttemptEnd::Lost:
+    call.MayHaveRun = !isRepeatable;
+    if (isRepeatable)
+      retry(call, ResultCode::ContactLost, now);
+    else
+      this->end(call, ResultCode::ContactLost, Duration::zero());
+    break;
+  case AttemptEnd::BrokeOff:
+    call.MayHaveRun = true;
+    if (route.IsResumable && call.Attempts < route.Attempts &&
+        tryStart(call, now))
+      break;
+    this->end(call, ResultCode::EndpointFailed, Duration::zero());
+    break;
+  }
+  startWaiting(now);
+  return takeActions();
+}
+
+DirectActions DirectNode::onCallGone(CallId id, TimePoint now) {
+  auto it = Calls.find(id);
+  if (it == Calls.end())
+    return takeActions();
+  endAttempt(it->second);
+  Waiting.erase({it->second.Request.Priority, it->second.Arrived, id});
+  Calls.erase(it);
+  startWaiting(now);
+  return takeActions();
+}
+
+DirectActions DirectNode::onTimer(TimePoint now) {
+  startWaiting(now);
+  std::vector<CallId> late;
+  for (const auto &[priority, arrived, id] : Waiting)
+    if (Calls.at(id).WaitUntil <= now)
+      late.push_back(id);
+  for (CallId id : late)
+    endNotRun(Calls.at(id), ResultCode::NoEndpoint, now);
+  return takeActions();
+}
+
+std::optional<TimePoint> DirectNode::nextTimer() const {
+  std::optional<TimePoint> next;
+  for (const auto &[priority, arrived, id] : Waiting) {
+    TimePoint due = Calls.at(id).WaitUntil;
+    if (!next || due < *next)
+      next = due;
+  }
+  return next;
+}
+
+/// Starts an attempt if there is room; else the call waits for it.
+void DirectNode::startOrWait(Call &call, TimePoint now) {
+  if (tryStart(call, now))
+    return;
+  if (now >= call.WaitUntil || Waiting.size() >= Limits.MaxWaiting) {
+    endNotRun(call, ResultCode::NoEndpoint, now);
+    return;
+  }
+  Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
+}
+
+bool DirectNode::tryStart(Call &call, TimePoint now) {
+  const EndpointState *state = pick(call, now);
+  if (!state)
+    return false;
+  bool isRepeat = call.Attempts > 0;
+  if (isRepeat && !Retries.spend(call.Service, Book.livePeers(now) + 1, now))
+    return false;
+  ++call.Attempts;
+  call.Current = state->Record.Id;
+  call.Tried.insert(state->Record.Id);
+  Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
+  Out.push_back(StartAttempt{call.Request.Id, state->Record, call.Deadline,
+                             call.Attempts});
+  return true;
+}
+
+/// Gives room that has come free to the calls that wait for it.
+void DirectNode::startWaiting(TimePoint now) {
+  for (auto it = Waiting.begin(); it != Waiting.end();) {
+    Call &call = Calls.at(std::get<CallId>(*it));
+    it = tryStart(call, now) ? Waiting.erase(it) : std::next(it);
+  }
+}
+
+/// The call did not run, or may run again: tries another endpoint.
+void DirectNode::retry(Call &call, ResultCode reason, TimePoint now) {
+  bool mayTry = call.Attempts < call.Request.Route->Attempts;
+  if (mayTry && now < call.Deadline && tryStart(call, now))
+    return;
+  if (reason == ResultCode::ContactLost)
+    end(call, reason, Duration::zero());
+  else
+    endNotRun(call, reason, now);
+}
+
+/// Ends \p call with the truth: "not run" only if no attempt may have run.
+void DirectNode::endNotRun(Call &call, ResultCode code, TimePoint now) {
+  if (call.MayHaveRun)
+    end(call, ResultCode::ContactLost, Duration::zero());
+  else
+    end(call, code, expectedDrain(call, now));
+}
+
+void DirectNode::end(Call &call, ResultCode code, Duration retryAfter) {
+  CallId id = call.Request.Id;
+  Out.push_back(EndCall{id, code, retryAfter});
+  Waiting.erase({call.Request.Priority, call.Arrived, id});
+  Calls.erase(id);
+}
+
+void DirectNode::endAttempt(Call &call) {
+  if (!call.Current)
+    return;
+  if (!std::exchange(call.HasFirstByte, false))
+    Book.onFirstByte(*call.Current, call.Request.Tokens.Prompt);
+  Book.onEnded(*call.Current);
+  call.Current.reset();
+}
+
+void DirectNode::noteEvidence(const Call &call, AttemptEnd end, TimePoint now) {
+  const EndpointId &id = *call.Current;
+  switch (end) {
+  case AttemptEnd::Complete:
+    Book.onSuccess(id);
+    break;
+  case AttemptEnd::Full:
+    Book.onFull(id, now);
+    break;
+  case AttemptEnd::Failed:
+    break;
+  case AttemptEnd::OtherEndpoint:
+  case AttemptEnd::NeverSent:
+  case AttemptEnd::Lost:
+  case AttemptEnd::BrokeOff:
+    Book.onFailure(id, now);
+    break;
+  }
+}
+
+/// The least loaded endpoint with room. Suspect and missing ones are used only
+/// if there is no other at all.
+const EndpointState *DirectNode::pick(const Call &call, TimePoint now) {
+  const EndpointState *best = nullptr;
+  std::tuple<bool, double, bool, std::uint64_t> bestCost;
+  for (const auto &[id, state] : Book.states()) {
+    if (state.Record.Service != call.Service || state.Record.IsLeaving ||
+        call.Tried.contains(id) || !hasRoom(state, call, now))
+      continue;
+    bool isDoubtful = state.IsMissing || now < state.SuspectUntil;
+    double load = double(Book.totalLoad(state, now)) / state.Record.Slots;
+    bool isFar = state.Record.DataCentre != DataCentre;
+    std::tuple cost(isDoubtful, load, isFar, Random());
+    if (best && cost >= bestCost)
+      continue;
+    best = &state;
+    bestCost = cost;
+  }
+  return best;
+}
+
+bool DirectNode::hasRoom(const EndpointState &state, const Call &call,
+                         TimePoint now) const {
+  if (now < state.FullUntil)
+    return false;
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  bool isEngine = service && service->Engine;
+  double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
+  return Book.totalLoad(state, now) < limit;
+}
+
+ServiceId DirectNode::pickService(const RouteRule &route) {
+  unsigned total = std::accumulate(
+      route.Services.begin(), route.Services.end(), 0U,
+      [](unsigned n, const WeightedService &it) { return n + it.Weight; });
+  if (total == 0)
+    return route.Services.empty() ? ServiceId()
+                                  : route.Services.front().Service;
+  unsigned n = std::uniform_int_distribution<unsigned>(0, total - 1)(Random);
+  for (const WeightedService &it : route.Services) {
+    if (n < it.Weight)
+      return it.Service;
+    n -= it.Weight;
+  }
+  return route.Services.back().Service;
+}
+
+/// When a refused caller may find room: the calls that wait before it, at the
+/// rate at which a full fleet of that service gets free.
+Duration DirectNode::expectedDrain(const Call &call, TimePoint now) const {
+  unsigned running = 0;
+  for (const auto &[id, state] : Book.states())
+    if (state.Record.Service == call.Service)
+      running += Book.totalLoad(state, now);
+  if (running == 0)
+    return MinRetryAfter;
+  // A request takes a second or two at an engine; its target is the only
+  // figure at hand that scales with it.
+  Duration each = call.Request.Route->Target * 4 / running;
+  auto n = static_cast<std::int64_t>(Waiting.size() + 1);
+  return std::clamp(each * n, MinRetryAfter, MaxRetryAfter);
+}
+
+DirectActions DirectNode::takeActions() { return std::exchange(Out, {}); }
--- /dev/null
+++ b/lib/Direct/EndpointBook.cpp
@@ -0,0 +1,116 @@
+//===- EndpointBook.cpp - load and health of each endpoint ----------------===//
+//
+// See EndpointBook.h. Endpoints with requests under way are kept until these
+// end, though the list no longer has them.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/EndpointBook.h"
+
+#include <algorithm>
+#include <set>
+
+using namespace ospreyspur;
+
+/// Doubling stops here; the longest suspicion is reached before.
+static constexpr unsigned MaxDoublings = 10;
+
+void EndpointBook::setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
+  std::set<EndpointId> present;
+  for (const ListedEndpoint &it : endpoints) {
+    EndpointState &state = States[it.Record.Id];
+    state.Record = it.Record;
+    state.IsMissing = it.IsMissing;
+    present.insert(it.Record.Id);
+  }
+  for (auto it = States.begin(); it != States.end();) {
+    bool isGone = !present.contains(it->first);
+    it->second.Record.IsLeaving = it->second.Record.IsLeaving || isGone;
+    bool isIdle = it->second.Own == 0;
+    it = isGone && isIdle ? States.erase(it) : std::next(it);
+  }
+}
+
+void EndpointBook::setPeerLoad(const std::string &peer,
+                               const std::vector<EndpointLoad> &loads,
+                               TimePoint now) {
+  PeerLoad &kept = Peers[peer];
+  kept.At = now;
+  kept.Running.clear();
+  for (const EndpointLoad &it : loads)
+    kept.Running[it.Endpoint] = it.Running;
+}
+
+void EndpointBook::onStarted(const EndpointId &id, unsigned promptTokens) {
+  if (EndpointState *it = findMutable(id)) {
+    ++it->Own;
+    it->OwnUnread += promptTokens;
+  }
+}
+
+void EndpointBook::onFirstByte(const EndpointId &id, unsigned promptTokens) {
+  if (EndpointState *it = findMutable(id))
+    it->OwnUnread -= std::min(it->OwnUnread, promptTokens);
+}
+
+void EndpointBook::onEnded(const EndpointId &id) {
+  EndpointState *it = findMutable(id);
+  if (it && it->Own > 0)
+    --it->Own;
+}
+
+void EndpointBook::onSuccess(const EndpointId &id) {
+  if (EndpointState *it = findMutable(id)) {
+    it->FailuresInRow = 0;
+    it->SuspectUntil = TimePoint();
+  }
+}
+
+void EndpointBook::onFailure(const EndpointId &id, TimePoint now) {
+  EndpointState *it = findMutable(id);
+  if (!it)
+    return;
+  Duration pause = FirstSuspicion * (1U << it->FailuresInRow);
+  it->SuspectUntil = now + std::min(pause, LongestSuspicion);
+  it->FailuresInRow = std::min(it->FailuresInRow + 1, MaxDoublings);
+}
+
+void EndpointBook::onFull(const EndpointId &id, TimePoint now) {
+  if (EndpointState *it = findMutable(id))
+    it->FullUntil = now + FullTime;
+}
+
+const EndpointState *EndpointBook::find(const EndpointId &id) const {
+  auto it = States.find(id);
+  return it == States.end() ? nullptr : &it->second;
+}
+
+unsigned EndpointBook::totalLoad(const EndpointState &state,
+                                 TimePoint now) const {
+  unsigned n = state.Own;
+  for (const auto &[name, peer] : Peers) {
+    auto it = peer.Running.find(state.Record.Id);
+    if (it != peer.Running.end() && now - peer.At < PeerLoadAge)
+      n += it->second;
+  }
+  return n;
+}
+
+std::vector<EndpointLoad> EndpointBook::ownLoads() const {
+  std::vector<EndpointLoad> out;
+  for (const auto &[id, state] : States)
+    if (state.Own > 0)
+      out.push_back({id, state.Own});
+  return out;
+}
+
+std::size_t EndpointBook::livePeers(TimePoint now) const {
+  return std::count_if(Peers.begin(), Peers.end(), [now](const auto &it) {
+    return now - it.second.At < PeerLoadAge;
+  });
+}
+
+EndpointState *EndpointBook::findMutable(const EndpointId &id) {
+  auto it = States.find(id);
+  return it == States.end() ? nullptr : &it->second;
+}
--- /dev/null
+++ b/lib/Direct/EndpointDocument.cpp
@@ -0,0 +1,70 @@
+//===- EndpointDocument.cpp - the endpoint list as one text ---------------===//
+//
+// A JSON array with an object for each endpoint.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/EndpointDocument.h"
+
+#include <boost/json.hpp>
+
+using namespace ospreyspur;
+namespace json = boost::json;
+
+std::string
+ospreyspur::formatEndpoints(const std::vector<EndpointRecord> &endpoints) {
+  json::array out;
+  for (const EndpointRecord &it : endpoints) {
+    std::string address = it.Address.address().to_string() + ":" +
+                          std::to_string(it.Address.port());
+    out.push_back(json::object{{"id", it.Id.get()},
+                               {"service", it.Service.get()},
+                               {"address", address},
+                               {"data_centre", it.DataCentre.get()},
+                               {"slots", it.Slots},
+                               {"leaving", it.IsLeaving}});
+  }
+  return json::serialize(out);
+}
+
+static std::string textOf(const json::object &in, const char *name) {
+  const json::value *it = in.if_contains(name);
+  return it && it->is_string() ? std::string(it->get_string()) : std::string();
+}
+
+static Result<EndpointRecord> parseEndpoint(const json::object &in) {
+  Result<TcpAddress> address = parseAddress(textOf(in, "address"));
+  const json::value *slots = in.if_contains("slots");
+  const json::value *leaving = in.if_contains("leaving");
+  boost::system::error_code ec;
+  unsigned n = slots && slots->is_number() ? slots->to_number<unsigned>(ec) : 0;
+  if (!address || ec || !leaving || !leaving->is_bool())
+    return Error{ResultCode::PlatformBadAnswer,
+                 "an endpoint lacks its address, slots or state"};
+  return EndpointRecord{EndpointId(textOf(in, "id")),
+                        ServiceId(textOf(in, "service")),
+                        address.value(),
+                        DataCentreId(textOf(in, "data_centre")),
+                        n,
+                        leaving->get_bool()};
+}
+
+Result<std::vector<EndpointRecord>>
+ospreyspur::parseEndpoints(const std::string &text) {
+  boost::system::error_code ec;
+  json::value body = json::parse(text, ec);
+  if (ec || !body.is_array())
+    return Error{ResultCode::PlatformBadAnswer,
+                 "the endpoint list is not a JSON array"};
+  std::vector<EndpointRecord> out;
+  for (const json::value &it : body.get_array()) {
+    if (!it.is_object())
+      return Error{ResultCode::PlatformBadAnswer,
+                   "an endpoint is not a JSON object"};
+    Result<EndpointRecord> record = parseEndpoint(it.get_object());
+    if (!record)
+      return record.error();
+    out.push_back(std::move(record.value()));
+  }
+  return out;
+}
--- /dev/null
+++ b/lib/Direct/EndpointList.cpp
@@ -0,0 +1,49 @@
+//===- EndpointList.cpp - which endpoints exist ---------------------------===//
+//
+// See EndpointList.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/EndpointList.h"
+
+#include <set>
+
+using namespace ospreyspur;
+
+void EndpointList::replace(const std::vector<EndpointRecord> &records,
+                           TimePoint now) {
+  std::set<EndpointId> present;
+  for (const EndpointRecord &it : records) {
+    present.insert(it.Id);
+    Rows[it.Id] = {it, std::nullopt};
+  }
+  std::vector<Row *> vanished;
+  for (auto &[id, row] : Rows)
+    if (!row.DropAt && !present.contains(id))
+      vanished.push_back(&row);
+  bool areMany = vanished.size() * ManyOneIn > Rows.size();
+  for (Row *it : vanished)
+    it->DropAt = now + (areMany ? LapseGrace : MissingGrace);
+}
+
+bool EndpointList::onTimer(TimePoint now) {
+  return std::erase_if(Rows, [now](const auto &it) {
+           return it.second.DropAt && *it.second.DropAt <= now;
+         }) > 0;
+}
+
+std::vector<ListedEndpoint> EndpointList::endpoints() const {
+  std::vector<ListedEndpoint> out;
+  out.reserve(Rows.size());
+  for (const auto &[id, row] : Rows)
+    out.push_back({row.Record, row.DropAt.has_value()});
+  return out;
+}
+
+std::optional<TimePoint> EndpointList::nextTimer() const {
+  std::optional<TimePoint> next;
+  for (const auto &[id, row] : Rows)
+    if (row.DropAt && (!next || *row.DropAt < *next))
+      next = row.DropAt;
+  return next;
+}
--- /dev/null
+++ b/lib/Direct/EventCutter.cpp
@@ -0,0 +1,46 @@
+//===- EventCutter.cpp - whole events out of a stream of bytes ------------===//
+//
+// An event ends with an empty line. Lines end with LF or CR LF.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/EventCutter.h"
+
+using namespace ospreyspur;
+
+/// The length of the whole events that \p text begins with.
+static std::size_t wholeLength(std::string_view text) {
+  std::size_t lf = text.rfind("\n\n");
+  std::size_t crlf = text.rfind("\n\r\n");
+  std::size_t end = lf == std::string_view::npos ? 0 : lf + 2;
+  if (crlf != std::string_view::npos && crlf + 3 > end)
+    end = crlf + 3;
+  return end;
+}
+
+std::string EventCutter::add(std::string_view data) {
+  Rest.append(data);
+  std::size_t n = wholeLength(Rest);
+  std::string whole = Rest.substr(0, n);
+  Rest.erase(0, n);
+  noteIds(whole);
+  return whole;
+}
+
+void EventCutter::noteIds(std::string_view events) {
+  constexpr std::string_view Field = "id:";
+  while (!events.empty()) {
+    std::size_t end = events.find('\n');
+    std::string_view line = events.substr(0, end);
+    events.remove_prefix(end == std::string_view::npos ? events.size()
+                                                       : end + 1);
+    if (!line.starts_with(Field))
+      continue;
+    line.remove_prefix(Field.size());
+    while (line.starts_with(' '))
+      line.remove_prefix(1);
+    while (line.ends_with('\r'))
+      line.remove_suffix(1);
+    LastId = line;
+  }
+}
--- /dev/null
+++ b/lib/Direct/NodeRegistry.cpp
@@ -0,0 +1,103 @@
+//===- NodeRegistry.cpp - which of our processes run ----------------------===//
+//
+// A row is a JSON object; a row that cannot be read is passed over.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/NodeRegistry.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+using namespace ospreyspur;
+namespace json = boost::json;
+
+static constexpr char NodePrefix[] = "ospreyspur/nodes/";
+
+static std::string formatNode(const NodeRecord &node) {
+  return json::serialize(json::object{{"data_centre", node.DataCentre.get()},
+                                      {"links", node.LinkAddress},
+                                      {"loads", node.LoadAddress}});
+}
+
+static std::optional<NodeRecord> parseNode(const KvItem &item) {
+  boost::system::error_code ec;
+  json::value body = json::parse(item.Value, ec);
+  if (ec || !body.is_object())
+    return std::nullopt;
+  const json::object &in = body.get_object();
+  auto textOf = [&](const char *name) {
+    const json::value *it = in.if_contains(name);
+    return it && it->is_string() ? std::string(it->get_string())
+                                 : std::string();
+  };
+  return NodeRecord{item.Key.substr(sizeof(NodePrefix) - 1),
+                    DataCentreId(textOf("data_centre")), textOf("links"),
+                    textOf("loads")};
+}
+
+std::string NodeRegistry::ownKey() const { return NodePrefix + Self.Name; }
+
+std::optional<KvCall> NodeRegistry::nextWrite(TimePoint now) {
+  if (IsWriting || now < WriteAt)
+    return std::nullopt;
+  IsWriting = true;
+  WriteAt = now + RenewEvery;
+  if (Row.get() > 0)
+    return KvRenew{ownKey(), Row};
+  return KvPut{ownKey(), formatNode(Self), Expected, LeaseSpan};
+}
+
+void NodeRegistry::onWritten(const KvReply &reply, TimePoint now) {
+  IsWriting = false;
+  if (reply.Code == ResultCode::Ok) {
+    Row = reply.At;
+    Pause = MinPause;
+    WriteAt = now + RenewEvery;
+    return;
+  }
+  // A row of an earlier life stands in the way, or the own one is gone.
+  bool isRowGone = Row.get() > 0 && reply.Code == ResultCode::NotFound;
+  if (isRowGone)
+    Row = Expected = Revision(0);
+  if (reply.Code == ResultCode::PlatformConflict)
+    Expected = reply.At;
+  Pause = std::min(Pause * 2, MaxPause);
+  WriteAt = now + (isRowGone ? MinPause : Pause);
+}
+
+std::optional<KvCall> NodeRegistry::nextRead(TimePoint now) {
+  if (IsReading || now < ReadAt)
+    return std::nullopt;
+  IsReading = true;
+  ReadAt = now + (Reads < FirstReads ? FirstReadEvery : ReadEvery);
+  ++Reads;
+  return KvList{NodePrefix, true};
+}
+
+bool NodeRegistry::onRead(const KvReply &reply, TimePoint now) {
+  IsReading = false;
+  if (reply.Code != ResultCode::Ok)
+    return false;
+  bool hasChanged = false;
+  for (const KvItem &item : reply.Items) {
+    std::optional<NodeRecord> node = parseNode(item);
+    if (!node || node->Name == Self.Name)
+      continue;
+    Known &known = Nodes[node->Name];
+    hasChanged = hasChanged || known.Record != *node;
+    known = {std::move(*node), now};
+  }
+  auto dropped = std::erase_if(Nodes, [now](const auto &it) {
+    return now - it.second.SeenAt > KeepVanished;
+  });
+  return hasChanged || dropped > 0;
+}
+
+std::vector<NodeRecord> NodeRegistry::others() const {
+  std::vector<NodeRecord> out;
+  for (const auto &[name, known] : Nodes)
+    out.push_back(known.Record);
+  return out;
+}
--- /dev/null
+++ b/lib/Direct/RetryWindow.cpp
@@ -0,0 +1,38 @@
+//===- RetryWindow.cpp - this entry's share of repeated arrivals ----------===//
+//
+// See RetryWindow.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/RetryWindow.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+
+void RetryWindow::onRequest(const ServiceId &service, TimePoint now) {
+  Counts &counts = Services[service];
+  forget(counts, now);
+  counts.Requests.push_back(now);
+}
+
+bool RetryWindow::spend(const ServiceId &service, std::size_t entries,
+                        TimePoint now) {
+  Counts &counts = Services[service];
+  forget(counts, now);
+  double share = Bounds.Allowance / double(std::max<std::size_t>(entries, 1));
+  double allowed = Bounds.Ratio * double(counts.Requests.size()) + share;
+  if (double(counts.Repeats.size()) + 1 > SafePart * allowed)
+    return false;
+  counts.Repeats.push_back(now);
+  return true;
+}
+
+void RetryWindow::forget(Counts &counts, TimePoint now) const {
+  auto drop = [&](std::deque<TimePoint> &times) {
+    while (!times.empty() && times.front() <= now - Bounds.Window)
+      times.pop_front();
+  };
+  drop(counts.Requests);
+  drop(counts.Repeats);
+}
--- /dev/null
+++ b/lib/Http/EndpointPool.cpp
@@ -0,0 +1,75 @@
+//===- EndpointPool.cpp - kept connections to endpoints -------------------===//
+//
+// See EndpointPool.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Http/EndpointPool.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// Unacknowledged bytes end a connection after this time: a host without power
+/// says nothing.
+static constexpr int UserTimeoutMs = 4000;
+
+/// Whether nothing has come on an unused connection, not even its end.
+static bool isQuiet(asio::ip::tcp::socket &socket) {
+  char byte = 0;
+  ssize_t n = ::recv(socket.native_handle(), &byte, sizeof(byte),
+                     MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+EndpointPool::Connection EndpointPool::takeKept(const EndpointId &id,
+                                                TimePoint now) {
+  auto it = Kept.find(id);
+  while (it != Kept.end() && !it->second.empty()) {
+    Connection connection = std::move(it->second.back());
+    it->second.pop_back();
+    if (now < connection->KeepUntil && isQuiet(connection->Stream.socket()))
+      return connection;
+  }
+  return nullptr;
+}
+
+asio::awaitable<EndpointPool::Connection>
+EndpointPool::connect(TcpAddress address, Duration timeout) {
+  auto connection = std::make_unique<EndpointConnection>(Context);
+  connection->Stream.expires_after(timeout);
+  auto [ec] = co_await connection->Stream.async_connect(address, AsTuple);
+  if (ec)
+    co_return nullptr;
+  auto &socket = connection->Stream.socket();
+  socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &UserTimeoutMs, sizeof(UserTimeoutMs));
+  co_return connection;
+}
+
+void EndpointPool::keep(const EndpointId &id, Connection connection,
+                        std::optional<Duration> keepAlive, TimePoint now) {
+  Duration span = keepAlive ? *keepAlive - KeepMargin : DefaultKeep;
+  std::vector<Connection> &kept = Kept[id];
+  if (span <= Duration::zero() || kept.size() >= MaxKept)
+    return;
+  connection->KeepUntil = now + span;
+  connection->Stream.expires_never();
+  kept.push_back(std::move(connection));
+}
+
+void EndpointPool::closeUnused(TimePoint now) {
+  for (auto &[id, connections] : Kept)
+    std::erase_if(connections,
+                  [now](const Connection &it) { return it->KeepUntil <= now; });
+  std::erase_if(Kept, [](const auto &it) { return it.second.empty(); });
+}
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -14,6 +14,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <optional>
 #include <tuple>
 
@@ -54,6 +57,33 @@
                            const HttpRequest &request, const HttpLimits &limits)
     : Stream(stream), Request(request), Limits(limits) {}
 
+HttpExchange::~HttpExchange() {
+  if (!Watch)
+    return;
+  Watch->IsOn = false;
+  boost::system::error_code ignored;
+  Stream.socket().cancel(ignored);
+}
+
+/// Whether the peer of the readable \p socket has closed it.
+static bool isClosedByPeer(asio::ip::tcp::socket &socket) {
+  char byte = 0;
+  ssize_t n = ::recv(socket.native_handle(), &byte, sizeof(byte),
+                     MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void HttpExchange::watchHangUp(std::function<void()> onHangUp) {
+  Watch = std::make_shared<HangUpWatch>();
+  Watch->OnHangUp = std::move(onHangUp);
+  auto &socket = Stream.socket();
+  socket.async_wait(asio::socket_base::wait_read,
+                    [watch = Watch, &socket](boost::system::error_code ec) {
+                      if (!ec && watch->IsOn && isClosedByPeer(socket))
+                        watch->OnHangUp();
+                    });
+}
+
 std::string HttpExchange::header(std::string_view name) const {
   auto it = Request.find(beast::string_view(name.data(), name.size()));
   return it == Request.end() ? std::string() : std::string(it->value());
@@ -86,12 +116,18 @@
 
 asio::awaitable<bool> HttpExchange::beginStream(unsigned status,
                                                 std::string_view contentType) {
-  HasBegun = true;
-  http::response<http::empty_body> head;
+  HttpResponse head;
   head.result(status);
-  head.version(Request.version());
   head.set(http::field::content_type,
            beast::string_view(contentType.data(), contentType.size()));
+  co_return co_await beginStream(head);
+}
+
+asio::awaitable<bool> HttpExchange::beginStream(const HttpResponse &response) {
+  HasBegun = true;
+  http::response<http::empty_body> head;
+  head.base() = response.base();
+  head.version(Request.version());
   head.chunked(true);
   head.keep_alive(Request.keep_alive() && !MustClose);
   MustClose = MustClose || !head.keep_alive();
@@ -162,6 +198,8 @@
   return bound ? beginAccepting() : bound;
 }
 
+void HttpServer::setLimits(const HttpLimits &limits) { State->Limits = limits; }
+
 void HttpServer::closeAfterAnswers() { State->ClosesAfterAnswers = true; }
 
 void HttpServer::stopAccepting() {
@@ -211,6 +249,14 @@
   return 0;
 }
 
+static constexpr std::string_view ContinueAnswer =
+    "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Whether the client waits for a word before it sends the body.
+static bool expectsContinue(const HttpRequest &request) {
+  return beast::iequals(request[http::field::expect], "100-continue");
+}
+
 asio::awaitable<void> HttpServer::serve(std::shared_ptr<Shared> shared,
                                         asio::ip::tcp::socket socket) {
   Count connection(shared->Connections);
@@ -230,6 +276,9 @@
         co_await http::async_read_some(stream, buf, parser, AsTuple);
     if (!busy)
       busy.emplace(shared->Busy);
+    if (!ec && !parser.is_done() && expectsContinue(parser.get()))
+      ec = std::get<0>(co_await asio::async_write(
+          stream, asio::buffer(ContinueAnswer), AsTuple));
     if (!ec && !parser.is_done())
       ec = std::get<0>(co_await http::async_read(stream, buf, parser, AsTuple));
     HttpRequest request = parser.release();
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -1,86 +1,29 @@
-//===- PlatformClient.cpp - key-value calls as HTTP and JSON --------------===//
+//===- PlatformClient.cpp - calls on the platform's service ---------------===//
 //
-// POST /kv/get, /kv/put, /kv/renew and /kv/watch. Answers: 200 done, 404 no
-// such key or nothing newer, 409 other revision, 429 and 503 refused without
-// effect.
+// Composes the nodes' calls of the store's: a leased write is a grant and a
+// write, a list is its pages. GCC 12 destroys aggregates that are built inside
+// an awaiting expression twice; each is given a name first.
 //
 //===----------------------------------------------------------------------===//
 
 #include "ospreyspur/Platform/PlatformClient.h"
 
+#include "platform/StoreWire.h"
+
 #include <boost/asio/co_spawn.hpp>
-#include <boost/json.hpp>
 
+#include <algorithm>
 #include <memory>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
-namespace json = boost::json;
-
-namespace {
-/// The path and body of a call.
-struct KvWire {
-  std::string_view Path;
-  json::object Body;
-};
-} // namespace
-
-static std::int64_t toMillis(Duration it) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
-}
-
-static KvWire toWire(const KvGet &call) {
-  return {"/kv/get", {{"key", call.Key}}};
-}
-
-static KvWire toWire(const KvPut &call) {
-  return {"/kv/put",
-          {{"key", call.Key},
-           {"value", call.Value},
-           {"expected", call.Expected.get()},
-           {"lease_ms", toMillis(call.Lease)}}};
-}
 
-static KvWire toWire(const KvRenew &call) {
-  return {"/kv/renew", {{"key", call.Key}, {"holder", call.Holder.get()}}};
-}
+/// Pages of one list; a service that always has more is not followed for ever.
+static constexpr unsigned MaxPages = 200;
 
-static KvWire toWire(const KvWatch &call) {
-  return {"/kv/watch",
-          {{"key", call.Key},
-           {"after", call.After.get()},
-           {"wait_ms", toMillis(call.Wait)}}};
-}
-
-static KvReply readReply(const HttpResponse &response) {
+static KvReply failed(ResultCode code) {
   KvReply reply;
-  unsigned status = response.result_int();
-  if (status == 429 || status == 503) {
-    reply.Code = ResultCode::PlatformRefused;
-    return reply;
-  }
-  if (status == 404) {
-    reply.Code = ResultCode::NotFound;
-    return reply;
-  }
-  if (status != 200 && status != 409) {
-    reply.Code = ResultCode::PlatformBadAnswer;
-    return reply;
-  }
-  reply.Code = status == 200 ? ResultCode::Ok : ResultCode::PlatformConflict;
-  boost::system::error_code ec;
-  json::value body = json::parse(response.body(), ec);
-  const json::object *top = ec ? nullptr : body.if_object();
-  const json::value *revision = top ? top->if_contains("revision") : nullptr;
-  const json::value *value = top ? top->if_contains("value") : nullptr;
-  if (!revision) {
-    reply.Code = ResultCode::PlatformBadAnswer;
-    return reply;
-  }
-  reply.At = Revision(revision->to_number<std::uint64_t>(ec));
-  if (value && value->is_string())
-    reply.Value = std::string(value->get_string());
+  reply.Code = code;
   return reply;
 }
 
@@ -99,19 +42,151 @@
 }
 
 asio::awaitable<KvReply> PlatformClient::ask(KvCall call, Duration timeout) {
-  KvWire wire = std::visit([](const auto &it) { return toWire(it); }, call);
-  if (const auto *watch = std::get_if<KvWatch>(&call))
-    timeout += watch->Wait;
-  HttpRequest request(http::verb::post, {wire.Path.data(), wire.Path.size()},
-                      11);
-  request.set(http::field::host, "platform");
-  request.set(http::field::content_type, "application/json");
-  request.body() = json::serialize(wire.Body);
+  if (auto *it = std::get_if<KvGet>(&call))
+    co_return co_await get(std::move(it->Key), timeout);
+  if (auto *it = std::get_if<KvPut>(&call))
+    co_return co_await put(std::move(*it), timeout);
+  if (auto *it = std::get_if<KvRenew>(&call))
+    co_return co_await renew(std::move(*it), timeout);
+  if (auto *it = std::get_if<KvWatch>(&call))
+    co_return co_await watch(std::move(*it), timeout);
+  if (auto *it = std::get_if<KvList>(&call))
+    co_return co_await list(std::move(*it), timeout);
+  co_return co_await watchList(std::move(std::get<KvWatchList>(call)), timeout);
+}
+
+asio::awaitable<KvReply> PlatformClient::get(std::string key,
+                                             Duration timeout) {
+  HttpRequest request = platform::makeGet(key);
+  Result<HttpResponse> response =
+      co_await Client.call(std::move(request), timeout);
+  if (!response)
+    co_return failed(response.error().Code);
+  ResultCode code = platform::readStatus(response.value());
+  if (code != ResultCode::Ok)
+    co_return failed(code);
+  Result<KvReply> reply = platform::readItem(response.value());
+  co_return reply ? reply.value() : failed(reply.error().Code);
+}
+
+asio::awaitable<KvReply> PlatformClient::put(KvPut call, Duration timeout) {
+  platform::StoreLease lease;
+  if (call.Lease > Duration::zero()) {
+    HttpRequest grant = platform::makeGrant(call.Lease);
+    Result<HttpResponse> granted =
+        co_await Client.call(std::move(grant), timeout);
+    // A lease without a key ends by itself; nothing was written.
+    if (!granted)
+      co_return failed(ResultCode::PlatformRefused);
+    Result<platform::StoreLease> read = platform::readGrant(granted.value());
+    if (granted.value().result_int() != 200 || !read)
+      co_return failed(ResultCode::PlatformRefused);
+    lease = read.value();
+  }
+  platform::StoreWrite write{call.Key, call.Value, call.Expected, lease};
+  HttpRequest request = platform::makeWrite(write);
   Result<HttpResponse> response =
       co_await Client.call(std::move(request), timeout);
-  if (response)
-    co_return readReply(response.value());
+  if (!response)
+    co_return failed(response.error().Code);
   KvReply reply;
-  reply.Code = response.error().Code;
+  reply.Code = platform::readStatus(response.value());
+  if (reply.Code == ResultCode::PlatformConflict) {
+    Result<KvItem> present = platform::readConflict(response.value());
+    if (!present)
+      co_return failed(present.error().Code);
+    reply.At = present.value().At;
+    reply.Value = present.value().Value;
+  }
+  if (reply.Code != ResultCode::Ok)
+    co_return reply;
+  Result<Revision> written = platform::readWritten(response.value());
+  if (!written)
+    co_return failed(written.error().Code);
+  reply.At = written.value();
+  if (lease.get() > 0)
+    Leases[call.Key] = {reply.At, lease};
+  co_return reply;
+}
+
+asio::awaitable<KvReply> PlatformClient::renew(KvRenew call, Duration timeout) {
+  auto it = Leases.find(call.Key);
+  if (it == Leases.end() || it->second.Holder != call.Holder)
+    co_return failed(ResultCode::NotFound);
+  HttpRequest request = platform::makeKeep(it->second.Lease);
+  Result<HttpResponse> response =
+      co_await Client.call(std::move(request), timeout);
+  if (!response)
+    co_return failed(response.error().Code);
+  KvReply reply = failed(platform::readStatus(response.value()));
+  reply.At = call.Holder;
+  if (reply.Code == ResultCode::NotFound)
+    Leases.erase(call.Key);
+  co_return reply;
+}
+
+asio::awaitable<KvReply> PlatformClient::watch(KvWatch call, Duration timeout) {
+  if (call.After.get() == 0)
+    co_return co_await get(call.Key, timeout);
+  KvWatchList watch{call.Key, call.After, call.Wait};
+  KvReply page = co_await watchList(std::move(watch), timeout);
+  if (page.Code == ResultCode::PlatformHistoryGone)
+    co_return co_await get(call.Key, timeout);
+  if (page.Code != ResultCode::Ok)
+    co_return page;
+  KvReply reply = failed(ResultCode::NotFound);
+  reply.SeenAt = page.SeenAt;
+  for (KvItem &it : page.Items) {
+    if (it.Key != call.Key || it.IsRemoved)
+      continue;
+    reply.Code = ResultCode::Ok;
+    reply.At = it.At;
+    reply.Value = std::move(it.Value);
+  }
+  co_return reply;
+}
+
+asio::awaitable<KvReply> PlatformClient::list(KvList call, Duration timeout) {
+  KvReply reply;
+  for (unsigned i = 0; i < MaxPages; ++i) {
+    std::string last = reply.Items.empty() ? "" : reply.Items.back().Key;
+    HttpRequest request =
+        platform::makeList(call.Prefix, last, call.MayBeStale);
+    Result<HttpResponse> response =
+        co_await Client.call(std::move(request), timeout);
+    if (!response)
+      co_return failed(response.error().Code);
+    ResultCode code = platform::readStatus(response.value());
+    if (code != ResultCode::Ok)
+      co_return failed(code);
+    Result<platform::StorePage> page = platform::readPage(response.value());
+    if (!page)
+      co_return failed(page.error().Code);
+    // Pages are not a snapshot: a watch goes on after the first.
+    if (i == 0)
+      reply.SeenAt = page.value().SeenAt;
+    std::move(page.value().Items.begin(), page.value().Items.end(),
+              std::back_inserter(reply.Items));
+    if (!page.value().HasMore || page.value().Items.empty())
+      break;
+  }
+  co_return reply;
+}
+
+asio::awaitable<KvReply> PlatformClient::watchList(KvWatchList call,
+                                                   Duration timeout) {
+  HttpRequest request = platform::makeWatch(call.Prefix, call.After, call.Wait);
+  Result<HttpResponse> response =
+      co_await Client.call(std::move(request), timeout + call.Wait);
+  if (!response)
+    co_return failed(response.error().Code);
+  KvReply reply = failed(platform::readStatus(response.value()));
+  if (reply.Code != ResultCode::Ok)
+    co_return reply;
+  Result<platform::StorePage> page = platform::readPage(response.value());
+  if (!page)
+    co_return failed(page.error().Code);
+  reply.SeenAt = page.value().SeenAt;
+  reply.Items = std::move(page.value().Items);
   co_return reply;
 }
--- /dev/null
+++ b/lib/Process/DirectAttempt.cpp
@@ -0,0 +1,224 @@
+//===- DirectAttempt.cpp - one request at one endpoint --------------------===//
+//
+// Answers of a known end are read whole before they go on, so that a broken one
+// can still be replaced. Events go on one by one.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/DirectAttempt.h"
+
+#include "platform/RequestWire.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// A connection inside a region stands within milliseconds; a lost opening
+/// packet is sent again after a second.
+static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+/// Answers to other requests that are passed over on one connection.
+static constexpr unsigned MaxForeignAnswers = 2;
+static constexpr std::size_t ReadBytes = 16U << 10U;
+static constexpr std::size_t MaxAnswerBytes = 16U << 20U;
+static constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
+/// Silence after which a stream that can go on elsewhere is moved. The caller
+/// gives up after two seconds.
+static constexpr Duration StreamStall = std::chrono::milliseconds(900);
+
+static std::chrono::steady_clock::time_point toSteady(TimePoint it) {
+  return std::chrono::steady_clock::time_point(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+          it.time_since_epoch()));
+}
+
+DirectAttempt::DirectAttempt(EndpointPool &pool, HttpExchange &exchange,
+                             DirectCall &call, const StartAttempt &order,
+                             std::function<void()> onFirstByte)
+    : Pool(pool), Exchange(exchange), Call(call), Order(order),
+      OnFirstByte(std::move(onFirstByte)) {}
+
+asio::awaitable<AttemptEnd> DirectAttempt::run() {
+  Connection = co_await open();
+  if (!Connection)
+    co_return AttemptEnd::NeverSent;
+  struct Registration {
+    DirectCall &Call;
+    ~Registration() { Call.Connection = nullptr; }
+  } registration{Call};
+  Call.Connection = Connection.get();
+  if (Call.IsCallerGone)
+    co_return AttemptEnd::NeverSent;
+  if (!co_await send() || !co_await readHead())
+    co_return endOfBroken();
+  bool isSuccess = Head.Status >= 200 && Head.Status < 300;
+  if (Head.IsEvents && isSuccess && Head.Verdict == AnswerVerdict::Own)
+    co_return co_await passOnEvents();
+  co_return co_await passOnWhole();
+}
+
+/// What must not run twice goes on a connection of its own: there, nobody else
+/// can have closed it meanwhile.
+asio::awaitable<EndpointPool::Connection> DirectAttempt::open() {
+  const RouteRule &route = *Call.Request.Route;
+  if (route.Kind != RequestKind::OnceOnly)
+    if (auto kept = Pool.takeKept(Order.Endpoint.Id, monotonicNow()))
+      co_return kept;
+  co_return co_await Pool.connect(Order.Endpoint.Address, ConnectTimeout);
+}
+
+asio::awaitable<bool> DirectAttempt::send() {
+  HttpRequest request = platform::makeEndpointRequest(
+      Exchange.request(),
+      {Order.Endpoint.Id, Call.Request.Workspace,
+       Order.Deadline - monotonicNow(), Call.Events.lastId()});
+  Connection->Stream.expires_at(toSteady(Order.Deadline));
+  auto [ec, n] =
+      co_await http::async_write(Connection->Stream, request, AsTuple);
+  co_return !ec;
+}
+
+/// Reads heads until one is of this request.
+asio::awaitable<bool> DirectAttempt::readHead() {
+  for (unsigned i = 0; i <= MaxForeignAnswers; ++i) {
+    Answer.emplace();
+    Answer->body_limit(MaxAnswerBytes);
+    Answer->header_limit(MaxHeadBytes);
+    Answer->skip(Exchange.request().method() == http::verb::head);
+    Connection->Stream.expires_at(toSteady(stallLimit()));
+    auto [ec, n] = co_await http::async_read_header(
+        Connection->Stream, Connection->Buffer, *Answer, AsTuple);
+    if (ec)
+      co_return false;
+    HttpResponse head;
+    head.base() = Answer->get().base();
+    Head = platform::readAnswer(head, Call.Request.Label);
+    if (Head.Verdict != AnswerVerdict::Foreign) {
+      CallerHead = platform::makeCallerHead(head);
+      co_return true;
+    }
+    std::string ignored;
+    if (!co_await readBody(ignored))
+      co_return false;
+  }
+  co_return false;
+}
+
+/// A stream that can go on elsewhere is not waited for to its deadline.
+TimePoint DirectAttempt::stallLimit() const {
+  if (!Call.Request.Route->IsResumable)
+    return Order.Deadline;
+  return std::min(Order.Deadline, monotonicNow() + StreamStall);
+}
+
+asio::awaitable<boost::system::error_code>
+DirectAttempt::readSome(std::string &data, TimePoint until) {
+  std::array<char, ReadBytes> bytes;
+  auto &body = Answer->get().body();
+  body.data = bytes.data();
+  body.size = bytes.size();
+  body.more = true;
+  Connection->Stream.expires_at(toSteady(until));
+  auto [ec, n] = co_await http::async_read_some(
+      Connection->Stream, Connection->Buffer, *Answer, AsTuple);
+  data.assign(bytes.data(), bytes.size() - body.size);
+  if (ec == http::error::need_buffer)
+    ec = {};
+  co_return ec;
+}
+
+asio::awaitable<bool> DirectAttempt::readBody(std::string &body) {
+  while (!Answer->is_done()) {
+    std::string data;
+    auto ec = co_await readSome(data, Order.Deadline);
+    body += data;
+    if (ec || body.size() > MaxAnswerBytes)
+      co_return false;
+  }
+  co_return true;
+}
+
+asio::awaitable<AttemptEnd> DirectAttempt::passOnWhole() {
+  std::string body;
+  bool isWhole = co_await readBody(body);
+  switch (Head.Verdict) {
+  case AnswerVerdict::Full:
+    if (isWhole)
+      keepConnection();
+    co_return AttemptEnd::Full;
+  case AnswerVerdict::OtherEndpoint:
+    co_return AttemptEnd::OtherEndpoint;
+  case AnswerVerdict::Foreign:
+  case AnswerVerdict::Unusable:
+    co_return endOfBroken();
+  case AnswerVerdict::Own:
+  case AnswerVerdict::Failed:
+    break;
+  }
+  if (!isWhole)
+    co_return endOfBroken();
+  keepConnection();
+  Call.Status = Head.Status;
+  CallerHead.body() = std::move(body);
+  if (Head.Verdict == AnswerVerdict::Failed || Exchange.hasBegun()) {
+    Call.FailedAnswer = std::move(CallerHead);
+    co_return AttemptEnd::Failed;
+  }
+  OnFirstByte();
+  co_await Exchange.respond(std::move(CallerHead));
+  co_return AttemptEnd::Complete;
+}
+
+asio::awaitable<AttemptEnd> DirectAttempt::passOnEvents() {
+  while (!Answer->is_done()) {
+    std::string data;
+    auto ec = co_await readSome(data, stallLimit());
+    std::string events = Call.Events.add(data);
+    if (!events.empty() && !co_await passOn(std::move(events)))
+      co_return AttemptEnd::BrokeOff;
+    if (ec)
+      co_return endOfBroken();
+  }
+  if (Call.Events.hasRest())
+    co_return endOfBroken();
+  keepConnection();
+  if (!Exchange.hasBegun())
+    co_await Exchange.beginStream(CallerHead);
+  Call.Status = Head.Status;
+  co_await Exchange.endStream();
+  co_return AttemptEnd::Complete;
+}
+
+asio::awaitable<bool> DirectAttempt::passOn(std::string events) {
+  if (!Exchange.hasBegun()) {
+    OnFirstByte();
+    if (!co_await Exchange.beginStream(CallerHead))
+      co_return false;
+  }
+  bool isSent = co_await Exchange.writeStream(std::move(events));
+  co_return isSent && !Call.IsCallerGone;
+}
+
+/// A part of an event that came is dropped; another run sends it whole.
+AttemptEnd DirectAttempt::endOfBroken() const {
+  Call.Events.dropRest();
+  return Exchange.hasBegun() ? AttemptEnd::BrokeOff : AttemptEnd::Lost;
+}
+
+void DirectAttempt::keepConnection() {
+  bool isClean = Answer->is_done() && Answer->keep_alive() &&
+                 Connection->Buffer.size() == 0;
+  if (!isClean)
+    return;
+  Call.Connection = nullptr;
+  Pool.keep(Order.Endpoint.Id, std::move(Connection), Head.KeepAlive,
+            monotonicNow());
+}
--- /dev/null
+++ b/lib/Process/DirectRole.cpp
@@ -0,0 +1,105 @@
+//===- DirectRole.cpp - the process of the direct path --------------------===//
+//
+// Puts the control thread and the traffic thread of a direct entry together.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Control/DirectControl.h"
+#include "ospreyspur/Process/DirectTraffic.h"
+#include "ospreyspur/Process/PlannedStop.h"
+#include "ospreyspur/Process/ProcessThreads.h"
+#include "ospreyspur/Process/Roles.h"
+#include "ospreyspur/Support/LogEvent.h"
+
+#include <glog/logging.h>
+
+#include <random>
+
+using namespace ospreyspur;
+
+namespace {
+/// All parts of a direct entry.
+class DirectProcess {
+public:
+  explicit DirectProcess(const DirectSettings &settings);
+
+  /// Runs until a planned stop has ended. Errors: SettingInvalid.
+  Result<void> run();
+
+private:
+  boost::asio::awaitable<void> answerReady(HttpExchange &exchange);
+  PlannedStop::Handlers makeStopHandlers();
+
+  const DirectSettings &Settings;
+  ProcessThreads Threads;
+  Metrics Measures;
+  DirectTraffic Traffic;
+  DirectControl Control;
+  HttpServer Ready;
+  PlannedStop Stop;
+  bool IsStopping = false;
+};
+} // namespace
+
+DirectProcess::DirectProcess(const DirectSettings &settings)
+    : Settings(settings),
+      Traffic(Threads.traffic(), settings, Measures, std::random_device{}()),
+      Control(Threads.control(), settings, std::random_device{}(),
+              [this](std::shared_ptr<const DirectSnapshot> it) {
+                Threads.postToTraffic(
+                    [this, it = std::move(it)] { Traffic.setSnapshot(it); });
+              }),
+      Ready(Threads.control(), HttpLimits(),
+            [this](HttpExchange &it) { return answerReady(it); }),
+      Stop(Threads.control(), {settings.StopNotice, settings.StopLimit},
+           makeStopHandlers()) {}
+
+boost::asio::awaitable<void> DirectProcess::answerReady(HttpExchange &it) {
+  bool isReady = Control.isReady() && !IsStopping;
+  co_await it.respond(isReady ? 200 : 503, "text/plain",
+                      isReady ? "ready\n" : "not ready\n");
+}
+
+PlannedStop::Handlers DirectProcess::makeStopHandlers() {
+  PlannedStop::Handlers handlers;
+  handlers.Announce = [this] {
+    IsStopping = true;
+    Threads.postToTraffic([this] { Traffic.announceStop(); });
+  };
+  handlers.Close = [this] {
+    Threads.postToTraffic([this] { Traffic.stopAccepting(); });
+  };
+  // The platform's balancer confirms nothing: the whole notice is waited out.
+  handlers.AskProgress = [this](std::function<void(StopProgress)> done) {
+    Threads.postToTraffic([this, done = std::move(done)] {
+      StopProgress progress{Traffic.busyCount(), false};
+      Threads.postToControl([done, progress] { done(progress); });
+    });
+  };
+  handlers.End = [this] {
+    Control.stop();
+    Threads.stop();
+  };
+  return handlers;
+}
+
+Result<void> DirectProcess::run() {
+  Result<TcpAddress> ready = parseAddress(Settings.ReadyListen);
+  if (!ready)
+    return ready.error();
+  for (const Result<void> &started :
+       {Traffic.start(), Ready.listen(ready.value()), Control.start()})
+    if (!started)
+      return started;
+  Stop.start();
+  LOG(INFO) << LogEvent("direct.start")
+                   .with("name", Settings.Name)
+                   .with("listen", Settings.Listen)
+                   .with("data_centre", Settings.DataCentre);
+  Threads.run();
+  return boost::outcome_v2::success();
+}
+
+Result<void> ospreyspur::runDirect(const DirectSettings &settings) {
+  return DirectProcess(settings).run();
+}
--- /dev/null
+++ b/lib/Process/DirectTraffic.cpp
@@ -0,0 +1,244 @@
+//===- DirectTraffic.cpp - traffic thread of the direct path --------------===//
+//
+// See DirectTraffic.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/DirectTraffic.h"
+
+#include "ospreyspur/Process/DirectAttempt.h"
+#include "ospreyspur/Support/LogEvent.h"
+#include "platform/RequestWire.h"
+
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+static constexpr Duration PoolLook = std::chrono::milliseconds(500);
+/// When to come back to an entry that does not know the configuration yet.
+static constexpr Duration StartingRetryAfter = std::chrono::milliseconds(300);
+
+static DirectLimits makeLimits(const DirectSettings &settings) {
+  DirectLimits limits;
+  limits.Retries = settings.Retries;
+  return limits;
+}
+
+/// Connections may rest for the whole idle time and somewhat longer, so that a
+/// caller never meets one that is just being closed.
+static HttpLimits makeHttpLimits(const CallerLimits &limits) {
+  HttpLimits out;
+  out.MaxHeaderBytes = limits.MaxHeaderBytes;
+  out.MaxBodyBytes = limits.MaxBodyBytes;
+  out.ReadTimeout = limits.IdleTimeout + limits.IdleTimeout / 4;
+  return out;
+}
+
+DirectTraffic::DirectTraffic(asio::io_context &ioc,
+                             const DirectSettings &settings, Metrics &metrics,
+                             std::uint64_t seed)
+    : Context(ioc), Settings(settings), Measures(metrics),
+      Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed),
+      Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
+      PoolTimer(ioc), Server(ioc, makeHttpLimits(CallerLimits()),
+                             [this](HttpExchange &it) { return handle(it); }),
+      Loads(ioc, {[this] {
+                    return LoadReport{Settings.Name, Node.book().ownLoads()};
+                  },
+                  [this](const LoadReport &it) {
+                    Node.setPeerLoad(it.Node, it.Loads, monotonicNow());
+                  }}) {}
+
+Result<void> DirectTraffic::start() {
+  closeUnused();
+  Result<void> exchanging = Loads.start(Settings.loadListen());
+  if (!exchanging)
+    return exchanging;
+  Result<TcpAddress> address = parseAddress(Settings.Listen);
+  if (!address)
+    return address.error();
+  return Server.listen(address.value());
+}
+
+void DirectTraffic::setSnapshot(
+    const std::shared_ptr<const DirectSnapshot> &snapshot) {
+  Config = snapshot->Config;
+  Server.setLimits(makeHttpLimits(Config->Limits));
+  Node.setEndpoints(snapshot->Endpoints);
+  std::vector<std::string> peers;
+  for (const NodeRecord &it : snapshot->Nodes)
+    if (!it.LoadAddress.empty())
+      peers.push_back(it.LoadAddress);
+  Loads.setPeers(peers);
+  apply(Node.onTimer(monotonicNow()));
+}
+
+Result<DirectRequest> DirectTraffic::readRequest(const HttpRequest &request) {
+  platform::CallerHeaders headers = platform::readCaller(request);
+  DirectRequest out;
+  out.Label = headers.Label;
+  out.Config = Config;
+  if (!Config)
+    return Error{ResultCode::ConfigUnknown, ""};
+  std::string target(request.target());
+  out.Route =
+      Config->findRoute(headers.Host, target.substr(0, target.find('?')));
+  if (!out.Route)
+    return Error{ResultCode::NotFound, ""};
+  out.Priority = out.Route->Priority;
+  auto workspace = Config->Keys.find(headers.Key);
+  bool isKnown = workspace != Config->Keys.end();
+  if (!isKnown && Config->HasWorkspaces && !out.Route->IsPublic)
+    return Error{ResultCode::Unauthorized, ""};
+  if (isKnown) {
+    out.Workspace = workspace->second.Name;
+    out.Priority = workspace->second.Priority.value_or(out.Priority);
+  }
+  out.TimeLeft = headers.TimeLeft;
+  out.Tokens = headers.Tokens;
+  out.Id = CallId(++LastCall);
+  return out;
+}
+
+asio::awaitable<void> DirectTraffic::handle(HttpExchange &exchange) {
+  TimePoint now = monotonicNow();
+  Result<DirectRequest> request = readRequest(exchange.request());
+  if (!request) {
+    ResultCode code = request.error().Code;
+    std::string label = platform::readCaller(exchange.request()).Label;
+    LOG(INFO) << LogEvent("request.rejected")
+                     .with("id", label)
+                     .with("code", static_cast<unsigned>(code))
+                     .with("version", Config ? Config->Version : 0);
+    Duration after = code == ResultCode::ConfigUnknown ? StartingRetryAfter
+                                                       : Duration::zero();
+    co_await exchange.respond(platform::makeRefusal(code, after, label));
+    co_return;
+  }
+  DirectCall call(Context, request.value(), now);
+  CallId id = call.Request.Id;
+  Calls[id] = &call;
+  exchange.watchHangUp([this, id] { onCallerGone(id); });
+  apply(Node.onCall(request.value(), now));
+  co_await serve(exchange, call);
+  Calls.erase(id);
+}
+
+asio::awaitable<void> DirectTraffic::serve(HttpExchange &exchange,
+                                           DirectCall &call) {
+  for (;;) {
+    DirectEvent event = co_await call.Inbox.next();
+    if (call.IsCallerGone) {
+      apply(Node.onCallGone(call.Request.Id, monotonicNow()));
+      finish(call, ResultCode::Cancelled);
+      exchange.cut();
+      co_return;
+    }
+    if (auto *order = std::get_if<StartAttempt>(&event)) {
+      co_await attempt(exchange, call, *order);
+      if (!Node.isKnown(call.Request.Id) && call.Status != 0) {
+        finish(call, ResultCode::Ok);
+        co_return;
+      }
+      continue;
+    }
+    if (const auto *end = std::get_if<EndCall>(&event)) {
+      co_await refuse(exchange, call, *end);
+      co_return;
+    }
+    finish(call, ResultCode::EndpointFailed);
+    if (exchange.hasBegun() || !call.FailedAnswer)
+      exchange.cut();
+    else
+      co_await exchange.respond(std::move(*call.FailedAnswer));
+    apply(Node.onCallGone(call.Request.Id, monotonicNow()));
+    co_return;
+  }
+}
+
+asio::awaitable<void> DirectTraffic::refuse(HttpExchange &exchange,
+                                            DirectCall &call, EndCall end) {
+  finish(call, end.Code);
+  if (exchange.hasBegun()) {
+    exchange.cut();
+    co_return;
+  }
+  co_await exchange.respond(
+      platform::makeRefusal(end.Code, end.RetryAfter, call.Request.Label));
+}
+
+asio::awaitable<void> DirectTraffic::attempt(HttpExchange &exchange,
+                                             DirectCall &call,
+                                             StartAttempt order) {
+  CallId id = call.Request.Id;
+  call.Endpoints +=
+      (call.Endpoints.empty() ? "" : ",") + order.Endpoint.Id.get();
+  auto onFirstByte = [this, &call, id] {
+    TimePoint now = monotonicNow();
+    if (!call.FirstByte)
+      call.FirstByte = now;
+    Node.onFirstByte(id, now);
+  };
+  DirectAttempt running(Pool, exchange, call, order, onFirstByte);
+  AttemptEnd end = co_await running.run();
+  if (call.IsCallerGone)
+    co_return;
+  apply(Node.onAttemptEnded(id, end, monotonicNow()));
+}
+
+void DirectTraffic::apply(DirectActions actions) {
+  for (DirectAction &action : actions)
+    std::visit(
+        [this](auto &it) {
+          auto found = Calls.find(it.Call);
+          if (found != Calls.end())
+            found->second->Inbox.post(std::move(it));
+        },
+        action);
+  Timer.set(Node.nextTimer());
+}
+
+/// Closing the connection to the endpoint tells it that nobody waits.
+void DirectTraffic::onCallerGone(CallId id) {
+  auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  DirectCall &call = *it->second;
+  call.IsCallerGone = true;
+  if (call.Connection)
+    call.Connection->Stream.close();
+  call.Inbox.post(CallerGone{id});
+}
+
+void DirectTraffic::finish(const DirectCall &call, ResultCode code) {
+  TimePoint now = monotonicNow();
+  const ResultInfo &info = describe(code);
+  Measures.count("requests_total{outcome=\"" +
+                 std::string(toString(info.Kind)) + "\",code=\"" +
+                 std::to_string(static_cast<unsigned>(code)) + "\"}");
+  if (call.FirstByte)
+    Measures.observe("first_byte", *call.FirstByte - call.Arrived);
+  auto toMillis = [](Duration it) { return it.count() / 1000; };
+  LOG(INFO) << LogEvent("request.done")
+                   .with("id", call.Request.Label)
+                   .with("route", call.Request.Route->Name)
+                   .with("version", call.Request.Config->Version)
+                   .with("code", static_cast<unsigned>(code))
+                   .with("outcome", toString(info.Kind))
+                   .with("status", call.Status)
+                   .with("endpoints", call.Endpoints)
+                   .with("first_ms", call.FirstByte ? toMillis(*call.FirstByte -
+                                                               call.Arrived)
+                                                    : -1)
+                   .with("ms", toMillis(now - call.Arrived));
+}
+
+void DirectTraffic::closeUnused() {
+  Pool.closeUnused(monotonicNow());
+  PoolTimer.expires_after(PoolLook);
+  PoolTimer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      closeUnused();
+  });
+}
--- /dev/null
+++ b/lib/Process/LoadExchange.cpp
@@ -0,0 +1,84 @@
+//===- LoadExchange.cpp - load reports between entries --------------------===//
+//
+// See LoadExchange.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/LoadExchange.h"
+
+#include "ospreyspur/Support/Address.h"
+#include "ospreyspur/Support/LogEvent.h"
+
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+/// Datagrams that cannot be read, for each line in the log.
+static constexpr int LogOneIn = 100;
+
+LoadExchange::LoadExchange(asio::io_context &ioc, LoadExchangeHandlers handlers)
+    : Handlers(std::move(handlers)), Socket(ioc), Timer(ioc) {}
+
+static udp::endpoint toDatagramAddress(const TcpAddress &it) {
+  return {it.address(), it.port()};
+}
+
+Result<void> LoadExchange::start(const std::string &address) {
+  Result<TcpAddress> parsed = parseAddress(address);
+  if (!parsed)
+    return parsed.error();
+  udp::endpoint local = toDatagramAddress(parsed.value());
+  boost::system::error_code ec;
+  Socket.open(local.protocol(), ec);
+  if (!ec)
+    Socket.bind(local, ec);
+  if (!ec)
+    Socket.non_blocking(true, ec);
+  if (ec)
+    return Error{ResultCode::SettingInvalid,
+                 "cannot take datagrams on " + address + ": " + ec.message()};
+  receive();
+  send();
+  return boost::outcome_v2::success();
+}
+
+void LoadExchange::setPeers(const std::vector<std::string> &addresses) {
+  Peers.clear();
+  for (const std::string &it : addresses)
+    if (Result<TcpAddress> parsed = parseAddress(it))
+      Peers.push_back(toDatagramAddress(parsed.value()));
+}
+
+void LoadExchange::receive() {
+  Socket.async_receive_from(
+      asio::buffer(Bytes), Sender,
+      [this](boost::system::error_code ec, std::size_t n) {
+        if (ec == asio::error::operation_aborted)
+          return;
+        std::optional<LoadReport> report;
+        if (!ec)
+          report = decodeLoad({Bytes.data(), n});
+        if (report) {
+          Handlers.OnReport(*report);
+        } else {
+          LOG_EVERY_N(WARNING, LogOneIn)
+              << LogEvent("load.unreadable").with("error", ec.message());
+        }
+        receive();
+      });
+}
+
+void LoadExchange::send() {
+  std::string bytes = encodeLoad(Handlers.MakeReport());
+  // A full link drops the report; the next one is due soon.
+  boost::system::error_code ignored;
+  for (const udp::endpoint &it : Peers)
+    Socket.send_to(asio::buffer(bytes), it, 0, ignored);
+  Timer.expires_after(Interval);
+  Timer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      send();
+  });
+}
--- /dev/null
+++ b/lib/Rpc/LoadCodec.cpp
@@ -0,0 +1,33 @@
+//===- LoadCodec.cpp - load reports as datagrams --------------------------===//
+//
+// See LoadCodec.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Rpc/LoadCodec.h"
+
+#include "generated/peer.pb.h"
+
+using namespace ospreyspur;
+
+std::string ospreyspur::encodeLoad(const LoadReport &report) {
+  wire::LoadReport out;
+  out.set_node(report.Node);
+  for (const EndpointLoad &it : report.Loads) {
+    wire::EndpointLoad *row = out.add_loads();
+    row->set_endpoint(it.Endpoint.get());
+    row->set_running(it.Running);
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<LoadReport> ospreyspur::decodeLoad(std::string_view bytes) {
+  wire::LoadReport in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return std::nullopt;
+  LoadReport out;
+  out.Node = in.node();
+  for (const wire::EndpointLoad &it : in.loads())
+    out.Loads.push_back({EndpointId(it.endpoint()), it.running()});
+  return out;
+}
--- a/test/standin/Platform.cpp
+++ b/test/standin/Platform.cpp
@@ -1,18 +1,23 @@
 //===- Platform.cpp - stand-in for the platform's key-value service -------===//
 //
-// Compare-and-swap, leases and watches, with outages, delays and answers lost
-// after their effect on order (POST /fault).
+// Items, lists, watches, transactions and leases as the users' platform speaks
+// them, with outages, delays and answers lost after their effect on order
+// (POST /fault).
 //
 //===----------------------------------------------------------------------===//
 
 #include "Standins.h"
 
 #include "ospreyspur/Support/Time.h"
+#include "platform/Base64.h"
+#include "platform/JsonFields.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/url.hpp>
 
+#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <map>
@@ -25,24 +30,38 @@
 struct Entry {
   std::string Value;
   std::uint64_t Revision = 0;
-  Duration Lease{};
+  std::uint64_t Created = 0;
+  std::uint64_t Lease = 0;
+};
+
+struct Lease {
+  Duration Span{};
   TimePoint Expires;
 };
 
+/// One change, for watches.
+struct Change {
+  std::string Key;
+  std::uint64_t Revision = 0;
+  json::object Body;
+};
+
 class Platform {
 public:
   void load(const std::string &keyAndFile) {
     std::size_t split = keyAndFile.find('=');
     std::ifstream is(keyAndFile.substr(split + 1));
     std::string value(std::istreambuf_iterator<char>(is), {});
-    Entries[keyAndFile.substr(0, split)] = {value, ++LastRevision, {}, {}};
+    write(keyAndFile.substr(0, split), value, 0);
   }
 
   asio::awaitable<void> handle(HttpExchange &exchange) {
     json::object in = bodyOf(exchange);
     std::string target(exchange.request().target());
-    ++Calls[target];
-    if (target == "/fault") {
+    boost::urls::url_view url(target);
+    std::string path(url.encoded_path());
+    ++Calls[path.substr(0, path.find_last_not_of("0123456789") + 1)];
+    if (path == "/fault") {
       OutageUntil =
           monotonicNow() + std::chrono::milliseconds(numberOf(in, "outage_ms"));
       DropAnswers = numberOf(in, "drop_answers");
@@ -50,10 +69,10 @@
       co_await reply(exchange, 200, json::object());
       co_return;
     }
-    if (target == "/calls") {
+    if (path == "/calls") {
       json::object out;
-      for (const auto &[path, n] : Calls)
-        out[path] = n;
+      for (const auto &[name, n] : Calls)
+        out[name] = n;
       co_await reply(exchange, 200, out);
       co_return;
     }
@@ -64,19 +83,11 @@
       co_return;
     }
     expire();
-    unsigned status = 200;
     json::object out;
-    if (target == "/kv/get")
-      status = get(textOf(in, "key"), out);
-    else if (target == "/kv/put")
-      status = put(in, out);
-    else if (target == "/kv/renew")
-      status = renew(in, out);
-    else if (target == "/kv/watch")
-      status = co_await watch(in, out);
-    else
-      status = 400;
-    if (target == "/kv/put" && DropAnswers > 0) {
+    unsigned status = path == "/ospreyspur/kv-watch"
+                          ? co_await watch(url.params(), out)
+                          : perform(path, url.params(), in, out);
+    if (path == "/ospreyspur/kv-txn" && DropAnswers > 0) {
       --DropAnswers;
       exchange.cut();
       co_return;
@@ -89,57 +100,156 @@
   }
 
 private:
+  using Params = boost::urls::params_view;
+
+  static std::string paramOf(const Params &params, std::string_view name) {
+    auto it = params.find(name);
+    return it == params.end() ? std::string() : std::string((*it).value);
+  }
+
+  static std::uint64_t idOf(const std::string &path) {
+    std::uint64_t id = 0;
+    std::size_t slash = path.rfind('/') + 1;
+    std::from_chars(path.data() + slash, path.data() + path.size(), id);
+    return id;
+  }
+
+  unsigned perform(const std::string &path, const Params &params,
+                   const json::object &in, json::object &out) {
+    if (path == "/ospreyspur/kv-key")
+      return get(paramOf(params, "key"), out);
+    if (path == "/ospreyspur/kv-range")
+      return list(paramOf(params, "prefix"), paramOf(params, "after"), out);
+    if (path == "/ospreyspur/kv-txn")
+      return transact(in, out);
+    if (path == "/ospreyspur/kv-lease")
+      return grant(in, out);
+    if (path.starts_with("/ospreyspur/kv-keep/"))
+      return keep(idOf(path), out);
+    return 400;
+  }
+
+  json::object itemOf(const std::string &key, const Entry &entry) const {
+    return {{"key", key},
+            {"value", ospreyspur::platform::encodeBase64(entry.Value)},
+            {"rev", entry.Revision},
+            {"created", entry.Created},
+            {"lease", entry.Lease}};
+  }
+
   unsigned get(const std::string &key, json::object &out) {
     auto it = Entries.find(key);
-    if (it == Entries.end())
-      return 404;
-    out = {{"revision", it->second.Revision}, {"value", it->second.Value}};
+    if (it != Entries.end())
+      out = itemOf(key, it->second);
+    out["store_revision"] = LastRevision;
+    return it == Entries.end() ? 404 : 200;
+  }
+
+  unsigned list(const std::string &prefix, const std::string &after,
+                json::object &out) {
+    json::array items;
+    for (const auto &[key, entry] : Entries)
+      if (key.starts_with(prefix) && key > after)
+        items.push_back(itemOf(key, entry));
+    out = {{"items", items},
+           {"more_pages", false},
+           {"store_revision", LastRevision}};
     return 200;
   }
 
-  unsigned put(const json::object &in, json::object &out) {
-    std::string key = textOf(in, "key");
+  std::uint64_t revisionOf(const std::string &key) const {
     auto it = Entries.find(key);
-    std::uint64_t present = it == Entries.end() ? 0 : it->second.Revision;
-    if (present != static_cast<std::uint64_t>(numberOf(in, "expected"))) {
-      out = {{"revision", present},
-             {"value", it == Entries.end() ? "" : it->second.Value}};
-      return 409;
+    return it == Entries.end() ? 0 : it->second.Revision;
+  }
+
+  unsigned transact(const json::object &in, json::object &out) {
+    using ospreyspur::platform::arrayOf;
+    json::array present;
+    bool isMet = true;
+    for (const json::value &it : arrayOf(in, "expect_rev")) {
+      std::string key = textOf(it.as_object(), "key");
+      auto expected = std::uint64_t(numberOf(it.as_object(), "rev"));
+      isMet = isMet && revisionOf(key) == expected;
+      if (Entries.contains(key))
+        present.push_back(itemOf(key, Entries[key]));
+    }
+    if (!isMet) {
+      out = {{"items", present}};
+      return 412;
+    }
+    const json::array &puts = arrayOf(in, "puts");
+    for (const json::value &it : puts) {
+      auto lease = std::uint64_t(numberOf(it.as_object(), "lease"));
+      if (lease != 0 && !Leases.contains(lease))
+        return 404;
+    }
+    for (const json::value &it : puts) {
+      const json::object &row = it.as_object();
+      write(
+          textOf(row, "key"),
+          ospreyspur::platform::decodeBase64(textOf(row, "value")).value_or(""),
+          std::uint64_t(numberOf(row, "lease")));
     }
-    Entry entry{textOf(in, "value"),
-                ++LastRevision,
-                std::chrono::milliseconds(numberOf(in, "lease_ms")),
-                {}};
-    entry.Expires = monotonicNow() + entry.Lease;
-    out = {{"revision", entry.Revision}};
-    Entries[key] = entry;
+    for (const json::value &it : arrayOf(in, "remove"))
+      remove(std::string(it.as_string()));
+    out = {{"rev", LastRevision}};
     wake();
     return 200;
   }
 
-  unsigned renew(const json::object &in, json::object &out) {
-    auto it = Entries.find(textOf(in, "key"));
-    if (it == Entries.end() ||
-        it->second.Revision !=
-            static_cast<std::uint64_t>(numberOf(in, "holder")))
+  void write(const std::string &key, const std::string &value,
+             std::uint64_t lease) {
+    Entry &entry = Entries[key];
+    entry.Value = value;
+    entry.Revision = ++LastRevision;
+    entry.Lease = lease;
+    if (entry.Created == 0)
+      entry.Created = LastRevision;
+    History.push_back({key, LastRevision, itemOf(key, entry)});
+  }
+
+  void remove(const std::string &key) {
+    if (Entries.erase(key) == 0)
+      return;
+    ++LastRevision;
+    History.push_back(
+        {key,
+         LastRevision,
+         {{"key", key}, {"rev", LastRevision}, {"removed", true}}});
+  }
+
+  unsigned grant(const json::object &in, json::object &out) {
+    Duration span = std::chrono::milliseconds(numberOf(in, "ttl_ms"));
+    Leases[++LastLease] = {span, monotonicNow() + span};
+    out = {{"lease", LastLease}, {"ttl_ms", numberOf(in, "ttl_ms")}};
+    return 200;
+  }
+
+  unsigned keep(std::uint64_t id, json::object &out) {
+    auto it = Leases.find(id);
+    if (it == Leases.end())
       return 404;
-    it->second.Expires = monotonicNow() + it->second.Lease;
-    out = {{"revision", it->second.Revision}};
+    it->second.Expires = monotonicNow() + it->second.Span;
+    out = {{"ttl_ms", it->second.Span.count() / 1000}};
     return 200;
   }
 
-  asio::awaitable<unsigned> watch(const json::object &in, json::object &out) {
-    std::string key = textOf(in, "key");
+  asio::awaitable<unsigned> watch(Params params, json::object &out) {
+    std::string prefix = paramOf(params, "prefix");
+    auto after = std::stoull(paramOf(params, "after"));
     TimePoint end =
-        monotonicNow() + std::chrono::milliseconds(numberOf(in, "wait_ms"));
-    auto after = static_cast<std::uint64_t>(numberOf(in, "after"));
+        monotonicNow() +
+        std::chrono::milliseconds(std::stoll(paramOf(params, "wait_ms")));
     for (;;) {
-      auto it = Entries.find(key);
-      if (it != Entries.end() && it->second.Revision > after)
-        co_return get(key, out);
+      json::array events;
+      for (const Change &it : History)
+        if (it.Revision > after && it.Key.starts_with(prefix))
+          events.push_back(it.Body);
       TimePoint now = monotonicNow();
-      if (now >= end || now < OutageUntil)
-        co_return 404;
+      if (!events.empty() || now >= end || now < OutageUntil) {
+        out = {{"events", events}, {"store_revision", LastRevision}};
+        co_return 200;
+      }
       co_await waitForChange(end - now);
       expire();
     }
@@ -160,14 +270,22 @@
 
   void expire() {
     TimePoint now = monotonicNow();
-    std::erase_if(Entries, [now](const auto &it) {
-      return it.second.Lease > Duration::zero() && it.second.Expires <= now;
-    });
+    std::erase_if(Leases,
+                  [now](const auto &it) { return it.second.Expires <= now; });
+    std::vector<std::string> gone;
+    for (const auto &[key, entry] : Entries)
+      if (entry.Lease != 0 && !Leases.contains(entry.Lease))
+        gone.push_back(key);
+    for (const std::string &it : gone)
+      remove(it);
   }
 
   std::map<std::string, Entry> Entries;
+  std::map<std::uint64_t, Lease> Leases;
+  std::vector<Change> History;
   std::map<std::string, std::uint64_t> Calls;
   std::uint64_t LastRevision = 0;
+  std::uint64_t LastLease = 0;
   std::vector<std::shared_ptr<asio::steady_timer>> Waiting;
   TimePoint OutageUntil;
   std::int64_t DropAnswers = 0;
--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -13,6 +13,7 @@
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -74,6 +75,8 @@
   bool isGood = false;
   if (kind == "entry")
     isGood = loadSettings(path, readEntrySettings).has_value();
+  else if (kind == "direct")
+    isGood = loadSettings(path, readDirectSettings).has_value();
   else if (kind == "agent")
     isGood = loadSettings(path, readAgentSettings).has_value();
   else
@@ -93,6 +96,10 @@
 }
 
 static int run(const std::string &role, const std::string &path) {
+  if (role == "direct") {
+    auto settings = loadSettings(path, readDirectSettings);
+    return settings ? exitStatus(runDirect(*settings)) : 1;
+  }
   if (role == "entry") {
     auto settings = loadSettings(path, readEntrySettings);
     return settings ? exitStatus(runEntry(*settings)) : 1;
@@ -101,6 +108,12 @@
   return settings ? exitStatus(runAgent(*settings)) : 1;
 }
 
+/// The path on the command line, else the one in the environment.
+static std::string settingsPath(const std::string &given) {
+  const char *path = std::getenv("OSPREYSPUR_SETTINGS");
+  return given.empty() && path ? path : given;
+}
+
 int main(int argc, char **argv) {
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
@@ -109,6 +122,7 @@
                        "Examples:\n"
                        "  ospreyspur entry --settings entry.ini\n"
                        "  ospreyspur agent --settings agent.ini\n"
+                       "  ospreyspur direct --settings direct.ini\n"
                        "  ospreyspur check --kind config --settings doc.json\n"
                        "  ospreyspur settings   (prints every key)\n"
                        "  ospreyspur ctl --admin 127.0.0.1:7311 --token-file t "
@@ -116,14 +130,14 @@
                        "  ospreyspur ctl --admin 127.0.0.1:7311 --token-file t "
                        "--body e.json put events/dusk",
                        ' ', Version);
-    std::vector<std::string> commands{"entry", "agent", "check", "settings",
-                                      "ctl"};
+    std::vector<std::string> commands{"entry", "agent",    "direct",
+                                      "check", "settings", "ctl"};
     TCLAP::ValuesConstraint<std::string> allowed(commands);
     TCLAP::UnlabeledValueArg<std::string> command("command", "what to do", true,
                                                   "", &allowed, cmd);
     TCLAP::ValueArg<std::string> settings("s", "settings", "the file to read",
                                           false, "", "file", cmd);
-    std::vector<std::string> kinds{"entry", "agent", "config"};
+    std::vector<std::string> kinds{"entry", "agent", "direct", "config"};
     TCLAP::ValuesConstraint<std::string> allowedKinds(kinds);
     TCLAP::ValueArg<std::string> kind("k", "kind", "what check reads", false,
                                       "entry", &allowedKinds, cmd);
@@ -161,7 +175,7 @@
     }
     if (command.getValue() == "check")
       return check(kind.getValue(), settings.getValue());
-    return run(command.getValue(), settings.getValue());
+    return run(command.getValue(), settingsPath(settings.getValue()));
   } catch (const TCLAP::ArgException &error) {
     std::cerr << "ospreyspur: " << error.error() << " " << error.argId()
               << '\n';
