--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -91,6 +91,25 @@
 /// Reads the direct path's settings; faults are in \p reader afterwards.
 DirectSettings readDirectSettings(SettingsReader &reader);
 
+/// Settings of `ospreyspur rank`.
+struct RankSettings {
+  std::string Name;
+  std::string PlatformAddress;
+  /// This process's IP number.
+  std::string Host;
+  /// First and last port for what the processes say to each other.
+  std::string PeerPorts;
+  /// The rank's HTTP address.
+  std::string EndpointAddress;
+  std::string Service;
+
+  /// Links from the other agents: the first of the peer ports.
+  std::string linkListen() const;
+};
+
+/// Reads a rank agent's settings; faults are in \p reader afterwards.
+RankSettings readRankSettings(SettingsReader &reader);
+
 /// Reads an entry's settings; faults are in \p reader afterwards.
 EntrySettings readEntrySettings(SettingsReader &reader);
 
--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -51,6 +51,8 @@
   }
   /// The epoch; only meaningful while held.
   Epoch epoch() const { return Epoch(Holder.get()); }
+  /// What the present holder wrote, as last read; empty if there was none.
+  const std::string &holder() const { return HolderText; }
   /// When nextCall() is next needed.
   TimePoint nextTimer() const;
 
@@ -61,6 +63,7 @@
   std::string Self;
   LeaseLimits Limits;
   Revision Holder;
+  std::string HolderText;
   TimePoint ActUntil;
   TimePoint NextCall;
   TimePoint SentAt;
--- /dev/null
+++ b/include/ospreyspur/Experts/MapOrder.h
@@ -0,0 +1,67 @@
+//===- MapOrder.h - orders to a rank about its map --------------*- C++ -*-===//
+//
+// What a group's coordinator asks of single ranks, and their answers. Each
+// order carries a fencing token higher than all before it, so that one that
+// arrives late is refused.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_MAPORDER_H
+#define OSPREYSPUR_EXPERTS_MAPORDER_H
+
+#include "ospreyspur/Experts/RankStatus.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace ospreyspur {
+
+using FencingToken = StrongType<struct FencingTokenTag, std::uint64_t>;
+using MapOrderId = StrongType<struct MapOrderIdTag, std::uint64_t>;
+
+enum class MapOrderKind : std::uint8_t {
+  /// Copy the experts of the map that are new to the rank.
+  Prepare,
+  /// Take the map as the step begins.
+  Arm,
+  /// Keep the present map after all.
+  Disarm,
+  /// The group does not begin the step until it is released.
+  Hold,
+  /// Releases the step.
+  Release,
+};
+
+/// The experts of every rank, by rank and set.
+using GroupPlacement = std::vector<RankPlacement>;
+
+struct MapOrder {
+  MapOrderId Id;
+  MapOrderKind Kind = MapOrderKind::Hold;
+  FencingToken Fence;
+  FormationEpoch Formation;
+  MapVersion Version;
+  StepNumber Step;
+  /// With Prepare.
+  GroupPlacement Map;
+};
+
+enum class MapOrderResult : std::uint8_t {
+  /// Done, begun, or so already.
+  Done,
+  /// It does not fit the rank's state.
+  Refused,
+  /// A higher fencing token was seen.
+  Fenced,
+  /// No answer: it may have been taken, or may be later.
+  Unanswered,
+};
+
+struct MapOrderReply {
+  MapOrderId Id;
+  MapOrderResult Result = MapOrderResult::Unanswered;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_MAPORDER_H
--- /dev/null
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -0,0 +1,162 @@
+//===- MapSwitch.h - brings a new map into force on a group -----*- C++ -*-===//
+//
+// The coordinator's state machine for one group that the platform forms. All
+// ranks change at one step or none do:
+//
+//   prepare on all -> hold step S on one -> arm for S on all -> release S
+//
+// While S is held no rank can begin it, so a rank that cannot be armed is no
+// harm: the others are disarmed before the release. Fencing tokens rise with
+// each order, so an order without an answer cannot act after a later one. A
+// coordinator that finds an unfinished change first holds the step on every
+// rank with its own, higher token; then nothing of its predecessor's can act.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_MAPSWITCH_H
+#define OSPREYSPUR_EXPERTS_MAPSWITCH_H
+
+#include "ospreyspur/Experts/MapOrder.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace ospreyspur {
+
+/// Times of a change.
+struct SwitchLimits {
+  /// After this time an order without an answer is sent again, with a higher
+  /// token.
+  Duration Resend = std::chrono::milliseconds(200);
+  /// A status older than this says nothing.
+  Duration StatusAge = std::chrono::milliseconds(1500);
+  /// How long ranks may take to copy experts.
+  Duration PrepareTime = std::chrono::seconds(6);
+  /// How long a phase may take before the change is taken back.
+  Duration PhaseTime = std::chrono::milliseconds(1200);
+  /// Steps between the present one and the change: orders take a few
+  /// milliseconds, a step of a busy group some tens.
+  std::uint64_t StepsAhead = 3;
+  /// Steps tried to hold; a group may be faster than it seemed.
+  unsigned MaxHolds = 3;
+  /// Over which the group's speed is measured.
+  Duration StepWindow = std::chrono::milliseconds(300);
+};
+
+enum class SwitchPhase : std::uint8_t {
+  /// Nothing is under way.
+  Idle,
+  Preparing,
+  Holding,
+  Arming,
+  Releasing,
+  /// Waits until every rank reports the new map.
+  Confirming,
+  /// Holds the step of an unfinished change on every rank.
+  Freezing,
+  /// Disarms every rank.
+  Disarming,
+};
+
+/// Send \c Order to the rank numbered \c Rank.
+struct SendMapOrder {
+  unsigned Rank = 0;
+  /// How often an earlier copy of the order got no answer.
+  unsigned Tries = 0;
+  MapOrder Order;
+};
+
+using SwitchActions = std::vector<SendMapOrder>;
+
+/// Coordinates the changes of one group.
+class MapSwitch {
+public:
+  explicit MapSwitch(SwitchLimits limits) : Limits(limits) {}
+
+  // Commands.
+
+  /// From now on orders carry tokens that begin with \p lease, a number that
+  /// rises with each holder of the group's lease.
+  void lead(std::uint64_t lease);
+  /// Gives no more orders.
+  void resign();
+  SwitchActions onStatus(unsigned rank, const RankStatus &status,
+                         TimePoint now);
+  SwitchActions onReply(unsigned rank, const MapOrderReply &reply,
+                        TimePoint now);
+  SwitchActions onTimer(TimePoint now);
+  /// Begins to bring \p placement into force; only while canBegin().
+  SwitchActions begin(const GroupPlacement &placement, TimePoint now);
+
+  // Queries.
+
+  SwitchPhase phase() const { return Phase; }
+  /// Whether a change may begin: the ranks are known and nothing is left over.
+  bool canBegin(TimePoint now) const;
+  /// The experts of every rank, as reported.
+  GroupPlacement placement() const;
+  /// The version under way, or the last one.
+  MapVersion version() const { return Version; }
+  /// When the change under way began.
+  TimePoint beganAt() const { return BeganAt; }
+  const std::map<unsigned, RankStatus> &ranks() const { return Ranks; }
+
+private:
+  struct Pending {
+    MapOrder Order;
+    TimePoint SentAt;
+    unsigned Tries = 0;
+  };
+
+  bool isComplete(TimePoint now) const;
+  bool isSurveyed() const;
+  bool allRanks(const std::function<bool(const RankStatus &)> &test) const;
+  void noteStep(const RankStatus &status, TimePoint now);
+  void enter(SwitchPhase phase, TimePoint now);
+  void enterIdle(TimePoint now);
+  void advance(TimePoint now);
+  void advanceIdle(TimePoint now);
+  void advanceFrozen(TimePoint now);
+  void advanceConfirming(TimePoint now);
+  void holdNext(TimePoint now);
+  void orderAll(MapOrderKind kind, TimePoint now);
+  void order(unsigned rank, MapOrderKind kind, TimePoint now);
+  void send(unsigned rank, MapOrder order, unsigned tries, TimePoint now);
+  void onRefused(unsigned tries, TimePoint now);
+  void onPhaseDone(TimePoint now);
+  void takeBack(TimePoint now);
+  void release(TimePoint now);
+  SwitchActions takeActions();
+
+  SwitchLimits Limits;
+  bool IsLeading = false;
+  std::uint64_t Lease = 0;
+  std::uint64_t LastOrder = 0;
+  SwitchPhase Phase = SwitchPhase::Idle;
+  TimePoint PhaseAt;
+  TimePoint BeganAt;
+  /// Statuses from before this moment are too old to decide by.
+  std::optional<TimePoint> SurveySince;
+  FormationEpoch Formation;
+  MapVersion Version;
+  StepNumber Step;
+  unsigned HoldTries = 0;
+  GroupPlacement Wanted;
+  std::map<unsigned, RankStatus> Ranks;
+  std::map<unsigned, TimePoint> SeenAt;
+  /// Orders of the present phase without a final answer, by rank.
+  std::map<unsigned, Pending> Orders;
+  /// How fast the group steps.
+  FormationEpoch StepFormation;
+  StepNumber LastStep;
+  TimePoint LastStepAt;
+  double StepsPerSecond = 0;
+  SwitchActions Out;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_MAPSWITCH_H
--- /dev/null
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -0,0 +1,61 @@
+//===- RankStatus.h - what one rank of a group reports ----------*- C++ -*-===//
+//
+// The state of one rank of a group that the platform forms.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_RANKSTATUS_H
+#define OSPREYSPUR_EXPERTS_RANKSTATUS_H
+
+#include "ospreyspur/Experts/GroupMessages.h"
+#include "ospreyspur/Experts/RankState.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace ospreyspur {
+
+/// Counts the times that the platform has formed a group; all that ranks have
+/// prepared, armed or held is gone with each.
+using FormationEpoch = StrongType<struct FormationEpochTag, std::uint64_t>;
+
+/// An expert's number within its set of layers.
+using ExpertNumber = std::uint16_t;
+/// The experts of one rank, by set of layers.
+using RankPlacement = std::vector<std::vector<ExpertNumber>>;
+
+/// A map that a rank will take as a step begins.
+struct ArmedMap {
+  MapVersion Version;
+  StepNumber Step;
+
+  friend bool operator==(const ArmedMap &, const ArmedMap &) = default;
+};
+
+/// One rank's own view, as it stood when it answered.
+struct RankStatus {
+  GroupId Group;
+  FormationEpoch Formation;
+  /// From 0.
+  unsigned Rank = 0;
+  /// Ranks of the group.
+  unsigned Size = 0;
+  /// Whether the group takes requests.
+  bool IsOpen = false;
+  /// The last step that began.
+  StepNumber Step;
+  MapVersion Map;
+  std::optional<MapVersion> Prepared;
+  std::optional<ArmedMap> Armed;
+  /// The group does not begin this step before it is released.
+  std::optional<StepNumber> Held;
+  /// Times that each expert was chosen since the rank started, set by set.
+  std::vector<std::uint64_t> Counts;
+  /// The experts that it holds under Map.
+  RankPlacement Placement;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_RANKSTATUS_H
--- a/include/ospreyspur/Platform/KeyValue.h
+++ b/include/ospreyspur/Platform/KeyValue.h
@@ -25,6 +25,8 @@
 /// Reads a key.
 struct KvGet {
   std::string Key;
+  /// Whether an answer that is seconds old will do; it costs a tenth.
+  bool MayBeStale = false;
 };
 
 /// Writes a key if its revision is \c Expected; 0 creates it.
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -43,7 +43,7 @@
 
   template <typename T> using Task = boost::asio::awaitable<T>;
 
-  Task<KvReply> get(std::string key, Duration timeout);
+  Task<KvReply> get(KvGet call, Duration timeout);
   Task<KvReply> put(KvPut call, Duration timeout);
   Task<KvReply> renew(KvRenew call, Duration timeout);
   Task<KvReply> watch(KvWatch call, Duration timeout);
--- /dev/null
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -0,0 +1,93 @@
+//===- RankAgent.h - an agent beside one rank of a group --------*- C++ -*-===//
+//
+// Reads its rank's state and hands it to the group's coordinator, which is one
+// of the group's agents: the holder of the group's lease. The coordinator plans
+// maps and brings them into force; agents pass its orders on to their ranks.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_RANKAGENT_H
+#define OSPREYSPUR_PROCESS_RANKAGENT_H
+
+#include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Experts/DemandMeter.h"
+#include "ospreyspur/Experts/LeaseHolder.h"
+#include "ospreyspur/Experts/MapSwitch.h"
+#include "ospreyspur/Experts/PlacementPlanner.h"
+#include "ospreyspur/Platform/PlatformClient.h"
+#include "ospreyspur/Process/NodeTimer.h"
+#include "ospreyspur/Process/PeerLinks.h"
+#include "ospreyspur/Process/RankLink.h"
+#include "ospreyspur/Rpc/PeerServer.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace ospreyspur {
+
+/// The agent, on one io_context's thread.
+class RankAgent {
+public:
+  RankAgent(boost::asio::io_context &ioc, const RankSettings &settings,
+            std::uint64_t seed);
+
+  /// Begins to read the rank. Errors: SettingInvalid.
+  Result<void> start();
+  void stop();
+
+private:
+  /// One group as its members see it.
+  struct Membership {
+    Membership(GroupId group, LeaseHolder lease)
+        : Group(std::move(group)), Lease(std::move(lease)) {}
+
+    GroupId Group;
+    LeaseHolder Lease;
+  };
+
+  void tick();
+  void lookAtLease();
+  boost::asio::awaitable<void> readRank();
+  void onStatus(const RankStatus &status);
+  void join(const GroupId &group);
+  void report(const RankStatus &status);
+  void onReply(LinkId from, const MapOrderReply &reply);
+  void takeStatus(const RankStatus &status, std::optional<LinkId> from);
+  void apply(const SwitchActions &actions);
+  void perform(const SendMapOrder &action);
+  void considerPlan();
+  void readFigures();
+  void logPhase();
+  void spawn(boost::asio::awaitable<void> task);
+  boost::asio::awaitable<void> giveOwn(unsigned rank, MapOrder order);
+  boost::asio::awaitable<void> giveFor(EndpointId from, MapOrder order);
+
+  boost::asio::io_context &Context;
+  const RankSettings &Settings;
+  std::mt19937_64 Random;
+  PlatformClient Platform;
+  RankLink Rank;
+  std::optional<RankStatus> Own;
+  std::unique_ptr<Membership> Member;
+  MapSwitch Switch;
+  SwitchPhase LoggedPhase = SwitchPhase::Idle;
+  DemandMeter Demand;
+  /// The service's engine, once read.
+  std::optional<EngineFigures> Figures;
+  TimePoint NextFigures;
+  TimePoint NextPlan;
+  /// The link on which each rank's agent reports.
+  std::map<unsigned, LinkId> Links;
+  NodeTimer Timer;
+  NodeTimer LeaseTimer;
+  bool IsReading = false;
+  bool IsStopped = false;
+  PeerServer Server;
+  PeerLinks Peers;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_RANKAGENT_H
--- a/include/ospreyspur/Process/Roles.h
+++ b/include/ospreyspur/Process/Roles.h
@@ -22,6 +22,9 @@
 /// SettingInvalid.
 Result<void> runDirect(const DirectSettings &settings);
 
+/// Runs an agent beside a rank until SIGTERM or SIGINT. Errors: SettingInvalid.
+Result<void> runRank(const RankSettings &settings);
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_PROCESS_ROLES_H
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -10,6 +10,7 @@
 
 #include "ospreyspur/Config/GossipMessages.h"
 #include "ospreyspur/Experts/GroupMessages.h"
+#include "ospreyspur/Experts/MapOrder.h"
 #include "ospreyspur/Ledger/Ticket.h"
 #include "ospreyspur/Support/Ids.h"
 #include "ospreyspur/Support/ResultCode.h"
@@ -139,10 +140,11 @@
 struct LeavingSeen {};
 
 /// Any message between two of our processes.
-using Message = std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel,
-                             Accepted, Refused, Head, Chunk, Finish,
-                             ResolveReply, Leaving, LeavingSeen, GroupOrder,
-                             GroupReply, GossipDigest, GossipUpdate>;
+using Message =
+    std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel, Accepted,
+                 Refused, Head, Chunk, Finish, ResolveReply, Leaving,
+                 LeavingSeen, GroupOrder, GroupReply, GossipDigest,
+                 GossipUpdate, RankStatus, MapOrder, MapOrderReply>;
 
 } // namespace ospreyspur
 
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -198,6 +198,25 @@
   return out;
 }
 
+RankSettings ospreyspur::readRankSettings(SettingsReader &reader) {
+  RankSettings out;
+  out.Name = reader.readText("rank.name", "this process's name");
+  out.PlatformAddress = reader.readAddress("process.platform",
+                                           "the platform's key-value service");
+  out.Host = reader.readText("rank.host", "this process's IP number");
+  out.PeerPorts = reader.readText("rank.peer_ports",
+                                  "first and last port between our processes");
+  out.EndpointAddress =
+      reader.readAddress("rank.endpoint", "the HTTP address of the rank");
+  out.Service =
+      reader.readText("rank.service", "the service that the rank belongs to");
+  return out;
+}
+
+std::string RankSettings::linkListen() const {
+  return Host + ":" + PeerPorts.substr(0, PeerPorts.find(','));
+}
+
 std::string DirectSettings::loadListen() const {
   std::string host = LinkListen.substr(0, LinkListen.rfind(':'));
   return host + ":" + PeerPorts.substr(0, PeerPorts.find(','));
@@ -208,6 +227,7 @@
   readEntrySettings(reader);
   readAgentSettings(reader);
   readDirectSettings(reader);
+  readRankSettings(reader);
   std::set<std::string> seen;
   std::string table = "| Key | Default | Range | Meaning |\n"
                       "| --- | --- | --- | --- |\n";
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -49,7 +49,7 @@
       Timer(ioc, [this] { onTimer(); }),
       RegistryTimer(ioc, [this] { onRegistryTimer(); }),
       ListTimer(ioc, [this] { onListTimer(); }),
-      Server({[this](LinkId from, std::vector<Message> messages) {
+      Server({[this](LinkId from, const std::vector<Message> &messages) {
                 asio::post(Context, [this, from, messages] {
                   for (const Message &it : messages)
                     onMessage(from, it);
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -29,7 +29,7 @@
   }
   NextCall = now + Limits.RetryEvery;
   if (!std::exchange(IsFree, false))
-    return KvGet{Key};
+    return KvGet{Key, true};
   IsTaking = true;
   return KvPut{Key, Self, Revision(0), Limits.Span};
 }
@@ -41,6 +41,7 @@
   bool wasTaking = std::exchange(IsTaking, false);
   if (Holder.get() == 0 && !wasTaking) {
     IsFree = reply.Code == ResultCode::NotFound;
+    HolderText = reply.Value;
     if (IsFree)
       NextCall = now;
     return;
@@ -51,6 +52,9 @@
     NextCall = SentAt + Limits.RenewEvery;
     return;
   }
+  // Another was faster; it is the holder now.
+  if (wasTaking && reply.Code == ResultCode::PlatformConflict)
+    HolderText = reply.Value;
   bool isGone = reply.Code == ResultCode::NotFound ||
                 reply.Code == ResultCode::PlatformConflict;
   if (Holder.get() > 0 && isGone)
--- /dev/null
+++ b/lib/Experts/PlacementPlanner.cpp
@@ -0,0 +1,116 @@
+//===- PlacementPlanner.cpp - which experts each rank should hold ---------===//
+//
+// Greedy: the copy that gains most in any set, until none is worth it. Each
+// set's best copy is looked for again only after a change that concerns it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/PlacementPlanner.h"
+
+#include "ospreyspur/Experts/SetPlacement.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+
+namespace {
+/// A plan in the making.
+class Draft {
+public:
+  Draft(const PlacementLimits &limits, const GroupPlacement &current,
+        const std::vector<double> &demand);
+
+  PlacementPlan make();
+
+private:
+  bool mayTake(std::size_t set, unsigned rank) const;
+  void findCopies();
+  double meanSkew() const;
+
+  const PlacementLimits &Limits;
+  std::size_t RankCount;
+  std::vector<SetPlacement> Sets;
+  /// The best copy of each set; looked for again if it is not known.
+  std::vector<std::optional<ExpertCopy>> Best;
+  std::vector<bool> IsKnown;
+  /// New experts by rank, and by set and rank.
+  std::vector<std::size_t> NewOnRank;
+  std::vector<std::vector<std::size_t>> NewInSet;
+};
+} // namespace
+
+Draft::Draft(const PlacementLimits &limits, const GroupPlacement &current,
+             const std::vector<double> &demand)
+    : Limits(limits), RankCount(current.size()) {
+  std::size_t sets = current.empty() ? 0 : current.front().size();
+  std::size_t experts = sets == 0 ? 0 : demand.size() / sets;
+  for (std::size_t set = 0; set < sets; ++set) {
+    std::vector<std::vector<ExpertNumber>> ranks;
+    for (const RankPlacement &it : current)
+      ranks.push_back(it[set]);
+    auto first = demand.begin() + std::ptrdiff_t(set * experts);
+    Sets.emplace_back(
+        std::move(ranks),
+        std::vector<double>(first, first + std::ptrdiff_t(experts)));
+  }
+  Best.resize(sets);
+  IsKnown.resize(sets, false);
+  NewOnRank.resize(RankCount, 0);
+  NewInSet.assign(sets, std::vector<std::size_t>(RankCount, 0));
+}
+
+bool Draft::mayTake(std::size_t set, unsigned rank) const {
+  return NewOnRank[rank] < Limits.NewPerRank &&
+         NewInSet[set][rank] < Limits.NewPerSet;
+}
+
+void Draft::findCopies() {
+  for (std::size_t set = 0; set < Sets.size(); ++set) {
+    if (IsKnown[set])
+      continue;
+    Best[set] = Sets[set].findCopy(
+        Limits.Places, [&](unsigned rank) { return mayTake(set, rank); });
+    IsKnown[set] = true;
+  }
+}
+
+double Draft::meanSkew() const {
+  double sum = 0;
+  for (const SetPlacement &it : Sets)
+    sum += it.skew();
+  return Sets.empty() ? 1 : sum / double(Sets.size());
+}
+
+PlacementPlan Draft::make() {
+  PlacementPlan plan;
+  plan.SkewBefore = meanSkew();
+  for (;;) {
+    findCopies();
+    auto best = std::max_element(Best.begin(), Best.end(),
+                                 [](const auto &a, const auto &b) {
+                                   return (a ? a->Gain : 0) < (b ? b->Gain : 0);
+                                 });
+    if (best == Best.end() || !*best || (*best)->Gain < Limits.MinGain)
+      break;
+    auto set = std::size_t(best - Best.begin());
+    unsigned rank = (*best)->Rank;
+    Sets[set].apply(**best);
+    ++plan.Copies;
+    ++NewInSet[set][rank];
+    IsKnown[set] = false;
+    // A rank that is full for this change is no choice in any set.
+    if (++NewOnRank[rank] >= Limits.NewPerRank)
+      std::fill(IsKnown.begin(), IsKnown.end(), false);
+  }
+  plan.SkewAfter = meanSkew();
+  plan.Placement.resize(RankCount);
+  for (unsigned rank = 0; rank < RankCount; ++rank)
+    for (const SetPlacement &set : Sets)
+      plan.Placement[rank].push_back(set.ranks()[rank]);
+  return plan;
+}
+
+PlacementPlan PlacementPlanner::plan(const GroupPlacement &current,
+                                     const std::vector<double> &demand) const {
+  return Draft(Limits, current, demand).make();
+}
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -43,7 +43,7 @@
 
 asio::awaitable<KvReply> PlatformClient::ask(KvCall call, Duration timeout) {
   if (auto *it = std::get_if<KvGet>(&call))
-    co_return co_await get(std::move(it->Key), timeout);
+    co_return co_await get(std::move(*it), timeout);
   if (auto *it = std::get_if<KvPut>(&call))
     co_return co_await put(std::move(*it), timeout);
   if (auto *it = std::get_if<KvRenew>(&call))
@@ -55,9 +55,8 @@
   co_return co_await watchList(std::move(std::get<KvWatchList>(call)), timeout);
 }
 
-asio::awaitable<KvReply> PlatformClient::get(std::string key,
-                                             Duration timeout) {
-  HttpRequest request = platform::makeGet(key);
+asio::awaitable<KvReply> PlatformClient::get(KvGet call, Duration timeout) {
+  HttpRequest request = platform::makeGet(call.Key, call.MayBeStale);
   Result<HttpResponse> response =
       co_await Client.call(std::move(request), timeout);
   if (!response)
@@ -126,12 +125,13 @@
 }
 
 asio::awaitable<KvReply> PlatformClient::watch(KvWatch call, Duration timeout) {
+  KvGet present{call.Key, false};
   if (call.After.get() == 0)
-    co_return co_await get(call.Key, timeout);
+    co_return co_await get(std::move(present), timeout);
   KvWatchList watch{call.Key, call.After, call.Wait};
   KvReply page = co_await watchList(std::move(watch), timeout);
   if (page.Code == ResultCode::PlatformHistoryGone)
-    co_return co_await get(call.Key, timeout);
+    co_return co_await get(std::move(present), timeout);
   if (page.Code != ResultCode::Ok)
     co_return page;
   KvReply reply = failed(ResultCode::NotFound);
--- /dev/null
+++ b/lib/Process/RankAgent.cpp
@@ -0,0 +1,305 @@
+//===- RankAgent.cpp - an agent beside one rank of a group ----------------===//
+//
+// See RankAgent.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/RankAgent.h"
+
+#include "ospreyspur/Support/LogEvent.h"
+#include "platform/ConfigWire.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+/// Between two looks at the rank; asking it on its own host is free.
+static constexpr Duration ReadEvery = std::chrono::milliseconds(150);
+/// Half-life of counts: demand shifts every few seconds.
+static constexpr Duration DemandHalfLife = std::chrono::milliseconds(700);
+/// Between two plans.
+static constexpr Duration PlanEvery = std::chrono::milliseconds(300);
+static constexpr Duration CallTimeout = std::chrono::seconds(1);
+static constexpr Duration FiguresRetry = std::chrono::seconds(1);
+/// Skew that a change must save: below, copying costs more than it gains.
+static constexpr double MinSkewGain = 0.12;
+/// Experts that one change may bring to a rank; each takes 0.15 s on the
+/// users' links.
+static constexpr std::size_t NewPerRank = 4;
+static constexpr double MinCopyGain = 0.03;
+
+static LeaseLimits makeLeaseLimits() {
+  LeaseLimits limits;
+  limits.Span = std::chrono::seconds(3);
+  limits.Margin = std::chrono::milliseconds(700);
+  limits.RenewEvery = std::chrono::milliseconds(900);
+  limits.RetryEvery = std::chrono::milliseconds(1500);
+  limits.CallTimeout = std::chrono::milliseconds(900);
+  return limits;
+}
+
+RankAgent::RankAgent(asio::io_context &ioc, const RankSettings &settings,
+                     std::uint64_t seed)
+    : Context(ioc), Settings(settings), Random(seed),
+      Platform(ioc, parseAddress(settings.PlatformAddress).value()),
+      Rank(ioc, parseAddress(settings.EndpointAddress).value()),
+      Switch(SwitchLimits()), Demand(DemandHalfLife),
+      Timer(ioc, [this] { tick(); }),
+      LeaseTimer(ioc, [this] { lookAtLease(); }),
+      Server({[this](LinkId from, const std::vector<Message> &messages) {
+                asio::post(Context, [this, from, messages] {
+                  for (const Message &it : messages) {
+                    if (const auto *status = std::get_if<RankStatus>(&it))
+                      takeStatus(*status, from);
+                    else if (const auto *reply =
+                                 std::get_if<MapOrderReply>(&it))
+                      onReply(from, *reply);
+                  }
+                });
+              },
+              [](LinkId) {}}),
+      Peers(ioc, {[this](const EndpointId &from, const Message &message) {
+                    if (const auto *order = std::get_if<MapOrder>(&message))
+                      spawn(giveFor(from, *order));
+                  },
+                  [](const EndpointId &) {}}) {}
+
+Result<void> RankAgent::start() {
+  Result<void> listening = Server.listen(Settings.linkListen());
+  if (!listening)
+    return listening;
+  tick();
+  return boost::outcome_v2::success();
+}
+
+void RankAgent::stop() {
+  IsStopped = true;
+  if (Member)
+    Member->Lease.stop();
+  Server.stop();
+}
+
+void RankAgent::spawn(asio::awaitable<void> task) {
+  asio::co_spawn(Context, std::move(task), [](const std::exception_ptr &) {});
+}
+
+void RankAgent::tick() {
+  TimePoint now = monotonicNow();
+  Timer.set(now + ReadEvery);
+  if (!IsReading)
+    spawn(readRank());
+  apply(Switch.onTimer(now));
+  considerPlan();
+}
+
+asio::awaitable<void> RankAgent::readRank() {
+  IsReading = true;
+  Result<RankStatus> status = co_await Rank.readStatus();
+  IsReading = false;
+  if (!status) {
+    LOG_IF(WARNING, Own.has_value())
+        << LogEvent("rank.lost").with("detail", status.error().Detail);
+    Own.reset();
+    co_return;
+  }
+  LOG_IF(INFO, !Own) << LogEvent("rank.found")
+                            .with("group", status.value().Group.get())
+                            .with("rank", status.value().Rank)
+                            .with("map", status.value().Map.get());
+  Own = status.value();
+  if (!Own->Group.get().empty())
+    onStatus(*Own);
+}
+
+void RankAgent::onStatus(const RankStatus &status) {
+  if (!Member || Member->Group != status.Group)
+    join(status.Group);
+  if (Member->Lease.isHeld(monotonicNow()))
+    takeStatus(status, std::nullopt);
+  else
+    report(status);
+}
+
+void RankAgent::join(const GroupId &group) {
+  std::string key = "ospreyspur/groups/" + Settings.Service + "/" + group.get();
+  Member = std::make_unique<Membership>(
+      group, LeaseHolder(key, Settings.linkListen(), makeLeaseLimits()));
+  Switch.resign();
+  // All agents of a group start together; one should be first.
+  std::uniform_int_distribution<Duration::rep> spread(0, 400000);
+  LeaseTimer.set(monotonicNow() + Duration(spread(Random)));
+}
+
+void RankAgent::lookAtLease() {
+  if (!Member || IsStopped)
+    return;
+  TimePoint now = monotonicNow();
+  LeaseHolder &lease = Member->Lease;
+  if (std::optional<KvCall> call = lease.nextCall(now)) {
+    auto onReply = [this, group = Member->Group](const KvReply &reply) {
+      if (!Member || Member->Group != group)
+        return;
+      Member->Lease.onReply(reply, monotonicNow());
+      lookAtLease();
+    };
+    Platform.call(std::move(*call), CallTimeout, onReply);
+  }
+  if (lease.isHeld(now))
+    Switch.lead(lease.epoch().get());
+  else
+    Switch.resign();
+  LeaseTimer.set(lease.nextTimer());
+}
+
+/// Hands the own rank's state to the coordinator.
+void RankAgent::report(const RankStatus &status) {
+  const std::string &address = Member->Lease.holder();
+  if (address.empty() || address == Settings.linkListen())
+    return;
+  EndpointId coordinator(address);
+  Peers.setAddresses({{coordinator, address}});
+  Peers.send(coordinator, status, monotonicNow());
+}
+
+/// A status of the coordinator's own rank has no link.
+void RankAgent::takeStatus(const RankStatus &status,
+                           std::optional<LinkId> from) {
+  if (!Member || status.Group != Member->Group)
+    return;
+  TimePoint now = monotonicNow();
+  if (from)
+    Links[status.Rank] = *from;
+  else
+    Links.erase(status.Rank);
+  Demand.add(status.Rank, status.Formation, status.Counts, now);
+  apply(Switch.onStatus(status.Rank, status, now));
+  considerPlan();
+}
+
+void RankAgent::onReply(LinkId from, const MapOrderReply &reply) {
+  for (const auto &[rank, link] : Links)
+    if (link == from) {
+      apply(Switch.onReply(rank, reply, monotonicNow()));
+      return;
+    }
+}
+
+void RankAgent::apply(const SwitchActions &actions) {
+  for (const SendMapOrder &it : actions)
+    perform(it);
+  logPhase();
+}
+
+void RankAgent::perform(const SendMapOrder &action) {
+  auto link = Links.find(action.Rank);
+  if (link != Links.end())
+    Server.send(link->second, action.Order);
+  else if (Own && Own->Rank == action.Rank)
+    spawn(giveOwn(action.Rank, action.Order));
+}
+
+asio::awaitable<void> RankAgent::giveOwn(unsigned rank, MapOrder order) {
+  MapOrderReply reply;
+  reply.Id = order.Id;
+  reply.Result = co_await Rank.give(std::move(order));
+  apply(Switch.onReply(rank, reply, monotonicNow()));
+  if (!IsReading)
+    co_await readRank();
+}
+
+/// Passes the coordinator's order on to the own rank.
+asio::awaitable<void> RankAgent::giveFor(EndpointId from, MapOrder order) {
+  MapOrderReply reply;
+  reply.Id = order.Id;
+  reply.Result = co_await Rank.give(std::move(order));
+  Peers.send(from, reply, monotonicNow());
+  if (!IsReading)
+    co_await readRank();
+}
+
+void RankAgent::readFigures() {
+  TimePoint now = monotonicNow();
+  if (now < NextFigures)
+    return;
+  NextFigures = now + FiguresRetry;
+  KvCall call = KvGet{platform::ConfigDocumentKey, true};
+  Platform.call(std::move(call), CallTimeout, [this](const KvReply &reply) {
+    if (reply.Code != ResultCode::Ok)
+      return;
+    Result<FleetConfig> config = platform::readConfig(reply.Value);
+    const ServiceRule *service =
+        config ? config.value().findService(ServiceId(Settings.Service))
+               : nullptr;
+    if (service)
+      Figures = service->Engine;
+  });
+}
+
+void RankAgent::considerPlan() {
+  TimePoint now = monotonicNow();
+  if (now < NextPlan || !Switch.canBegin(now))
+    return;
+  if (!Figures) {
+    readFigures();
+    return;
+  }
+  NextPlan = now + PlanEvery;
+  GroupPlacement present = Switch.placement();
+  const std::vector<double> &demand = Demand.demand();
+  bool fits = Figures->ExpertSets > 0 && !present.empty() &&
+              present.front().size() == Figures->ExpertSets &&
+              demand.size() == Figures->ExpertSets * Figures->Experts;
+  if (!fits || Demand.total() <= 0)
+    return;
+  PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
+                         NewPerRank, MinCopyGain};
+  PlacementPlan plan = PlacementPlanner(limits).plan(present, demand);
+  if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
+    return;
+  apply(Switch.begin(plan.Placement, now));
+  LOG(INFO) << LogEvent("map.proposed")
+                   .with("group", Member->Group.get())
+                   .with("version", Switch.version().get())
+                   .with("copies", plan.Copies)
+                   .with("skew", plan.SkewBefore)
+                   .with("skew_after", plan.SkewAfter);
+}
+
+/// The word for \p phase in logs.
+static const char *phaseWord(SwitchPhase phase) {
+  switch (phase) {
+  case SwitchPhase::Idle:
+    return "idle";
+  case SwitchPhase::Preparing:
+    return "preparing";
+  case SwitchPhase::Holding:
+    return "holding";
+  case SwitchPhase::Arming:
+    return "arming";
+  case SwitchPhase::Releasing:
+    return "releasing";
+  case SwitchPhase::Confirming:
+    return "confirming";
+  case SwitchPhase::Freezing:
+    return "freezing";
+  case SwitchPhase::Disarming:
+    return "disarming";
+  }
+  return "";
+}
+
+void RankAgent::logPhase() {
+  if (Switch.phase() == LoggedPhase)
+    return;
+  LoggedPhase = Switch.phase();
+  auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      monotonicNow() - Switch.beganAt());
+  LOG(INFO) << LogEvent("map.phase")
+                   .with("group", Member ? Member->Group.get() : "")
+                   .with("version", Switch.version().get())
+                   .with("phase", phaseWord(LoggedPhase))
+                   .with("ms", age.count());
+}
--- /dev/null
+++ b/lib/Process/RankLink.cpp
@@ -0,0 +1,69 @@
+//===- RankLink.cpp - reading and ordering one rank -----------------------===//
+//
+// See RankLink.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/RankLink.h"
+
+#include "platform/RankWire.h"
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+/// A rank on the same host answers within a millisecond or two.
+static constexpr Duration CallTimeout = std::chrono::milliseconds(400);
+
+asio::awaitable<Result<std::string>> RankLink::fetch(HttpRequest request) {
+  Result<HttpResponse> response =
+      co_await Client.call(std::move(request), CallTimeout);
+  if (!response)
+    co_return response.error();
+  if (response.value().result_int() != 200)
+    co_return Error{ResultCode::PlatformBadAnswer, "a rank does not answer"};
+  co_return std::move(response.value().body());
+}
+
+asio::awaitable<Result<RankStatus>> RankLink::readStatus() {
+  HttpRequest report = platform::makeReportCall();
+  Result<std::string> body = co_await fetch(std::move(report));
+  if (!body)
+    co_return body.error();
+  Result<RankStatus> status = platform::readReport(body.value());
+  if (!status || status.value().Group.get().empty())
+    co_return status;
+  HttpRequest counts = platform::makeCountsCall();
+  body = co_await fetch(std::move(counts));
+  if (!body)
+    co_return body.error();
+  Result<std::vector<std::uint64_t>> counted =
+      platform::readCounts(body.value());
+  if (!counted)
+    co_return counted.error();
+  RankStatus out = std::move(status.value());
+  out.Counts = std::move(counted.value());
+  std::pair wanted(out.Formation, out.Map);
+  if (PlacementOf != wanted) {
+    HttpRequest lists = platform::makePlacementCall();
+    body = co_await fetch(std::move(lists));
+    if (!body)
+      co_return body.error();
+    Result<RankPlacement> placement = platform::readPlacement(body.value());
+    if (!placement)
+      co_return placement.error();
+    Placement = std::move(placement.value());
+    PlacementOf = wanted;
+  }
+  out.Placement = Placement;
+  co_return out;
+}
+
+asio::awaitable<MapOrderResult> RankLink::give(MapOrder order) {
+  HttpRequest request = platform::makeOrderCall(order);
+  Result<HttpResponse> response =
+      co_await Client.call(std::move(request), CallTimeout);
+  if (response)
+    co_return platform::readOrderResult(response.value().result_int());
+  // Nothing was sent if there was no connection.
+  co_return MapOrderResult::Unanswered;
+}
--- /dev/null
+++ b/lib/Process/RankRole.cpp
@@ -0,0 +1,37 @@
+//===- RankRole.cpp - the process beside a rank ---------------------------===//
+//
+// An agent has no traffic: one thread does all.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/RankAgent.h"
+#include "ospreyspur/Process/Roles.h"
+#include "ospreyspur/Support/LogEvent.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
+
+#include <csignal>
+
+using namespace ospreyspur;
+
+Result<void> ospreyspur::runRank(const RankSettings &settings) {
+  boost::asio::io_context ioc(1);
+  RankAgent agent(ioc, settings, std::random_device{}());
+  Result<void> started = agent.start();
+  if (!started)
+    return started;
+  boost::asio::signal_set signals(ioc, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code ec, int /*signal*/) {
+    if (ec)
+      return;
+    LOG(INFO) << LogEvent("rank.stop").with("name", settings.Name);
+    agent.stop();
+    ioc.stop();
+  });
+  LOG(INFO) << LogEvent("rank.start")
+                   .with("name", settings.Name)
+                   .with("endpoint", settings.EndpointAddress);
+  ioc.run();
+  return boost::outcome_v2::success();
+}
--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -77,6 +77,8 @@
     isGood = loadSettings(path, readEntrySettings).has_value();
   else if (kind == "direct")
     isGood = loadSettings(path, readDirectSettings).has_value();
+  else if (kind == "rank")
+    isGood = loadSettings(path, readRankSettings).has_value();
   else if (kind == "agent")
     isGood = loadSettings(path, readAgentSettings).has_value();
   else
@@ -100,6 +102,10 @@
     auto settings = loadSettings(path, readDirectSettings);
     return settings ? exitStatus(runDirect(*settings)) : 1;
   }
+  if (role == "rank") {
+    auto settings = loadSettings(path, readRankSettings);
+    return settings ? exitStatus(runRank(*settings)) : 1;
+  }
   if (role == "entry") {
     auto settings = loadSettings(path, readEntrySettings);
     return settings ? exitStatus(runEntry(*settings)) : 1;
@@ -123,6 +129,7 @@
                        "  ospreyspur entry --settings entry.ini\n"
                        "  ospreyspur agent --settings agent.ini\n"
                        "  ospreyspur direct --settings direct.ini\n"
+                       "  ospreyspur rank --settings rank.ini\n"
                        "  ospreyspur check --kind config --settings doc.json\n"
                        "  ospreyspur settings   (prints every key)\n"
                        "  ospreyspur ctl --admin 127.0.0.1:7311 --token-file t "
@@ -130,14 +137,15 @@
                        "  ospreyspur ctl --admin 127.0.0.1:7311 --token-file t "
                        "--body e.json put events/dusk",
                        ' ', Version);
-    std::vector<std::string> commands{"entry", "agent",    "direct",
+    std::vector<std::string> commands{"entry", "agent",    "direct", "rank",
                                       "check", "settings", "ctl"};
     TCLAP::ValuesConstraint<std::string> allowed(commands);
     TCLAP::UnlabeledValueArg<std::string> command("command", "what to do", true,
                                                   "", &allowed, cmd);
     TCLAP::ValueArg<std::string> settings("s", "settings", "the file to read",
                                           false, "", "file", cmd);
-    std::vector<std::string> kinds{"entry", "agent", "direct", "config"};
+    std::vector<std::string> kinds{"entry", "agent", "direct", "rank",
+                                   "config"};
     TCLAP::ValuesConstraint<std::string> allowedKinds(kinds);
     TCLAP::ValueArg<std::string> kind("k", "kind", "what check reads", false,
                                       "entry", &allowedKinds, cmd);
