Stops refuse what comes late; settings are read again; requests wait for room

Cause of LOST (a request taken 7.7 s after SIGTERM and given up): kept connections were served to the end of the grace. Resting connections are now closed when draining begins and later requests are told not-run at once.

--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -65,6 +65,8 @@
 
 /// Settings of `ospreyspur direct`.
 struct DirectSettings {
+  /// The file that they came from.
+  std::string File;
   std::string Name;
   std::string DataCentre;
   std::string PlatformAddress;
@@ -93,6 +95,8 @@
 
 /// Settings of `ospreyspur rank`.
 struct RankSettings {
+  /// The file that they came from.
+  std::string File;
   std::string Name;
   std::string PlatformAddress;
   /// This process's IP number.
--- a/include/ospreyspur/Config/SettingsReader.h
+++ b/include/ospreyspur/Config/SettingsReader.h
@@ -74,6 +74,7 @@
   /// Call after all reads: adds an error for each key that was not read.
   void finish();
 
+  const std::string &file() const { return File; }
   const std::vector<SettingError> &errors() const { return Errors; }
   const std::vector<SettingDoc> &docs() const { return Docs; }
 
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -23,9 +23,14 @@
 
 /// Bounds and waits of a DirectNode.
 struct DirectLimits {
-  /// Part of the route's target that a request may wait for room. A refusal
-  /// after a quarter of it is worth less to the caller.
-  double WaitPart = 0.2;
+  /// How long a request may wait for room: a late answer serves its caller
+  /// better than none. Callers give a silent stream up after two seconds.
+  Duration MaxWait = std::chrono::milliseconds(1500);
+  /// The same as a part of the time that its caller still has.
+  double MaxWaitPart = 0.4;
+  /// Part of the route's target after which a request that still waits cannot
+  /// be on time; those that can go first.
+  double OnTimePart = 0.6;
   std::size_t MaxWaiting = 256;
   RetryBounds Retries;
   /// Requests that an endpoint of a plain service may have, by its slots.
@@ -47,6 +52,7 @@
                    const std::vector<EndpointLoad> &loads, TimePoint now) {
     Book.setPeerLoad(peer, loads, now);
   }
+  void setRetries(const RetryBounds &bounds) { Retries.setBounds(bounds); }
   /// A new request. Its id must be new.
   DirectActions onCall(DirectRequest request, TimePoint now);
   /// The first byte of the answer came.
@@ -73,6 +79,8 @@
     ServiceId Service;
     TimePoint Arrived;
     TimePoint Deadline;
+    /// A request that has not started by then cannot be on time.
+    TimePoint OnTimeUntil;
     TimePoint WaitUntil;
     unsigned Attempts = 0;
     bool HasFirstByte = false;
@@ -85,6 +93,7 @@
   void startOrWait(Call &call, TimePoint now);
   bool tryStart(Call &call, TimePoint now);
   void startWaiting(TimePoint now);
+  void startWaiting(bool onTime, TimePoint now);
   void retry(Call &call, ResultCode reason, TimePoint now);
   void end(Call &call, ResultCode code, Duration retryAfter);
   void endNotRun(Call &call, ResultCode code, TimePoint now);
--- a/include/ospreyspur/Direct/RetryWindow.h
+++ b/include/ospreyspur/Direct/RetryWindow.h
@@ -33,6 +33,7 @@
 
   // Commands.
 
+  void setBounds(const RetryBounds &bounds) { Bounds = bounds; }
   /// Notes a new request for \p service.
   void onRequest(const ServiceId &service, TimePoint now);
   /// Takes one repeat from the share of one of \p entries entries; false if
--- a/include/ospreyspur/Http/HttpServer.h
+++ b/include/ospreyspur/Http/HttpServer.h
@@ -41,7 +41,8 @@
   /// From now on every answer asks its client to close the connection.
   void closeAfterAnswers();
 
-  /// Accepts no connections but those that clients have opened by now.
+  /// Accepts no connections but those that clients have opened by now, and
+  /// closes those that rest between two requests.
   void stopAccepting();
 
   /// Number of connections with a request begun or answered, or still without
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -31,9 +31,11 @@
   /// Begins to accept. Errors: SettingInvalid.
   Result<void> start();
   void setSnapshot(const std::shared_ptr<const DirectSnapshot> &snapshot);
+  void setRetries(const RetryBounds &bounds) { Node.setRetries(bounds); }
   /// From now on answers ask their callers to use another entry.
   void announceStop() { Server.closeAfterAnswers(); }
-  void stopAccepting() { Server.stopAccepting(); }
+  /// Refuses what still comes; what is under way goes on.
+  void stopAccepting();
   std::size_t busyCount() const { return Server.busyCount(); }
 
 private:
@@ -59,6 +61,7 @@
   HttpServer Server;
   LoadExchange Loads;
   std::shared_ptr<const FleetConfig> Config;
+  bool IsDraining = false;
   std::uint64_t LastCall = 0;
   std::unordered_map<CallId, DirectCall *> Calls;
 };
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -158,6 +158,7 @@
 
 DirectSettings ospreyspur::readDirectSettings(SettingsReader &reader) {
   DirectSettings out;
+  out.File = reader.file();
   out.Name = reader.readText("direct.name", "this process's name");
   out.DataCentre = reader.readText("process.data_centre",
                                    "name of this process's data centre");
@@ -200,6 +201,7 @@
 
 RankSettings ospreyspur::readRankSettings(SettingsReader &reader) {
   RankSettings out;
+  out.File = reader.file();
   out.Name = reader.readText("rank.name", "this process's name");
   out.PlatformAddress = reader.readAddress("process.platform",
                                            "the platform's key-value service");
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -21,6 +21,10 @@
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
       Retries(limits.Retries) {}
 
+static Duration partOf(Duration whole, double part) {
+  return std::chrono::duration_cast<Duration>(whole * part);
+}
+
 DirectActions DirectNode::onCall(DirectRequest request, TimePoint now) {
   CallId id = request.Id;
   const RouteRule &route = *request.Route;
@@ -30,9 +34,9 @@
   Duration left =
       std::min(request.TimeLeft.value_or(route.Timeout), route.Timeout);
   call.Deadline = now + left;
-  auto wait =
-      std::chrono::duration_cast<Duration>(route.Target * Limits.WaitPart);
-  call.WaitUntil = std::min(now + wait, call.Deadline);
+  call.OnTimeUntil = now + partOf(route.Target, Limits.OnTimePart);
+  call.WaitUntil =
+      now + std::min(Limits.MaxWait, partOf(left, Limits.MaxWaitPart));
   call.Request = std::move(request);
   Retries.onRequest(call.Service, now);
   startOrWait(call, now);
@@ -155,11 +159,18 @@
   return true;
 }
 
-/// Gives room that has come free to the calls that wait for it.
+/// Gives room that has come free to the calls that wait for it. In a backlog,
+/// serving in the order of arrival would make every call late.
 void DirectNode::startWaiting(TimePoint now) {
+  startWaiting(true, now);
+  startWaiting(false, now);
+}
+
+void DirectNode::startWaiting(bool onTime, TimePoint now) {
   for (auto it = Waiting.begin(); it != Waiting.end();) {
     Call &call = Calls.at(std::get<CallId>(*it));
-    it = tryStart(call, now) ? Waiting.erase(it) : std::next(it);
+    bool isStarted = (now < call.OnTimeUntil) == onTime && tryStart(call, now);
+    it = isStarted ? Waiting.erase(it) : std::next(it);
   }
 }
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -18,7 +18,9 @@
 
 #include <cerrno>
 #include <optional>
+#include <set>
 #include <tuple>
+#include <utility>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
@@ -37,6 +39,8 @@
   std::size_t Connections = 0;
   std::size_t Busy = 0;
   bool ClosesAfterAnswers = false;
+  /// Connections that rest between two requests.
+  std::set<beast::tcp_stream *> Resting;
 };
 
 namespace {
@@ -215,6 +219,8 @@
       admit(std::move(socket));
   }
   acceptor.close(ec);
+  for (beast::tcp_stream *it : std::exchange(State->Resting, {}))
+    it->close();
 }
 
 std::size_t HttpServer::busyCount() const { return State->Busy; }
@@ -272,8 +278,12 @@
         static_cast<std::uint32_t>(shared->Limits.MaxHeaderBytes));
     parser.body_limit(shared->Limits.MaxBodyBytes);
     stream.expires_after(shared->Limits.ReadTimeout);
+    bool isResting = !busy && buf.size() == 0;
+    if (isResting)
+      shared->Resting.insert(&stream);
     auto [ec, begun] =
         co_await http::async_read_some(stream, buf, parser, AsTuple);
+    shared->Resting.erase(&stream);
     if (!busy)
       busy.emplace(shared->Busy);
     if (!ec && !parser.is_done() && expectsContinue(parser.get()))
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -9,6 +9,7 @@
 #include "ospreyspur/Process/PlannedStop.h"
 #include "ospreyspur/Process/ProcessThreads.h"
 #include "ospreyspur/Process/Roles.h"
+#include "ospreyspur/Process/SettingsWatch.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <glog/logging.h>
@@ -29,6 +30,7 @@
 private:
   boost::asio::awaitable<void> answerReady(HttpExchange &exchange);
   PlannedStop::Handlers makeStopHandlers();
+  void reload(SettingsReader &reader);
 
   const DirectSettings &Settings;
   ProcessThreads Threads;
@@ -37,6 +39,7 @@
   DirectControl Control;
   HttpServer Ready;
   PlannedStop Stop;
+  SettingsWatch Watch;
   bool IsStopping = false;
 };
 } // namespace
@@ -52,7 +55,18 @@
       Ready(Threads.control(), HttpLimits(),
             [this](HttpExchange &it) { return answerReady(it); }),
       Stop(Threads.control(), {settings.StopNotice, settings.StopLimit},
-           makeStopHandlers()) {}
+           makeStopHandlers()),
+      Watch(Threads.control(), settings.File,
+            [this](SettingsReader &reader) { reload(reader); }) {}
+
+/// Addresses stay until the next start; bounds change at once.
+void DirectProcess::reload(SettingsReader &reader) {
+  DirectSettings next = readDirectSettings(reader);
+  reader.finish();
+  if (!reader.errors().empty())
+    return;
+  Threads.postToTraffic([this, next] { Traffic.setRetries(next.Retries); });
+}
 
 boost::asio::awaitable<void> DirectProcess::answerReady(HttpExchange &it) {
   bool isReady = Control.isReady() && !IsStopping;
@@ -92,6 +106,7 @@
     if (!started)
       return started;
   Stop.start();
+  Watch.start();
   LOG(INFO) << LogEvent("direct.start")
                    .with("name", Settings.Name)
                    .with("listen", Settings.Listen)
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -16,8 +16,9 @@
 namespace asio = boost::asio;
 
 static constexpr Duration PoolLook = std::chrono::milliseconds(500);
-/// When to come back to an entry that does not know the configuration yet.
-static constexpr Duration StartingRetryAfter = std::chrono::milliseconds(300);
+/// When to come back after an entry that starts or stops: at once, as another
+/// entry takes the next try.
+static constexpr Duration ElsewhereRetryAfter = std::chrono::milliseconds(20);
 
 static DirectLimits makeLimits(const DirectSettings &settings) {
   DirectLimits limits;
@@ -74,11 +75,18 @@
   apply(Node.onTimer(monotonicNow()));
 }
 
+void DirectTraffic::stopAccepting() {
+  IsDraining = true;
+  Server.stopAccepting();
+}
+
 Result<DirectRequest> DirectTraffic::readRequest(const HttpRequest &request) {
   platform::CallerHeaders headers = platform::readCaller(request);
   DirectRequest out;
   out.Label = headers.Label;
   out.Config = Config;
+  if (IsDraining)
+    return Error{ResultCode::ProcessStopping, ""};
   if (!Config)
     return Error{ResultCode::ConfigUnknown, ""};
   std::string target(request.target());
@@ -111,8 +119,9 @@
                      .with("id", label)
                      .with("code", static_cast<unsigned>(code))
                      .with("version", Config ? Config->Version : 0);
-    Duration after = code == ResultCode::ConfigUnknown ? StartingRetryAfter
-                                                       : Duration::zero();
+    Duration after = describe(code).Kind == Outcome::NotRun
+                         ? ElsewhereRetryAfter
+                         : Duration::zero();
     co_await exchange.respond(platform::makeRefusal(code, after, label));
     co_return;
   }
--- a/lib/Process/RankRole.cpp
+++ b/lib/Process/RankRole.cpp
@@ -6,6 +6,7 @@
 
 #include "ospreyspur/Process/RankAgent.h"
 #include "ospreyspur/Process/Roles.h"
+#include "ospreyspur/Process/SettingsWatch.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -29,6 +30,12 @@
     agent.stop();
     ioc.stop();
   });
+  // What an agent reads of its settings holds until its next start.
+  SettingsWatch watch(ioc, settings.File, [](SettingsReader &reader) {
+    readRankSettings(reader);
+    reader.finish();
+  });
+  watch.start();
   LOG(INFO) << LogEvent("rank.start")
                    .with("name", settings.Name)
                    .with("endpoint", settings.EndpointAddress);
