Shorten the cycle of map changes

A shift that came while a change of small gain was under way waited for it. Fewer copies a change (4 -> 3 a rank), a higher threshold (0.12 -> 0.2), ranks looked at every 60 ms, changes armed 2 steps ahead.

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -39,7 +39,7 @@
   Duration PhaseTime = std::chrono::milliseconds(1200);
   /// Steps between the present one and the change: orders take a few
   /// milliseconds, a step of a busy group some tens.
-  std::uint64_t StepsAhead = 3;
+  std::uint64_t StepsAhead = 2;
   /// Steps tried to hold; a group may be faster than it seemed.
   unsigned MaxHolds = 3;
   /// Over which the group's speed is measured.
--- a/include/ospreyspur/Experts/RankStatus.h
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -50,7 +50,8 @@
   std::optional<ArmedMap> Armed;
   /// The group does not begin this step before it is released.
   std::optional<StepNumber> Held;
-  /// Times that each expert was chosen since the rank started, set by set.
+  /// Times that each expert was chosen since the rank started, set by set;
+  /// empty if not asked for.
   std::vector<std::uint64_t> Counts;
   /// The experts that it holds under Map.
   RankPlacement Placement;
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -76,6 +76,7 @@
   DemandMeter Demand;
   /// The service's engine, once read.
   std::optional<EngineFigures> Figures;
+  TimePoint NextCounts;
   TimePoint NextFigures;
   TimePoint NextPlan;
   /// The link on which each rank's agent reports.
--- a/include/ospreyspur/Process/RankLink.h
+++ b/include/ospreyspur/Process/RankLink.h
@@ -20,15 +20,17 @@
   RankLink(boost::asio::io_context &ioc, TcpAddress address)
       : Client(ioc, std::move(address)) {}
 
-  /// The rank's state with its counts and placement. Errors: PlatformTimeout,
-  /// PlatformRefused, PlatformBadAnswer.
-  boost::asio::awaitable<Result<RankStatus>> readStatus();
+  /// The rank's state with its placement and, if \p withCounts, its counts.
+  /// Errors: PlatformTimeout, PlatformRefused, PlatformBadAnswer.
+  boost::asio::awaitable<Result<RankStatus>> readStatus(bool withCounts);
 
   /// Gives \p order.
   boost::asio::awaitable<MapOrderResult> give(MapOrder order);
 
 private:
   boost::asio::awaitable<Result<std::string>> fetch(HttpRequest request);
+  boost::asio::awaitable<Result<void>> readCounts(RankStatus &out);
+  boost::asio::awaitable<Result<void>> readPlacement(RankStatus &out);
 
   HttpClient Client;
   /// The placement as last read, and the map that it belongs to.
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -16,20 +16,23 @@
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
-/// Between two looks at the rank; asking it on its own host is free.
-static constexpr Duration ReadEvery = std::chrono::milliseconds(150);
+/// Between two looks at the rank, about a step; asking it on its own host is
+/// free.
+static constexpr Duration ReadEvery = std::chrono::milliseconds(60);
+/// The same for its counts, which are a kilobyte to the coordinator.
+static constexpr Duration CountsEvery = std::chrono::milliseconds(170);
 /// Half-life of counts: demand shifts every few seconds.
-static constexpr Duration DemandHalfLife = std::chrono::milliseconds(700);
+static constexpr Duration DemandHalfLife = std::chrono::milliseconds(500);
 /// Between two plans.
-static constexpr Duration PlanEvery = std::chrono::milliseconds(300);
+static constexpr Duration PlanEvery = std::chrono::milliseconds(200);
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
 /// Skew that a change must save: below, copying costs more than it gains.
-static constexpr double MinSkewGain = 0.12;
+static constexpr double MinSkewGain = 0.2;
 /// Experts that one change may bring to a rank; each takes 0.15 s on the
 /// users' links.
-static constexpr std::size_t NewPerRank = 4;
-static constexpr double MinCopyGain = 0.03;
+static constexpr std::size_t NewPerRank = 3;
+static constexpr double MinCopyGain = 0.04;
 
 static LeaseLimits makeLeaseLimits() {
   LeaseLimits limits;
@@ -97,7 +100,11 @@
 
 asio::awaitable<void> RankAgent::readRank() {
   IsReading = true;
-  Result<RankStatus> status = co_await Rank.readStatus();
+  TimePoint now = monotonicNow();
+  bool withCounts = now >= NextCounts;
+  if (withCounts)
+    NextCounts = now + CountsEvery;
+  Result<RankStatus> status = co_await Rank.readStatus(withCounts);
   IsReading = false;
   if (!status) {
     LOG_IF(WARNING, Own.has_value())
@@ -174,7 +181,8 @@
     Links[status.Rank] = *from;
   else
     Links.erase(status.Rank);
-  Demand.add(status.Rank, status.Formation, status.Counts, now);
+  if (!status.Counts.empty())
+    Demand.add(status.Rank, status.Formation, status.Counts, now);
   apply(Switch.onStatus(status.Rank, status, now));
   considerPlan();
 }
--- a/lib/Process/RankLink.cpp
+++ b/lib/Process/RankLink.cpp
@@ -24,7 +24,7 @@
   co_return std::move(response.value().body());
 }
 
-asio::awaitable<Result<RankStatus>> RankLink::readStatus() {
+asio::awaitable<Result<RankStatus>> RankLink::readStatus(bool withCounts) {
   HttpRequest report = platform::makeReportCall();
   Result<std::string> body = co_await fetch(std::move(report));
   if (!body)
@@ -32,20 +32,35 @@
   Result<RankStatus> status = platform::readReport(body.value());
   if (!status || status.value().Group.get().empty())
     co_return status;
-  HttpRequest counts = platform::makeCountsCall();
-  body = co_await fetch(std::move(counts));
+  Result<void> read = boost::outcome_v2::success();
+  if (withCounts)
+    read = co_await readCounts(status.value());
+  if (read)
+    read = co_await readPlacement(status.value());
+  if (!read)
+    co_return read.error();
+  co_return status;
+}
+
+asio::awaitable<Result<void>> RankLink::readCounts(RankStatus &out) {
+  HttpRequest request = platform::makeCountsCall();
+  Result<std::string> body = co_await fetch(std::move(request));
   if (!body)
     co_return body.error();
-  Result<std::vector<std::uint64_t>> counted =
+  Result<std::vector<std::uint64_t>> counts =
       platform::readCounts(body.value());
-  if (!counted)
-    co_return counted.error();
-  RankStatus out = std::move(status.value());
-  out.Counts = std::move(counted.value());
+  if (!counts)
+    co_return counts.error();
+  out.Counts = std::move(counts.value());
+  co_return boost::outcome_v2::success();
+}
+
+/// A placement changes only with its map.
+asio::awaitable<Result<void>> RankLink::readPlacement(RankStatus &out) {
   std::pair wanted(out.Formation, out.Map);
   if (PlacementOf != wanted) {
-    HttpRequest lists = platform::makePlacementCall();
-    body = co_await fetch(std::move(lists));
+    HttpRequest request = platform::makePlacementCall();
+    Result<std::string> body = co_await fetch(std::move(request));
     if (!body)
       co_return body.error();
     Result<RankPlacement> placement = platform::readPlacement(body.value());
@@ -55,7 +70,7 @@
     PlacementOf = wanted;
   }
   out.Placement = Placement;
-  co_return out;
+  co_return boost::outcome_v2::success();
 }
 
 asio::awaitable<MapOrderResult> RankLink::give(MapOrder order) {
