Report load at each change; send unanswered orders again after 40 ms

Events came late where a pass exceeded 120 ms: several prompts read at one rank at a time, as load reports were 100 ms old, and steps held while an order without an answer (applied_late) was waited for (200 ms).

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -102,6 +102,8 @@
   const EndpointState *pick(const Call &call, TimePoint now);
   bool hasRoom(const EndpointState &state, const Call &call,
                TimePoint now) const;
+  double costOf(const EndpointState &state, const Call &call,
+                TimePoint now) const;
   ServiceId pickService(const RouteRule &route);
   Duration expectedDrain(const Call &call, TimePoint now) const;
   DirectActions takeActions();
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -23,6 +23,8 @@
 struct EndpointLoad {
   EndpointId Endpoint;
   unsigned Running = 0;
+  /// Prompt tokens of those without a first byte.
+  unsigned Unread = 0;
 };
 
 /// One endpoint as an entry sees it.
@@ -69,8 +71,8 @@
 
   const std::map<EndpointId, EndpointState> &states() const { return States; }
   const EndpointState *find(const EndpointId &id) const;
-  /// Requests of all entries at \p state's endpoint.
-  unsigned totalLoad(const EndpointState &state, TimePoint now) const;
+  /// What all entries have at \p state's endpoint.
+  EndpointLoad totalLoad(const EndpointState &state, TimePoint now) const;
   /// This entry's load, for the other entries.
   std::vector<EndpointLoad> ownLoads() const;
   /// Other entries heard of lately.
@@ -79,7 +81,7 @@
 private:
   struct PeerLoad {
     TimePoint At;
-    std::unordered_map<EndpointId, unsigned> Running;
+    std::unordered_map<EndpointId, EndpointLoad> Loads;
   };
 
   EndpointState *findMutable(const EndpointId &id);
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -29,8 +29,8 @@
 /// Times of a change.
 struct SwitchLimits {
   /// After this time an order without an answer is sent again, with a higher
-  /// token.
-  Duration Resend = std::chrono::milliseconds(200);
+  /// token. An answer takes some milliseconds; the group may stand meanwhile.
+  Duration Resend = std::chrono::milliseconds(40);
   /// A status older than this says nothing.
   Duration StatusAge = std::chrono::milliseconds(1500);
   /// How long ranks may take to copy experts.
@@ -93,6 +93,8 @@
 
   // Queries.
 
+  /// When onTimer() is next needed for an order without an answer.
+  std::optional<TimePoint> nextTimer() const;
   SwitchPhase phase() const { return Phase; }
   /// Whether a change may begin: the ranks are known and nothing is left over.
   bool canBegin(TimePoint now) const;
--- a/include/ospreyspur/Process/LoadExchange.h
+++ b/include/ospreyspur/Process/LoadExchange.h
@@ -32,19 +32,24 @@
 /// The exchange on one io_context's thread.
 class LoadExchange {
 public:
-  /// Between two reports: two or three passes of an engine.
-  static constexpr Duration Interval = std::chrono::milliseconds(100);
+  /// Between two reports if nothing changes.
+  static constexpr Duration Interval = std::chrono::milliseconds(200);
+  /// How long changes are gathered: a part of an engine's pass.
+  static constexpr Duration Gather = std::chrono::milliseconds(8);
 
   LoadExchange(boost::asio::io_context &ioc, LoadExchangeHandlers handlers);
 
   /// Takes reports on \p address. Errors: SettingInvalid.
   Result<void> start(const std::string &address);
+  /// This entry's load has changed: a report is due soon.
+  void onChange();
   /// The other entries' "ip:port".
   void setPeers(const std::vector<std::string> &addresses);
 
 private:
   void receive();
   void send();
+  void sendAfter(Duration wait);
 
   LoadExchangeHandlers Handlers;
   boost::asio::ip::udp::socket Socket;
@@ -52,6 +57,8 @@
   std::vector<boost::asio::ip::udp::endpoint> Peers;
   std::array<char, 64U << 10U> Bytes{};
   boost::asio::ip::udp::endpoint Sender;
+  /// Whether a change waits to be sent.
+  bool IsDue = false;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -83,6 +83,7 @@
   std::map<unsigned, LinkId> Links;
   NodeTimer Timer;
   NodeTimer LeaseTimer;
+  NodeTimer OrderTimer;
   bool IsReading = false;
   bool IsStopped = false;
   PeerServer Server;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -239,9 +239,8 @@
         call.Tried.contains(id) || !hasRoom(state, call, now))
       continue;
     bool isDoubtful = state.IsMissing || now < state.SuspectUntil;
-    double load = double(Book.totalLoad(state, now)) / state.Record.Slots;
     bool isFar = state.Record.DataCentre != DataCentre;
-    std::tuple cost(isDoubtful, load, isFar, Random());
+    std::tuple cost(isDoubtful, costOf(state, call, now), isFar, Random());
     if (best && cost >= bestCost)
       continue;
     best = &state;
@@ -257,7 +256,24 @@
   const ServiceRule *service = call.Request.Config->findService(call.Service);
   bool isEngine = service && service->Engine;
   double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
-  return Book.totalLoad(state, now) < limit;
+  return Book.totalLoad(state, now).Running < limit;
+}
+
+/// What the load at an endpoint adds to each of its passes, in seconds; for a
+/// plain service the part of its slots in use.
+double DirectNode::costOf(const EndpointState &state, const Call &call,
+                          TimePoint now) const {
+  EndpointLoad load = Book.totalLoad(state, now);
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  if (!service || !service->Engine)
+    return double(load.Running) / state.Record.Slots;
+  const EngineFigures &engine = *service->Engine;
+  double each = std::chrono::duration<double>(engine.StepPerRequest).count() *
+                engine.StepsPerPass;
+  double reading = engine.ReadTokensPerSecond > 0
+                       ? load.Unread / engine.ReadTokensPerSecond
+                       : 0;
+  return load.Running * each + reading;
 }
 
 ServiceId DirectNode::pickService(const RouteRule &route) {
@@ -282,7 +298,7 @@
   unsigned running = 0;
   for (const auto &[id, state] : Book.states())
     if (state.Record.Service == call.Service)
-      running += Book.totalLoad(state, now);
+      running += Book.totalLoad(state, now).Running;
   if (running == 0)
     return MinRetryAfter;
   // A request takes a second or two at an engine; its target is the only
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -36,9 +36,9 @@
                                TimePoint now) {
   PeerLoad &kept = Peers[peer];
   kept.At = now;
-  kept.Running.clear();
+  kept.Loads.clear();
   for (const EndpointLoad &it : loads)
-    kept.Running[it.Endpoint] = it.Running;
+    kept.Loads[it.Endpoint] = it;
 }
 
 void EndpointBook::onStarted(const EndpointId &id, unsigned promptTokens) {
@@ -85,22 +85,24 @@
   return it == States.end() ? nullptr : &it->second;
 }
 
-unsigned EndpointBook::totalLoad(const EndpointState &state,
-                                 TimePoint now) const {
-  unsigned n = state.Own;
+EndpointLoad EndpointBook::totalLoad(const EndpointState &state,
+                                     TimePoint now) const {
+  EndpointLoad out{state.Record.Id, state.Own, state.OwnUnread};
   for (const auto &[name, peer] : Peers) {
-    auto it = peer.Running.find(state.Record.Id);
-    if (it != peer.Running.end() && now - peer.At < PeerLoadAge)
-      n += it->second;
+    auto it = peer.Loads.find(state.Record.Id);
+    if (it == peer.Loads.end() || now - peer.At >= PeerLoadAge)
+      continue;
+    out.Running += it->second.Running;
+    out.Unread += it->second.Unread;
   }
-  return n;
+  return out;
 }
 
 std::vector<EndpointLoad> EndpointBook::ownLoads() const {
   std::vector<EndpointLoad> out;
   for (const auto &[id, state] : States)
     if (state.Own > 0)
-      out.push_back({id, state.Own});
+      out.push_back({id, state.Own, state.OwnUnread});
   return out;
 }
 
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -130,6 +130,15 @@
   return takeActions();
 }
 
+std::optional<TimePoint> MapSwitch::nextTimer() const {
+  std::optional<TimePoint> next;
+  for (const auto &[rank, pending] : Orders) {
+    TimePoint due = pending.SentAt + Limits.Resend;
+    next = next ? std::min(*next, due) : due;
+  }
+  return next;
+}
+
 SwitchActions MapSwitch::begin(const GroupPlacement &placement, TimePoint now) {
   if (!canBegin(now))
     return takeActions();
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -188,6 +188,7 @@
     if (!call.FirstByte)
       call.FirstByte = now;
     Node.onFirstByte(id, now);
+    Loads.onChange();
   };
   DirectAttempt running(Pool, exchange, call, order, onFirstByte);
   AttemptEnd end = co_await running.run();
@@ -197,6 +198,7 @@
 }
 
 void DirectTraffic::apply(DirectActions actions) {
+  Loads.onChange();
   for (DirectAction &action : actions)
     std::visit(
         [this](auto &it) {
--- a/lib/Process/LoadExchange.cpp
+++ b/lib/Process/LoadExchange.cpp
@@ -11,6 +11,8 @@
 
 #include <glog/logging.h>
 
+#include <utility>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 using asio::ip::udp;
@@ -76,7 +78,17 @@
   boost::system::error_code ignored;
   for (const udp::endpoint &it : Peers)
     Socket.send_to(asio::buffer(bytes), it, 0, ignored);
-  Timer.expires_after(Interval);
+  IsDue = false;
+  sendAfter(Interval);
+}
+
+void LoadExchange::onChange() {
+  if (!std::exchange(IsDue, true))
+    sendAfter(Gather);
+}
+
+void LoadExchange::sendAfter(Duration wait) {
+  Timer.expires_after(wait);
   Timer.async_wait([this](boost::system::error_code ec) {
     if (!ec)
       send();
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -52,6 +52,7 @@
       Switch(SwitchLimits()), Demand(DemandHalfLife),
       Timer(ioc, [this] { tick(); }),
       LeaseTimer(ioc, [this] { lookAtLease(); }),
+      OrderTimer(ioc, [this] { apply(Switch.onTimer(monotonicNow())); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
                 asio::post(Context, [this, from, messages] {
                   for (const Message &it : messages) {
@@ -198,6 +199,7 @@
 void RankAgent::apply(const SwitchActions &actions) {
   for (const SendMapOrder &it : actions)
     perform(it);
+  OrderTimer.set(Switch.nextTimer());
   logPhase();
 }
 
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -17,6 +17,7 @@
     wire::EndpointLoad *row = out.add_loads();
     row->set_endpoint(it.Endpoint.get());
     row->set_running(it.Running);
+    row->set_unread(it.Unread);
   }
   return out.SerializeAsString();
 }
@@ -28,6 +29,6 @@
   LoadReport out;
   out.Node = in.node();
   for (const wire::EndpointLoad &it : in.loads())
-    out.Loads.push_back({EndpointId(it.endpoint()), it.running()});
+    out.Loads.push_back({EndpointId(it.endpoint()), it.running(), it.unread()});
   return out;
 }
