Go on with map changes while the store is out

Cause: the coordinator's lease ran out in an outage and nobody could take it, so maps stood still for its whole length. A holder now acts until it learns that the lease is gone; a later holder's tokens are higher, so its first order ends what an earlier one may do.

--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -106,6 +106,8 @@
   /// The rank's HTTP address.
   std::string EndpointAddress;
   std::string Service;
+  /// Whether ranks refuse an order whose fencing token is lower than one seen.
+  bool ChecksFences = true;
 
   /// Links from the other agents: the first of the peer ports.
   std::string linkListen() const;
--- a/include/ospreyspur/Config/SettingsReader.h
+++ b/include/ospreyspur/Config/SettingsReader.h
@@ -71,6 +71,9 @@
   double readFraction(const std::string &key, double def, double min,
                       double max, const std::string &help);
 
+  /// "true" or "false".
+  bool readFlag(const std::string &key, bool def, const std::string &help);
+
   /// Call after all reads: adds an error for each key that was not read.
   void finish();
 
--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -30,6 +30,10 @@
   Duration RetryEvery = std::chrono::seconds(4);
   /// After this time a call without an answer is given up.
   Duration CallTimeout = std::chrono::seconds(2);
+  /// Whether a holder whose renewals are not answered acts on until it learns
+  /// that the lease is gone. Only where all that it orders is fenced: then a
+  /// later holder's first order ends what this one may do.
+  bool OutlastsOutage = false;
 };
 
 /// Gets and keeps one lease.
@@ -47,7 +51,7 @@
 
   /// Whether the holder may act at \p now.
   bool isHeld(TimePoint now) const {
-    return Holder.get() > 0 && now < ActUntil;
+    return Holder.get() > 0 && (Limits.OutlastsOutage || now < ActUntil);
   }
   /// The epoch; only meaningful while held.
   Epoch epoch() const { return Epoch(Holder.get()); }
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -212,6 +212,9 @@
       reader.readAddress("rank.endpoint", "the HTTP address of the rank");
   out.Service =
       reader.readText("rank.service", "the service that the rank belongs to");
+  out.ChecksFences =
+      reader.readFlag("rank.checks_fences", true,
+                      "whether ranks refuse orders with a lower fencing token");
   return out;
 }
 
--- a/lib/Config/SettingsReader.cpp
+++ b/lib/Config/SettingsReader.cpp
@@ -158,6 +158,19 @@
   return def;
 }
 
+bool SettingsReader::readFlag(const std::string &key, bool def,
+                              const std::string &help) {
+  Docs.push_back({key, def ? "true" : "false", "true or false", help});
+  const std::string *value = find(key);
+  if (!value)
+    return def;
+  if (*value == "true" || *value == "false")
+    return *value == "true";
+  fail(ResultCode::SettingInvalid, key,
+       "expected true or false, got '" + *value + "'");
+  return def;
+}
+
 void SettingsReader::finish() {
   for (const auto &[section, keys] : Tree) {
     if (keys.empty())
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -16,7 +16,7 @@
     : Key(std::move(key)), Self(std::move(self)), Limits(limits) {}
 
 std::optional<KvCall> LeaseHolder::nextCall(TimePoint now) {
-  if (Holder.get() > 0 && now >= ActUntil)
+  if (Holder.get() > 0 && !isHeld(now))
     lose(now);
   bool isLost = IsCalling && now >= SentAt + Limits.CallTimeout;
   if (IsStopped || now < NextCall || (IsCalling && !isLost))
@@ -41,7 +41,8 @@
   bool wasTaking = std::exchange(IsTaking, false);
   if (Holder.get() == 0 && !wasTaking) {
     IsFree = reply.Code == ResultCode::NotFound;
-    HolderText = reply.Value;
+    if (IsFree || reply.Code == ResultCode::Ok)
+      HolderText = reply.Value;
     if (IsFree)
       NextCall = now;
     return;
@@ -65,7 +66,7 @@
   TimePoint next = NextCall;
   if (IsCalling)
     next = std::max(next, SentAt + Limits.CallTimeout);
-  if (Holder.get() > 0)
+  if (Holder.get() > 0 && !Limits.OutlastsOutage)
     next = std::min(next, ActUntil);
   return next;
 }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -34,13 +34,14 @@
 static constexpr std::size_t NewPerRank = 3;
 static constexpr double MinCopyGain = 0.04;
 
-static LeaseLimits makeLeaseLimits() {
+static LeaseLimits makeLeaseLimits(bool checksFences) {
   LeaseLimits limits;
   limits.Span = std::chrono::seconds(3);
   limits.Margin = std::chrono::milliseconds(700);
   limits.RenewEvery = std::chrono::milliseconds(900);
   limits.RetryEvery = std::chrono::milliseconds(1500);
   limits.CallTimeout = std::chrono::milliseconds(900);
+  limits.OutlastsOutage = checksFences;
   return limits;
 }
 
@@ -134,7 +135,8 @@
 void RankAgent::join(const GroupId &group) {
   std::string key = "ospreyspur/groups/" + Settings.Service + "/" + group.get();
   Member = std::make_unique<Membership>(
-      group, LeaseHolder(key, Settings.linkListen(), makeLeaseLimits()));
+      group, LeaseHolder(key, Settings.linkListen(),
+                         makeLeaseLimits(Settings.ChecksFences)));
   Switch.resign();
   // All agents of a group start together; one should be first.
   std::uniform_int_distribution<Duration::rep> spread(0, 400000);
