Tests for the direct path, the platform's messages and map changes; give maps numbers of their own

Cause: a coordinator that took over disarmed ranks with its own highest version, which ranks armed by its predecessor refuse. It now disarms each rank of what that rank reports. Also: two coordinators could give one number to two maps; numbers now begin with the lease's.

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace ospreyspur {
@@ -125,7 +126,9 @@
   void advanceConfirming(TimePoint now);
   void holdNext(TimePoint now);
   void orderAll(MapOrderKind kind, TimePoint now);
-  void order(unsigned rank, MapOrderKind kind, TimePoint now);
+  void order(unsigned rank, MapOrderKind kind, MapVersion version,
+             StepNumber step, TimePoint now);
+  void releaseOthers(TimePoint now);
   void send(unsigned rank, MapOrder order, unsigned tries, TimePoint now);
   void onRefused(unsigned tries, TimePoint now);
   void onPhaseDone(TimePoint now);
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -142,12 +142,9 @@
 SwitchActions MapSwitch::begin(const GroupPlacement &placement, TimePoint now) {
   if (!canBegin(now))
     return takeActions();
-  std::uint64_t highest = Version.get();
-  for (const auto &[rank, status] : Ranks) {
-    highest = std::max(highest, status.Map.get());
-    highest = std::max(highest, status.Prepared.value_or(MapVersion()).get());
-  }
-  Version = MapVersion(highest + 1);
+  // No other coordinator can have given this number to another map.
+  ++LastOrder;
+  Version = MapVersion((Lease << OrderBits) + LastOrder);
   Wanted = placement;
   Formation = Ranks.begin()->second.Formation;
   BeganAt = now;
@@ -258,35 +255,52 @@
   if (!isComplete(now) || !isSurveyed())
     return;
   std::optional<StepNumber> armed;
-  std::optional<StepNumber> held;
+  std::set<StepNumber> held;
   for (const auto &[rank, status] : Ranks) {
-    if (status.Armed) {
-      armed = status.Armed->Step;
-      Version = std::max(Version, status.Armed->Version);
-    }
+    if (status.Armed)
+      armed = armed ? std::min(*armed, status.Armed->Step) : status.Armed->Step;
     if (status.Held)
-      held = status.Held;
+      held.insert(*status.Held);
   }
-  if (!armed && !held)
+  if (!armed && held.empty())
     return;
   Formation = Ranks.begin()->second.Formation;
-  Step = armed ? *armed : *held;
   BeganAt = now;
+  Step = armed ? *armed : *held.begin();
+  // A rank holds one step only: others make way for the one that matters.
+  held.erase(Step);
+  if (!held.empty()) {
+    releaseOthers(now);
+    return;
+  }
   enter(SwitchPhase::Freezing, now);
   orderAll(MapOrderKind::Hold, now);
 }
 
+void MapSwitch::releaseOthers(TimePoint now) {
+  enter(SwitchPhase::Releasing, now);
+  for (const auto &[rank, status] : Ranks)
+    if (status.Held && *status.Held != Step)
+      order(rank, MapOrderKind::Release, Version, *status.Held, now);
+}
+
 /// Every rank holds the step: nothing can change but by this coordinator.
 void MapSwitch::advanceFrozen(TimePoint now) {
   if (!isComplete(now) || !isSurveyed())
     return;
-  bool areAllArmed = allRanks([this](const RankStatus &it) {
-    return it.Armed == ArmedMap{Version, Step};
-  });
-  if (areAllArmed)
+  std::optional<ArmedMap> first = Ranks.begin()->second.Armed;
+  bool areAlike =
+      allRanks([&](const RankStatus &it) { return it.Armed == first; });
+  if (areAlike) {
+    if (first)
+      Version = first->Version;
     release(now);
-  else
-    takeBack(now);
+    return;
+  }
+  enter(SwitchPhase::Disarming, now);
+  for (const auto &[rank, status] : Ranks)
+    if (status.Armed)
+      order(rank, MapOrderKind::Disarm, status.Armed->Version, Step, now);
 }
 
 void MapSwitch::advanceConfirming(TimePoint now) {
@@ -314,20 +328,21 @@
   }
   Step = StepNumber(last.get() + Limits.StepsAhead * HoldTries);
   enter(SwitchPhase::Holding, now);
-  order(Ranks.begin()->first, MapOrderKind::Hold, now);
+  order(Ranks.begin()->first, MapOrderKind::Hold, Version, Step, now);
 }
 
 void MapSwitch::orderAll(MapOrderKind kind, TimePoint now) {
   for (const auto &[rank, status] : Ranks)
-    order(rank, kind, now);
+    order(rank, kind, Version, Step, now);
 }
 
-void MapSwitch::order(unsigned rank, MapOrderKind kind, TimePoint now) {
+void MapSwitch::order(unsigned rank, MapOrderKind kind, MapVersion version,
+                      StepNumber step, TimePoint now) {
   MapOrder out;
   out.Kind = kind;
   out.Formation = Formation;
-  out.Version = Version;
-  out.Step = Step;
+  out.Version = version;
+  out.Step = step;
   if (kind == MapOrderKind::Prepare)
     out.Map = Wanted;
   send(rank, std::move(out), 0, now);
@@ -366,8 +381,9 @@
   }
 }
 
-/// Disarms every rank while the step is held. The order also makes void what an
-/// earlier order to the same rank might still do.
+/// Disarms every rank while the step is held: all have prepared this
+/// coordinator's map, so none can be armed for another. The order also makes
+/// void what an earlier order to the same rank might still do.
 void MapSwitch::takeBack(TimePoint now) {
   enter(SwitchPhase::Disarming, now);
   orderAll(MapOrderKind::Disarm, now);
--- /dev/null
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -0,0 +1,194 @@
+//===- DirectNodeTest.cpp - what follows each end of an attempt -----------===//
+//
+// "Not run" is only said when it is true, what must not repeat is sent once,
+// and requests go where there is room.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/DirectNode.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+/// A node before some endpoints of one service.
+class NodeWorld {
+public:
+  explicit NodeWorld(unsigned endpoints, RouteRule rule = RouteRule())
+      : Node(DataCentreId("a"), DirectLimits(), 1) {
+    auto config = std::make_shared<FleetConfig>();
+    rule.Services = {{ServiceId("s"), 1}};
+    config->Routes.push_back(std::move(rule));
+    EngineFigures engine;
+    engine.StepPerRequest = milliseconds(1);
+    engine.ReadTokensPerSecond = 1000;
+    config->Services.emplace(ServiceId("s"),
+                             ServiceRule{ServiceId("s"), 100, engine});
+    Config = std::move(config);
+    for (unsigned i = 0; i < endpoints; ++i)
+      add("e" + std::to_string(i));
+    Node.setEndpoints(Listed);
+  }
+
+  void add(const std::string &id) {
+    EndpointRecord record;
+    record.Id = EndpointId(id);
+    record.Service = ServiceId("s");
+    record.DataCentre = DataCentreId("a");
+    record.Slots = 2;
+    Listed.push_back({record, false});
+  }
+
+  DirectActions call(std::uint64_t id) {
+    DirectRequest request;
+    request.Id = CallId(id);
+    request.Config = Config;
+    request.Route = &Config->Routes.front();
+    request.TimeLeft = seconds(8);
+    return Node.onCall(std::move(request), Now);
+  }
+
+  DirectActions end(std::uint64_t id, AttemptEnd how) {
+    return Node.onAttemptEnded(CallId(id), how, Now);
+  }
+
+  std::vector<ListedEndpoint> Listed;
+  DirectNode Node;
+  std::shared_ptr<const FleetConfig> Config;
+  TimePoint Now{seconds(100)};
+};
+} // namespace
+
+static RouteRule makeRoute(RequestKind kind, unsigned attempts,
+                           bool isResumable = false) {
+  RouteRule route;
+  route.Kind = kind;
+  route.Attempts = attempts;
+  route.IsResumable = isResumable;
+  route.Target = milliseconds(400);
+  route.Timeout = seconds(8);
+  return route;
+}
+
+template <typename T> static const T *only(const DirectActions &actions) {
+  return actions.size() == 1 ? std::get_if<T>(&actions.front()) : nullptr;
+}
+
+static ResultCode codeOf(const DirectActions &actions) {
+  const auto *end = only<EndCall>(actions);
+  return end ? end->Code : ResultCode::Ok;
+}
+
+TEST_CASE("a lost attempt of what runs once is unknown and is not repeated") {
+  NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 3));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  DirectActions after = world.end(1, AttemptEnd::Lost);
+  CHECK(codeOf(after) == ResultCode::ContactLost);
+  CHECK((describe(codeOf(after)).Kind == Outcome::Unknown));
+}
+
+TEST_CASE("a full endpoint's request goes elsewhere while attempts last") {
+  NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 2));
+  const auto first = world.call(1);
+  REQUIRE(only<StartAttempt>(first));
+  DirectActions second = world.end(1, AttemptEnd::Full);
+  REQUIRE(only<StartAttempt>(second));
+  CHECK(only<StartAttempt>(second)->Endpoint.Id !=
+        only<StartAttempt>(first)->Endpoint.Id);
+  DirectActions last = world.end(1, AttemptEnd::Full);
+  REQUIRE(only<EndCall>(last));
+  CHECK((describe(codeOf(last)).Kind == Outcome::NotRun));
+  CHECK(only<EndCall>(last)->RetryAfter > Duration::zero());
+}
+
+TEST_CASE("after an unknown attempt nobody is told that nothing ran") {
+  NodeWorld world(3, makeRoute(RequestKind::Stream, 2, true));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::BrokeOff)));
+  DirectActions last = world.end(1, AttemptEnd::Full);
+  CHECK((describe(codeOf(last)).Kind != Outcome::NotRun));
+}
+
+TEST_CASE("a connection that was never made costs no attempt") {
+  NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 1));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  CHECK(only<StartAttempt>(world.end(1, AttemptEnd::NeverSent)));
+}
+
+TEST_CASE("a stream that cannot be resumed ends where it broke off") {
+  NodeWorld world(3, makeRoute(RequestKind::Stream, 3));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  CHECK(codeOf(world.end(1, AttemptEnd::BrokeOff)) ==
+        ResultCode::EndpointFailed);
+}
+
+TEST_CASE("requests wait for room and are told when it does not come") {
+  NodeWorld world(1, makeRoute(RequestKind::Stream, 1));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  REQUIRE(only<StartAttempt>(world.call(2)));
+  CHECK(world.call(3).empty());
+  CHECK(world.call(4).empty());
+  DirectActions freed = world.end(1, AttemptEnd::Complete);
+  REQUIRE(only<StartAttempt>(freed));
+  CHECK(only<StartAttempt>(freed)->Call == CallId(3));
+  REQUIRE(world.Node.nextTimer());
+  world.Now = *world.Node.nextTimer();
+  DirectActions late = world.Node.onTimer(world.Now);
+  REQUIRE(only<EndCall>(late));
+  CHECK((describe(codeOf(late)).Kind == Outcome::NotRun));
+  CHECK(world.Node.waitingCount() == 0);
+}
+
+TEST_CASE("those that can still be on time go before those that cannot") {
+  NodeWorld world(1, makeRoute(RequestKind::Stream, 1));
+  world.call(1);
+  world.call(2);
+  world.call(3);
+  world.Now += milliseconds(300);
+  world.call(4);
+  DirectActions freed = world.end(1, AttemptEnd::Complete);
+  REQUIRE(only<StartAttempt>(freed));
+  CHECK(only<StartAttempt>(freed)->Call == CallId(4));
+}
+
+TEST_CASE(
+    "leaving and vanished endpoints are not chosen while there are others") {
+  NodeWorld world(3, makeRoute(RequestKind::Repeatable, 1));
+  world.Listed[0].Record.IsLeaving = true;
+  world.Listed[1].IsMissing = true;
+  world.Node.setEndpoints(world.Listed);
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    DirectActions actions = world.call(id);
+    REQUIRE(only<StartAttempt>(actions));
+    CHECK(only<StartAttempt>(actions)->Endpoint.Id == EndpointId("e2"));
+  }
+}
+
+TEST_CASE("what other entries have at an endpoint counts as its load") {
+  NodeWorld world(2, makeRoute(RequestKind::Stream, 1));
+  world.Node.setPeerLoad("other", {{EndpointId("e0"), 1, 500}}, world.Now);
+  DirectActions actions = world.call(1);
+  REQUIRE(only<StartAttempt>(actions));
+  CHECK(only<StartAttempt>(actions)->Endpoint.Id == EndpointId("e1"));
+  world.Now += seconds(5);
+  CHECK(world.Node.book().livePeers(world.Now) == 0);
+}
+
+TEST_CASE("repeats stay inside the entry's share of the window") {
+  RetryWindow window({0.2, 20, Duration(seconds(10))});
+  TimePoint now{seconds(100)};
+  ServiceId service("s");
+  unsigned spent = 0;
+  while (window.spend(service, 2, now))
+    ++spent;
+  CHECK(spent == 7);
+  for (int i = 0; i < 100; ++i)
+    window.onRequest(service, now);
+  while (window.spend(service, 2, now))
+    ++spent;
+  CHECK(spent == 21);
+  CHECK(window.spend(service, 2, now + seconds(10)));
+}
--- /dev/null
+++ b/unittests/Direct/EndpointListTest.cpp
@@ -0,0 +1,83 @@
+//===- EndpointListTest.cpp - rows that vanish and come back --------------===//
+//
+// Rows that lapse in an outage of the platform are back soon after it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/EndpointList.h"
+#include "ospreyspur/Direct/EndpointDocument.h"
+#include "ospreyspur/Direct/EventCutter.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static EndpointRecord makeRecord(const std::string &id) {
+  EndpointRecord out;
+  out.Id = EndpointId(id);
+  out.Service = ServiceId("s");
+  out.Address = parseAddress("10.0.0.1:80").value();
+  out.DataCentre = DataCentreId("a");
+  out.Slots = 3;
+  return out;
+}
+
+static std::vector<EndpointRecord> makeRecords(unsigned n) {
+  std::vector<EndpointRecord> out;
+  for (unsigned i = 0; i < n; ++i)
+    out.push_back(makeRecord("e" + std::to_string(i)));
+  return out;
+}
+
+TEST_CASE("a vanished endpoint is doubted at once and dropped soon") {
+  TimePoint now{seconds(10)};
+  EndpointList list;
+  list.replace(makeRecords(8), now);
+  list.replace(makeRecords(7), now);
+  CHECK(list.endpoints().back().IsMissing);
+  CHECK_FALSE(list.onTimer(now + milliseconds(900)));
+  CHECK(list.onTimer(now + EndpointList::MissingGrace));
+  CHECK(list.endpoints().size() == 7);
+}
+
+TEST_CASE("many that vanish at once get the time to come back") {
+  TimePoint now{seconds(10)};
+  EndpointList list;
+  list.replace(makeRecords(8), now);
+  list.replace({}, now);
+  list.onTimer(now + EndpointList::MissingGrace);
+  CHECK(list.endpoints().size() == 8);
+  list.replace(makeRecords(8), now + milliseconds(1800));
+  CHECK_FALSE(list.nextTimer());
+  list.onTimer(now + seconds(5));
+  CHECK(list.endpoints().size() == 8);
+  CHECK_FALSE(list.endpoints().front().IsMissing);
+}
+
+TEST_CASE("the endpoint list survives its document") {
+  std::vector<EndpointRecord> records = makeRecords(3);
+  records[1].IsLeaving = true;
+  Result<std::vector<EndpointRecord>> read =
+      parseEndpoints(formatEndpoints(records));
+  REQUIRE(read);
+  CHECK(read.value() == records);
+  for (const char *it : {"", "{}", "[1]", "[{}]", "[{\"address\":\"x\"}]"})
+    CHECK_FALSE(parseEndpoints(it));
+}
+
+TEST_CASE("only whole events leave the cutter, whatever the pieces") {
+  const std::string text =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
+  for (std::size_t size = 1; size <= text.size(); ++size) {
+    INFO("pieces of " << size);
+    EventCutter cutter;
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += size)
+      out += cutter.add(text.substr(at, size));
+    CHECK(out == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+    CHECK(cutter.lastId() == "2");
+    CHECK(cutter.hasRest());
+  }
+}
--- /dev/null
+++ b/unittests/Experts/MapSwitchTest.cpp
@@ -0,0 +1,221 @@
+//===- MapSwitchTest.cpp - one map in every step --------------------------===//
+//
+// Coordinators change the maps of a fake group while orders are lost or carried
+// out seconds late, coordinators freeze at any point and others take over, and
+// the platform forms the group anew.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/MapSwitch.h"
+#include "RandomScheduler.h"
+#include "standin/PlatformGroup.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+using namespace ospreyspur;
+using standin::PlatformGroup;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+/// What may go wrong.
+struct Faults {
+  /// Parts in a hundred.
+  unsigned LostOrders = 0;
+  unsigned LateOrders = 0;
+  unsigned LostReplies = 0;
+  bool Freezes = false;
+  bool Forms = false;
+  bool ChecksFences = true;
+};
+
+/// A group and its coordinators on virtual time.
+class SwitchWorld {
+public:
+  static constexpr unsigned Size = 4;
+
+  SwitchWorld(std::uint64_t seed, Faults faults)
+      : Time(seed, 0), What(faults), Group(Size, faults.ChecksFences) {
+    addCoordinator();
+    at(Duration(0), [this] { step(); });
+    at(Duration(0), [this] { report(); });
+    at(Duration(0), [this] { tick(); });
+  }
+
+  void run(Duration length) { Time.runUntil(Time.now() + length); }
+
+  PlatformGroup &group() { return Group; }
+  unsigned changes() const { return Changes; }
+
+private:
+  struct Coordinator {
+    MapSwitch Switch{SwitchLimits()};
+    TimePoint FrozenUntil;
+    /// What came while it was frozen.
+    std::vector<std::function<void()>> Waiting;
+  };
+
+  void at(Duration after, std::function<void()> what) {
+    Time.at(Time.now() + after, std::move(what));
+  }
+
+  bool chance(unsigned percent) { return Time.chance(percent); }
+  Duration draw(Duration low, Duration high) {
+    auto span = std::uint64_t((high - low).count());
+    return low + Duration(Time.below(span + 1));
+  }
+
+  void addCoordinator() {
+    auto it = std::make_shared<Coordinator>();
+    it->Switch.lead(++Lease);
+    Coordinators.push_back(it);
+  }
+
+  /// Runs \p what at \p it now, or when it wakes.
+  void deliver(const std::shared_ptr<Coordinator> &it,
+               std::function<void()> what) {
+    if (Time.now() < it->FrozenUntil) {
+      it->Waiting.push_back(std::move(what));
+      return;
+    }
+    for (auto &waiting : std::exchange(it->Waiting, {}))
+      waiting();
+    what();
+  }
+
+  void step() {
+    MapVersion before = Group.map();
+    Group.step(Time.now());
+    if (Group.map() > before)
+      ++Changes;
+    at(draw(milliseconds(30), milliseconds(90)), [this] { step(); });
+  }
+
+  void report() {
+    for (const auto &it : Coordinators)
+      for (unsigned rank = 0; rank < Size; ++rank) {
+        RankStatus status = Group.status(rank, Time.now());
+        at(draw(milliseconds(1), milliseconds(5)), [this, it, rank, status] {
+          deliver(it, [this, it, rank, status] {
+            send(it, it->Switch.onStatus(rank, status, Time.now()));
+          });
+        });
+      }
+    at(milliseconds(60), [this] { report(); });
+  }
+
+  void tick() {
+    for (const auto &it : Coordinators)
+      deliver(it, [this, it] {
+        send(it, it->Switch.onTimer(Time.now()));
+        if (it->Switch.canBegin(Time.now()) && chance(30))
+          send(it, it->Switch.begin(GroupPlacement(Size, {{1}}), Time.now()));
+      });
+    if (What.Freezes && chance(1))
+      freeze();
+    if (What.Forms && Time.below(400) == 0)
+      Group.form();
+    at(milliseconds(20), [this] { tick(); });
+  }
+
+  /// The latest coordinator freezes and another takes over meanwhile.
+  void freeze() {
+    Coordinators.back()->FrozenUntil =
+        Time.now() + draw(milliseconds(5), seconds(4));
+    at(draw(milliseconds(1), seconds(2)), [this] { addCoordinator(); });
+    if (Coordinators.size() > 3)
+      Coordinators.erase(Coordinators.begin());
+  }
+
+  void send(const std::shared_ptr<Coordinator> &from,
+            const SwitchActions &actions) {
+    for (const SendMapOrder &it : actions)
+      sendOne(from, it.Rank, it.Order);
+  }
+
+  void sendOne(const std::shared_ptr<Coordinator> &from, unsigned rank,
+               const MapOrder &order) {
+    if (chance(What.LostOrders))
+      return;
+    bool isLate = chance(What.LateOrders);
+    Duration after = isLate ? draw(seconds(2), seconds(12))
+                            : draw(milliseconds(1), milliseconds(8));
+    at(after, [this, from, rank, order, isLate] {
+      MapOrderReply reply{order.Id, Group.take(rank, order, Time.now())};
+      if (isLate || chance(What.LostReplies))
+        return;
+      at(draw(milliseconds(1), milliseconds(8)), [this, from, rank, reply] {
+        deliver(from, [this, from, rank, reply] {
+          send(from, from->Switch.onReply(rank, reply, Time.now()));
+        });
+      });
+    });
+  }
+
+  test::RandomScheduler Time;
+  Faults What;
+  PlatformGroup Group;
+  std::uint64_t Lease = 0;
+  std::vector<std::shared_ptr<Coordinator>> Coordinators;
+  unsigned Changes = 0;
+};
+} // namespace
+
+TEST_CASE("maps change without a held step when nothing goes wrong") {
+  SwitchWorld world(1, {});
+  world.run(seconds(60));
+  CHECK(world.changes() > 30);
+  CHECK(world.group().mixedSteps() == 0);
+  CHECK(world.group().heldSteps() <= world.changes() / 10);
+}
+
+TEST_CASE("no step has two maps while orders and coordinators fail") {
+  Faults faults;
+  faults.LostOrders = 10;
+  faults.LateOrders = 15;
+  faults.LostReplies = 10;
+  faults.Freezes = true;
+  faults.Forms = true;
+  unsigned changes = 0;
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    INFO("seed " << seed);
+    SwitchWorld world(seed, faults);
+    world.run(seconds(60));
+    CHECK(world.group().mixedSteps() == 0);
+    changes += world.changes();
+  }
+  CHECK(changes > 1000);
+}
+
+TEST_CASE("the random runs see it when ranks take orders that come too late") {
+  Faults faults;
+  faults.LateOrders = 30;
+  faults.LostReplies = 10;
+  faults.Freezes = true;
+  faults.ChecksFences = false;
+  unsigned mixed = 0;
+  for (std::uint64_t seed = 1; seed <= 150 && mixed == 0; ++seed) {
+    SwitchWorld world(seed, faults);
+    world.run(seconds(60));
+    mixed += world.group().mixedSteps();
+  }
+  CHECK(mixed > 0);
+}
+
+TEST_CASE("a group is not left held when its coordinator dies") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    Faults faults;
+    faults.Freezes = true;
+    SwitchWorld world(seed, faults);
+    world.run(seconds(120));
+    // Frozen coordinators are replaced within two seconds, so the group makes
+    // most of its steps; one takes 60 ms at the mean.
+    CHECK(world.group().status(0, TimePoint(std::chrono::hours(2))).Step.get() >
+          900);
+  }
+}
--- /dev/null
+++ b/unittests/Experts/PlacementPlannerTest.cpp
@@ -0,0 +1,110 @@
+//===- PlacementPlannerTest.cpp - plans for groups of ranks ---------------===//
+//
+// Plans keep every expert somewhere, stay inside their bounds, and even out a
+// skewed demand.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/PlacementPlanner.h"
+#include "ospreyspur/Experts/DemandMeter.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr unsigned Ranks = 8;
+static constexpr std::size_t Sets = 6;
+static constexpr std::size_t Experts = 64;
+
+/// Experts dealt in turn, as the platform's first map does.
+static GroupPlacement dealt() {
+  GroupPlacement out(Ranks, RankPlacement(Sets));
+  for (std::size_t set = 0; set < Sets; ++set)
+    for (std::size_t it = 0; it < Experts; ++it)
+      out[it % Ranks][set].push_back(static_cast<ExpertNumber>(it));
+  return out;
+}
+
+/// A demand in which few experts are popular.
+static std::vector<double> skewed(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::vector<double> out;
+  for (std::size_t i = 0; i < Sets * Experts; ++i)
+    out.push_back(1000.0 / double(1 + random() % 50));
+  return out;
+}
+
+/// New experts of each rank in one set.
+static std::size_t countNew(const std::vector<ExpertNumber> &before,
+                            const std::vector<ExpertNumber> &after) {
+  return std::size_t(
+      std::count_if(after.begin(), after.end(), [&](ExpertNumber it) {
+        return std::find(before.begin(), before.end(), it) == before.end();
+      }));
+}
+
+TEST_CASE("a placement plan evens the demand out within its bounds") {
+  PlacementLimits limits{11, 4, 3, 0.04};
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    GroupPlacement before = dealt();
+    PlacementPlan plan = PlacementPlanner(limits).plan(before, skewed(seed));
+    CHECK(plan.SkewAfter < plan.SkewBefore);
+    for (std::size_t set = 0; set < Sets; ++set) {
+      std::set<ExpertNumber> held;
+      for (unsigned rank = 0; rank < Ranks; ++rank) {
+        const auto &now = plan.Placement[rank][set];
+        CHECK(now.size() <= limits.Places);
+        CHECK(std::set(now.begin(), now.end()).size() == now.size());
+        CHECK(countNew(before[rank][set], now) <= limits.NewPerSet);
+        held.insert(now.begin(), now.end());
+      }
+      CHECK(held.size() == Experts);
+    }
+    for (unsigned rank = 0; rank < Ranks; ++rank) {
+      std::size_t n = 0;
+      for (std::size_t set = 0; set < Sets; ++set)
+        n += countNew(before[rank][set], plan.Placement[rank][set]);
+      CHECK(n <= limits.NewPerRank);
+    }
+  }
+}
+
+TEST_CASE("repeated plans come close to even and then stay") {
+  PlacementPlanner planner({11, 4, 3, 0.04});
+  std::vector<double> demand = skewed(3);
+  GroupPlacement present = dealt();
+  PlacementPlan plan;
+  for (int i = 0; i < 12; ++i) {
+    plan = planner.plan(present, demand);
+    present = plan.Placement;
+  }
+  CHECK(plan.SkewAfter < 1.3);
+  CHECK(planner.plan(present, demand).Copies == 0);
+}
+
+TEST_CASE("a demand of nothing needs no copies") {
+  PlacementPlanner planner({11, 4, 3, 0.04});
+  std::vector<double> none(Sets * Experts, 0.0);
+  CHECK(planner.plan(dealt(), none).Copies == 0);
+}
+
+TEST_CASE("old demand fades and a rank's restart is no demand") {
+  DemandMeter meter{Duration(milliseconds(500))};
+  TimePoint now{seconds(10)};
+  meter.add(0, FormationEpoch(1), {1000, 0}, now);
+  CHECK(meter.demand().empty());
+  meter.add(0, FormationEpoch(1), {1100, 0}, now + seconds(1));
+  CHECK(meter.demand()[0] == doctest::Approx(100));
+  meter.add(0, FormationEpoch(1), {1100, 40}, now + milliseconds(1500));
+  CHECK(meter.demand()[0] == doctest::Approx(50));
+  CHECK(meter.demand()[1] == doctest::Approx(40));
+  meter.add(0, FormationEpoch(2), {10, 10}, now + milliseconds(1500));
+  CHECK(meter.demand()[0] == doctest::Approx(50));
+}
--- /dev/null
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -0,0 +1,177 @@
+//===- PlatformWireTest.cpp - the platform's messages ---------------------===//
+//
+// Good messages read as what they say; damaged ones are numbered errors.
+//
+//===----------------------------------------------------------------------===//
+
+#include "platform/Base64.h"
+#include "platform/ConfigWire.h"
+#include "platform/EndpointWire.h"
+#include "platform/RankWire.h"
+#include "platform/RequestWire.h"
+#include "platform/StoreWire.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace ospreyspur;
+namespace http = boost::beast::http;
+
+static constexpr char Document[] =
+    R"({"version":7,"routes":[{"name":"r","host":"h.example","prefix":"/a/",)"
+    R"("kind":"stream","timeout_ms":8000,"slo_ms":400,"priority":1,)"
+    R"("backends":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
+    R"("attempts":2,"resumable":true},{"name":"q","host":"h.example",)"
+    R"("prefix":"/a/b/","kind":"safe","service":"t"}],)"
+    R"("services":[{"name":"s","max_conns":5,"engine":{"stride":6,)"
+    R"("per_seq_ms":0.362,"sets":6,"experts":64,"placements":11,"spare":4}}],)"
+    R"("limits":{"max_header_bytes":100,"idle_timeout_ms":9000},)"
+    R"("tenants":[{"name":"w","api_keys":["k1","k2"],"priority":3}]})";
+
+TEST_CASE("the operators' document reads as routes, services and keys") {
+  Result<FleetConfig> config = platform::readConfig(Document);
+  REQUIRE(config);
+  const FleetConfig &it = config.value();
+  CHECK(it.Version == 7);
+  REQUIRE(it.findRoute("H.example", "/a/x"));
+  CHECK(it.findRoute("H.example", "/a/x")->Name == "r");
+  CHECK(it.findRoute("h.example", "/a/b/x")->Name == "q");
+  CHECK(it.findRoute("h.example", "/b/") == nullptr);
+  CHECK(it.findRoute("other", "/a/") == nullptr);
+  CHECK(it.Routes[0].Services[1].Weight == 10);
+  CHECK(it.Routes[0].IsResumable);
+  CHECK(it.Keys.at("k2").Priority == 3U);
+  REQUIRE(it.findService(ServiceId("s")));
+  CHECK(it.findService(ServiceId("s"))->Engine->StepsPerPass == 6);
+  CHECK(it.Limits.IdleTimeout == std::chrono::seconds(9));
+}
+
+TEST_CASE("a bad document is a numbered error") {
+  for (const char *it :
+       {"", "[]", "{}", R"({"version":1,"routes":[1]})",
+        R"({"version":1,"routes":[{"prefix":"/","kind":"odd"}]})",
+        R"({"version":1,"routes":[{"kind":"safe"}]})"}) {
+    INFO(it);
+    Result<FleetConfig> config = platform::readConfig(it);
+    REQUIRE_FALSE(config);
+    CHECK(config.error().Code == ResultCode::ConfigInvalid);
+  }
+}
+
+TEST_CASE("damaged messages are errors and never more") {
+  const std::string report =
+      R"({"group":{"name":"g","epoch":1,"rank":2,"state":"open"},"size":8,)"
+      R"("step":5,"map":1,"prepared":null,"armed":{"version":2,"step":9},)"
+      R"("held":9})";
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 4000; ++i) {
+    for (std::string text : {std::string(Document), report}) {
+      for (int n = 0; n < 3; ++n)
+        text[random() % text.size()] = static_cast<char>(random() % 256);
+      text.resize(random() % 4 ? text.size() : random() % text.size());
+      (void)platform::readConfig(text);
+      (void)platform::readReport(text);
+      (void)platform::readCounts(text);
+      (void)platform::readPlacement(text);
+      (void)platform::decodeBase64(text);
+      HttpResponse response;
+      response.body() = text;
+      (void)platform::readPage(response);
+      (void)platform::readItem(response);
+    }
+  }
+  Result<RankStatus> status = platform::readReport(report);
+  REQUIRE(status);
+  CHECK(status.value().Armed == ArmedMap{MapVersion(2), StepNumber(9)});
+  CHECK(status.value().Held == StepNumber(9));
+  CHECK_FALSE(status.value().Prepared);
+}
+
+TEST_CASE("base64 survives both ways") {
+  for (std::size_t n = 0; n < 70; ++n) {
+    std::string bytes;
+    for (std::size_t i = 0; i < n; ++i)
+      bytes += static_cast<char>(i * 37 + n);
+    CHECK(platform::decodeBase64(platform::encodeBase64(bytes)) == bytes);
+  }
+  CHECK_FALSE(platform::decodeBase64("a"));
+  CHECK_FALSE(platform::decodeBase64("????"));
+}
+
+static HttpRequest makeRequest() {
+  HttpRequest request(http::verb::post, "/a/x?y=1", 11);
+  request.set(http::field::host, "h.example:80");
+  request.set("Request-Id", "abc");
+  request.set("Deadline-Ms", "8000");
+  request.set("Token-Count", "1460,80");
+  request.set("Authorization", "Bearer k1");
+  request.set("Tenant", "forged");
+  request.set("Connection", "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-Keep", "2");
+  request.body() = "body";
+  return request;
+}
+
+TEST_CASE("a request goes on unaltered but for what is one connection's") {
+  HttpRequest request = makeRequest();
+  platform::CallerHeaders caller = platform::readCaller(request);
+  CHECK(caller.Label == "abc");
+  CHECK(caller.Host == "h.example");
+  CHECK(caller.Key == "k1");
+  CHECK(caller.TimeLeft == std::chrono::seconds(8));
+  CHECK(caller.Tokens.Prompt == 1460);
+  CHECK(caller.Tokens.Answer == 80);
+  HttpRequest out = platform::makeEndpointRequest(
+      request, {EndpointId("i-1"), WorkspaceId("w"),
+                std::chrono::milliseconds(700), "12"});
+  CHECK(std::string(out.target()) == "/a/x?y=1");
+  CHECK(out.body() == "body");
+  CHECK(std::string(out["Request-Id"]) == "abc");
+  CHECK(std::string(out["Deadline-Ms"]) == "700");
+  CHECK(std::string(out["Tenant"]) == "w");
+  CHECK(std::string(out["Expect-Replica"]) == "i-1");
+  CHECK(std::string(out["Last-Event-Id"]) == "12");
+  CHECK(std::string(out["X-Keep"]) == "2");
+  CHECK(out.find("X-Hop") == out.end());
+  CHECK(out.find("Authorization") == out.end());
+}
+
+static AnswerVerdict judge(unsigned status,
+                           std::initializer_list<const char *> headers) {
+  HttpResponse response;
+  response.result(status);
+  for (const char *it : headers) {
+    std::string text(it);
+    std::size_t colon = text.find(':');
+    response.set(text.substr(0, colon), text.substr(colon + 1));
+  }
+  return platform::readAnswer(response, "abc").Verdict;
+}
+
+TEST_CASE("only the endpoint's word says that nothing ran") {
+  CHECK(judge(200, {"Request-Id:abc", "Replica-Stamp:s"}) ==
+        AnswerVerdict::Own);
+  CHECK(judge(500, {"Request-Id:abc", "Replica-Stamp:s"}) ==
+        AnswerVerdict::Failed);
+  CHECK(judge(503, {"Not-Executed:1"}) == AnswerVerdict::Full);
+  CHECK(judge(421, {}) == AnswerVerdict::OtherEndpoint);
+  CHECK(judge(200, {"Request-Id:xyz", "Replica-Stamp:s"}) ==
+        AnswerVerdict::Foreign);
+  CHECK(judge(200, {"Request-Id:abc"}) == AnswerVerdict::Unusable);
+  CHECK(judge(503, {"Request-Id:abc", "Replica-Stamp:s"}) ==
+        AnswerVerdict::Unusable);
+  CHECK(judge(429, {}) == AnswerVerdict::Unusable);
+  CHECK(judge(200, {"Request-Id:abc", "Replica-Stamp:s",
+                    "Content-Encoding:gzip"}) == AnswerVerdict::Unusable);
+}
+
+TEST_CASE("our own refusals say when to come back and carry no signature") {
+  HttpResponse refusal = platform::makeRefusal(
+      ResultCode::NoEndpoint, std::chrono::milliseconds(250), "abc");
+  CHECK(refusal.result_int() == 503);
+  CHECK(std::string(refusal[http::field::retry_after]) == "0.250");
+  CHECK(std::string(refusal["Request-Id"]) == "abc");
+  CHECK(refusal.find("Replica-Stamp") == refusal.end());
+}
