Recover faster where endpoints were replaced: later row of an address stands, 421 costs no attempt

After all hosts lost power the list held 33 rows for 19 endpoints; requests spent both attempts on rows whose endpoint had ended (421) or whose group was being formed (503), 170 of them within three seconds.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -33,6 +33,8 @@
   double OnTimePart = 0.6;
   std::size_t MaxWaiting = 256;
   RetryBounds Retries;
+  /// Requests sent for one call, those to replaced endpoints included.
+  unsigned MaxArrivals = 4;
   /// Requests that an endpoint of a plain service may have, by its slots.
   double PlainOverload = 2.0;
 };
@@ -82,7 +84,10 @@
     /// A request that has not started by then cannot be on time.
     TimePoint OnTimeUntil;
     TimePoint WaitUntil;
+    /// Endpoints that may have run it or said that they were full.
     unsigned Attempts = 0;
+    /// Requests sent, those to endpoints that were another by then included.
+    unsigned Arrivals = 0;
     bool HasFirstByte = false;
     /// Whether an attempt was sent whose fate is unknown.
     bool MayHaveRun = false;
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -40,6 +40,7 @@
   TimePoint SuspectUntil;
   /// It said that it was full; taken as full until then.
   TimePoint FullUntil;
+  unsigned FullInRow = 0;
 };
 
 /// Load and health by endpoint.
@@ -48,8 +49,10 @@
   static constexpr Duration FirstSuspicion = std::chrono::milliseconds(500);
   static constexpr Duration LongestSuspicion = std::chrono::seconds(8);
   /// How long an endpoint that said it was full gets nothing new: about two
-  /// passes of an engine.
+  /// passes of an engine; twice as long each time in a row, as ranks whose
+  /// group is being formed say the same.
   static constexpr Duration FullTime = std::chrono::milliseconds(100);
+  static constexpr Duration LongestFullTime = std::chrono::milliseconds(400);
   /// After this time another entry's report no longer counts.
   static constexpr Duration PeerLoadAge = std::chrono::seconds(1);
 
@@ -66,6 +69,8 @@
   void onSuccess(const EndpointId &id);
   void onFailure(const EndpointId &id, TimePoint now);
   void onFull(const EndpointId &id, TimePoint now);
+  /// Another incarnation has the endpoint's address.
+  void onReplaced(const EndpointId &id, TimePoint now);
 
   // Queries.
 
--- a/include/ospreyspur/Direct/EndpointRecord.h
+++ b/include/ospreyspur/Direct/EndpointRecord.h
@@ -21,6 +21,9 @@
   /// Requests that it runs at one time.
   unsigned Slots = 1;
   bool IsLeaving = false;
+  /// The last change of its row. Of two rows with one address the later stands:
+  /// the earlier one's endpoint has ended without a word.
+  Revision ListedAt = Revision(0);
 
   friend bool operator==(const EndpointRecord &,
                          const EndpointRecord &) = default;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -69,11 +69,13 @@
     retry(call, ResultCode::QueueFull, now);
     break;
   case AttemptEnd::OtherEndpoint:
+    // The endpoint that was meant has not seen it.
+    --call.Attempts;
     retry(call, ResultCode::EndpointLeaving, now);
     break;
   case AttemptEnd::NeverSent:
-    // It did not arrive, so it counts as no attempt.
     --call.Attempts;
+    --call.Arrivals;
     startOrWait(call, now);
     break;
   case AttemptEnd::Failed:
@@ -147,10 +149,11 @@
   const EndpointState *state = pick(call, now);
   if (!state)
     return false;
-  bool isRepeat = call.Attempts > 0;
+  bool isRepeat = call.Arrivals > 0;
   if (isRepeat && !Retries.spend(call.Service, Book.livePeers(now) + 1, now))
     return false;
   ++call.Attempts;
+  ++call.Arrivals;
   call.Current = state->Record.Id;
   call.Tried.insert(state->Record.Id);
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
@@ -176,11 +179,14 @@
 
 /// The call did not run, or may run again: tries another endpoint.
 void DirectNode::retry(Call &call, ResultCode reason, TimePoint now) {
-  bool mayTry = call.Attempts < call.Request.Route->Attempts;
-  if (mayTry && now < call.Deadline && tryStart(call, now))
+  bool mayTry = call.Attempts < call.Request.Route->Attempts &&
+                call.Arrivals < Limits.MaxArrivals && now < call.Deadline;
+  if (mayTry && tryStart(call, now))
     return;
   if (reason == ResultCode::ContactLost)
     end(call, reason, Duration::zero());
+  else if (mayTry && now < call.WaitUntil && !call.MayHaveRun)
+    Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
   else
     endNotRun(call, reason, now);
 }
@@ -221,6 +227,8 @@
   case AttemptEnd::Failed:
     break;
   case AttemptEnd::OtherEndpoint:
+    Book.onReplaced(id, now);
+    break;
   case AttemptEnd::NeverSent:
   case AttemptEnd::Lost:
   case AttemptEnd::BrokeOff:
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -62,6 +62,7 @@
 void EndpointBook::onSuccess(const EndpointId &id) {
   if (EndpointState *it = findMutable(id)) {
     it->FailuresInRow = 0;
+    it->FullInRow = 0;
     it->SuspectUntil = TimePoint();
   }
 }
@@ -76,8 +77,17 @@
 }
 
 void EndpointBook::onFull(const EndpointId &id, TimePoint now) {
+  EndpointState *it = findMutable(id);
+  if (!it)
+    return;
+  Duration pause = FullTime * (1U << it->FullInRow);
+  it->FullUntil = now + std::min(pause, LongestFullTime);
+  it->FullInRow = std::min(it->FullInRow + 1, MaxDoublings);
+}
+
+void EndpointBook::onReplaced(const EndpointId &id, TimePoint now) {
   if (EndpointState *it = findMutable(id))
-    it->FullUntil = now + FullTime;
+    it->SuspectUntil = now + LongestSuspicion;
 }
 
 const EndpointState *EndpointBook::find(const EndpointId &id) const {
--- a/lib/Direct/EndpointDocument.cpp
+++ b/lib/Direct/EndpointDocument.cpp
@@ -22,7 +22,8 @@
                                {"address", address},
                                {"data_centre", it.DataCentre.get()},
                                {"slots", it.Slots},
-                               {"leaving", it.IsLeaving}});
+                               {"leaving", it.IsLeaving},
+                               {"revision", it.ListedAt.get()}});
   }
   return json::serialize(out);
 }
@@ -32,21 +33,26 @@
   return it && it->is_string() ? std::string(it->get_string()) : std::string();
 }
 
+static std::uint64_t numberOf(const json::object &in, const char *name) {
+  const json::value *it = in.if_contains(name);
+  boost::system::error_code ec;
+  auto n = it && it->is_number() ? it->to_number<std::uint64_t>(ec) : 0;
+  return ec ? 0 : n;
+}
+
 static Result<EndpointRecord> parseEndpoint(const json::object &in) {
   Result<TcpAddress> address = parseAddress(textOf(in, "address"));
-  const json::value *slots = in.if_contains("slots");
   const json::value *leaving = in.if_contains("leaving");
-  boost::system::error_code ec;
-  unsigned n = slots && slots->is_number() ? slots->to_number<unsigned>(ec) : 0;
-  if (!address || ec || !leaving || !leaving->is_bool())
+  if (!address || !leaving || !leaving->is_bool())
     return Error{ResultCode::PlatformBadAnswer,
-                 "an endpoint lacks its address, slots or state"};
+                 "an endpoint lacks its address or state"};
   return EndpointRecord{EndpointId(textOf(in, "id")),
                         ServiceId(textOf(in, "service")),
                         address.value(),
                         DataCentreId(textOf(in, "data_centre")),
-                        n,
-                        leaving->get_bool()};
+                        static_cast<unsigned>(numberOf(in, "slots")),
+                        leaving->get_bool(),
+                        Revision(numberOf(in, "revision"))};
 }
 
 Result<std::vector<EndpointRecord>>
--- a/lib/Direct/EndpointList.cpp
+++ b/lib/Direct/EndpointList.cpp
@@ -6,14 +6,27 @@
 
 #include "ospreyspur/Direct/EndpointList.h"
 
+#include <algorithm>
 #include <set>
 
 using namespace ospreyspur;
 
+/// The latest row of each address.
+static std::map<TcpAddress, Revision>
+findLatest(const std::vector<EndpointRecord> &records) {
+  std::map<TcpAddress, Revision> out;
+  for (const EndpointRecord &it : records)
+    out[it.Address] = std::max(out[it.Address], it.ListedAt);
+  return out;
+}
+
 void EndpointList::replace(const std::vector<EndpointRecord> &records,
                            TimePoint now) {
+  std::map<TcpAddress, Revision> latest = findLatest(records);
   std::set<EndpointId> present;
   for (const EndpointRecord &it : records) {
+    if (it.ListedAt < latest[it.Address])
+      continue;
     present.insert(it.Id);
     Rows[it.Id] = {it, std::nullopt};
   }
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -118,6 +118,23 @@
   CHECK(only<StartAttempt>(world.end(1, AttemptEnd::NeverSent)));
 }
 
+TEST_CASE("an endpoint that was replaced costs no attempt, but has its bound") {
+  NodeWorld world(6, makeRoute(RequestKind::OnceOnly, 1));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  for (int i = 0; i < 3; ++i)
+    REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::OtherEndpoint)));
+  DirectActions last = world.end(1, AttemptEnd::OtherEndpoint);
+  CHECK((describe(codeOf(last)).Kind == Outcome::NotRun));
+}
+
+TEST_CASE("a request that found only full endpoints waits for one") {
+  NodeWorld world(2, makeRoute(RequestKind::OnceOnly, 3));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::Full)));
+  CHECK(world.end(1, AttemptEnd::Full).empty());
+  CHECK(world.Node.waitingCount() == 1);
+}
+
 TEST_CASE("a stream that cannot be resumed ends where it broke off") {
   NodeWorld world(3, makeRoute(RequestKind::Stream, 3));
   REQUIRE(only<StartAttempt>(world.call(1)));
--- a/unittests/Direct/EndpointListTest.cpp
+++ b/unittests/Direct/EndpointListTest.cpp
@@ -14,11 +14,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-static EndpointRecord makeRecord(const std::string &id) {
+static EndpointRecord makeRecord(const std::string &id, unsigned host = 1) {
   EndpointRecord out;
   out.Id = EndpointId(id);
   out.Service = ServiceId("s");
-  out.Address = parseAddress("10.0.0.1:80").value();
+  out.Address = parseAddress("10.0.0." + std::to_string(host) + ":80").value();
   out.DataCentre = DataCentreId("a");
   out.Slots = 3;
   return out;
@@ -27,7 +27,7 @@
 static std::vector<EndpointRecord> makeRecords(unsigned n) {
   std::vector<EndpointRecord> out;
   for (unsigned i = 0; i < n; ++i)
-    out.push_back(makeRecord("e" + std::to_string(i)));
+    out.push_back(makeRecord("e" + std::to_string(i), i + 1));
   return out;
 }
 
@@ -56,6 +56,20 @@
   CHECK_FALSE(list.endpoints().front().IsMissing);
 }
 
+TEST_CASE("of two rows with one address the later stands") {
+  TimePoint now{seconds(10)};
+  EndpointRecord old = makeRecord("old");
+  EndpointRecord fresh = makeRecord("fresh");
+  old.ListedAt = Revision(5);
+  fresh.ListedAt = Revision(9);
+  EndpointList list;
+  list.replace({old}, now);
+  list.replace({old, fresh}, now);
+  list.onTimer(now + seconds(5));
+  REQUIRE(list.endpoints().size() == 1);
+  CHECK(list.endpoints().front().Record.Id == fresh.Id);
+}
+
 TEST_CASE("the endpoint list survives its document") {
   std::vector<EndpointRecord> records = makeRecords(3);
   records[1].IsLeaving = true;
