Shorter steps of maps: two copies a rank, armed one step ahead, counts each 110 ms

Cause: after a shift passes stay above 120 ms until the first map that knows of it. A log line each second shows steps a second and skew (group.state). Ruled out: held steps (0.0 s).

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -40,7 +40,7 @@
   Duration PhaseTime = std::chrono::milliseconds(1200);
   /// Steps between the present one and the change: orders take a few
   /// milliseconds, a step of a busy group some tens.
-  std::uint64_t StepsAhead = 2;
+  std::uint64_t StepsAhead = 1;
   /// Steps tried to hold; a group may be faster than it seemed.
   unsigned MaxHolds = 3;
   /// Over which the group's speed is measured.
@@ -103,6 +103,8 @@
   GroupPlacement placement() const;
   /// The version under way, or the last one.
   MapVersion version() const { return Version; }
+  /// How fast the group steps, as last measured.
+  double stepsPerSecond() const { return StepsPerSecond; }
   /// When the change under way began.
   TimePoint beganAt() const { return BeganAt; }
   const std::map<unsigned, RankStatus> &ranks() const { return Ranks; }
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -60,6 +60,8 @@
   void considerPlan();
   void readFigures();
   void logPhase();
+  void logGroup();
+  bool fitsFigures() const;
   void spawn(boost::asio::awaitable<void> task);
   boost::asio::awaitable<void> giveOwn(unsigned rank, MapOrder order);
   boost::asio::awaitable<void> giveFor(EndpointId from, MapOrder order);
@@ -79,6 +81,7 @@
   TimePoint NextCounts;
   TimePoint NextFigures;
   TimePoint NextPlan;
+  TimePoint NextGroupLine;
   /// The link on which each rank's agent reports.
   std::map<unsigned, LinkId> Links;
   NodeTimer Timer;
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -20,18 +20,20 @@
 /// free.
 static constexpr Duration ReadEvery = std::chrono::milliseconds(60);
 /// The same for its counts, which are a kilobyte to the coordinator.
-static constexpr Duration CountsEvery = std::chrono::milliseconds(170);
+static constexpr Duration CountsEvery = std::chrono::milliseconds(110);
 /// Half-life of counts: demand shifts every few seconds.
-static constexpr Duration DemandHalfLife = std::chrono::milliseconds(500);
+static constexpr Duration DemandHalfLife = std::chrono::milliseconds(400);
 /// Between two plans.
-static constexpr Duration PlanEvery = std::chrono::milliseconds(200);
+static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
+/// Between two lines in the log about a group.
+static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
 /// Skew that a change must save: below, copying costs more than it gains.
 static constexpr double MinSkewGain = 0.2;
 /// Experts that one change may bring to a rank; each takes 0.15 s on the
 /// users' links.
-static constexpr std::size_t NewPerRank = 3;
+static constexpr std::size_t NewPerRank = 2;
 static constexpr double MinCopyGain = 0.04;
 
 static LeaseLimits makeLeaseLimits(bool checksFences) {
@@ -259,16 +261,12 @@
     return;
   }
   NextPlan = now + PlanEvery;
-  GroupPlacement present = Switch.placement();
-  const std::vector<double> &demand = Demand.demand();
-  bool fits = Figures->ExpertSets > 0 && !present.empty() &&
-              present.front().size() == Figures->ExpertSets &&
-              demand.size() == Figures->ExpertSets * Figures->Experts;
-  if (!fits || Demand.total() <= 0)
+  if (!fitsFigures())
     return;
+  logGroup();
   PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
                          NewPerRank, MinCopyGain};
-  PlacementPlan plan = PlacementPlanner(limits).plan(present, demand);
+  PlacementPlan plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
   if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
     return;
   apply(Switch.begin(plan.Placement, now));
@@ -280,6 +278,32 @@
                    .with("skew_after", plan.SkewAfter);
 }
 
+/// One line a second of what the group does, for whoever looks for pauses.
+void RankAgent::logGroup() {
+  TimePoint now = monotonicNow();
+  if (now < NextGroupLine || !Switch.canBegin(now) || !fitsFigures())
+    return;
+  NextGroupLine = now + GroupLineEvery;
+  PlacementLimits none{Figures->PlacesPerRank, 0, 0, 0};
+  PlacementPlan present =
+      PlacementPlanner(none).plan(Switch.placement(), Demand.demand());
+  LOG(INFO) << LogEvent("group.state")
+                   .with("group", Member->Group.get())
+                   .with("map", Switch.ranks().begin()->second.Map.get())
+                   .with("steps_per_s", Switch.stepsPerSecond())
+                   .with("skew", present.SkewBefore);
+}
+
+/// Whether the engine's figures are known and agree with what ranks report.
+bool RankAgent::fitsFigures() const {
+  if (!Figures || Figures->ExpertSets == 0 || Switch.ranks().empty())
+    return false;
+  const RankPlacement &first = Switch.ranks().begin()->second.Placement;
+  return first.size() == Figures->ExpertSets &&
+         Demand.demand().size() == Figures->ExpertSets * Figures->Experts &&
+         Demand.total() > 0;
+}
+
 /// The word for \p phase in logs.
 static const char *phaseWord(SwitchPhase phase) {
   switch (phase) {
