--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -33,7 +33,7 @@
 static constexpr double MinSkewGain = 0.2;
 /// Experts that one change may bring to a rank; each takes 0.15 s on the
 /// users' links.
-static constexpr std::size_t NewPerRank = 2;
+static constexpr std::size_t NewPerRank = 1;
 static constexpr double MinCopyGain = 0.04;
 
 static LeaseLimits makeLeaseLimits(bool checksFences) {
