--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -80,6 +80,8 @@
   std::string LinkListen;
   /// First and last port for what the processes say to each other.
   std::string PeerPorts;
+  /// Metrics; empty: none.
+  std::string MetricsListen;
   /// How long a planned stop may take.
   Duration StopLimit{};
   Duration StopNotice{};
@@ -103,6 +105,8 @@
   std::string Host;
   /// First and last port for what the processes say to each other.
   std::string PeerPorts;
+  /// Metrics; empty: none.
+  std::string MetricsListen;
   /// The rank's HTTP address.
   std::string EndpointAddress;
   std::string Service;
--- /dev/null
+++ b/include/ospreyspur/Process/MetricsServer.h
@@ -0,0 +1,34 @@
+//===- MetricsServer.h - a process's figures over HTTP ----------*- C++ -*-===//
+//
+// GET /metrics gives all metrics as text that usual scrapers read.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_PROCESS_METRICSSERVER_H
+#define OSPREYSPUR_PROCESS_METRICSSERVER_H
+
+#include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Support/Metrics.h"
+
+#include <string>
+
+namespace ospreyspur {
+
+/// Serves the metrics of one process on one io_context's thread.
+class MetricsServer {
+public:
+  MetricsServer(boost::asio::io_context &ioc, const Metrics &metrics);
+
+  /// Listens on \p address. Errors: SettingInvalid.
+  Result<void> listen(const std::string &address);
+
+private:
+  boost::asio::awaitable<void> answer(HttpExchange &exchange);
+
+  const Metrics &Measures;
+  HttpServer Server;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_PROCESS_METRICSSERVER_H
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -20,6 +20,7 @@
 #include "ospreyspur/Process/PeerLinks.h"
 #include "ospreyspur/Process/RankLink.h"
 #include "ospreyspur/Rpc/PeerServer.h"
+#include "ospreyspur/Support/Metrics.h"
 
 #include <memory>
 #include <optional>
@@ -31,7 +32,7 @@
 class RankAgent {
 public:
   RankAgent(boost::asio::io_context &ioc, const RankSettings &settings,
-            std::uint64_t seed);
+            Metrics &metrics, std::uint64_t seed);
 
   /// Begins to read the rank. Errors: SettingInvalid.
   Result<void> start();
@@ -68,6 +69,7 @@
 
   boost::asio::io_context &Context;
   const RankSettings &Settings;
+  Metrics &Measures;
   std::mt19937_64 Random;
   PlatformClient Platform;
   RankLink Rank;
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -174,6 +174,8 @@
                                       "links from the other processes");
   out.PeerPorts = reader.readText("direct.peer_ports",
                                   "first and last port between our processes");
+  out.MetricsListen =
+      reader.readText("process.metrics_listen", "", "metrics; ip:port");
   out.StopNotice = reader.readMillis(
       "process.stop_notice_ms", seconds(2), milliseconds(0), minutes(5),
       "how long a planned stop is announced while work is still taken; "
@@ -208,6 +210,8 @@
   out.Host = reader.readText("rank.host", "this process's IP number");
   out.PeerPorts = reader.readText("rank.peer_ports",
                                   "first and last port between our processes");
+  out.MetricsListen =
+      reader.readText("process.metrics_listen", "", "metrics; ip:port");
   out.EndpointAddress =
       reader.readAddress("rank.endpoint", "the HTTP address of the rank");
   out.Service =
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -6,6 +6,7 @@
 
 #include "ospreyspur/Control/DirectControl.h"
 #include "ospreyspur/Process/DirectTraffic.h"
+#include "ospreyspur/Process/MetricsServer.h"
 #include "ospreyspur/Process/PlannedStop.h"
 #include "ospreyspur/Process/ProcessThreads.h"
 #include "ospreyspur/Process/Roles.h"
@@ -38,6 +39,7 @@
   DirectTraffic Traffic;
   DirectControl Control;
   HttpServer Ready;
+  MetricsServer Figures;
   PlannedStop Stop;
   SettingsWatch Watch;
   bool IsStopping = false;
@@ -54,6 +56,7 @@
               }),
       Ready(Threads.control(), HttpLimits(),
             [this](HttpExchange &it) { return answerReady(it); }),
+      Figures(Threads.control(), Measures),
       Stop(Threads.control(), {settings.StopNotice, settings.StopLimit},
            makeStopHandlers()),
       Watch(Threads.control(), settings.File,
@@ -105,6 +108,11 @@
        {Traffic.start(), Ready.listen(ready.value()), Control.start()})
     if (!started)
       return started;
+  if (!Settings.MetricsListen.empty()) {
+    Result<void> listening = Figures.listen(Settings.MetricsListen);
+    if (!listening)
+      return listening;
+  }
   Stop.start();
   Watch.start();
   LOG(INFO) << LogEvent("direct.start")
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -20,6 +20,27 @@
 /// entry takes the next try.
 static constexpr Duration ElsewhereRetryAfter = std::chrono::milliseconds(20);
 
+/// The word for \p end in metrics.
+static const char *wordOf(AttemptEnd end) {
+  switch (end) {
+  case AttemptEnd::Complete:
+    return "complete";
+  case AttemptEnd::Full:
+    return "full";
+  case AttemptEnd::OtherEndpoint:
+    return "replaced";
+  case AttemptEnd::NeverSent:
+    return "never_sent";
+  case AttemptEnd::Failed:
+    return "failed";
+  case AttemptEnd::Lost:
+    return "lost";
+  case AttemptEnd::BrokeOff:
+    return "broke_off";
+  }
+  return "";
+}
+
 static DirectLimits makeLimits(const DirectSettings &settings) {
   DirectLimits limits;
   limits.Retries = settings.Retries;
@@ -192,6 +213,8 @@
   };
   DirectAttempt running(Pool, exchange, call, order, onFirstByte);
   AttemptEnd end = co_await running.run();
+  Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
+  Measures.set("requests_waiting", double(Node.waitingCount()));
   if (call.IsCallerGone)
     co_return;
   apply(Node.onAttemptEnded(id, end, monotonicNow()));
--- /dev/null
+++ b/lib/Process/MetricsServer.cpp
@@ -0,0 +1,28 @@
+//===- MetricsServer.cpp - a process's figures over HTTP ------------------===//
+//
+// See MetricsServer.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/MetricsServer.h"
+
+using namespace ospreyspur;
+
+MetricsServer::MetricsServer(boost::asio::io_context &ioc,
+                             const Metrics &metrics)
+    : Measures(metrics), Server(ioc, HttpLimits(), [this](HttpExchange &it) {
+        return answer(it);
+      }) {}
+
+Result<void> MetricsServer::listen(const std::string &address) {
+  Result<TcpAddress> parsed = parseAddress(address);
+  if (!parsed)
+    return parsed.error();
+  return Server.listen(parsed.value());
+}
+
+boost::asio::awaitable<void> MetricsServer::answer(HttpExchange &exchange) {
+  bool isKnown = exchange.request().target() == "/metrics";
+  std::string body = isKnown ? Measures.text() : "no such path\n";
+  co_await exchange.respond(isKnown ? 200 : 404, "text/plain", std::move(body));
+}
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -48,8 +48,8 @@
 }
 
 RankAgent::RankAgent(asio::io_context &ioc, const RankSettings &settings,
-                     std::uint64_t seed)
-    : Context(ioc), Settings(settings), Random(seed),
+                     Metrics &metrics, std::uint64_t seed)
+    : Context(ioc), Settings(settings), Measures(metrics), Random(seed),
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
       Switch(SwitchLimits()), Demand(DemandHalfLife),
@@ -266,10 +266,12 @@
   logGroup();
   PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
                          NewPerRank, MinCopyGain};
-  PlacementPlan plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+  PlacementPlan plan =
+      PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
   if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
     return;
   apply(Switch.begin(plan.Placement, now));
+  Measures.count("expert_copies_total", plan.Copies);
   LOG(INFO) << LogEvent("map.proposed")
                    .with("group", Member->Group.get())
                    .with("version", Switch.version().get())
@@ -287,6 +289,8 @@
   PlacementLimits none{Figures->PlacesPerRank, 0, 0, 0};
   PlacementPlan present =
       PlacementPlanner(none).plan(Switch.placement(), Demand.demand());
+  Measures.set("group_skew", present.SkewBefore);
+  Measures.set("group_steps_per_second", Switch.stepsPerSecond());
   LOG(INFO) << LogEvent("group.state")
                    .with("group", Member->Group.get())
                    .with("map", Switch.ranks().begin()->second.Map.get())
@@ -331,6 +335,8 @@
   if (Switch.phase() == LoggedPhase)
     return;
   LoggedPhase = Switch.phase();
+  Measures.count("map_phases_total{phase=\"" +
+                 std::string(phaseWord(LoggedPhase)) + "\"}");
   auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       monotonicNow() - Switch.beganAt());
   LOG(INFO) << LogEvent("map.phase")
--- a/lib/Process/RankRole.cpp
+++ b/lib/Process/RankRole.cpp
@@ -4,6 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "ospreyspur/Process/MetricsServer.h"
 #include "ospreyspur/Process/RankAgent.h"
 #include "ospreyspur/Process/Roles.h"
 #include "ospreyspur/Process/SettingsWatch.h"
@@ -18,8 +19,12 @@
 
 Result<void> ospreyspur::runRank(const RankSettings &settings) {
   boost::asio::io_context ioc(1);
-  RankAgent agent(ioc, settings, std::random_device{}());
+  Metrics measures;
+  MetricsServer figures(ioc, measures);
+  RankAgent agent(ioc, settings, measures, std::random_device{}());
   Result<void> started = agent.start();
+  if (started && !settings.MetricsListen.empty())
+    started = figures.listen(settings.MetricsListen);
   if (!started)
     return started;
   boost::asio::signal_set signals(ioc, SIGTERM, SIGINT);
--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -6,12 +6,14 @@
 
 #include "ospreyspur/Config/ConfigDocument.h"
 #include "ospreyspur/Config/SettingsReader.h"
+#include "ospreyspur/Process/LogWriter.h"
 #include "ospreyspur/Process/OperatorClient.h"
 #include "ospreyspur/Process/Roles.h"
 
 #include <boost/algorithm/string/trim.hpp>
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -97,14 +99,24 @@
   return 1;
 }
 
-static int run(const std::string &role, const std::string &path) {
+static int runOnPlatform(const std::string &role, const std::string &path) {
   if (role == "direct") {
     auto settings = loadSettings(path, readDirectSettings);
     return settings ? exitStatus(runDirect(*settings)) : 1;
   }
-  if (role == "rank") {
-    auto settings = loadSettings(path, readRankSettings);
-    return settings ? exitStatus(runRank(*settings)) : 1;
+  auto settings = loadSettings(path, readRankSettings);
+  return settings ? exitStatus(runRank(*settings)) : 1;
+}
+
+static int run(const std::string &role, const std::string &path) {
+  if (role == "direct" || role == "rank") {
+    // The platform reads standard output; the log must not wait for it.
+    LogWriter log(STDOUT_FILENO);
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    for (int i = 0; i < google::NUM_SEVERITIES; ++i)
+      google::SetLogDestination(i, "");
+    return runOnPlatform(role, path);
   }
   if (role == "entry") {
     auto settings = loadSettings(path, readEntrySettings);
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -111,3 +111,36 @@
   CHECK(exchange(member, rank, order).Kind == GroupReplyKind::Fenced);
   CHECK_FALSE(rank.state().Armed.has_value());
 }
+
+TEST_CASE("in an outage a holder goes on only where its orders are fenced") {
+  for (bool outlasts : {false, true}) {
+    LeaseLimits limits;
+    limits.OutlastsOutage = outlasts;
+    LeaseHolder holder("k", "a", limits);
+    take(holder, Start);
+    TimePoint late = Start + seconds(30);
+    CHECK(holder.isHeld(late) == outlasts);
+    std::optional<KvCall> call = holder.nextCall(late);
+    if (!outlasts)
+      continue;
+    REQUIRE(call);
+    REQUIRE(std::holds_alternative<KvRenew>(*call));
+    holder.onReply({ResultCode::PlatformRefused, {}, {}}, late);
+    CHECK(holder.isHeld(late));
+    late += seconds(5);
+    REQUIRE(holder.nextCall(late));
+    holder.onReply({ResultCode::NotFound, {}, {}}, late);
+    CHECK_FALSE(holder.isHeld(late));
+  }
+}
+
+TEST_CASE("a failed read does not make a candidate forget the holder") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  REQUIRE(holder.nextCall(Start));
+  holder.onReply({ResultCode::Ok, Revision(3), "other"}, Start);
+  CHECK(holder.holder() == "other");
+  TimePoint later = Start + seconds(10);
+  REQUIRE(holder.nextCall(later));
+  holder.onReply({ResultCode::PlatformTimeout, {}, {}}, later);
+  CHECK(holder.holder() == "other");
+}
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -10,6 +10,9 @@
 #include "ospreyspur/Http/HttpServer.h"
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -91,3 +94,44 @@
   fixture.Context.poll();
   CHECK(fixture.Server.busyCount() == 0);
 }
+
+TEST_CASE("a server that stops accepting closes resting connections") {
+  Fixture fixture;
+  tcp::socket client = fixture.connect();
+  asio::write(client, asio::buffer(Request));
+  fixture.Context.poll();
+  // Its first request is answered; the connection rests.
+  while (client.available() == 0)
+    fixture.Context.poll();
+  fixture.Context.poll();
+  fixture.Server.stopAccepting();
+  CHECK(fixture.readAll(client).ends_with("whole"));
+}
+
+TEST_CASE("a client that hangs up while it waits is noticed") {
+  asio::io_context ioc;
+  bool isNoticed = false;
+  tcp::endpoint address = test::findFreeAddress();
+  HttpServer server(ioc, HttpLimits(),
+                    [&](HttpExchange &exchange) -> asio::awaitable<void> {
+                      asio::steady_timer timer(ioc, std::chrono::seconds(30));
+                      exchange.watchHangUp([&] {
+                        isNoticed = true;
+                        timer.cancel();
+                      });
+                      boost::system::error_code ec;
+                      co_await timer.async_wait(
+                          asio::redirect_error(asio::use_awaitable, ec));
+                      exchange.cut();
+                    });
+  REQUIRE(server.listen(address));
+  tcp::socket client(ioc);
+  client.connect(address);
+  asio::write(client, asio::buffer(Request));
+  ioc.poll();
+  CHECK_FALSE(isNoticed);
+  client.close();
+  while (!isNoticed)
+    ioc.run_one();
+  CHECK(isNoticed);
+}
--- /dev/null
+++ b/unittests/Support/LogWriterTest.cpp
@@ -0,0 +1,62 @@
+//===- LogWriterTest.cpp - a log that nobody reads ------------------------===//
+//
+// Lines come out in order; a reader that has stopped reading holds nobody up.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/LogWriter.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+using namespace ospreyspur;
+
+namespace {
+/// A pipe that is closed at the end.
+struct Pipe {
+  Pipe() { REQUIRE(::pipe(Ends.data()) == 0); }
+  ~Pipe() {
+    ::close(Ends[0]);
+    ::close(Ends[1]);
+  }
+
+  std::array<int, 2> Ends{};
+};
+} // namespace
+
+static void sendLine(LogWriter &writer, google::LogSeverity severity,
+                     const std::string &text) {
+  google::LogMessageTime time;
+  writer.send(severity, "f.cpp", "f.cpp", 1, time, text.data(), text.size());
+}
+
+TEST_CASE("lines are written in order") {
+  Pipe pipe;
+  {
+    LogWriter writer(pipe.Ends[1]);
+    sendLine(writer, google::GLOG_INFO, "event=first");
+    sendLine(writer, google::GLOG_ERROR, "event=second");
+  }
+  std::array<char, 4096> bytes{};
+  ssize_t n = ::read(pipe.Ends[0], bytes.data(), bytes.size());
+  REQUIRE(n > 0);
+  std::string text(bytes.data(), static_cast<std::size_t>(n));
+  CHECK(text.find("event=first") < text.find("event=second"));
+  CHECK(text.find("event=second") != std::string::npos);
+}
+
+TEST_CASE("a log that nobody reads drops lines, ordinary ones first") {
+  Pipe pipe;
+  LogWriter writer(pipe.Ends[1]);
+  const std::string text(1000, 'x');
+  for (std::size_t i = 0; i < 2 * LogWriter::MaxLines; ++i)
+    sendLine(writer, google::GLOG_INFO, text);
+  std::uint64_t dropped = writer.dropped();
+  CHECK(dropped > 0);
+  sendLine(writer, google::GLOG_ERROR, text);
+  CHECK(writer.dropped() == dropped);
+}
