Take the lease from a coordinator whose group stands; last attempts only where endpoints serve

After all hosts lost power requests spent both attempts on ranks whose group was being formed; the last one now waits for an endpoint that is known to serve.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -35,6 +35,8 @@
   RetryBounds Retries;
   /// Requests sent for one call, those to replaced endpoints included.
   unsigned MaxArrivals = 4;
+  /// How long an endpoint that answered counts as serving.
+  Duration ProvenTime = std::chrono::seconds(2);
   /// Requests that an endpoint of a plain service may have, by its slots.
   double PlainOverload = 2.0;
 };
@@ -58,7 +60,7 @@
   /// A new request. Its id must be new.
   DirectActions onCall(DirectRequest request, TimePoint now);
   /// The first byte of the answer came.
-  void onFirstByte(CallId id, TimePoint now);
+  DirectActions onFirstByte(CallId id, TimePoint now);
   /// The attempt under way has ended.
   DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
   /// The caller hung up, or its answer was given; the call is forgotten.
@@ -89,6 +91,9 @@
     /// Requests sent, those to endpoints that were another by then included.
     unsigned Arrivals = 0;
     bool HasFirstByte = false;
+    /// Whether an endpoint said that it was full: the next attempt is only for
+    /// one that is known to serve.
+    bool WasTurnedAway = false;
     /// Whether an attempt was sent whose fate is unknown.
     bool MayHaveRun = false;
     std::set<EndpointId> Tried;
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -41,6 +41,8 @@
   /// It said that it was full; taken as full until then.
   TimePoint FullUntil;
   unsigned FullInRow = 0;
+  /// When it last began or ended an answer.
+  TimePoint ProvenAt;
 };
 
 /// Load and health by endpoint.
@@ -64,9 +66,11 @@
                    const std::vector<EndpointLoad> &loads, TimePoint now);
   void onStarted(const EndpointId &id, unsigned promptTokens);
   /// The first byte of an answer came.
-  void onFirstByte(const EndpointId &id, unsigned promptTokens);
+  void onFirstByte(const EndpointId &id, unsigned promptTokens, TimePoint now);
+  /// The prompt of a request that ended without an answer no longer counts.
+  void dropUnread(const EndpointId &id, unsigned promptTokens);
   void onEnded(const EndpointId &id);
-  void onSuccess(const EndpointId &id);
+  void onSuccess(const EndpointId &id, TimePoint now);
   void onFailure(const EndpointId &id, TimePoint now);
   void onFull(const EndpointId &id, TimePoint now);
   /// Another incarnation has the endpoint's address.
--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -46,6 +46,13 @@
   std::optional<KvCall> nextCall(TimePoint now);
   /// Takes the answer to the latest call.
   void onReply(const KvReply &reply, TimePoint now);
+  /// The holder gives no sign of life: takes the lease from it by the next
+  /// call, if it still has the revision that was read. Only where all that
+  /// holders order is fenced.
+  void takeOver(TimePoint now);
+  /// Doubts that it still holds the lease: acts no more until the next call
+  /// has found its own write to stand.
+  void doubt(TimePoint now);
   /// Stops trying, and gives a held lease no further renewal.
   void stop() { IsStopped = true; }
 
@@ -62,18 +69,26 @@
 
 private:
   void lose(TimePoint now);
+  void hold(Revision at);
+  void noteHolder(const KvReply &reply);
 
   std::string Key;
   std::string Self;
   LeaseLimits Limits;
   Revision Holder;
   std::string HolderText;
+  /// What this holder wrote last, if it came to doubt it.
+  Revision Doubted;
+  /// The other holder's revision as last read; 0 if there was none.
+  Revision OtherHolder;
   TimePoint ActUntil;
   TimePoint NextCall;
   TimePoint SentAt;
   bool IsCalling = false;
   /// Whether the key was read as absent.
   bool IsFree = false;
+  /// Whether the next call takes the lease from OtherHolder.
+  bool IsTakingOver = false;
   /// Whether the call under way tries to take the lease.
   bool IsTaking = false;
   bool IsStopped = false;
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -99,6 +99,8 @@
   SwitchPhase phase() const { return Phase; }
   /// Whether a change may begin: the ranks are known and nothing is left over.
   bool canBegin(TimePoint now) const;
+  /// Whether every rank of one formation has reported lately.
+  bool isComplete(TimePoint now) const;
   /// The experts of every rank, as reported.
   GroupPlacement placement() const;
   /// The version under way, or the last one.
@@ -116,7 +118,6 @@
     unsigned Tries = 0;
   };
 
-  bool isComplete(TimePoint now) const;
   bool isSurveyed() const;
   bool allRanks(const std::function<bool(const RankStatus &)> &test) const;
   void noteStep(const RankStatus &status, TimePoint now);
--- a/include/ospreyspur/Experts/RankStatus.h
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -43,6 +43,8 @@
   unsigned Size = 0;
   /// Whether the group takes requests.
   bool IsOpen = false;
+  /// Requests that run here.
+  unsigned Running = 0;
   /// The last step that began.
   StepNumber Step;
   MapVersion Map;
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -15,6 +15,7 @@
 #include "ospreyspur/Experts/LeaseHolder.h"
 #include "ospreyspur/Experts/MapSwitch.h"
 #include "ospreyspur/Experts/PlacementPlanner.h"
+#include "ospreyspur/Experts/StallWatch.h"
 #include "ospreyspur/Platform/PlatformClient.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Process/PeerLinks.h"
@@ -53,6 +54,8 @@
   boost::asio::awaitable<void> readRank();
   void onStatus(const RankStatus &status);
   void join(const GroupId &group);
+  void checkLease(TimePoint now);
+  void watchForStall(const RankStatus &status);
   void report(const RankStatus &status);
   void onReply(LinkId from, const MapOrderReply &reply);
   void takeStatus(const RankStatus &status, std::optional<LinkId> from);
@@ -75,11 +78,14 @@
   RankLink Rank;
   std::optional<RankStatus> Own;
   std::unique_ptr<Membership> Member;
+  StallWatch Stall;
   MapSwitch Switch;
   SwitchPhase LoggedPhase = SwitchPhase::Idle;
   DemandMeter Demand;
   /// The service's engine, once read.
   std::optional<EngineFigures> Figures;
+  /// When the group was last heard whole while leading.
+  TimePoint CompleteAt;
   TimePoint NextCounts;
   TimePoint NextFigures;
   TimePoint NextPlan;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -43,12 +43,14 @@
   return takeActions();
 }
 
-void DirectNode::onFirstByte(CallId id, TimePoint /*now*/) {
+DirectActions DirectNode::onFirstByte(CallId id, TimePoint now) {
   auto it = Calls.find(id);
   if (it == Calls.end() || !it->second.Current || it->second.HasFirstByte)
-    return;
+    return takeActions();
   it->second.HasFirstByte = true;
-  Book.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt);
+  Book.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt, now);
+  startWaiting(now);
+  return takeActions();
 }
 
 DirectActions DirectNode::onAttemptEnded(CallId id, AttemptEnd end,
@@ -66,6 +68,7 @@
     Calls.erase(it);
     break;
   case AttemptEnd::Full:
+    call.WasTurnedAway = true;
     retry(call, ResultCode::QueueFull, now);
     break;
   case AttemptEnd::OtherEndpoint:
@@ -210,7 +213,7 @@
   if (!call.Current)
     return;
   if (!std::exchange(call.HasFirstByte, false))
-    Book.onFirstByte(*call.Current, call.Request.Tokens.Prompt);
+    Book.dropUnread(*call.Current, call.Request.Tokens.Prompt);
   Book.onEnded(*call.Current);
   call.Current.reset();
 }
@@ -219,7 +222,7 @@
   const EndpointId &id = *call.Current;
   switch (end) {
   case AttemptEnd::Complete:
-    Book.onSuccess(id);
+    Book.onSuccess(id, now);
     break;
   case AttemptEnd::Full:
     Book.onFull(id, now);
@@ -261,6 +264,8 @@
                          TimePoint now) const {
   if (now < state.FullUntil)
     return false;
+  if (call.WasTurnedAway && now - state.ProvenAt > Limits.ProvenTime)
+    return false;
   const ServiceRule *service = call.Request.Config->findService(call.Service);
   bool isEngine = service && service->Engine;
   double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -48,7 +48,14 @@
   }
 }
 
-void EndpointBook::onFirstByte(const EndpointId &id, unsigned promptTokens) {
+void EndpointBook::onFirstByte(const EndpointId &id, unsigned promptTokens,
+                               TimePoint now) {
+  dropUnread(id, promptTokens);
+  if (EndpointState *it = findMutable(id))
+    it->ProvenAt = now;
+}
+
+void EndpointBook::dropUnread(const EndpointId &id, unsigned promptTokens) {
   if (EndpointState *it = findMutable(id))
     it->OwnUnread -= std::min(it->OwnUnread, promptTokens);
 }
@@ -59,8 +66,9 @@
     --it->Own;
 }
 
-void EndpointBook::onSuccess(const EndpointId &id) {
+void EndpointBook::onSuccess(const EndpointId &id, TimePoint now) {
   if (EndpointState *it = findMutable(id)) {
+    it->ProvenAt = now;
     it->FailuresInRow = 0;
     it->FullInRow = 0;
     it->SuspectUntil = TimePoint();
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -28,40 +28,75 @@
     return KvRenew{Key, Holder};
   }
   NextCall = now + Limits.RetryEvery;
+  if (std::exchange(IsTakingOver, false)) {
+    IsTaking = true;
+    return KvPut{Key, Self, OtherHolder, Limits.Span};
+  }
   if (!std::exchange(IsFree, false))
     return KvGet{Key, true};
   IsTaking = true;
   return KvPut{Key, Self, Revision(0), Limits.Span};
 }
 
+void LeaseHolder::takeOver(TimePoint now) {
+  if (Holder.get() > 0 || OtherHolder.get() == 0 || IsCalling)
+    return;
+  IsTakingOver = true;
+  NextCall = now;
+}
+
 void LeaseHolder::onReply(const KvReply &reply, TimePoint now) {
   if (!IsCalling)
     return;
   IsCalling = false;
   bool wasTaking = std::exchange(IsTaking, false);
+  bool isOwn = Doubted.get() > 0 && reply.At == Doubted;
+  if (Holder.get() == 0 && reply.Code == ResultCode::Ok && isOwn) {
+    hold(Doubted);
+    return;
+  }
   if (Holder.get() == 0 && !wasTaking) {
     IsFree = reply.Code == ResultCode::NotFound;
     if (IsFree || reply.Code == ResultCode::Ok)
-      HolderText = reply.Value;
+      noteHolder(reply);
     if (IsFree)
       NextCall = now;
     return;
   }
   if (reply.Code == ResultCode::Ok) {
-    Holder = reply.At;
-    ActUntil = SentAt + Limits.Span - Limits.Margin;
-    NextCall = SentAt + Limits.RenewEvery;
+    hold(reply.At);
     return;
   }
   // Another was faster; it is the holder now.
   if (wasTaking && reply.Code == ResultCode::PlatformConflict)
-    HolderText = reply.Value;
+    noteHolder(reply);
   bool isGone = reply.Code == ResultCode::NotFound ||
                 reply.Code == ResultCode::PlatformConflict;
   if (Holder.get() > 0 && isGone)
     lose(now);
 }
 
+void LeaseHolder::hold(Revision at) {
+  Holder = at;
+  Doubted = Revision(0);
+  ActUntil = SentAt + Limits.Span - Limits.Margin;
+  NextCall = SentAt + Limits.RenewEvery;
+}
+
+void LeaseHolder::doubt(TimePoint now) {
+  if (Holder.get() == 0)
+    return;
+  Revision own = Holder;
+  lose(now);
+  Doubted = own;
+  NextCall = now;
+}
+
+void LeaseHolder::noteHolder(const KvReply &reply) {
+  HolderText = reply.Value;
+  OtherHolder = reply.At;
+}
+
 TimePoint LeaseHolder::nextTimer() const {
   TimePoint next = NextCall;
   if (IsCalling)
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -170,7 +170,6 @@
   return out;
 }
 
-/// Whether every rank of one formation has reported lately.
 bool MapSwitch::isComplete(TimePoint now) const {
   if (Ranks.empty() || Ranks.size() != Ranks.begin()->second.Size)
     return false;
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -208,8 +208,7 @@
     TimePoint now = monotonicNow();
     if (!call.FirstByte)
       call.FirstByte = now;
-    Node.onFirstByte(id, now);
-    Loads.onChange();
+    apply(Node.onFirstByte(id, now));
   };
   DirectAttempt running(Pool, exchange, call, order, onFirstByte);
   AttemptEnd end = co_await running.run();
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -26,6 +26,8 @@
 /// Between two plans.
 static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
+/// How long a coordinator leads a group of which it does not hear every rank.
+static constexpr Duration MaxIncomplete = std::chrono::milliseconds(2000);
 /// Between two lines in the log about a group.
 static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
@@ -100,6 +102,21 @@
     spawn(readRank());
   apply(Switch.onTimer(now));
   considerPlan();
+  checkLease(now);
+}
+
+/// Ranks that no longer report may have found another coordinator.
+void RankAgent::checkLease(TimePoint now) {
+  bool isLeading = Member && Member->Lease.isHeld(now);
+  if (!isLeading || Switch.isComplete(now)) {
+    CompleteAt = now;
+    return;
+  }
+  if (now - CompleteAt < MaxIncomplete)
+    return;
+  CompleteAt = now;
+  Member->Lease.doubt(now);
+  lookAtLease();
 }
 
 asio::awaitable<void> RankAgent::readRank() {
@@ -128,10 +145,30 @@
 void RankAgent::onStatus(const RankStatus &status) {
   if (!Member || Member->Group != status.Group)
     join(status.Group);
-  if (Member->Lease.isHeld(monotonicNow()))
+  if (Member->Lease.isHeld(monotonicNow())) {
     takeStatus(status, std::nullopt);
-  else
-    report(status);
+    return;
+  }
+  report(status);
+  watchForStall(status);
+}
+
+/// Takes the lease from a coordinator whose group stands still: it may have
+/// died or frozen in the middle of a change.
+void RankAgent::watchForStall(const RankStatus &status) {
+  TimePoint now = monotonicNow();
+  if (!Stall.isStalled(status, now) || !Settings.ChecksFences)
+    return;
+  // All agents of the group see it at about the same time; one is enough.
+  std::uniform_int_distribution<Duration::rep> spread(0, 150000);
+  Stall.reset(now + Duration(spread(Random)));
+  LOG(WARNING) << LogEvent("group.stalled")
+                      .with("group", status.Group.get())
+                      .with("step", status.Step.get())
+                      .with("held", status.Held ? status.Held->get() : 0)
+                      .with("coordinator", Member->Lease.holder());
+  Member->Lease.takeOver(now);
+  lookAtLease();
 }
 
 void RankAgent::join(const GroupId &group) {
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -51,6 +51,14 @@
     return Node.onCall(std::move(request), Now);
   }
 
+  /// Has \p n endpoints answer a request each.
+  void prove(unsigned n) {
+    for (unsigned i = 0; i < n; ++i)
+      call(100 + i);
+    for (unsigned i = 0; i < n; ++i)
+      end(100 + i, AttemptEnd::Complete);
+  }
+
   DirectActions end(std::uint64_t id, AttemptEnd how) {
     return Node.onAttemptEnded(CallId(id), how, Now);
   }
@@ -92,6 +100,7 @@
 
 TEST_CASE("a full endpoint's request goes elsewhere while attempts last") {
   NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 2));
+  world.prove(3);
   const auto first = world.call(1);
   REQUIRE(only<StartAttempt>(first));
   DirectActions second = world.end(1, AttemptEnd::Full);
@@ -129,12 +138,27 @@
 
 TEST_CASE("a request that found only full endpoints waits for one") {
   NodeWorld world(2, makeRoute(RequestKind::OnceOnly, 3));
+  world.prove(2);
   REQUIRE(only<StartAttempt>(world.call(1)));
   REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::Full)));
   CHECK(world.end(1, AttemptEnd::Full).empty());
   CHECK(world.Node.waitingCount() == 1);
 }
 
+TEST_CASE("who was turned away waits until an endpoint is known to serve") {
+  NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 2));
+  DirectActions first = world.call(1);
+  REQUIRE(only<StartAttempt>(first));
+  CHECK(world.end(1, AttemptEnd::Full).empty());
+  DirectActions other = world.call(2);
+  REQUIRE(only<StartAttempt>(other));
+  DirectActions proven = world.Node.onFirstByte(CallId(2), world.Now);
+  REQUIRE(only<StartAttempt>(proven));
+  CHECK(only<StartAttempt>(proven)->Call == CallId(1));
+  CHECK(only<StartAttempt>(proven)->Endpoint.Id ==
+        only<StartAttempt>(other)->Endpoint.Id);
+}
+
 TEST_CASE("a stream that cannot be resumed ends where it broke off") {
   NodeWorld world(3, makeRoute(RequestKind::Stream, 3));
   REQUIRE(only<StartAttempt>(world.call(1)));
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -9,6 +9,7 @@
 
 #include "ospreyspur/Experts/GroupMember.h"
 #include "ospreyspur/Experts/LeaseHolder.h"
+#include "ospreyspur/Experts/StallWatch.h"
 
 #include <doctest/doctest.h>
 
@@ -144,3 +145,44 @@
   holder.onReply({ResultCode::PlatformTimeout, {}, {}}, later);
   CHECK(holder.holder() == "other");
 }
+
+TEST_CASE("a lease is taken over only from the holder that was read") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  holder.takeOver(Start);
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(Start)));
+  holder.onReply({ResultCode::Ok, Revision(3), "other"}, Start);
+  holder.takeOver(Start);
+  std::optional<KvCall> call = holder.nextCall(Start);
+  REQUIRE(call);
+  REQUIRE(std::holds_alternative<KvPut>(*call));
+  CHECK(std::get<KvPut>(*call).Expected == Revision(3));
+  holder.onReply({ResultCode::PlatformConflict, Revision(9), "third"}, Start);
+  CHECK_FALSE(holder.isHeld(Start));
+  CHECK(holder.holder() == "third");
+}
+
+TEST_CASE("a group that stands with requests is noticed, an idle one is not") {
+  StallWatch watch;
+  RankStatus status;
+  status.IsOpen = true;
+  status.Running = 3;
+  status.Step = StepNumber(5);
+  CHECK_FALSE(watch.isStalled(status, Start));
+  CHECK(watch.isStalled(status, Start + StallWatch::Patience));
+  status.Step = StepNumber(6);
+  CHECK_FALSE(watch.isStalled(status, Start + seconds(2)));
+  status.Running = 0;
+  CHECK_FALSE(watch.isStalled(status, Start + seconds(9)));
+}
+
+TEST_CASE("a holder that doubts its lease acts on only if its write stands") {
+  for (std::uint64_t found : {7U, 8U}) {
+    LeaseHolder holder("k", "a", LeaseLimits());
+    take(holder, Start);
+    holder.doubt(Start + seconds(1));
+    CHECK_FALSE(holder.isHeld(Start + seconds(1)));
+    REQUIRE(holder.nextCall(Start + seconds(1)));
+    holder.onReply({ResultCode::Ok, Revision(found), "a"}, Start + seconds(1));
+    CHECK(holder.isHeld(Start + seconds(1)) == (found == 7));
+  }
+}
