--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -84,8 +84,9 @@
   void lead(std::uint64_t lease);
   /// Gives no more orders.
   void resign();
+  /// Takes a rank's state as it stood at \p seen.
   SwitchActions onStatus(unsigned rank, const RankStatus &status,
-                         TimePoint now);
+                         TimePoint seen, TimePoint now);
   SwitchActions onReply(unsigned rank, const MapOrderReply &reply,
                         TimePoint now);
   SwitchActions onTimer(TimePoint now);
@@ -96,6 +97,8 @@
 
   /// When onTimer() is next needed for an order without an answer.
   std::optional<TimePoint> nextTimer() const;
+  /// False before lead() and once a higher fencing token was met.
+  bool isLeading() const { return IsLeading; }
   SwitchPhase phase() const { return Phase; }
   /// Whether a change may begin: the ranks are known and nothing is left over.
   bool canBegin(TimePoint now) const;
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -59,6 +59,12 @@
   void report(const RankStatus &status);
   void onReply(LinkId from, const MapOrderReply &reply);
   void takeStatus(const RankStatus &status, std::optional<LinkId> from);
+  bool isHeard(unsigned rank, TimePoint now) const;
+  void reachSilentRanks(TimePoint now);
+  boost::asio::awaitable<void> findRanks();
+  boost::asio::awaitable<void> readFar(std::shared_ptr<RankLink> link);
+  boost::asio::awaitable<void> giveFar(std::shared_ptr<RankLink> link,
+                                       unsigned rank, MapOrder order);
   void apply(const SwitchActions &actions);
   void perform(const SendMapOrder &action);
   void considerPlan();
@@ -90,8 +96,13 @@
   TimePoint NextFigures;
   TimePoint NextPlan;
   TimePoint NextGroupLine;
-  /// The link on which each rank's agent reports.
+  /// The link on which each rank's agent reports, and when it last did.
   std::map<unsigned, LinkId> Links;
+  std::map<unsigned, TimePoint> HeardAt;
+  /// Direct ways to endpoints, for ranks whose agents are silent.
+  std::map<TcpAddress, std::shared_ptr<RankLink>> FarLinks;
+  std::map<unsigned, std::shared_ptr<RankLink>> FarRanks;
+  TimePoint NextReach;
   NodeTimer Timer;
   NodeTimer LeaseTimer;
   NodeTimer OrderTimer;
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -35,10 +35,10 @@
 }
 
 SwitchActions MapSwitch::onStatus(unsigned rank, const RankStatus &status,
-                                  TimePoint now) {
-  noteStep(status, now);
+                                  TimePoint seen, TimePoint now) {
+  noteStep(status, seen);
   Ranks[rank] = status;
-  SeenAt[rank] = now;
+  SeenAt[rank] = seen;
   std::erase_if(Ranks, [&](const auto &it) { return it.first >= status.Size; });
   advance(now);
   return takeActions();
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -8,6 +8,7 @@
 
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/ConfigWire.h"
+#include "platform/EndpointWire.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -28,6 +29,13 @@
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
 /// How long a coordinator leads a group of which it does not hear every rank.
 static constexpr Duration MaxIncomplete = std::chrono::milliseconds(2000);
+/// After this time without a report an agent's rank is reached directly.
+static constexpr Duration SilenceOfAgent = std::chrono::milliseconds(400);
+/// Between two reads of ranks whose agents are silent.
+static constexpr Duration ReachEvery = std::chrono::milliseconds(200);
+/// How old a rank's report may be when asked from another host: the engines
+/// state 200 ms; taken with a margin.
+static constexpr Duration FarReportLag = std::chrono::milliseconds(400);
 /// Between two lines in the log about a group.
 static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
@@ -108,17 +116,74 @@
 /// Ranks that no longer report may have found another coordinator.
 void RankAgent::checkLease(TimePoint now) {
   bool isLeading = Member && Member->Lease.isHeld(now);
-  if (!isLeading || Switch.isComplete(now)) {
+  if (isLeading)
+    reachSilentRanks(now);
+  bool isFenced = isLeading && !Switch.isLeading();
+  if (!isLeading || (Switch.isComplete(now) && !isFenced)) {
     CompleteAt = now;
     return;
   }
-  if (now - CompleteAt < MaxIncomplete)
+  if (now - CompleteAt < MaxIncomplete && !isFenced)
     return;
   CompleteAt = now;
   Member->Lease.doubt(now);
   lookAtLease();
 }
 
+bool RankAgent::isHeard(unsigned rank, TimePoint now) const {
+  auto it = HeardAt.find(rank);
+  return it != HeardAt.end() && now - it->second < SilenceOfAgent;
+}
+
+/// An agent that froze or died must not keep its group from changing maps, nor
+/// leave a step held: its rank is read and ordered from here.
+void RankAgent::reachSilentRanks(TimePoint now) {
+  if (!Own || now < NextReach)
+    return;
+  bool areAllHeard = true;
+  for (unsigned rank = 0; rank < Own->Size; ++rank)
+    areAllHeard = areAllHeard && isHeard(rank, now);
+  if (areAllHeard)
+    return;
+  NextReach = now + ReachEvery;
+  spawn(findRanks());
+}
+
+asio::awaitable<void> RankAgent::findRanks() {
+  KvCall call = KvList{platform::EndpointPrefix, true};
+  KvReply reply = co_await Platform.ask(std::move(call), CallTimeout);
+  // Without an answer the ways found before are tried.
+  for (const KvItem &it : reply.Items) {
+    Result<EndpointRecord> record = platform::readEndpoint(it);
+    if (!record || record.value().Service.get() != Settings.Service)
+      continue;
+    TcpAddress address = record.value().Address;
+    if (!FarLinks.contains(address))
+      FarLinks[address] = std::make_shared<RankLink>(Context, address);
+  }
+  for (const auto &[address, link] : FarLinks)
+    spawn(readFar(link));
+}
+
+asio::awaitable<void> RankAgent::readFar(std::shared_ptr<RankLink> link) {
+  Result<RankStatus> status = co_await link->readStatus(false);
+  TimePoint now = monotonicNow();
+  bool isOurs = status && Member && status.value().Group == Member->Group;
+  if (!isOurs || isHeard(status.value().Rank, now))
+    co_return;
+  unsigned rank = status.value().Rank;
+  FarRanks[rank] = link;
+  apply(Switch.onStatus(rank, status.value(), now - FarReportLag, now));
+}
+
+asio::awaitable<void> RankAgent::giveFar(std::shared_ptr<RankLink> link,
+                                         unsigned rank, MapOrder order) {
+  MapOrderReply reply;
+  reply.Id = order.Id;
+  reply.Result = co_await link->give(std::move(order));
+  apply(Switch.onReply(rank, reply, monotonicNow()));
+}
+
 asio::awaitable<void> RankAgent::readRank() {
   IsReading = true;
   TimePoint now = monotonicNow();
@@ -219,13 +284,14 @@
   if (!Member || status.Group != Member->Group)
     return;
   TimePoint now = monotonicNow();
+  HeardAt[status.Rank] = now;
   if (from)
     Links[status.Rank] = *from;
   else
     Links.erase(status.Rank);
   if (!status.Counts.empty())
     Demand.add(status.Rank, status.Formation, status.Counts, now);
-  apply(Switch.onStatus(status.Rank, status, now));
+  apply(Switch.onStatus(status.Rank, status, now, now));
   considerPlan();
 }
 
@@ -246,10 +312,13 @@
 
 void RankAgent::perform(const SendMapOrder &action) {
   auto link = Links.find(action.Rank);
-  if (link != Links.end())
-    Server.send(link->second, action.Order);
-  else if (Own && Own->Rank == action.Rank)
+  auto far = FarRanks.find(action.Rank);
+  if (Own && Own->Rank == action.Rank)
     spawn(giveOwn(action.Rank, action.Order));
+  else if (far != FarRanks.end() && !isHeard(action.Rank, monotonicNow()))
+    spawn(giveFar(far->second, action.Rank, action.Order));
+  else if (link != Links.end())
+    Server.send(link->second, action.Order);
 }
 
 asio::awaitable<void> RankAgent::giveOwn(unsigned rank, MapOrder order) {
--- a/unittests/Experts/MapSwitchTest.cpp
+++ b/unittests/Experts/MapSwitchTest.cpp
@@ -101,7 +101,7 @@
         RankStatus status = Group.status(rank, Time.now());
         at(draw(milliseconds(1), milliseconds(5)), [this, it, rank, status] {
           deliver(it, [this, it, rank, status] {
-            send(it, it->Switch.onStatus(rank, status, Time.now()));
+            send(it, it->Switch.onStatus(rank, status, Time.now(), Time.now()));
           });
         });
       }
