One takeover at a time; lease and reach of ranks in the log; later Retry-After while the configuration is unknown

A frozen host's own rank cannot be reached, so a change that it was making stands until it wakes (listed open). Takeovers from one another made that worse: each now has 1.5 s.

--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -43,6 +43,7 @@
   boost::asio::awaitable<void> serve(HttpExchange &exchange, DirectCall &call);
   boost::asio::awaitable<void> refuse(HttpExchange &exchange, DirectCall &call,
                                       EndCall end);
+  Duration retryAfter(ResultCode code, TimePoint now) const;
   Result<DirectRequest> readRequest(const HttpRequest &request);
   boost::asio::awaitable<void> attempt(HttpExchange &exchange, DirectCall &call,
                                        StartAttempt order);
@@ -54,6 +55,7 @@
   boost::asio::io_context &Context;
   const DirectSettings &Settings;
   Metrics &Measures;
+  TimePoint Started;
   DirectNode Node;
   NodeTimer Timer;
   EndpointPool Pool;
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -12,6 +12,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
@@ -19,6 +21,8 @@
 /// When to come back after an entry that starts or stops: at once, as another
 /// entry takes the next try.
 static constexpr Duration ElsewhereRetryAfter = std::chrono::milliseconds(20);
+/// Callers wait for up to a third of the time that they have.
+static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
 
 /// The word for \p end in metrics.
 static const char *wordOf(AttemptEnd end) {
@@ -61,6 +65,7 @@
                              const DirectSettings &settings, Metrics &metrics,
                              std::uint64_t seed)
     : Context(ioc), Settings(settings), Measures(metrics),
+      Started(monotonicNow()),
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
       PoolTimer(ioc), Server(ioc, makeHttpLimits(CallerLimits()),
@@ -130,6 +135,16 @@
   return out;
 }
 
+/// When a caller refused with \p code should come back. The longer this process
+/// has not learned the configuration, the longer that may still take.
+Duration DirectTraffic::retryAfter(ResultCode code, TimePoint now) const {
+  if (describe(code).Kind != Outcome::NotRun)
+    return Duration::zero();
+  if (code != ResultCode::ConfigUnknown)
+    return ElsewhereRetryAfter;
+  return std::clamp((now - Started) * 2, ElsewhereRetryAfter, MaxRetryAfter);
+}
+
 asio::awaitable<void> DirectTraffic::handle(HttpExchange &exchange) {
   TimePoint now = monotonicNow();
   Result<DirectRequest> request = readRequest(exchange.request());
@@ -140,9 +155,7 @@
                      .with("id", label)
                      .with("code", static_cast<unsigned>(code))
                      .with("version", Config ? Config->Version : 0);
-    Duration after = describe(code).Kind == Outcome::NotRun
-                         ? ElsewhereRetryAfter
-                         : Duration::zero();
+    Duration after = retryAfter(code, now);
     co_await exchange.respond(platform::makeRefusal(code, after, label));
     co_return;
   }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -29,13 +29,17 @@
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
 /// How long a coordinator leads a group of which it does not hear every rank.
 static constexpr Duration MaxIncomplete = std::chrono::milliseconds(2000);
+/// How long a coordinator that took over has before another one tries.
+static constexpr Duration TakeoverTime = std::chrono::milliseconds(1500);
 /// After this time without a report an agent's rank is reached directly.
 static constexpr Duration SilenceOfAgent = std::chrono::milliseconds(400);
+/// Failed reads for each line in the log.
+static constexpr int UnreachableOneIn = 10;
 /// Between two reads of ranks whose agents are silent.
 static constexpr Duration ReachEvery = std::chrono::milliseconds(200);
 /// How old a rank's report may be when asked from another host: the engines
 /// state 200 ms; taken with a margin.
-static constexpr Duration FarReportLag = std::chrono::milliseconds(400);
+static constexpr Duration FarReportLag = std::chrono::milliseconds(300);
 /// Between two lines in the log about a group.
 static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
@@ -168,10 +172,19 @@
 asio::awaitable<void> RankAgent::readFar(std::shared_ptr<RankLink> link) {
   Result<RankStatus> status = co_await link->readStatus(false);
   TimePoint now = monotonicNow();
-  bool isOurs = status && Member && status.value().Group == Member->Group;
+  if (!status) {
+    LOG_EVERY_N(WARNING, UnreachableOneIn)
+        << LogEvent("rank.unreachable").with("detail", status.error().Detail);
+    co_return;
+  }
+  bool isOurs = Member && status.value().Group == Member->Group;
   if (!isOurs || isHeard(status.value().Rank, now))
     co_return;
   unsigned rank = status.value().Rank;
+  LOG_IF(INFO, !FarRanks.contains(rank))
+      << LogEvent("rank.reached")
+             .with("rank", rank)
+             .with("step", status.value().Step.get());
   FarRanks[rank] = link;
   apply(Switch.onStatus(rank, status.value(), now - FarReportLag, now));
 }
@@ -224,9 +237,9 @@
   TimePoint now = monotonicNow();
   if (!Stall.isStalled(status, now) || !Settings.ChecksFences)
     return;
-  // All agents of the group see it at about the same time; one is enough.
-  std::uniform_int_distribution<Duration::rep> spread(0, 150000);
-  Stall.reset(now + Duration(spread(Random)));
+  // All agents of the group see it at about the same time; the one whose write
+  // comes first gets the time to put the group in order.
+  Stall.reset(now + TakeoverTime);
   LOG(WARNING) << LogEvent("group.stalled")
                       .with("group", status.Group.get())
                       .with("step", status.Step.get())
@@ -261,10 +274,16 @@
     };
     Platform.call(std::move(*call), CallTimeout, onReply);
   }
+  bool wasLeading = Switch.isLeading();
   if (lease.isHeld(now))
     Switch.lead(lease.epoch().get());
   else
     Switch.resign();
+  if (wasLeading != Switch.isLeading())
+    LOG(INFO) << LogEvent(wasLeading ? "lease.lost" : "lease.won")
+                     .with("group", Member->Group.get())
+                     .with("revision", lease.epoch().get())
+                     .with("holder", lease.holder());
   LeaseTimer.set(lease.nextTimer());
 }
 
