--- a/include/ospreyspur/Direct/FleetConfig.h
+++ b/include/ospreyspur/Direct/FleetConfig.h
@@ -57,6 +57,12 @@
   bool IsPublic = false;
   /// Whether a stream may go on at another endpoint after its last event.
   bool IsResumable = false;
+
+  /// Whether a request may be sent again though it may have run. A stream that
+  /// can be resumed may, as long as nothing of it has reached its caller.
+  bool isRepeatable() const {
+    return Kind == RequestKind::Repeatable || IsResumable;
+  }
 };
 
 /// What the engine of a service costs, as its operator states it.
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -60,7 +60,7 @@
     return takeActions();
   Call &call = it->second;
   const RouteRule &route = *call.Request.Route;
-  bool isRepeatable = route.Kind == RequestKind::Repeatable;
+  bool isRepeatable = route.isRepeatable();
   noteEvidence(call, end, now);
   endAttempt(call);
   switch (end) {
@@ -87,7 +87,7 @@
     Out.push_back(PassOnAnswer{id});
     break;
   case AttemptEnd::Lost:
-    call.MayHaveRun = !isRepeatable;
+    call.MayHaveRun = true;
     if (isRepeatable)
       retry(call, ResultCode::ContactLost, now);
     else
@@ -188,7 +188,8 @@
     return;
   if (reason == ResultCode::ContactLost)
     end(call, reason, Duration::zero());
-  else if (mayTry && now < call.WaitUntil && !call.MayHaveRun)
+  else if (mayTry && now < call.WaitUntil &&
+           (!call.MayHaveRun || call.Request.Route->isRepeatable()))
     Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
   else
     endNotRun(call, reason, now);
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -121,6 +121,20 @@
   CHECK((describe(codeOf(last)).Kind != Outcome::NotRun));
 }
 
+TEST_CASE("a resumable stream that was lost before its first event goes on") {
+  NodeWorld world(3, makeRoute(RequestKind::Stream, 2, true));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  CHECK(only<StartAttempt>(world.end(1, AttemptEnd::Lost)));
+}
+
+TEST_CASE("what may be repeated is not told that nothing ran either") {
+  NodeWorld world(3, makeRoute(RequestKind::Repeatable, 2));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::Lost)));
+  DirectActions last = world.end(1, AttemptEnd::Full);
+  CHECK((describe(codeOf(last)).Kind == Outcome::Unknown));
+}
+
 TEST_CASE("a connection that was never made costs no attempt") {
   NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 1));
   REQUIRE(only<StartAttempt>(world.call(1)));
