--- a/include/ospreyspur/Http/HttpServer.h
+++ b/include/ospreyspur/Http/HttpServer.h
@@ -29,6 +29,10 @@
   /// Takes the address without accepting yet. Errors: SettingInvalid.
   Result<void> bind(const TcpAddress &address);
 
+  /// From now on connections wait until they are accepted; before, they are
+  /// turned away. Errors: SettingInvalid.
+  Result<void> beginQueueing();
+
   /// Begins to accept on the bound address. Errors: SettingInvalid.
   Result<void> beginAccepting();
 
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -28,7 +28,8 @@
   DirectTraffic(boost::asio::io_context &ioc, const DirectSettings &settings,
                 Metrics &metrics, std::uint64_t seed);
 
-  /// Begins to accept. Errors: SettingInvalid.
+  /// Callers wait until the first snapshot is known, a short time at most.
+  /// Errors: SettingInvalid.
   Result<void> start();
   void setSnapshot(const std::shared_ptr<const DirectSnapshot> &snapshot);
   void setRetries(const RetryBounds &bounds) { Node.setRetries(bounds); }
@@ -43,7 +44,6 @@
   boost::asio::awaitable<void> serve(HttpExchange &exchange, DirectCall &call);
   boost::asio::awaitable<void> refuse(HttpExchange &exchange, DirectCall &call,
                                       EndCall end);
-  Duration retryAfter(ResultCode code, TimePoint now) const;
   Result<DirectRequest> readRequest(const HttpRequest &request);
   boost::asio::awaitable<void> attempt(HttpExchange &exchange, DirectCall &call,
                                        StartAttempt order);
@@ -51,18 +51,20 @@
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
   void closeUnused();
+  void beginAccepting();
 
   boost::asio::io_context &Context;
   const DirectSettings &Settings;
   Metrics &Measures;
-  TimePoint Started;
   DirectNode Node;
   NodeTimer Timer;
   EndpointPool Pool;
   boost::asio::steady_timer PoolTimer;
+  boost::asio::steady_timer StartTimer;
   HttpServer Server;
   LoadExchange Loads;
   std::shared_ptr<const FleetConfig> Config;
+  bool IsAccepting = false;
   bool IsDraining = false;
   std::uint64_t LastCall = 0;
   std::unordered_map<CallId, DirectCall *> Calls;
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -61,6 +61,11 @@
       noteHolder(reply);
     if (IsFree)
       NextCall = now;
+    // An earlier life of this process held it: nobody else will use it. What
+    // that life ordered is fenced.
+    bool wasOwn = reply.Code == ResultCode::Ok && reply.Value == Self;
+    if (wasOwn && Limits.OutlastsOutage)
+      takeOver(now);
     return;
   }
   if (reply.Code == ResultCode::Ok) {
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -187,16 +187,23 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> HttpServer::beginAccepting() {
+Result<void> HttpServer::beginQueueing() {
   boost::system::error_code ec;
   auto &acceptor = State->Acceptor;
   acceptor.listen(asio::socket_base::max_listen_connections, ec);
   if (ec)
     return makeListenError(acceptor.local_endpoint(), ec);
-  asio::co_spawn(acceptor.get_executor(), acceptLoop(), asio::detached);
   return boost::outcome_v2::success();
 }
 
+Result<void> HttpServer::beginAccepting() {
+  Result<void> queueing = beginQueueing();
+  if (queueing)
+    asio::co_spawn(State->Acceptor.get_executor(), acceptLoop(),
+                   asio::detached);
+  return queueing;
+}
+
 Result<void> HttpServer::listen(const TcpAddress &address) {
   Result<void> bound = bind(address);
   return bound ? beginAccepting() : bound;
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -18,11 +18,16 @@
 namespace asio = boost::asio;
 
 static constexpr Duration PoolLook = std::chrono::milliseconds(500);
-/// When to come back after an entry that starts or stops: at once, as another
-/// entry takes the next try.
+/// When to come back after an entry that stops: at once, as another entry takes
+/// the next try.
 static constexpr Duration ElsewhereRetryAfter = std::chrono::milliseconds(20);
-/// Callers wait for up to a third of the time that they have.
-static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
+/// How long callers of an entry that starts wait for it to learn the
+/// configuration and the endpoints; with a store that answers it takes some 30
+/// ms.
+static constexpr Duration StartWait = std::chrono::milliseconds(400);
+/// When to come back after an entry that could not learn them: the store is
+/// out, and callers have few tries. They wait for up to a third of their time.
+static constexpr Duration UnknownRetryAfter = std::chrono::seconds(2);
 
 /// The word for \p end in metrics.
 static const char *wordOf(AttemptEnd end) {
@@ -65,10 +70,9 @@
                              const DirectSettings &settings, Metrics &metrics,
                              std::uint64_t seed)
     : Context(ioc), Settings(settings), Measures(metrics),
-      Started(monotonicNow()),
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
-      PoolTimer(ioc), Server(ioc, makeHttpLimits(CallerLimits()),
+      PoolTimer(ioc), StartTimer(ioc), Server(ioc, makeHttpLimits(CallerLimits()),
                              [this](HttpExchange &it) { return handle(it); }),
       Loads(ioc, {[this] {
                     return LoadReport{Settings.Name, Node.book().ownLoads()};
@@ -85,7 +89,22 @@
   Result<TcpAddress> address = parseAddress(Settings.Listen);
   if (!address)
     return address.error();
-  return Server.listen(address.value());
+  StartTimer.expires_after(StartWait);
+  StartTimer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      beginAccepting();
+  });
+  Result<void> bound = Server.bind(address.value());
+  return bound ? Server.beginQueueing() : bound;
+}
+
+void DirectTraffic::beginAccepting() {
+  if (IsDraining || std::exchange(IsAccepting, true))
+    return;
+  StartTimer.cancel();
+  Result<void> accepting = Server.beginAccepting();
+  LOG_IF(FATAL, !accepting) << LogEvent("direct.deaf").with(
+      "detail", accepting.error().Detail);
 }
 
 void DirectTraffic::setSnapshot(
@@ -99,6 +118,7 @@
       peers.push_back(it.LoadAddress);
   Loads.setPeers(peers);
   apply(Node.onTimer(monotonicNow()));
+  beginAccepting();
 }
 
 void DirectTraffic::stopAccepting() {
@@ -135,14 +155,12 @@
   return out;
 }
 
-/// When a caller refused with \p code should come back. The longer this process
-/// has not learned the configuration, the longer that may still take.
-Duration DirectTraffic::retryAfter(ResultCode code, TimePoint now) const {
+/// When a caller refused with \p code should come back.
+static Duration retryAfter(ResultCode code) {
   if (describe(code).Kind != Outcome::NotRun)
     return Duration::zero();
-  if (code != ResultCode::ConfigUnknown)
-    return ElsewhereRetryAfter;
-  return std::clamp((now - Started) * 2, ElsewhereRetryAfter, MaxRetryAfter);
+  return code == ResultCode::ConfigUnknown ? UnknownRetryAfter
+                                           : ElsewhereRetryAfter;
 }
 
 asio::awaitable<void> DirectTraffic::handle(HttpExchange &exchange) {
@@ -155,7 +173,7 @@
                      .with("id", label)
                      .with("code", static_cast<unsigned>(code))
                      .with("version", Config ? Config->Version : 0);
-    Duration after = retryAfter(code, now);
+    Duration after = retryAfter(code);
     co_await exchange.respond(platform::makeRefusal(code, after, label));
     co_return;
   }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -24,6 +24,9 @@
 static constexpr Duration CountsEvery = std::chrono::milliseconds(110);
 /// Half-life of counts: demand shifts every few seconds.
 static constexpr Duration DemandHalfLife = std::chrono::milliseconds(400);
+/// Over which the agents of a group that start together spread their first look
+/// at its lease; a look takes some 5 ms.
+static constexpr Duration JoinSpread = std::chrono::milliseconds(100);
 /// Between two plans.
 static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
@@ -256,7 +259,7 @@
                          makeLeaseLimits(Settings.ChecksFences)));
   Switch.resign();
   // All agents of a group start together; one should be first.
-  std::uniform_int_distribution<Duration::rep> spread(0, 400000);
+  std::uniform_int_distribution<Duration::rep> spread(0, JoinSpread.count());
   LeaseTimer.set(monotonicNow() + Duration(spread(Random)));
 }
 
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -34,6 +34,26 @@
   CHECK_FALSE(holder.isHeld(Start));
 }
 
+TEST_CASE("a holder that was started again takes its own lease at once") {
+  LeaseLimits limits;
+  limits.OutlastsOutage = true;
+  LeaseHolder holder("k", "a", limits);
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(Start)));
+  holder.onReply({ResultCode::Ok, Revision(3), "a"}, Start);
+  std::optional<KvCall> call = holder.nextCall(Start);
+  REQUIRE(call.has_value());
+  const auto *put = std::get_if<KvPut>(&*call);
+  REQUIRE(put != nullptr);
+  CHECK(put->Expected == Revision(3));
+}
+
+TEST_CASE("without fenced orders an earlier life's lease has to run out") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(Start)));
+  holder.onReply({ResultCode::Ok, Revision(3), "a"}, Start);
+  CHECK_FALSE(holder.nextCall(Start).has_value());
+}
+
 TEST_CASE("a holder that was paused past its lease does not act") {
   LeaseLimits limits;
   LeaseHolder holder("k", "a", limits);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -108,6 +108,24 @@
   CHECK(fixture.readAll(client).ends_with("whole"));
 }
 
+TEST_CASE("connections wait for a server that queues until it accepts") {
+  asio::io_context ioc;
+  HttpServer server(ioc, HttpLimits(), answer);
+  tcp::endpoint address = test::findFreeAddress();
+  REQUIRE(server.bind(address));
+  REQUIRE(server.beginQueueing());
+  tcp::socket client(ioc);
+  client.connect(address);
+  asio::write(client, asio::buffer(Request));
+  ioc.poll();
+  CHECK(client.available() == 0);
+  REQUIRE(server.beginAccepting());
+  ioc.restart();
+  while (client.available() == 0)
+    ioc.run_one();
+  CHECK(client.available() > 0);
+}
+
 TEST_CASE("a client that hangs up while it waits is noticed") {
   asio::io_context ioc;
   bool isNoticed = false;
