--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -82,8 +82,24 @@
   CallId Call;
 };
 
+/// Ask this endpoint for its condition.
+struct AskEndpoint {
+  EndpointRecord Endpoint;
+};
+
+/// What an endpoint says of itself when asked.
+struct EndpointCondition {
+  /// The group whose steps it takes part in; empty if there is none.
+  GroupId Group;
+  /// False while its group is being formed: it then takes nothing.
+  bool IsOpen = true;
+  /// Requests of all callers that it runs.
+  unsigned Running = 0;
+};
+
 /// One output of the direct path's state machine.
-using DirectAction = std::variant<StartAttempt, EndCall, PassOnAnswer>;
+using DirectAction =
+    std::variant<StartAttempt, EndCall, PassOnAnswer, AskEndpoint>;
 using DirectActions = std::vector<DirectAction>;
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -63,6 +63,10 @@
   DirectActions onFirstByte(CallId id, TimePoint now);
   /// The attempt under way has ended.
   DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
+  /// What an endpoint told that was asked; nothing if it did not answer.
+  DirectActions onTold(const EndpointId &id,
+                       const std::optional<EndpointCondition> &condition,
+                       TimePoint now);
   /// The caller hung up, or its answer was given; the call is forgotten.
   DirectActions onCallGone(CallId id, TimePoint now);
   /// Does what is due at \p now.
@@ -102,6 +106,7 @@
 
   void startOrWait(Call &call, TimePoint now);
   bool tryStart(Call &call, TimePoint now);
+  void ask(TimePoint now);
   void startWaiting(TimePoint now);
   void startWaiting(bool onTime, TimePoint now);
   void retry(Call &call, ResultCode reason, TimePoint now);
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -9,6 +9,7 @@
 #ifndef OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
 #define OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
 
+#include "ospreyspur/Direct/DirectActions.h"
 #include "ospreyspur/Direct/EndpointList.h"
 #include "ospreyspur/Support/Time.h"
 
@@ -43,6 +44,12 @@
   unsigned FullInRow = 0;
   /// When it last began or ended an answer.
   TimePoint ProvenAt;
+  /// Its group, once it has told it.
+  GroupId Group;
+  /// It gets nothing before it has told that it takes requests.
+  bool MustTell = false;
+  TimePoint AskAt;
+  unsigned RefusedInRow = 0;
 };
 
 /// Load and health by endpoint.
@@ -55,6 +62,12 @@
   /// group is being formed say the same.
   static constexpr Duration FullTime = std::chrono::milliseconds(100);
   static constexpr Duration LongestFullTime = std::chrono::milliseconds(400);
+  /// Between two questions to an endpoint that takes nothing; a group is formed
+  /// in 600 ms on the users' platform. Twice as long each time in a row.
+  static constexpr Duration FirstAskPause = std::chrono::milliseconds(100);
+  static constexpr Duration LongestAskPause = std::chrono::milliseconds(400);
+  /// After this time a question without an answer is asked again.
+  static constexpr Duration AskTimeout = std::chrono::seconds(1);
   /// After this time another entry's report no longer counts.
   static constexpr Duration PeerLoadAge = std::chrono::seconds(1);
 
@@ -73,6 +86,11 @@
   void onSuccess(const EndpointId &id, TimePoint now);
   void onFailure(const EndpointId &id, TimePoint now);
   void onFull(const EndpointId &id, TimePoint now);
+  /// The endpoints to ask for their condition now, one of each known group.
+  std::vector<EndpointRecord> takeQuestions(TimePoint now);
+  /// What an endpoint told; nothing if it did not answer.
+  void onTold(const EndpointId &id,
+              const std::optional<EndpointCondition> &condition, TimePoint now);
   /// Another incarnation has the endpoint's address.
   void onReplaced(const EndpointId &id, TimePoint now);
 
@@ -80,6 +98,8 @@
 
   const std::map<EndpointId, EndpointState> &states() const { return States; }
   const EndpointState *find(const EndpointId &id) const;
+  /// When takeQuestions() is next needed.
+  std::optional<TimePoint> nextQuestion() const;
   /// What all entries have at \p state's endpoint.
   EndpointLoad totalLoad(const EndpointState &state, TimePoint now) const;
   /// This entry's load, for the other entries.
@@ -94,6 +114,7 @@
   };
 
   EndpointState *findMutable(const EndpointId &id);
+  std::vector<EndpointState *> groupOf(EndpointState &state);
 
   std::map<EndpointId, EndpointState> States;
   std::map<std::string, PeerLoad> Peers;
--- a/include/ospreyspur/Direct/EndpointRecord.h
+++ b/include/ospreyspur/Direct/EndpointRecord.h
@@ -21,6 +21,8 @@
   /// Requests that it runs at one time.
   unsigned Slots = 1;
   bool IsLeaving = false;
+  /// Whether it can be asked for its condition (engines can).
+  bool TellsState = false;
   /// The last change of its row. Of two rows with one address the later stands:
   /// the earlier one's endpoint has ended without a word.
   Revision ListedAt = Revision(0);
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -48,6 +48,14 @@
   boost::asio::awaitable<void> attempt(HttpExchange &exchange, DirectCall &call,
                                        StartAttempt order);
   void apply(DirectActions actions);
+  void perform(AskEndpoint &action);
+  /// Hands an action of a call to its coroutine.
+  template <typename Action> void perform(Action &action) {
+    auto it = Calls.find(action.Call);
+    if (it != Calls.end())
+      it->second->Inbox.post(std::move(action));
+  }
+  boost::asio::awaitable<void> askEndpoint(EndpointRecord endpoint);
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
   void closeUnused();
--- a/include/ospreyspur/Process/RankLink.h
+++ b/include/ospreyspur/Process/RankLink.h
@@ -24,6 +24,11 @@
   /// Errors: PlatformTimeout, PlatformRefused, PlatformBadAnswer.
   boost::asio::awaitable<Result<RankStatus>> readStatus(bool withCounts);
 
+  /// The rank's state without its placement and counts, which cost more from
+  /// another host. Errors: PlatformTimeout, PlatformRefused,
+  /// PlatformBadAnswer.
+  boost::asio::awaitable<Result<RankStatus>> readReport();
+
   /// Gives \p order.
   boost::asio::awaitable<MapOrderResult> give(MapOrder order);
 
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -84,7 +84,7 @@
   case AttemptEnd::Failed:
     if (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now))
       break;
-    Out.push_back(PassOnAnswer{id});
+    Out.emplace_back(std::in_place_type<PassOnAnswer>, id);
     break;
   case AttemptEnd::Lost:
     call.MayHaveRun = true;
@@ -101,10 +101,26 @@
     this->end(call, ResultCode::EndpointFailed, Duration::zero());
     break;
   }
+  ask(now);
   startWaiting(now);
   return takeActions();
 }
 
+DirectActions
+DirectNode::onTold(const EndpointId &id,
+                   const std::optional<EndpointCondition> &condition,
+                   TimePoint now) {
+  Book.onTold(id, condition, now);
+  ask(now);
+  startWaiting(now);
+  return takeActions();
+}
+
+void DirectNode::ask(TimePoint now) {
+  for (EndpointRecord &it : Book.takeQuestions(now))
+    Out.emplace_back(std::in_place_type<AskEndpoint>, std::move(it));
+}
+
 DirectActions DirectNode::onCallGone(CallId id, TimePoint now) {
   auto it = Calls.find(id);
   if (it == Calls.end())
@@ -117,6 +133,7 @@
 }
 
 DirectActions DirectNode::onTimer(TimePoint now) {
+  ask(now);
   startWaiting(now);
   std::vector<CallId> late;
   for (const auto &[priority, arrived, id] : Waiting)
@@ -128,7 +145,7 @@
 }
 
 std::optional<TimePoint> DirectNode::nextTimer() const {
-  std::optional<TimePoint> next;
+  std::optional<TimePoint> next = Book.nextQuestion();
   for (const auto &[priority, arrived, id] : Waiting) {
     TimePoint due = Calls.at(id).WaitUntil;
     if (!next || due < *next)
@@ -160,8 +177,8 @@
   call.Current = state->Record.Id;
   call.Tried.insert(state->Record.Id);
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
-  Out.push_back(StartAttempt{call.Request.Id, state->Record, call.Deadline,
-                             call.Attempts});
+  Out.emplace_back(std::in_place_type<StartAttempt>, call.Request.Id,
+                   state->Record, call.Deadline, call.Attempts);
   return true;
 }
 
@@ -205,7 +222,7 @@
 
 void DirectNode::end(Call &call, ResultCode code, Duration retryAfter) {
   CallId id = call.Request.Id;
-  Out.push_back(EndCall{id, code, retryAfter});
+  Out.emplace_back(std::in_place_type<EndCall>, id, code, retryAfter);
   Waiting.erase({call.Request.Priority, call.Arrived, id});
   Calls.erase(id);
 }
@@ -263,7 +280,7 @@
 
 bool DirectNode::hasRoom(const EndpointState &state, const Call &call,
                          TimePoint now) const {
-  if (now < state.FullUntil)
+  if (now < state.FullUntil || state.MustTell)
     return false;
   if (call.WasTurnedAway && now - state.ProvenAt > Limits.ProvenTime)
     return false;
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -18,7 +18,12 @@
 void EndpointBook::setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
   std::set<EndpointId> present;
   for (const ListedEndpoint &it : endpoints) {
-    EndpointState &state = States[it.Record.Id];
+    auto [at, isNew] = States.try_emplace(it.Record.Id);
+    EndpointState &state = at->second;
+    // Requests to a group that is being formed would be turned away, and each
+    // counts toward the bound on repeats.
+    if (isNew)
+      state.MustTell = it.Record.TellsState;
     state.Record = it.Record;
     state.IsMissing = it.IsMissing;
     present.insert(it.Record.Id);
@@ -88,6 +93,15 @@
   EndpointState *it = findMutable(id);
   if (!it)
     return;
+  // The rejected request itself still counts as running.
+  bool hadRoom = totalLoad(*it, now).Running <= it->Record.Slots / 2;
+  if (hadRoom && it->Record.TellsState) {
+    for (EndpointState *member : groupOf(*it)) {
+      member->MustTell = true;
+      member->AskAt = now;
+    }
+    return;
+  }
   Duration pause = FullTime * (1U << it->FullInRow);
   it->FullUntil = now + std::min(pause, LongestFullTime);
   it->FullInRow = std::min(it->FullInRow + 1, MaxDoublings);
@@ -98,6 +112,64 @@
     it->SuspectUntil = now + LongestSuspicion;
 }
 
+std::vector<EndpointRecord> EndpointBook::takeQuestions(TimePoint now) {
+  std::vector<EndpointRecord> out;
+  for (auto &[id, state] : States) {
+    if (!state.MustTell || now < state.AskAt)
+      continue;
+    out.push_back(state.Record);
+    for (EndpointState *member : groupOf(state))
+      member->AskAt = now + AskTimeout;
+  }
+  return out;
+}
+
+std::optional<TimePoint> EndpointBook::nextQuestion() const {
+  std::optional<TimePoint> next;
+  for (const auto &[id, state] : States)
+    if (state.MustTell && (!next || state.AskAt < *next))
+      next = state.AskAt;
+  return next;
+}
+
+void EndpointBook::onTold(const EndpointId &id,
+                          const std::optional<EndpointCondition> &condition,
+                          TimePoint now) {
+  EndpointState *told = findMutable(id);
+  if (!told || !told->MustTell)
+    return;
+  if (condition)
+    told->Group = condition->Group;
+  bool takesRequests =
+      condition && condition->IsOpen && condition->Running < told->Record.Slots;
+  Duration pause = FirstAskPause * (1U << told->RefusedInRow);
+  unsigned refused = std::min(told->RefusedInRow + 1, MaxDoublings);
+  if (!condition)
+    onFailure(id, now);
+  // One without an answer says nothing of its group.
+  std::vector<EndpointState *> members = {told};
+  if (condition)
+    members = groupOf(*told);
+  for (EndpointState *it : members) {
+    it->MustTell = !takesRequests;
+    it->AskAt = now + std::min(pause, LongestAskPause);
+    it->RefusedInRow = takesRequests ? 0 : refused;
+    if (takesRequests)
+      it->ProvenAt = now;
+  }
+}
+
+/// \p state and the other endpoints of its group.
+std::vector<EndpointState *> EndpointBook::groupOf(EndpointState &state) {
+  if (state.Group.get().empty())
+    return {&state};
+  std::vector<EndpointState *> out;
+  for (auto &[id, it] : States)
+    if (it.Group == state.Group && it.Record.Service == state.Record.Service)
+      out.push_back(&it);
+  return out;
+}
+
 const EndpointState *EndpointBook::find(const EndpointId &id) const {
   auto it = States.find(id);
   return it == States.end() ? nullptr : &it->second;
--- a/lib/Direct/EndpointDocument.cpp
+++ b/lib/Direct/EndpointDocument.cpp
@@ -23,6 +23,7 @@
                                {"data_centre", it.DataCentre.get()},
                                {"slots", it.Slots},
                                {"leaving", it.IsLeaving},
+                               {"tells_state", it.TellsState},
                                {"revision", it.ListedAt.get()}});
   }
   return json::serialize(out);
@@ -40,6 +41,12 @@
   return ec ? 0 : n;
 }
 
+/// \p fallback stands for a field that earlier versions do not write.
+static bool flagOf(const json::object &in, const char *name, bool fallback) {
+  const json::value *it = in.if_contains(name);
+  return it && it->is_bool() ? it->get_bool() : fallback;
+}
+
 static Result<EndpointRecord> parseEndpoint(const json::object &in) {
   Result<TcpAddress> address = parseAddress(textOf(in, "address"));
   const json::value *leaving = in.if_contains("leaving");
@@ -52,6 +59,7 @@
                         DataCentreId(textOf(in, "data_centre")),
                         static_cast<unsigned>(numberOf(in, "slots")),
                         leaving->get_bool(),
+                        flagOf(in, "tells_state", false),
                         Revision(numberOf(in, "revision"))};
 }
 
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -7,9 +7,12 @@
 #include "ospreyspur/Process/DirectTraffic.h"
 
 #include "ospreyspur/Process/DirectAttempt.h"
+#include "ospreyspur/Process/RankLink.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/RequestWire.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -72,8 +75,9 @@
     : Context(ioc), Settings(settings), Measures(metrics),
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
-      PoolTimer(ioc), StartTimer(ioc), Server(ioc, makeHttpLimits(CallerLimits()),
-                             [this](HttpExchange &it) { return handle(it); }),
+      PoolTimer(ioc), StartTimer(ioc),
+      Server(ioc, makeHttpLimits(CallerLimits()),
+             [this](HttpExchange &it) { return handle(it); }),
       Loads(ioc, {[this] {
                     return LoadReport{Settings.Name, Node.book().ownLoads()};
                   },
@@ -103,8 +107,8 @@
     return;
   StartTimer.cancel();
   Result<void> accepting = Server.beginAccepting();
-  LOG_IF(FATAL, !accepting) << LogEvent("direct.deaf").with(
-      "detail", accepting.error().Detail);
+  LOG_IF(FATAL, !accepting)
+      << LogEvent("direct.deaf").with("detail", accepting.error().Detail);
 }
 
 void DirectTraffic::setSnapshot(
@@ -253,16 +257,34 @@
 void DirectTraffic::apply(DirectActions actions) {
   Loads.onChange();
   for (DirectAction &action : actions)
-    std::visit(
-        [this](auto &it) {
-          auto found = Calls.find(it.Call);
-          if (found != Calls.end())
-            found->second->Inbox.post(std::move(it));
-        },
-        action);
+    std::visit([this](auto &it) { perform(it); }, action);
   Timer.set(Node.nextTimer());
 }
 
+void DirectTraffic::perform(AskEndpoint &action) {
+  asio::co_spawn(Context, askEndpoint(action.Endpoint), asio::detached);
+}
+
+asio::awaitable<void> DirectTraffic::askEndpoint(EndpointRecord endpoint) {
+  RankLink link(Context, endpoint.Address);
+  Result<RankStatus> status = co_await link.readReport();
+  std::optional<EndpointCondition> condition;
+  if (status) {
+    bool isOpen = status.value().Group.get().empty() || status.value().IsOpen;
+    condition =
+        EndpointCondition{status.value().Group, isOpen, status.value().Running};
+  }
+  Measures.count("endpoint_questions_total");
+  bool takesRequests = condition && condition->IsOpen;
+  LOG(INFO) << LogEvent("endpoint.told")
+                   .with("endpoint", endpoint.Id.get())
+                   .with("group", condition ? condition->Group.get() : "")
+                   .with("open", takesRequests)
+                   .with("running", condition ? condition->Running : 0)
+                   .with("detail", status ? "" : status.error().Detail);
+  apply(Node.onTold(endpoint.Id, condition, monotonicNow()));
+}
+
 /// Closing the connection to the endpoint tells it that nobody waits.
 void DirectTraffic::onCallerGone(CallId id) {
   auto it = Calls.find(id);
--- a/lib/Process/RankLink.cpp
+++ b/lib/Process/RankLink.cpp
@@ -24,12 +24,16 @@
   co_return std::move(response.value().body());
 }
 
-asio::awaitable<Result<RankStatus>> RankLink::readStatus(bool withCounts) {
+asio::awaitable<Result<RankStatus>> RankLink::readReport() {
   HttpRequest report = platform::makeReportCall();
   Result<std::string> body = co_await fetch(std::move(report));
   if (!body)
     co_return body.error();
-  Result<RankStatus> status = platform::readReport(body.value());
+  co_return platform::readReport(body.value());
+}
+
+asio::awaitable<Result<RankStatus>> RankLink::readStatus(bool withCounts) {
+  Result<RankStatus> status = co_await readReport();
   if (!status || status.value().Group.get().empty())
     co_return status;
   Result<void> read = boost::outcome_v2::success();
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -9,6 +9,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -98,6 +100,82 @@
   CHECK((describe(codeOf(after)).Kind == Outcome::Unknown));
 }
 
+namespace {
+/// A node before endpoints of one group that tell their condition.
+class GroupWorld : public NodeWorld {
+public:
+  GroupWorld() : NodeWorld(0, makeRoute(RequestKind::Repeatable, 2)) {
+    for (const char *id : {"e0", "e1", "e2"}) {
+      add(id);
+      Listed.back().Record.TellsState = true;
+      Listed.back().Record.Slots = 4;
+    }
+    Node.setEndpoints(Listed);
+  }
+
+  /// Answers the questions in \p actions.
+  std::vector<DirectActions> tell(const DirectActions &actions, bool isOpen,
+                                  unsigned running = 0) {
+    std::vector<DirectActions> out;
+    for (const DirectAction &it : actions)
+      if (const auto *question = std::get_if<AskEndpoint>(&it))
+        out.push_back(
+            Node.onTold(question->Endpoint.Id,
+                        EndpointCondition{GroupId("g"), isOpen, running}, Now));
+    return out;
+  }
+
+  /// Has every endpoint tell that it takes requests.
+  void open() { tell(Node.onTimer(Now), true); }
+};
+} // namespace
+
+template <typename T> static std::size_t countOf(const DirectActions &actions) {
+  return std::count_if(
+      actions.begin(), actions.end(),
+      [](const DirectAction &it) { return std::holds_alternative<T>(it); });
+}
+
+TEST_CASE("an endpoint that can be asked gets nothing before it has told") {
+  GroupWorld world;
+  CHECK(world.call(1).empty());
+  DirectActions questions = world.Node.onTimer(world.Now);
+  CHECK(countOf<AskEndpoint>(questions) == 3);
+  std::vector<DirectActions> after = world.tell(questions, true);
+  CHECK(countOf<StartAttempt>(after.front()) == 1);
+}
+
+TEST_CASE("a group that is being formed costs no attempts") {
+  GroupWorld world;
+  world.open();
+  REQUIRE(countOf<StartAttempt>(world.call(1)) == 1);
+  REQUIRE(countOf<StartAttempt>(world.call(2)) == 1);
+  // It has room, so another reason must keep it; the whole group is left out
+  // and one of it is asked.
+  DirectActions refused = world.end(1, AttemptEnd::Full);
+  CHECK(countOf<StartAttempt>(refused) == 0);
+  CHECK(countOf<AskEndpoint>(refused) == 1);
+  DirectActions other = world.end(2, AttemptEnd::Full);
+  CHECK(countOf<StartAttempt>(other) == 0);
+  // It is asked again, later each time, until it is open.
+  world.tell(refused, false);
+  CHECK(countOf<AskEndpoint>(world.Node.onTimer(world.Now)) == 0);
+  world.Now += EndpointBook::FirstAskPause;
+  DirectActions again = world.Node.onTimer(world.Now);
+  CHECK(countOf<AskEndpoint>(again) == 1);
+  std::vector<DirectActions> after = world.tell(again, true);
+  CHECK(countOf<StartAttempt>(after.front()) == 2);
+}
+
+TEST_CASE("an endpoint that is full by other entries' work is not used") {
+  GroupWorld world;
+  world.call(1);
+  std::vector<DirectActions> after =
+      world.tell(world.Node.onTimer(world.Now), true, 4);
+  for (const DirectActions &it : after)
+    CHECK(countOf<StartAttempt>(it) == 0);
+}
+
 TEST_CASE("a full endpoint's request goes elsewhere while attempts last") {
   NodeWorld world(3, makeRoute(RequestKind::OnceOnly, 2));
   world.prove(3);
