--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -67,6 +67,8 @@
   /// Give it up at this moment.
   TimePoint Deadline;
   unsigned Number = 1;
+  /// Silence after which a stream that can go on elsewhere is moved.
+  Duration Silence{};
 };
 
 /// Answer the caller with this code at once.
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -35,6 +35,12 @@
   RetryBounds Retries;
   /// Requests sent for one call, those to replaced endpoints included.
   unsigned MaxArrivals = 4;
+  /// Silence after which a stream is moved, as a multiple of what endpoints of
+  /// its service take to their first event at present, with its bounds. Before
+  /// any has answered the longest holds. Callers give up after two seconds.
+  double SilenceFactor = 4;
+  Duration MinSilence = std::chrono::milliseconds(900);
+  Duration MaxSilence = std::chrono::milliseconds(1800);
   /// How long an endpoint that answered counts as serving.
   Duration ProvenTime = std::chrono::seconds(2);
   /// Requests that an endpoint of a plain service may have, by its slots.
@@ -94,6 +100,8 @@
     unsigned Attempts = 0;
     /// Requests sent, those to endpoints that were another by then included.
     unsigned Arrivals = 0;
+    /// When the attempt under way began.
+    TimePoint SentAt;
     bool HasFirstByte = false;
     /// Whether an endpoint said that it was full: the next attempt is only for
     /// one that is known to serve.
@@ -106,6 +114,8 @@
 
   void startOrWait(Call &call, TimePoint now);
   bool tryStart(Call &call, TimePoint now);
+  void noteFirstByte(const Call &call, TimePoint now);
+  Duration silenceFor(const Call &call) const;
   void ask(TimePoint now);
   void startWaiting(TimePoint now);
   void startWaiting(bool onTime, TimePoint now);
@@ -128,6 +138,8 @@
   std::mt19937_64 Random;
   EndpointBook Book;
   RetryWindow Retries;
+  /// What endpoints of a service take to their first byte, as a running mean.
+  std::map<ServiceId, Duration> FirstByteTimes;
   std::map<CallId, Call> Calls;
   /// Calls without an endpoint, the most urgent first, then the oldest.
   std::set<std::tuple<unsigned, TimePoint, CallId>> Waiting;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -16,6 +16,9 @@
 static constexpr Duration MinRetryAfter = std::chrono::milliseconds(150);
 static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
 
+/// Weight of the newest first byte in the running mean.
+static constexpr double FirstByteWeight = 0.1;
+
 DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
                        std::uint64_t seed)
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
@@ -48,11 +51,26 @@
   if (it == Calls.end() || !it->second.Current || it->second.HasFirstByte)
     return takeActions();
   it->second.HasFirstByte = true;
+  noteFirstByte(it->second, now);
   Book.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt, now);
   startWaiting(now);
   return takeActions();
 }
 
+void DirectNode::noteFirstByte(const Call &call, TimePoint now) {
+  Duration taken = now - call.SentAt;
+  auto [it, isFirst] = FirstByteTimes.try_emplace(call.Service, taken);
+  it->second += partOf(taken - it->second, FirstByteWeight);
+}
+
+Duration DirectNode::silenceFor(const Call &call) const {
+  auto it = FirstByteTimes.find(call.Service);
+  if (it == FirstByteTimes.end())
+    return Limits.MaxSilence;
+  return std::clamp(partOf(it->second, Limits.SilenceFactor), Limits.MinSilence,
+                    Limits.MaxSilence);
+}
+
 DirectActions DirectNode::onAttemptEnded(CallId id, AttemptEnd end,
                                          TimePoint now) {
   auto it = Calls.find(id);
@@ -175,10 +193,12 @@
   ++call.Attempts;
   ++call.Arrivals;
   call.Current = state->Record.Id;
+  call.SentAt = now;
   call.Tried.insert(state->Record.Id);
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
   Out.emplace_back(std::in_place_type<StartAttempt>, call.Request.Id,
-                   state->Record, call.Deadline, call.Attempts);
+                   state->Record, call.Deadline, call.Attempts,
+                   silenceFor(call));
   return true;
 }
 
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -30,9 +30,6 @@
 static constexpr std::size_t ReadBytes = 16U << 10U;
 static constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 static constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
-/// Silence after which a stream that can go on elsewhere is moved. The caller
-/// gives up after two seconds.
-static constexpr Duration StreamStall = std::chrono::milliseconds(900);
 
 static std::chrono::steady_clock::time_point toSteady(TimePoint it) {
   return std::chrono::steady_clock::time_point(
@@ -116,7 +113,7 @@
 TimePoint DirectAttempt::stallLimit() const {
   if (!Call.Request.Route->IsResumable)
     return Order.Deadline;
-  return std::min(Order.Deadline, monotonicNow() + StreamStall);
+  return std::min(Order.Deadline, monotonicNow() + Order.Silence);
 }
 
 asio::awaitable<boost::system::error_code>
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -392,6 +392,11 @@
   if (!fitsFigures())
     return;
   logGroup();
+  // What ranks saw in all their life is better than nothing only for a group
+  // that was just formed.
+  bool isFormedAnew = Switch.ranks().begin()->second.Map == MapVersion(0);
+  if (!Demand.isMeasured() && !isFormedAnew)
+    return;
   PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
                          NewPerRank, MinCopyGain};
   PlacementPlan plan =
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -136,6 +136,31 @@
       [](const DirectAction &it) { return std::holds_alternative<T>(it); });
 }
 
+TEST_CASE("a stream is given longer while its service is slow") {
+  NodeWorld world(3, makeRoute(RequestKind::Repeatable, 2, true));
+  auto silenceOf = [&](std::uint64_t id) {
+    DirectActions actions = world.call(id);
+    REQUIRE(only<StartAttempt>(actions));
+    return only<StartAttempt>(actions)->Silence;
+  };
+  auto answerAfter = [&](std::uint64_t id, Duration time) {
+    world.Now += time;
+    world.Node.onFirstByte(CallId(id), world.Now);
+    world.end(id, AttemptEnd::Complete);
+  };
+  DirectLimits limits;
+  // Nobody has answered yet: the service may just be starting.
+  CHECK(silenceOf(1) == limits.MaxSilence);
+  answerAfter(1, milliseconds(150));
+  CHECK(silenceOf(2) == limits.MinSilence);
+  answerAfter(2, milliseconds(150));
+  for (std::uint64_t id = 3; id < 20; ++id) {
+    silenceOf(id);
+    answerAfter(id, milliseconds(700));
+  }
+  CHECK(silenceOf(20) == limits.MaxSilence);
+}
+
 TEST_CASE("an endpoint that can be asked gets nothing before it has told") {
   GroupWorld world;
   CHECK(world.call(1).empty());
