--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -49,7 +49,6 @@
   /// It gets nothing before it has told that it takes requests.
   bool MustTell = false;
   TimePoint AskAt;
-  unsigned RefusedInRow = 0;
 };
 
 /// Load and health by endpoint.
@@ -63,9 +62,11 @@
   static constexpr Duration FullTime = std::chrono::milliseconds(100);
   static constexpr Duration LongestFullTime = std::chrono::milliseconds(400);
   /// Between two questions to an endpoint that takes nothing; a group is formed
-  /// in 600 ms on the users' platform. Twice as long each time in a row.
-  static constexpr Duration FirstAskPause = std::chrono::milliseconds(100);
-  static constexpr Duration LongestAskPause = std::chrono::milliseconds(400);
+  /// in 600 ms on the users' platform.
+  static constexpr Duration AskPause = std::chrono::milliseconds(100);
+  /// With more entries than this each asks less often, so that a group that is
+  /// being formed gets no more than this many questions in a pause.
+  static constexpr std::size_t AskersPerPause = 8;
   /// After this time a question without an answer is asked again.
   static constexpr Duration AskTimeout = std::chrono::seconds(1);
   /// After this time another entry's report no longer counts.
@@ -115,6 +116,7 @@
 
   EndpointState *findMutable(const EndpointId &id);
   std::vector<EndpointState *> groupOf(EndpointState &state);
+  Duration askPause(TimePoint now) const;
 
   std::map<EndpointId, EndpointState> States;
   std::map<std::string, PeerLoad> Peers;
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -142,8 +142,6 @@
     told->Group = condition->Group;
   bool takesRequests =
       condition && condition->IsOpen && condition->Running < told->Record.Slots;
-  Duration pause = FirstAskPause * (1U << told->RefusedInRow);
-  unsigned refused = std::min(told->RefusedInRow + 1, MaxDoublings);
   if (!condition)
     onFailure(id, now);
   // One without an answer says nothing of its group.
@@ -152,13 +150,17 @@
     members = groupOf(*told);
   for (EndpointState *it : members) {
     it->MustTell = !takesRequests;
-    it->AskAt = now + std::min(pause, LongestAskPause);
-    it->RefusedInRow = takesRequests ? 0 : refused;
+    it->AskAt = now + askPause(now);
     if (takesRequests)
       it->ProvenAt = now;
   }
 }
 
+Duration EndpointBook::askPause(TimePoint now) const {
+  std::size_t entries = livePeers(now) + 1;
+  return AskPause * std::max<std::size_t>(1, entries / AskersPerPause);
+}
+
 /// \p state and the other endpoints of its group.
 std::vector<EndpointState *> EndpointBook::groupOf(EndpointState &state) {
   if (state.Group.get().empty())
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -214,10 +214,14 @@
     Own.reset();
     co_return;
   }
-  LOG_IF(INFO, !Own) << LogEvent("rank.found")
-                            .with("group", status.value().Group.get())
-                            .with("rank", status.value().Rank)
-                            .with("map", status.value().Map.get());
+  bool isNews = !Own || Own->Formation != status.value().Formation ||
+                Own->IsOpen != status.value().IsOpen;
+  LOG_IF(INFO, isNews) << LogEvent(Own ? "rank.changed" : "rank.found")
+                              .with("group", status.value().Group.get())
+                              .with("rank", status.value().Rank)
+                              .with("formation", status.value().Formation.get())
+                              .with("open", status.value().IsOpen)
+                              .with("map", status.value().Map.get());
   Own = status.value();
   if (!Own->Group.get().empty())
     onStatus(*Own);
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -182,16 +182,27 @@
   CHECK(countOf<AskEndpoint>(refused) == 1);
   DirectActions other = world.end(2, AttemptEnd::Full);
   CHECK(countOf<StartAttempt>(other) == 0);
-  // It is asked again, later each time, until it is open.
+  // It is asked again until it is open.
   world.tell(refused, false);
   CHECK(countOf<AskEndpoint>(world.Node.onTimer(world.Now)) == 0);
-  world.Now += EndpointBook::FirstAskPause;
+  world.Now += EndpointBook::AskPause;
   DirectActions again = world.Node.onTimer(world.Now);
   CHECK(countOf<AskEndpoint>(again) == 1);
   std::vector<DirectActions> after = world.tell(again, true);
   CHECK(countOf<StartAttempt>(after.front()) == 2);
 }
 
+TEST_CASE("many entries ask a closed group no more often together") {
+  GroupWorld world;
+  for (unsigned i = 0; i < 79; ++i)
+    world.Node.setPeerLoad("n" + std::to_string(i), {}, world.Now);
+  world.tell(world.Node.onTimer(world.Now), false);
+  world.Now += 9 * EndpointBook::AskPause;
+  CHECK(countOf<AskEndpoint>(world.Node.onTimer(world.Now)) == 0);
+  world.Now += EndpointBook::AskPause;
+  CHECK(countOf<AskEndpoint>(world.Node.onTimer(world.Now)) == 1);
+}
+
 TEST_CASE("an endpoint that is full by other entries' work is not used") {
   GroupWorld world;
   world.call(1);
