--- a/include/ospreyspur/Experts/DemandMeter.h
+++ b/include/ospreyspur/Experts/DemandMeter.h
@@ -26,11 +26,8 @@
   void add(unsigned rank, FormationEpoch formation,
            const std::vector<std::uint64_t> &counts, TimePoint now);
 
-  /// The demand for each expert, set by set; empty before the first report.
+  /// The demand for each expert, set by set; empty before the second report.
   const std::vector<double> &demand() const { return Demand; }
-  /// Whether any count has risen since a rank's first report. Before, the
-  /// demand is what the ranks saw in all their life.
-  bool isMeasured() const { return IsMeasured; }
   /// All of it together.
   double total() const;
 
@@ -46,7 +43,6 @@
   std::vector<double> Demand;
   TimePoint FadedAt;
   std::map<unsigned, Last> Ranks;
-  bool IsMeasured = false;
 };
 
 } // namespace ospreyspur
--- a/lib/Experts/DemandMeter.cpp
+++ b/lib/Experts/DemandMeter.cpp
@@ -11,27 +11,18 @@
 
 using namespace ospreyspur;
 
-/// How much of what a rank counted before its first report stands for its
-/// demand until more is known: a tenth of a second's of a rank that has worked
-/// for a minute, so that what follows soon outweighs it.
-static constexpr double PriorPart = 0.002;
-
 void DemandMeter::add(unsigned rank, FormationEpoch formation,
                       const std::vector<std::uint64_t> &counts, TimePoint now) {
   fade(now);
-  auto [it, isNew] = Ranks.try_emplace(rank);
-  Last &last = it->second;
+  Last &last = Ranks[rank];
   bool isSame =
       last.Formation == formation && last.Counts.size() == counts.size();
-  if (isNew || isSame)
+  if (isSame) {
     Demand.resize(counts.size());
-  for (std::size_t i = 0; isNew && i < counts.size(); ++i)
-    Demand[i] += double(counts[i]) * PriorPart;
-  for (std::size_t i = 0; isSame && i < counts.size(); ++i)
-    if (counts[i] > last.Counts[i]) {
-      Demand[i] += double(counts[i] - last.Counts[i]);
-      IsMeasured = true;
-    }
+    for (std::size_t i = 0; i < counts.size(); ++i)
+      if (counts[i] > last.Counts[i])
+        Demand[i] += double(counts[i] - last.Counts[i]);
+  }
   last = {formation, counts};
 }
 
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -52,6 +52,10 @@
 /// users' links.
 static constexpr std::size_t NewPerRank = 1;
 static constexpr double MinCopyGain = 0.04;
+/// From this skew on, that of a group that was just formed, steps are so slow
+/// that a change should bring more.
+static constexpr double HighSkew = 2.5;
+static constexpr std::size_t NewPerRankIfHigh = 2;
 
 static LeaseLimits makeLeaseLimits(bool checksFences) {
   LeaseLimits limits;
@@ -396,15 +400,14 @@
   if (!fitsFigures())
     return;
   logGroup();
-  // What ranks saw in all their life is better than nothing only for a group
-  // that was just formed.
-  bool isFormedAnew = Switch.ranks().begin()->second.Map == MapVersion(0);
-  if (!Demand.isMeasured() && !isFormedAnew)
-    return;
   PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
                          NewPerRank, MinCopyGain};
   PlacementPlan plan =
       PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+  if (plan.SkewBefore > HighSkew) {
+    limits.NewPerRank = NewPerRankIfHigh;
+    plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+  }
   if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
     return;
   apply(Switch.begin(plan.Placement, now));
