--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -28,10 +28,9 @@
   Duration MaxWait = std::chrono::milliseconds(1500);
   /// The same as a part of the time that its caller still has.
   double MaxWaitPart = 0.4;
-  /// What an endpoint is taken to need to its first byte, as a part of the
-  /// route's target, before any has answered. Waiting requests that can still
-  /// be on time go first.
-  double FirstBytePart = 0.4;
+  /// Part of the route's target after which a request that still waits cannot
+  /// be on time; those that can go first.
+  double OnTimePart = 0.6;
   std::size_t MaxWaiting = 256;
   RetryBounds Retries;
   /// Requests sent for one call, those to replaced endpoints included.
@@ -94,6 +93,8 @@
     ServiceId Service;
     TimePoint Arrived;
     TimePoint Deadline;
+    /// A request that has not started by then cannot be on time.
+    TimePoint OnTimeUntil;
     TimePoint WaitUntil;
     /// Endpoints that may have run it or said that they were full.
     unsigned Attempts = 0;
@@ -115,7 +116,6 @@
   bool tryStart(Call &call, TimePoint now);
   void noteFirstByte(const Call &call, TimePoint now);
   Duration silenceFor(const Call &call) const;
-  bool canBeOnTime(const Call &call, TimePoint now) const;
   void ask(TimePoint now);
   void startWaiting(TimePoint now);
   void startWaiting(bool onTime, TimePoint now);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -37,6 +37,7 @@
   Duration left =
       std::min(request.TimeLeft.value_or(route.Timeout), route.Timeout);
   call.Deadline = now + left;
+  call.OnTimeUntil = now + partOf(route.Target, Limits.OnTimePart);
   call.WaitUntil =
       now + std::min(Limits.MaxWait, partOf(left, Limits.MaxWaitPart));
   call.Request = std::move(request);
@@ -201,17 +202,6 @@
   return true;
 }
 
-/// Whether \p call is answered within its target if it starts now. While the
-/// endpoints are slow none is.
-bool DirectNode::canBeOnTime(const Call &call, TimePoint now) const {
-  Duration target = call.Request.Route->Target;
-  auto it = FirstByteTimes.find(call.Service);
-  Duration taken = it == FirstByteTimes.end()
-                       ? partOf(target, Limits.FirstBytePart)
-                       : it->second;
-  return now + taken < call.Arrived + target;
-}
-
 /// Gives room that has come free to the calls that wait for it. In a backlog,
 /// serving in the order of arrival would make every call late.
 void DirectNode::startWaiting(TimePoint now) {
@@ -222,7 +212,7 @@
 void DirectNode::startWaiting(bool onTime, TimePoint now) {
   for (auto it = Waiting.begin(); it != Waiting.end();) {
     Call &call = Calls.at(std::get<CallId>(*it));
-    bool isStarted = canBeOnTime(call, now) == onTime && tryStart(call, now);
+    bool isStarted = (now < call.OnTimeUntil) == onTime && tryStart(call, now);
     it = isStarted ? Waiting.erase(it) : std::next(it);
   }
 }
