--- a/include/ospreyspur/Experts/DemandMeter.h
+++ b/include/ospreyspur/Experts/DemandMeter.h
@@ -26,10 +26,6 @@
   void add(unsigned rank, FormationEpoch formation,
            const std::vector<std::uint64_t> &counts, TimePoint now);
 
-  /// Takes \p demand, known from before, until some is measured. It weighs as
-  /// much as a single choice.
-  void seed(const std::vector<double> &demand, TimePoint now);
-
   /// The demand for each expert, set by set; empty before the second report.
   const std::vector<double> &demand() const { return Demand; }
   /// All of it together.
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -11,7 +11,6 @@
 
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Direct/FleetConfig.h"
-#include "ospreyspur/Experts/DemandKeeper.h"
 #include "ospreyspur/Experts/DemandMeter.h"
 #include "ospreyspur/Experts/LeaseHolder.h"
 #include "ospreyspur/Experts/MapSwitch.h"
@@ -43,13 +42,11 @@
 private:
   /// One group as its members see it.
   struct Membership {
-    Membership(GroupId group, LeaseHolder lease, DemandKeeper kept)
-        : Group(std::move(group)), Lease(std::move(lease)),
-          Kept(std::move(kept)) {}
+    Membership(GroupId group, LeaseHolder lease)
+        : Group(std::move(group)), Lease(std::move(lease)) {}
 
     GroupId Group;
     LeaseHolder Lease;
-    DemandKeeper Kept;
   };
 
   void tick();
@@ -58,7 +55,6 @@
   void onStatus(const RankStatus &status);
   void join(const GroupId &group);
   void checkLease(TimePoint now);
-  void keepDemand(TimePoint now);
   void watchForStall(const RankStatus &status);
   void report(const RankStatus &status);
   void onReply(LinkId from, const MapOrderReply &reply);
--- a/lib/Experts/DemandMeter.cpp
+++ b/lib/Experts/DemandMeter.cpp
@@ -26,16 +26,6 @@
   last = {formation, counts};
 }
 
-void DemandMeter::seed(const std::vector<double> &demand, TimePoint now) {
-  double all = std::accumulate(demand.begin(), demand.end(), 0.0);
-  if (total() > 0 || all <= 0)
-    return;
-  Demand = demand;
-  FadedAt = now;
-  for (double &it : Demand)
-    it /= all;
-}
-
 double DemandMeter::total() const {
   return std::accumulate(Demand.begin(), Demand.end(), 0.0);
 }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -57,11 +57,6 @@
 static constexpr double HighSkew = 2.5;
 static constexpr std::size_t NewPerRankIfHigh = 2;
 
-/// Keys of the coordinators' leases and of what they keep, by service and
-/// group.
-static const std::string GroupKeys = "ospreyspur/groups/";
-static const std::string DemandKeys = "ospreyspur/demand/";
-
 static LeaseLimits makeLeaseLimits(bool checksFences) {
   LeaseLimits limits;
   limits.Span = std::chrono::seconds(3);
@@ -127,29 +122,6 @@
   apply(Switch.onTimer(now));
   considerPlan();
   checkLease(now);
-  keepDemand(now);
-}
-
-/// The coordinator keeps the demand for whoever follows it.
-void RankAgent::keepDemand(TimePoint now) {
-  if (!Member || !Member->Lease.isHeld(now))
-    return;
-  std::optional<KvCall> call = Member->Kept.nextCall(Demand.demand(), now);
-  if (!call)
-    return;
-  auto onReply = [this, group = Member->Group](const KvReply &reply) {
-    if (!Member || Member->Group != group)
-      return;
-    std::optional<std::vector<double>> kept =
-        Member->Kept.onReply(reply, monotonicNow());
-    if (kept)
-      Demand.seed(*kept, monotonicNow());
-    LOG_IF(INFO, kept.has_value()) << LogEvent("demand.kept")
-                                          .with("group", group.get())
-                                          .with("revision", reply.At.get())
-                                          .with("experts", kept->size());
-  };
-  Platform.call(std::move(*call), CallTimeout, onReply);
 }
 
 /// Ranks that no longer report may have found another coordinator.
@@ -289,12 +261,10 @@
 }
 
 void RankAgent::join(const GroupId &group) {
-  std::string name = Settings.Service + "/" + group.get();
+  std::string key = "ospreyspur/groups/" + Settings.Service + "/" + group.get();
   Member = std::make_unique<Membership>(
-      group,
-      LeaseHolder(GroupKeys + name, Settings.linkListen(),
-                  makeLeaseLimits(Settings.ChecksFences)),
-      DemandKeeper(DemandKeys + name));
+      group, LeaseHolder(key, Settings.linkListen(),
+                         makeLeaseLimits(Settings.ChecksFences)));
   Switch.resign();
   // All agents of a group start together; one should be first.
   std::uniform_int_distribution<Duration::rep> spread(0, JoinSpread.count());
