--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -206,3 +206,21 @@
     CHECK(holder.isHeld(Start + seconds(1)) == (found == 7));
   }
 }
+
+TEST_CASE("a group whose steps are slow does not stand still") {
+  StallWatch watch;
+  RankStatus status;
+  status.Running = 1;
+  status.IsOpen = true;
+  Duration step = StallWatch::Patience + std::chrono::milliseconds(150);
+  TimePoint now = Start;
+  unsigned stalls = 0;
+  for (unsigned i = 0; i < 100; ++i, now += std::chrono::milliseconds(60)) {
+    status.Step = StepNumber((now - Start) / step);
+    stalls += watch.isStalled(status, now) ? 1 : 0;
+  }
+  // Only the first slow step can surprise it, in three looks.
+  CHECK(stalls <= 3);
+  // One that stops altogether still stands.
+  CHECK(watch.isStalled(status, now + StallWatch::LongestPatience));
+}
