--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -67,6 +67,8 @@
   DirectActions onCall(DirectRequest request, TimePoint now);
   /// The first byte of the answer came.
   DirectActions onFirstByte(CallId id, TimePoint now);
+  /// Events of the answer came; onFirstByte() came before.
+  void onEvents(CallId id, TimePoint now);
   /// The attempt under way has ended.
   DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
   /// What an endpoint told that was asked; nothing if it did not answer.
@@ -100,8 +102,11 @@
     unsigned Attempts = 0;
     /// Requests sent, those to endpoints that were another by then included.
     unsigned Arrivals = 0;
-    /// When the attempt under way began.
+    /// When the attempt under way began, and when it last got something.
     TimePoint SentAt;
+    TimePoint HeardAt;
+    /// Silence for which the attempt is to be given up.
+    Duration Silence{};
     bool HasFirstByte = false;
     /// Whether an endpoint said that it was full: the next attempt is only for
     /// one that is known to serve.
@@ -127,6 +132,8 @@
   const EndpointState *pick(const Call &call, TimePoint now);
   bool hasRoom(const EndpointState &state, const Call &call,
                TimePoint now) const;
+  bool canFinish(const EndpointState &state, const Call &call,
+                 TimePoint now) const;
   double costOf(const EndpointState &state, const Call &call,
                 TimePoint now) const;
   ServiceId pickService(const RouteRule &route);
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -11,6 +11,7 @@
 
 #include "ospreyspur/Direct/DirectActions.h"
 #include "ospreyspur/Direct/EndpointList.h"
+#include "ospreyspur/Direct/GroupPaces.h"
 #include "ospreyspur/Support/Time.h"
 
 #include <map>
@@ -83,7 +84,12 @@
   void onFirstByte(const EndpointId &id, unsigned promptTokens, TimePoint now);
   /// The prompt of a request that ended without an answer no longer counts.
   void dropUnread(const EndpointId &id, unsigned promptTokens);
-  void onEnded(const EndpointId &id);
+  /// Events came, \p gap after the last ones.
+  void onEvents(const EndpointId &id, Duration gap, TimePoint now);
+  /// \p wasWriting: whether the first byte had come.
+  void onEnded(const EndpointId &id, bool wasWriting);
+  /// A stream was given up after \p silence.
+  void onSilence(const EndpointId &id, Duration silence, TimePoint now);
   void onSuccess(const EndpointId &id, TimePoint now);
   void onFailure(const EndpointId &id, TimePoint now);
   void onFull(const EndpointId &id, TimePoint now);
@@ -103,6 +109,9 @@
   std::optional<TimePoint> nextQuestion() const;
   /// What all entries have at \p state's endpoint.
   EndpointLoad totalLoad(const EndpointState &state, TimePoint now) const;
+  /// The pause between events to expect at \p state's endpoint; zero if it is
+  /// of no group or nothing is known.
+  Duration gapOf(const EndpointState &state, TimePoint now) const;
   /// This entry's load, for the other entries.
   std::vector<EndpointLoad> ownLoads() const;
   /// Other entries heard of lately.
@@ -120,6 +129,7 @@
 
   std::map<EndpointId, EndpointState> States;
   std::map<std::string, PeerLoad> Peers;
+  GroupPaces Paces;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/FleetConfig.h
+++ b/include/ospreyspur/Direct/FleetConfig.h
@@ -73,6 +73,8 @@
   double ReadTokensPerSecond = 0;
   unsigned StepsPerPass = 1;
   unsigned ReadTokensPerStep = 512;
+  /// Tokens of a usual answer; 0 if its operator does not say.
+  unsigned UsualAnswer = 0;
   /// Expert placement: sets of layers, experts in each, places a rank.
   std::size_t ExpertSets = 0;
   std::size_t Experts = 0;
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -22,9 +22,9 @@
 /// One attempt.
 class DirectAttempt {
 public:
-  /// \p onFirstByte runs when the first byte has gone to the caller.
+  /// \p onData runs whenever a part of the answer came.
   DirectAttempt(EndpointPool &pool, HttpExchange &exchange, DirectCall &call,
-                const StartAttempt &order, std::function<void()> onFirstByte);
+                const StartAttempt &order, std::function<void()> onData);
 
   /// Runs to the end.
   boost::asio::awaitable<AttemptEnd> run();
@@ -50,7 +50,7 @@
   HttpExchange &Exchange;
   DirectCall &Call;
   const StartAttempt &Order;
-  std::function<void()> OnFirstByte;
+  std::function<void()> OnData;
   EndpointPool::Connection Connection;
   std::optional<Parser> Answer;
   EndpointAnswer Head;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -51,12 +51,22 @@
   if (it == Calls.end() || !it->second.Current || it->second.HasFirstByte)
     return takeActions();
   it->second.HasFirstByte = true;
+  it->second.HeardAt = now;
   noteFirstByte(it->second, now);
   Book.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt, now);
   startWaiting(now);
   return takeActions();
 }
 
+void DirectNode::onEvents(CallId id, TimePoint now) {
+  auto it = Calls.find(id);
+  if (it == Calls.end() || !it->second.Current)
+    return;
+  Duration gap = now - std::exchange(it->second.HeardAt, now);
+  if (gap > Duration::zero())
+    Book.onEvents(*it->second.Current, gap, now);
+}
+
 void DirectNode::noteFirstByte(const Call &call, TimePoint now) {
   Duration taken = now - call.SentAt;
   auto [it, isFirst] = FirstByteTimes.try_emplace(call.Service, taken);
@@ -194,11 +204,12 @@
   ++call.Arrivals;
   call.Current = state->Record.Id;
   call.SentAt = now;
+  call.HeardAt = now;
+  call.Silence = silenceFor(call);
   call.Tried.insert(state->Record.Id);
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
   Out.emplace_back(std::in_place_type<StartAttempt>, call.Request.Id,
-                   state->Record, call.Deadline, call.Attempts,
-                   silenceFor(call));
+                   state->Record, call.Deadline, call.Attempts, call.Silence);
   return true;
 }
 
@@ -250,9 +261,10 @@
 void DirectNode::endAttempt(Call &call) {
   if (!call.Current)
     return;
-  if (!std::exchange(call.HasFirstByte, false))
+  bool wasWriting = std::exchange(call.HasFirstByte, false);
+  if (!wasWriting)
     Book.dropUnread(*call.Current, call.Request.Tokens.Prompt);
-  Book.onEnded(*call.Current);
+  Book.onEnded(*call.Current, wasWriting);
   call.Current.reset();
 }
 
@@ -274,6 +286,8 @@
   case AttemptEnd::Lost:
   case AttemptEnd::BrokeOff:
     Book.onFailure(id, now);
+    if (now - call.HeardAt >= call.Silence)
+      Book.onSilence(id, now - call.HeardAt, now);
     break;
   }
 }
@@ -306,12 +320,27 @@
     return false;
   const ServiceRule *service = call.Request.Config->findService(call.Service);
   bool isEngine = service && service->Engine;
+  if (isEngine && !canFinish(state, call, now))
+    return false;
   double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
   return Book.totalLoad(state, now).Running < limit;
 }
 
-/// What the load at an endpoint adds to each of its passes, in seconds; for a
-/// plain service the part of its slots in use.
+/// Whether a usual answer would be whole within the call's time: where it would
+/// not, the request only makes others slower.
+bool DirectNode::canFinish(const EndpointState &state, const Call &call,
+                           TimePoint now) const {
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  const EngineFigures &engine = *service->Engine;
+  unsigned tokens = engine.UsualAnswer;
+  if (call.Request.Tokens.Answer > 0)
+    tokens = std::min(tokens, call.Request.Tokens.Answer);
+  Duration pass = Book.gapOf(state, now);
+  return pass * tokens / engine.StepsPerPass < call.Deadline - now;
+}
+
+/// How long a pass of an endpoint's group takes and what the load there adds,
+/// in seconds; for a plain service the part of its slots in use.
 double DirectNode::costOf(const EndpointState &state, const Call &call,
                           TimePoint now) const {
   EndpointLoad load = Book.totalLoad(state, now);
@@ -324,7 +353,8 @@
   double reading = engine.ReadTokensPerSecond > 0
                        ? load.Unread / engine.ReadTokensPerSecond
                        : 0;
-  return load.Running * each + reading;
+  double pass = std::chrono::duration<double>(Book.gapOf(state, now)).count();
+  return pass + load.Running * each + reading;
 }
 
 ServiceId DirectNode::pickService(const RouteRule &route) {
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -15,6 +15,10 @@
 /// Doubling stops here; the longest suspicion is reached before.
 static constexpr unsigned MaxDoublings = 10;
 
+static GroupPaces::Key groupKey(const EndpointState &state) {
+  return {state.Record.Service, state.Group};
+}
+
 void EndpointBook::setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
   std::set<EndpointId> present;
   for (const ListedEndpoint &it : endpoints) {
@@ -56,8 +60,26 @@
 void EndpointBook::onFirstByte(const EndpointId &id, unsigned promptTokens,
                                TimePoint now) {
   dropUnread(id, promptTokens);
-  if (EndpointState *it = findMutable(id))
+  if (EndpointState *it = findMutable(id)) {
     it->ProvenAt = now;
+    Paces.onBegun(groupKey(*it), now);
+  }
+}
+
+void EndpointBook::onEvents(const EndpointId &id, Duration gap, TimePoint now) {
+  if (EndpointState *it = findMutable(id))
+    Paces.onEvents(groupKey(*it), gap, now);
+}
+
+void EndpointBook::onSilence(const EndpointId &id, Duration silence,
+                             TimePoint now) {
+  if (EndpointState *it = findMutable(id))
+    Paces.onSilence(groupKey(*it), silence, now);
+}
+
+Duration EndpointBook::gapOf(const EndpointState &state, TimePoint now) const {
+  return state.Group.get().empty() ? Duration::zero()
+                                   : Paces.gapOf(groupKey(state), now);
 }
 
 void EndpointBook::dropUnread(const EndpointId &id, unsigned promptTokens) {
@@ -65,10 +87,12 @@
     it->OwnUnread -= std::min(it->OwnUnread, promptTokens);
 }
 
-void EndpointBook::onEnded(const EndpointId &id) {
+void EndpointBook::onEnded(const EndpointId &id, bool wasWriting) {
   EndpointState *it = findMutable(id);
   if (it && it->Own > 0)
     --it->Own;
+  if (it && wasWriting)
+    Paces.onEnded(groupKey(*it));
 }
 
 void EndpointBook::onSuccess(const EndpointId &id, TimePoint now) {
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -39,9 +39,9 @@
 
 DirectAttempt::DirectAttempt(EndpointPool &pool, HttpExchange &exchange,
                              DirectCall &call, const StartAttempt &order,
-                             std::function<void()> onFirstByte)
+                             std::function<void()> onData)
     : Pool(pool), Exchange(exchange), Call(call), Order(order),
-      OnFirstByte(std::move(onFirstByte)) {}
+      OnData(std::move(onData)) {}
 
 asio::awaitable<AttemptEnd> DirectAttempt::run() {
   Connection = co_await open();
@@ -169,7 +169,7 @@
     Call.FailedAnswer = std::move(CallerHead);
     co_return AttemptEnd::Failed;
   }
-  OnFirstByte();
+  OnData();
   co_await Exchange.respond(std::move(CallerHead));
   co_return AttemptEnd::Complete;
 }
@@ -195,11 +195,9 @@
 }
 
 asio::awaitable<bool> DirectAttempt::passOn(std::string events) {
-  if (!Exchange.hasBegun()) {
-    OnFirstByte();
-    if (!co_await Exchange.beginStream(CallerHead))
-      co_return false;
-  }
+  OnData();
+  if (!Exchange.hasBegun() && !co_await Exchange.beginStream(CallerHead))
+    co_return false;
   bool isSent = co_await Exchange.writeStream(std::move(events));
   co_return isSent && !Call.IsCallerGone;
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -239,13 +239,16 @@
   CallId id = call.Request.Id;
   call.Endpoints +=
       (call.Endpoints.empty() ? "" : ",") + order.Endpoint.Id.get();
-  auto onFirstByte = [this, &call, id] {
+  auto onData = [this, &call, id, isFirst = true]() mutable {
     TimePoint now = monotonicNow();
     if (!call.FirstByte)
       call.FirstByte = now;
-    apply(Node.onFirstByte(id, now));
+    if (std::exchange(isFirst, false))
+      apply(Node.onFirstByte(id, now));
+    else
+      Node.onEvents(id, now);
   };
-  DirectAttempt running(Pool, exchange, call, order, onFirstByte);
+  DirectAttempt running(Pool, exchange, call, order, onData);
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
   Measures.set("requests_waiting", double(Node.waitingCount()));
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 
 using namespace ospreyspur;
 using std::chrono::milliseconds;
@@ -203,6 +204,96 @@
   CHECK(countOf<AskEndpoint>(world.Node.onTimer(world.Now)) == 1);
 }
 
+namespace {
+/// A node before two groups of two endpoints with four slots each.
+class TwoGroupWorld : public NodeWorld {
+public:
+  TwoGroupWorld() : NodeWorld(0, makeRoute(RequestKind::Stream, 2, true)) {
+    auto config = std::make_shared<FleetConfig>(*Config);
+    EngineFigures &engine = *config->Services.at(ServiceId("s")).Engine;
+    engine.UsualAnswer = 160;
+    engine.StepsPerPass = 6;
+    Config = std::move(config);
+    for (const char *id : {"a0", "a1", "b0", "b1"}) {
+      add(id);
+      Listed.back().Record.TellsState = true;
+      Listed.back().Record.Slots = 4;
+    }
+    Node.setEndpoints(Listed);
+    for (const DirectAction &it : Node.onTimer(Now)) {
+      const EndpointId &id = std::get<AskEndpoint>(it).Endpoint.Id;
+      EndpointCondition condition{GroupId(id.get().substr(0, 1)), true, 0};
+      Node.onTold(id, condition, Now);
+    }
+  }
+
+  /// Starts call \p id. Returns its group, or nothing if it has to wait.
+  std::string start(std::uint64_t id) {
+    DirectActions actions = call(id);
+    const auto *attempt = only<StartAttempt>(actions);
+    return attempt ? attempt->Endpoint.Id.get().substr(0, 1) : "";
+  }
+
+  /// Has calls 1 and 2, one in each group, write for three seconds, with
+  /// these pauses.
+  void write(Duration pauseOfFirst, Duration pauseOfSecond) {
+    std::array<TimePoint, 2> last = {Now, Now};
+    std::array<Duration, 2> pauses = {pauseOfFirst, pauseOfSecond};
+    Node.onFirstByte(CallId(1), Now);
+    Node.onFirstByte(CallId(2), Now);
+    for (unsigned i = 0; i < 300; ++i) {
+      Now += milliseconds(10);
+      for (unsigned k = 0; k < 2; ++k)
+        if (Now - last[k] >= pauses[k]) {
+          last[k] = Now;
+          Node.onEvents(CallId(k + 1), Now);
+        }
+    }
+  }
+};
+} // namespace
+
+TEST_CASE("a group with a slow rank gets nothing that cannot be whole") {
+  TwoGroupWorld world;
+  std::string slow = world.start(1);
+  std::string sound = world.start(2);
+  REQUIRE(slow != sound);
+  world.write(milliseconds(600), milliseconds(50));
+  // The sound group has eight slots, one of them in use.
+  for (std::uint64_t id = 3; id < 10; ++id)
+    CHECK(world.start(id) == sound);
+  CHECK(world.start(10).empty());
+  // A group that was only somewhat slower takes the rest.
+  TwoGroupWorld other;
+  slow = other.start(1);
+  other.start(2);
+  other.write(milliseconds(150), milliseconds(50));
+  for (std::uint64_t id = 3; id < 10; ++id)
+    CHECK(other.start(id) != slow);
+  CHECK(other.start(10) == slow);
+}
+
+TEST_CASE("a group whose streams all stand gets nothing new at once") {
+  TwoGroupWorld world;
+  std::string standing = world.start(1);
+  world.start(2);
+  world.write(milliseconds(50), milliseconds(50));
+  // Only the other one still writes.
+  for (unsigned i = 0; i < 6; ++i) {
+    world.Now += milliseconds(50);
+    world.Node.onEvents(CallId(2), world.Now);
+  }
+  CHECK(world.start(3) != standing);
+  CHECK(world.start(4) != standing);
+  // What was seen fades once nothing is left there.
+  world.Node.onCallGone(CallId(1), world.Now);
+  for (unsigned i = 0; i < 160; ++i) {
+    world.Now += milliseconds(50);
+    world.Node.onEvents(CallId(2), world.Now);
+  }
+  CHECK(world.start(5) == standing);
+}
+
 TEST_CASE("an endpoint that is full by other entries' work is not used") {
   GroupWorld world;
   world.call(1);
