Put a group in order though its coordinator's host is frozen

Now a coordinator arms its own rank last, one more before it by itself, and disarms it first; whoever takes over knows it unarmed while any other is. Coordinators first raise every rank's token.

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -3,13 +3,22 @@
 // The coordinator's state machine for one group that the platform forms. All
 // ranks change at one step or none do:
 //
-//   prepare on all -> hold step S on one -> arm for S on all -> release S
+//   prepare on all -> hold step S on one -> arm for S on all but two -> on the
+//   last but one -> on the coordinator's own -> release S
+//
+// Before its first change a coordinator gives every rank an order that only
+// raises the rank's token, and looks again: from then on no predecessor's order
+// can act, so what a rank is armed for is the latest coordinator's doing.
 //
 // While S is held no rank can begin it, so a rank that cannot be armed is no
 // harm: the others are disarmed before the release. Fencing tokens rise with
 // each order, so an order without an answer cannot act after a later one. A
 // coordinator that finds an unfinished change first holds the step on every
 // rank with its own, higher token; then nothing of its predecessor's can act.
+// If the predecessor's host does not answer, its rank cannot be asked. But that
+// rank is armed last and disarmed first: as long as any other is not armed, it
+// is not either. The version tells whose rank that is. Arming one more rank by
+// itself before makes it rare that all others are armed.
 //
 //===----------------------------------------------------------------------===//
 
@@ -19,6 +28,7 @@
 #include "ospreyspur/Experts/MapOrder.h"
 #include "ospreyspur/Support/Time.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -43,6 +53,9 @@
   std::uint64_t StepsAhead = 1;
   /// Steps tried to hold; a group may be faster than it seemed.
   unsigned MaxHolds = 3;
+  /// A rank of which nothing was heard for this time, by a coordinator that has
+  /// led for as long, is out of reach.
+  Duration MissingAfter = std::chrono::milliseconds(150);
   /// Over which the group's speed is measured.
   Duration StepWindow = std::chrono::milliseconds(300);
 };
@@ -50,6 +63,8 @@
 enum class SwitchPhase : std::uint8_t {
   /// Nothing is under way.
   Idle,
+  /// Makes void what earlier coordinators ordered, on every rank.
+  Claiming,
   Preparing,
   Holding,
   Arming,
@@ -81,7 +96,8 @@
 
   /// From now on orders carry tokens that begin with \p lease, a number that
   /// rises with each holder of the group's lease.
-  void lead(std::uint64_t lease);
+  /// \p ownRank is the rank on this coordinator's host.
+  void lead(std::uint64_t lease, unsigned ownRank, TimePoint now);
   /// Gives no more orders.
   void resign();
   /// Takes a rank's state as it stood at \p seen.
@@ -121,6 +137,12 @@
     unsigned Tries = 0;
   };
 
+  struct PlannedOrder {
+    unsigned Rank = 0;
+    MapOrderKind Kind = MapOrderKind::Arm;
+    MapVersion Version;
+  };
+
   bool isSurveyed() const;
   bool allRanks(const std::function<bool(const RankStatus &)> &test) const;
   void noteStep(const RankStatus &status, TimePoint now);
@@ -130,6 +152,15 @@
   void advanceIdle(TimePoint now);
   void advanceFrozen(TimePoint now);
   void advanceConfirming(TimePoint now);
+  std::optional<unsigned> missingRank(TimePoint now) const;
+  bool canDecide(TimePoint now) const;
+  MapVersion newestVersion() const;
+  bool isNewestArmed() const;
+  MapVersion nextVersion();
+  void beginArming(TimePoint now);
+  void beginDisarming(MapVersion version, bool all, TimePoint now);
+  bool beginStage(TimePoint now);
+  bool beginClaiming(TimePoint now);
   void holdNext(TimePoint now);
   void orderAll(MapOrderKind kind, TimePoint now);
   void order(unsigned rank, MapOrderKind kind, MapVersion version,
@@ -139,12 +170,13 @@
   void onRefused(unsigned tries, TimePoint now);
   void onPhaseDone(TimePoint now);
   void takeBack(TimePoint now);
-  void release(TimePoint now);
+  void release(bool isChanging, TimePoint now);
   SwitchActions takeActions();
 
   SwitchLimits Limits;
   bool IsLeading = false;
   std::uint64_t Lease = 0;
+  unsigned OwnRank = 0;
   std::uint64_t LastOrder = 0;
   SwitchPhase Phase = SwitchPhase::Idle;
   TimePoint PhaseAt;
@@ -155,6 +187,14 @@
   MapVersion Version;
   StepNumber Step;
   unsigned HoldTries = 0;
+  /// What remains of a phase after the orders under way.
+  std::deque<std::vector<PlannedOrder>> Stages;
+  /// Releasing: whether the group will begin the step with Version.
+  bool IsChanging = false;
+  TimePoint LeadingSince;
+  /// Ranks that have taken an order under this lease since they were formed.
+  std::set<unsigned> Claimed;
+  FormationEpoch ClaimedIn;
   GroupPlacement Wanted;
   std::map<unsigned, RankStatus> Ranks;
   std::map<unsigned, TimePoint> SeenAt;
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -42,10 +42,12 @@
 private:
   /// One group as its members see it.
   struct Membership {
-    Membership(GroupId group, LeaseHolder lease)
-        : Group(std::move(group)), Lease(std::move(lease)) {}
+    Membership(const RankStatus &own, LeaseHolder lease)
+        : Group(own.Group), Rank(own.Rank), Lease(std::move(lease)) {}
 
     GroupId Group;
+    /// The number of the rank on this host.
+    unsigned Rank = 0;
     LeaseHolder Lease;
   };
 
@@ -53,7 +55,7 @@
   void lookAtLease();
   boost::asio::awaitable<void> readRank();
   void onStatus(const RankStatus &status);
-  void join(const GroupId &group);
+  void join(const RankStatus &status);
   void checkLease(TimePoint now);
   void watchForStall(const RankStatus &status);
   void report(const RankStatus &status);
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -15,10 +15,12 @@
 /// Room for the orders of one lease holder below its number in a token.
 static constexpr unsigned OrderBits = 20;
 
-void MapSwitch::lead(std::uint64_t lease) {
+void MapSwitch::lead(std::uint64_t lease, unsigned ownRank, TimePoint now) {
   // Whoever was refused for a higher token never leads under that lease again.
   if (Lease == lease)
     return;
+  OwnRank = ownRank;
+  LeadingSince = now;
   IsLeading = true;
   Lease = lease;
   LastOrder = 0;
@@ -26,6 +28,10 @@
   Phase = SwitchPhase::Idle;
   SurveySince.reset();
   Orders.clear();
+  // What was heard under an earlier lease is no word of who can be reached now.
+  Ranks.clear();
+  SeenAt.clear();
+  Claimed.clear();
 }
 
 void MapSwitch::resign() {
@@ -74,9 +80,12 @@
     resign();
     return takeActions();
   case MapOrderResult::Done:
+    Claimed.insert(rank);
     Orders.erase(it);
     break;
   case MapOrderResult::Refused: {
+    // Ranks raise their token with orders that they refuse, too.
+    Claimed.insert(rank);
     unsigned tries = it->second.Tries;
     SwitchPhase before = Phase;
     Orders.erase(it);
@@ -110,6 +119,7 @@
     enterIdle(now);
     break;
   case SwitchPhase::Idle:
+  case SwitchPhase::Claiming:
   case SwitchPhase::Releasing:
   case SwitchPhase::Confirming:
   case SwitchPhase::Disarming:
@@ -142,9 +152,7 @@
 SwitchActions MapSwitch::begin(const GroupPlacement &placement, TimePoint now) {
   if (!canBegin(now))
     return takeActions();
-  // No other coordinator can have given this number to another map.
-  ++LastOrder;
-  Version = MapVersion((Lease << OrderBits) + LastOrder);
+  Version = nextVersion();
   Wanted = placement;
   Formation = Ranks.begin()->second.Formation;
   BeganAt = now;
@@ -153,9 +161,24 @@
   return takeActions();
 }
 
+/// A number that no other coordinator can have given to another map; it tells
+/// the own rank by its rest.
+MapVersion MapSwitch::nextVersion() {
+  do {
+    ++LastOrder;
+  } while (LastOrder % Ranks.size() != OwnRank);
+  return MapVersion((Lease << OrderBits) + LastOrder);
+}
+
+/// The rank of the coordinator that gave out \p version in a group of \p size.
+static unsigned coordinatorOf(MapVersion version, std::size_t size) {
+  std::uint64_t order = version.get() & ((1ULL << OrderBits) - 1);
+  return static_cast<unsigned>(order % size);
+}
+
 bool MapSwitch::canBegin(TimePoint now) const {
   if (!IsLeading || Phase != SwitchPhase::Idle || !isComplete(now) ||
-      !isSurveyed())
+      !isSurveyed() || Claimed.size() < Ranks.size())
     return false;
   MapVersion map = Ranks.begin()->second.Map;
   return allRanks([map](const RankStatus &it) {
@@ -180,6 +203,60 @@
   });
 }
 
+/// The rank out of reach, if it is a single one and all others are in touch.
+std::optional<unsigned> MapSwitch::missingRank(TimePoint now) const {
+  if (Ranks.empty() || now - LeadingSince < Limits.MissingAfter)
+    return std::nullopt;
+  const RankStatus &any = Ranks.begin()->second;
+  std::optional<unsigned> out;
+  for (unsigned rank = 0; rank < any.Size; ++rank) {
+    auto it = Ranks.find(rank);
+    bool isHeard =
+        it != Ranks.end() && now - SeenAt.at(rank) < Limits.StatusAge;
+    if (isHeard && it->second.Formation == any.Formation && it->second.IsOpen)
+      continue;
+    // A rank that was heard under this lease may have been given orders.
+    if (out || it != Ranks.end())
+      return std::nullopt;
+    out = rank;
+  }
+  return out;
+}
+
+/// Whether what an earlier coordinator left can be put in order: all ranks are
+/// in touch, or all but the rank that is armed last.
+bool MapSwitch::canDecide(TimePoint now) const {
+  if (!isSurveyed())
+    return false;
+  if (isComplete(now))
+    return true;
+  std::optional<unsigned> missing = missingRank(now);
+  MapVersion newest = newestVersion();
+  if (!missing || newest == MapVersion(0) || isNewestArmed())
+    return false;
+  return coordinatorOf(newest, Ranks.begin()->second.Size) == *missing;
+}
+
+/// The newest version that any rank in touch is armed for or has prepared.
+MapVersion MapSwitch::newestVersion() const {
+  MapVersion out;
+  for (const auto &[rank, status] : Ranks) {
+    if (status.Armed)
+      out = std::max(out, status.Armed->Version);
+    if (status.Prepared)
+      out = std::max(out, *status.Prepared);
+  }
+  return out;
+}
+
+/// Whether every rank in touch is armed for the newest version.
+bool MapSwitch::isNewestArmed() const {
+  MapVersion newest = newestVersion();
+  return allRanks([newest](const RankStatus &it) {
+    return it.Armed && it.Armed->Version == newest;
+  });
+}
+
 /// Whether every rank has reported since the last phase ended.
 bool MapSwitch::isSurveyed() const {
   return !SurveySince ||
@@ -198,6 +275,7 @@
   Phase = phase;
   PhaseAt = now;
   Orders.clear();
+  Stages.clear();
 }
 
 void MapSwitch::enterIdle(TimePoint now) {
@@ -230,6 +308,10 @@
       enterIdle(now);
     }
     break;
+  case SwitchPhase::Claiming:
+    if (age > Limits.PhaseTime)
+      enterIdle(now);
+    break;
   case SwitchPhase::Holding:
   case SwitchPhase::Arming:
     if (age > Limits.PhaseTime)
@@ -251,7 +333,7 @@
 
 /// Looks for what an earlier coordinator left.
 void MapSwitch::advanceIdle(TimePoint now) {
-  if (!isComplete(now) || !isSurveyed())
+  if (beginClaiming(now) || !canDecide(now))
     return;
   std::optional<StepNumber> armed;
   std::set<StepNumber> held;
@@ -277,6 +359,7 @@
 }
 
 void MapSwitch::releaseOthers(TimePoint now) {
+  IsChanging = false;
   enter(SwitchPhase::Releasing, now);
   for (const auto &[rank, status] : Ranks)
     if (status.Held && *status.Held != Step)
@@ -285,7 +368,7 @@
 
 /// Every rank holds the step: nothing can change but by this coordinator.
 void MapSwitch::advanceFrozen(TimePoint now) {
-  if (!isComplete(now) || !isSurveyed())
+  if (!canDecide(now))
     return;
   std::optional<ArmedMap> first = Ranks.begin()->second.Armed;
   bool areAlike =
@@ -293,13 +376,10 @@
   if (areAlike) {
     if (first)
       Version = first->Version;
-    release(now);
+    release(first.has_value(), now);
     return;
   }
-  enter(SwitchPhase::Disarming, now);
-  for (const auto &[rank, status] : Ranks)
-    if (status.Armed)
-      order(rank, MapOrderKind::Disarm, status.Armed->Version, Step, now);
+  beginDisarming(newestVersion(), false, now);
 }
 
 void MapSwitch::advanceConfirming(TimePoint now) {
@@ -327,7 +407,9 @@
   }
   Step = StepNumber(last.get() + Limits.StepsAhead * HoldTries);
   enter(SwitchPhase::Holding, now);
-  order(Ranks.begin()->first, MapOrderKind::Hold, Version, Step, now);
+  // Should this host freeze, others must be able to release the step.
+  unsigned holder = OwnRank == 0 && Ranks.size() > 1 ? 1 : 0;
+  order(holder, MapOrderKind::Hold, Version, Step, now);
 }
 
 void MapSwitch::orderAll(MapOrderKind kind, TimePoint now) {
@@ -360,18 +442,27 @@
 void MapSwitch::onPhaseDone(TimePoint now) {
   switch (Phase) {
   case SwitchPhase::Holding:
-    enter(SwitchPhase::Arming, now);
-    orderAll(MapOrderKind::Arm, now);
+    beginArming(now);
     break;
   case SwitchPhase::Arming:
+    if (!beginStage(now))
+      release(true, now);
+    break;
   case SwitchPhase::Disarming:
-    release(now);
+    if (!beginStage(now))
+      release(false, now);
+    break;
+  case SwitchPhase::Claiming:
+    enterIdle(now);
     break;
   case SwitchPhase::Freezing:
     SurveySince = now;
     break;
   case SwitchPhase::Releasing:
-    enter(SwitchPhase::Confirming, now);
+    if (IsChanging)
+      enter(SwitchPhase::Confirming, now);
+    else
+      enterIdle(now);
     break;
   case SwitchPhase::Idle:
   case SwitchPhase::Preparing:
@@ -380,16 +471,85 @@
   }
 }
 
-/// Disarms every rank while the step is held: all have prepared this
-/// coordinator's map, so none can be armed for another. The order also makes
-/// void what an earlier order to the same rank might still do.
-void MapSwitch::takeBack(TimePoint now) {
+/// The own rank comes last: whoever takes over knows that it is not armed while
+/// any other is not.
+void MapSwitch::beginArming(TimePoint now) {
+  enter(SwitchPhase::Arming, now);
+  std::vector<PlannedOrder> others;
+  for (const auto &[rank, status] : Ranks)
+    if (rank != OwnRank)
+      others.push_back({rank, MapOrderKind::Arm, Version});
+  std::vector<PlannedOrder> lastOther;
+  if (!others.empty()) {
+    lastOther.push_back(others.back());
+    others.pop_back();
+  }
+  Stages = {others, lastOther, {{OwnRank, MapOrderKind::Arm, Version}}};
+  beginStage(now);
+}
+
+/// Disarms ranks while the step is held; if not \p all, only those that say
+/// that they are armed. The order also makes void what an earlier order to the
+/// same rank might still do. The rank that is armed last is disarmed first.
+void MapSwitch::beginDisarming(MapVersion version, bool all, TimePoint now) {
   enter(SwitchPhase::Disarming, now);
-  orderAll(MapOrderKind::Disarm, now);
+  unsigned first = coordinatorOf(version, Ranks.begin()->second.Size);
+  std::vector<PlannedOrder> firsts;
+  std::vector<PlannedOrder> others;
+  for (const auto &[rank, status] : Ranks) {
+    if (!all && !status.Armed)
+      continue;
+    MapVersion armed = status.Armed ? status.Armed->Version : version;
+    auto &stage = rank == first ? firsts : others;
+    stage.push_back({rank, MapOrderKind::Disarm, all ? version : armed});
+  }
+  Stages = {firsts, others};
+  beginStage(now);
+}
+
+/// Claims the ranks that have had no order of this coordinator. False if there
+/// is none.
+bool MapSwitch::beginClaiming(TimePoint now) {
+  if (Ranks.empty())
+    return false;
+  FormationEpoch formation = Ranks.begin()->second.Formation;
+  if (formation != ClaimedIn)
+    Claimed.clear();
+  ClaimedIn = formation;
+  std::vector<unsigned> open;
+  for (const auto &[rank, status] : Ranks)
+    if (!Claimed.contains(rank) && status.Formation == formation)
+      open.push_back(rank);
+  if (open.empty())
+    return false;
+  Formation = formation;
+  enter(SwitchPhase::Claiming, now);
+  // No rank is ever armed for the map that it is formed with.
+  for (unsigned rank : open)
+    order(rank, MapOrderKind::Disarm, MapVersion(0), StepNumber(0), now);
+  return true;
+}
+
+/// Gives the orders of the next stage. False if there is none.
+bool MapSwitch::beginStage(TimePoint now) {
+  while (!Stages.empty()) {
+    std::vector<PlannedOrder> stage = std::move(Stages.front());
+    Stages.pop_front();
+    for (const PlannedOrder &it : stage)
+      order(it.Rank, it.Kind, it.Version, Step, now);
+    if (!stage.empty())
+      return true;
+  }
+  return false;
 }
 
+/// All ranks have prepared this coordinator's map, so none can be armed for
+/// another.
+void MapSwitch::takeBack(TimePoint now) { beginDisarming(Version, true, now); }
+
 /// A rank that holds nothing refuses, which does no harm.
-void MapSwitch::release(TimePoint now) {
+void MapSwitch::release(bool isChanging, TimePoint now) {
+  IsChanging = isChanging;
   enter(SwitchPhase::Releasing, now);
   orderAll(MapOrderKind::Release, now);
 }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -232,8 +232,10 @@
 }
 
 void RankAgent::onStatus(const RankStatus &status) {
-  if (!Member || Member->Group != status.Group)
-    join(status.Group);
+  bool isMember =
+      Member && Member->Group == status.Group && Member->Rank == status.Rank;
+  if (!isMember)
+    join(status);
   if (Member->Lease.isHeld(monotonicNow())) {
     takeStatus(status, std::nullopt);
     return;
@@ -260,11 +262,12 @@
   lookAtLease();
 }
 
-void RankAgent::join(const GroupId &group) {
-  std::string key = "ospreyspur/groups/" + Settings.Service + "/" + group.get();
+void RankAgent::join(const RankStatus &status) {
+  std::string key =
+      "ospreyspur/groups/" + Settings.Service + "/" + status.Group.get();
   Member = std::make_unique<Membership>(
-      group, LeaseHolder(key, Settings.linkListen(),
-                         makeLeaseLimits(Settings.ChecksFences)));
+      status, LeaseHolder(key, Settings.linkListen(),
+                          makeLeaseLimits(Settings.ChecksFences)));
   Switch.resign();
   // All agents of a group start together; one should be first.
   std::uniform_int_distribution<Duration::rep> spread(0, JoinSpread.count());
@@ -287,7 +290,7 @@
   }
   bool wasLeading = Switch.isLeading();
   if (lease.isHeld(now))
-    Switch.lead(lease.epoch().get());
+    Switch.lead(lease.epoch().get(), Member->Rank, now);
   else
     Switch.resign();
   if (wasLeading != Switch.isLeading())
@@ -451,6 +454,8 @@
   switch (phase) {
   case SwitchPhase::Idle:
     return "idle";
+  case SwitchPhase::Claiming:
+    return "claiming";
   case SwitchPhase::Preparing:
     return "preparing";
   case SwitchPhase::Holding:
--- a/unittests/Experts/MapSwitchTest.cpp
+++ b/unittests/Experts/MapSwitchTest.cpp
@@ -41,6 +41,7 @@
   SwitchWorld(std::uint64_t seed, Faults faults)
       : Time(seed, 0), What(faults), Group(Size, faults.ChecksFences) {
     addCoordinator();
+    LastStepAt = Time.now();
     at(Duration(0), [this] { step(); });
     at(Duration(0), [this] { report(); });
     at(Duration(0), [this] { tick(); });
@@ -50,10 +51,20 @@
 
   PlatformGroup &group() { return Group; }
   unsigned changes() const { return Changes; }
+  /// The longest time without a step.
+  Duration longestStand() const { return LongestStand; }
+  /// The coordinator's host freezes for four seconds as it gives the next order
+  /// of this kind; another takes over after half a second.
+  void freezeGiver(MapOrderKind kind) {
+    GiverFreezes = true;
+    GiverKind = kind;
+  }
 
 private:
   struct Coordinator {
     MapSwitch Switch{SwitchLimits()};
+    /// The rank on its host; that cannot be reached while the host is frozen.
+    unsigned Own = 0;
     TimePoint FrozenUntil;
     /// What came while it was frozen.
     std::vector<std::function<void()>> Waiting;
@@ -71,10 +82,22 @@
 
   void addCoordinator() {
     auto it = std::make_shared<Coordinator>();
-    it->Switch.lead(++Lease);
+    it->Own = unsigned(Time.below(Size));
+    for (unsigned i = 0; i < Size && Time.now() < wakeTime(it->Own); ++i)
+      it->Own = (it->Own + 1) % Size;
+    it->Switch.lead(++Lease, it->Own, Time.now());
     Coordinators.push_back(it);
   }
 
+  /// When the host of \p rank can be reached again.
+  TimePoint wakeTime(unsigned rank) const {
+    TimePoint out;
+    for (const auto &it : Coordinators)
+      if (it->Own == rank)
+        out = std::max(out, it->FrozenUntil);
+    return out;
+  }
+
   /// Runs \p what at \p it now, or when it wakes.
   void deliver(const std::shared_ptr<Coordinator> &it,
                std::function<void()> what) {
@@ -89,7 +112,12 @@
 
   void step() {
     MapVersion before = Group.map();
+    unsigned held = Group.heldSteps();
     Group.step(Time.now());
+    if (Group.heldSteps() == held) {
+      LongestStand = std::max(LongestStand, Time.now() - LastStepAt);
+      LastStepAt = Time.now();
+    }
     if (Group.map() > before)
       ++Changes;
     at(draw(milliseconds(30), milliseconds(90)), [this] { step(); });
@@ -98,6 +126,8 @@
   void report() {
     for (const auto &it : Coordinators)
       for (unsigned rank = 0; rank < Size; ++rank) {
+        if (Time.now() < wakeTime(rank))
+          continue;
         RankStatus status = Group.status(rank, Time.now());
         at(draw(milliseconds(1), milliseconds(5)), [this, it, rank, status] {
           deliver(it, [this, it, rank, status] {
@@ -144,14 +174,31 @@
     bool isLate = chance(What.LateOrders);
     Duration after = isLate ? draw(seconds(2), seconds(12))
                             : draw(milliseconds(1), milliseconds(8));
-    at(after, [this, from, rank, order, isLate] {
-      MapOrderReply reply{order.Id, Group.take(rank, order, Time.now())};
-      if (isLate || chance(What.LostReplies))
-        return;
-      at(draw(milliseconds(1), milliseconds(8)), [this, from, rank, reply] {
-        deliver(from, [this, from, rank, reply] {
-          send(from, from->Switch.onReply(rank, reply, Time.now()));
-        });
+    if (GiverFreezes && order.Kind == GiverKind) {
+      GiverFreezes = false;
+      from->FrozenUntil = Time.now() + seconds(4);
+      at(milliseconds(500), [this] { addCoordinator(); });
+    }
+    at(after,
+       [this, from, rank, order, isLate] { take(from, rank, order, isLate); });
+  }
+
+  /// The order has come to the host of \p rank.
+  void take(const std::shared_ptr<Coordinator> &from, unsigned rank,
+            const MapOrder &order, bool isLate) {
+    TimePoint wake = wakeTime(rank);
+    if (Time.now() < wake) {
+      Time.at(wake, [this, from, rank, order, isLate] {
+        take(from, rank, order, isLate);
+      });
+      return;
+    }
+    MapOrderReply reply{order.Id, Group.take(rank, order, Time.now())};
+    if (isLate || chance(What.LostReplies))
+      return;
+    at(draw(milliseconds(1), milliseconds(8)), [this, from, rank, reply] {
+      deliver(from, [this, from, rank, reply] {
+        send(from, from->Switch.onReply(rank, reply, Time.now()));
       });
     });
   }
@@ -162,6 +209,10 @@
   std::uint64_t Lease = 0;
   std::vector<std::shared_ptr<Coordinator>> Coordinators;
   unsigned Changes = 0;
+  bool GiverFreezes = false;
+  MapOrderKind GiverKind = MapOrderKind::Arm;
+  TimePoint LastStepAt;
+  Duration LongestStand{};
 };
 } // namespace
 
@@ -219,3 +270,25 @@
           900);
   }
 }
+
+TEST_CASE("a group stands for a second at most when its coordinator freezes") {
+  for (MapOrderKind kind : {MapOrderKind::Hold, MapOrderKind::Arm}) {
+    unsigned longStands = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+      INFO("seed " << seed);
+      SwitchWorld world(seed, {});
+      world.run(seconds(5));
+      world.freezeGiver(kind);
+      world.run(seconds(15));
+      CHECK(world.group().mixedSteps() == 0);
+      longStands += world.longestStand() > seconds(1) ? 1 : 0;
+      // Changes go on after it has woken.
+      unsigned before = world.changes();
+      world.run(seconds(10));
+      CHECK(world.changes() > before);
+    }
+    // Where every rank but the coordinator's own was armed, nobody can know
+    // whether that one is.
+    CHECK(longStands <= 3);
+  }
+}
