--- a/include/ospreyspur/Experts/RankStatus.h
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace ospreyspur {
@@ -57,6 +58,8 @@
   std::vector<std::uint64_t> Counts;
   /// The experts that it holds under Map.
   RankPlacement Placement;
+  /// Where it takes orders; set by the agent on its host.
+  std::string Endpoint;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -69,6 +69,7 @@
                                        unsigned rank, MapOrder order);
   void apply(const SwitchActions &actions);
   void perform(const SendMapOrder &action);
+  std::shared_ptr<RankLink> holdLink(const SendMapOrder &action);
   void considerPlan();
   void readFigures();
   void logPhase();
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -227,6 +227,7 @@
                               .with("open", status.value().IsOpen)
                               .with("map", status.value().Map.get());
   Own = status.value();
+  Own->Endpoint = Settings.EndpointAddress;
   if (!Own->Group.get().empty())
     onStatus(*Own);
 }
@@ -348,12 +349,33 @@
   auto far = FarRanks.find(action.Rank);
   if (Own && Own->Rank == action.Rank)
     spawn(giveOwn(action.Rank, action.Order));
+  else if (std::shared_ptr<RankLink> direct = holdLink(action))
+    spawn(giveFar(std::move(direct), action.Rank, action.Order));
   else if (far != FarRanks.end() && !isHeard(action.Rank, monotonicNow()))
     spawn(giveFar(far->second, action.Rank, action.Order));
   else if (link != Links.end())
     Server.send(link->second, action.Order);
 }
 
+/// The link over which a change's first hold goes; null for other orders. A
+/// host that froze as it passed the order on would keep its rank, which holds
+/// the step, out of reach: the order goes to the rank itself, though that is
+/// paid for. If this host freezes instead, others can release the step.
+std::shared_ptr<RankLink> RankAgent::holdLink(const SendMapOrder &action) {
+  bool isFirstHold = action.Order.Kind == MapOrderKind::Hold &&
+                     Switch.phase() == SwitchPhase::Holding;
+  auto status = Switch.ranks().find(action.Rank);
+  if (!isFirstHold || status == Switch.ranks().end())
+    return nullptr;
+  Result<TcpAddress> address = parseAddress(status->second.Endpoint);
+  if (!address)
+    return nullptr;
+  std::shared_ptr<RankLink> &link = FarLinks[address.value()];
+  if (!link)
+    link = std::make_shared<RankLink>(Context, address.value());
+  return link;
+}
+
 asio::awaitable<void> RankAgent::giveOwn(unsigned rank, MapOrder order) {
   MapOrderReply reply;
   reply.Id = order.Id;
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -323,6 +323,7 @@
     out->set_held(in.Held->get());
   out->mutable_counts()->Add(in.Counts.begin(), in.Counts.end());
   put(in.Placement, out->mutable_placement());
+  out->set_endpoint(in.Endpoint);
 }
 
 static std::optional<Message> get(const wire::RankReport &in) {
@@ -343,6 +344,7 @@
     out.Held = StepNumber(in.held());
   out.Counts.assign(in.counts().begin(), in.counts().end());
   out.Placement = get(in.placement());
+  out.Endpoint = in.endpoint();
   return out;
 }
 
