--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -84,6 +84,12 @@
   CallId Call;
 };
 
+/// Break the attempt under way off: it cannot end in time where it is, and
+/// there is room elsewhere.
+struct StopAttempt {
+  CallId Call;
+};
+
 /// Ask this endpoint for its condition.
 struct AskEndpoint {
   EndpointRecord Endpoint;
@@ -101,7 +107,7 @@
 
 /// One output of the direct path's state machine.
 using DirectAction =
-    std::variant<StartAttempt, EndCall, PassOnAnswer, AskEndpoint>;
+    std::variant<StartAttempt, EndCall, PassOnAnswer, AskEndpoint, StopAttempt>;
 using DirectActions = std::vector<DirectAction>;
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -68,7 +68,7 @@
   /// The first byte of the answer came.
   DirectActions onFirstByte(CallId id, TimePoint now);
   /// Events of the answer came; onFirstByte() came before.
-  void onEvents(CallId id, TimePoint now);
+  DirectActions onEvents(CallId id, TimePoint now);
   /// The attempt under way has ended.
   DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
   /// What an endpoint told that was asked; nothing if it did not answer.
@@ -105,6 +105,9 @@
     /// When the attempt under way began, and when it last got something.
     TimePoint SentAt;
     TimePoint HeardAt;
+    /// Times that something of the answer came.
+    unsigned Parts = 0;
+    bool IsStopping = false;
     /// Silence for which the attempt is to be given up.
     Duration Silence{};
     bool HasFirstByte = false;
@@ -134,6 +137,7 @@
                TimePoint now) const;
   bool canFinish(const EndpointState &state, const Call &call,
                  TimePoint now) const;
+  bool shouldMove(const Call &call, TimePoint now);
   double costOf(const EndpointState &state, const Call &call,
                 TimePoint now) const;
   ServiceId pickService(const RouteRule &route);
--- a/include/ospreyspur/Direct/RetryWindow.h
+++ b/include/ospreyspur/Direct/RetryWindow.h
@@ -39,6 +39,8 @@
   /// Takes one repeat from the share of one of \p entries entries; false if
   /// there is none.
   bool spend(const ServiceId &service, std::size_t entries, TimePoint now);
+  /// Whether spend() would take one now.
+  bool canSpend(const ServiceId &service, std::size_t entries, TimePoint now);
 
 private:
   /// Kept below the bound, as the entries' windows are not the observer's.
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -49,6 +49,7 @@
                                        StartAttempt order);
   void apply(DirectActions actions);
   void perform(AskEndpoint &action);
+  void perform(StopAttempt &action);
   /// Hands an action of a call to its coroutine.
   template <typename Action> void perform(Action &action) {
     auto it = Calls.find(action.Call);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -58,13 +58,32 @@
   return takeActions();
 }
 
-void DirectNode::onEvents(CallId id, TimePoint now) {
+DirectActions DirectNode::onEvents(CallId id, TimePoint now) {
   auto it = Calls.find(id);
   if (it == Calls.end() || !it->second.Current)
-    return;
-  Duration gap = now - std::exchange(it->second.HeardAt, now);
+    return takeActions();
+  Call &call = it->second;
+  ++call.Parts;
+  Duration gap = now - std::exchange(call.HeardAt, now);
   if (gap > Duration::zero())
-    Book.onEvents(*it->second.Current, gap, now);
+    Book.onEvents(*call.Current, gap, now);
+  if (!call.IsStopping && shouldMove(call, now)) {
+    call.IsStopping = true;
+    Out.emplace_back(std::in_place_type<StopAttempt>, id);
+  }
+  return takeActions();
+}
+
+/// Whether a stream would not end in time where it is, and has room elsewhere.
+bool DirectNode::shouldMove(const Call &call, TimePoint now) {
+  const RouteRule &route = *call.Request.Route;
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  bool mayMove = route.IsResumable && call.Attempts < route.Attempts;
+  const EndpointState *state = Book.find(*call.Current);
+  if (!mayMove || !service || !service->Engine || !state)
+    return false;
+  return !canFinish(*state, call, now) && pick(call, now) &&
+         Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
 }
 
 void DirectNode::noteFirstByte(const Call &call, TimePoint now) {
@@ -203,6 +222,7 @@
   ++call.Attempts;
   ++call.Arrivals;
   call.Current = state->Record.Id;
+  call.IsStopping = false;
   call.SentAt = now;
   call.HeardAt = now;
   call.Silence = silenceFor(call);
@@ -326,8 +346,8 @@
   return Book.totalLoad(state, now).Running < limit;
 }
 
-/// Whether a usual answer would be whole within the call's time: where it would
-/// not, the request only makes others slower.
+/// Whether the rest of a usual answer would come within the call's time: where
+/// it would not, the request only makes others slower.
 bool DirectNode::canFinish(const EndpointState &state, const Call &call,
                            TimePoint now) const {
   const ServiceRule *service = call.Request.Config->findService(call.Service);
@@ -335,8 +355,9 @@
   unsigned tokens = engine.UsualAnswer;
   if (call.Request.Tokens.Answer > 0)
     tokens = std::min(tokens, call.Request.Tokens.Answer);
-  Duration pass = Book.gapOf(state, now);
-  return pass * tokens / engine.StepsPerPass < call.Deadline - now;
+  // At least one more is always to come.
+  unsigned parts = std::max(tokens / engine.StepsPerPass, call.Parts + 1);
+  return Book.gapOf(state, now) * (parts - call.Parts) < call.Deadline - now;
 }
 
 /// How long a pass of an endpoint's group takes and what the load there adds,
--- a/lib/Direct/RetryWindow.cpp
+++ b/lib/Direct/RetryWindow.cpp
@@ -16,15 +16,20 @@
   counts.Requests.push_back(now);
 }
 
-bool RetryWindow::spend(const ServiceId &service, std::size_t entries,
-                        TimePoint now) {
+bool RetryWindow::canSpend(const ServiceId &service, std::size_t entries,
+                           TimePoint now) {
   Counts &counts = Services[service];
   forget(counts, now);
   double share = Bounds.Allowance / double(std::max<std::size_t>(entries, 1));
   double allowed = Bounds.Ratio * double(counts.Requests.size()) + share;
-  if (double(counts.Repeats.size()) + 1 > SafePart * allowed)
+  return double(counts.Repeats.size()) + 1 <= SafePart * allowed;
+}
+
+bool RetryWindow::spend(const ServiceId &service, std::size_t entries,
+                        TimePoint now) {
+  if (!canSpend(service, entries, now))
     return false;
-  counts.Repeats.push_back(now);
+  Services[service].Repeats.push_back(now);
   return true;
 }
 
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -243,10 +243,14 @@
     TimePoint now = monotonicNow();
     if (!call.FirstByte)
       call.FirstByte = now;
-    if (std::exchange(isFirst, false))
+    if (std::exchange(isFirst, false)) {
       apply(Node.onFirstByte(id, now));
-    else
-      Node.onEvents(id, now);
+      return;
+    }
+    // Most events change nothing that other entries need to know.
+    DirectActions actions = Node.onEvents(id, now);
+    if (!actions.empty())
+      apply(std::move(actions));
   };
   DirectAttempt running(Pool, exchange, call, order, onData);
   AttemptEnd end = co_await running.run();
@@ -268,6 +272,19 @@
   asio::co_spawn(Context, askEndpoint(action.Endpoint), asio::detached);
 }
 
+/// The attempt ends as broken off and goes on elsewhere.
+void DirectTraffic::perform(StopAttempt &action) {
+  auto it = Calls.find(action.Call);
+  if (it == Calls.end() || !it->second->Connection)
+    return;
+  Measures.count("streams_moved_total");
+  LOG(INFO) << LogEvent("request.moved")
+                   .with("id", it->second->Request.Label)
+                   .with("endpoints", it->second->Endpoints)
+                   .with("reason", "too_slow");
+  it->second->Connection->Stream.close();
+}
+
 asio::awaitable<void> DirectTraffic::askEndpoint(EndpointRecord endpoint) {
   RankLink link(Context, endpoint.Address);
   Result<RankStatus> status = co_await link.readReport();
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -273,6 +273,29 @@
   CHECK(other.start(10) == slow);
 }
 
+TEST_CASE("a stream that cannot end in time where it is goes on elsewhere") {
+  TwoGroupWorld world;
+  std::string slow = world.start(1);
+  std::string sound = world.start(2);
+  world.Node.onFirstByte(CallId(1), world.Now);
+  world.Node.onFirstByte(CallId(2), world.Now);
+  std::optional<TimePoint> movedAt;
+  for (unsigned i = 1; i <= 80 && !movedAt; ++i) {
+    world.Now += milliseconds(50);
+    CHECK(world.Node.onEvents(CallId(2), world.Now).empty());
+    if (i % 12 == 0 &&
+        countOf<StopAttempt>(world.Node.onEvents(CallId(1), world.Now)) > 0)
+      movedAt = world.Now;
+  }
+  REQUIRE(movedAt.has_value());
+  // It is broken off once only, and resumed in the sound group.
+  CHECK(countOf<StopAttempt>(world.Node.onEvents(CallId(1), world.Now)) == 0);
+  DirectActions next = world.end(1, AttemptEnd::BrokeOff);
+  REQUIRE(only<StartAttempt>(next));
+  CHECK(only<StartAttempt>(next)->Endpoint.Id.get().substr(0, 1) == sound);
+  CHECK(sound != slow);
+}
+
 TEST_CASE("a group whose streams all stand gets nothing new at once") {
   TwoGroupWorld world;
   std::string standing = world.start(1);
