--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -175,6 +175,8 @@
 
   SwitchLimits Limits;
   bool IsLeading = false;
+  /// Whether a higher token was met under Lease.
+  bool IsFenced = false;
   std::uint64_t Lease = 0;
   unsigned OwnRank = 0;
   std::uint64_t LastOrder = 0;
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -17,13 +17,16 @@
 
 void MapSwitch::lead(std::uint64_t lease, unsigned ownRank, TimePoint now) {
   // Whoever was refused for a higher token never leads under that lease again.
-  if (Lease == lease)
+  if (Lease == lease && (IsLeading || IsFenced))
     return;
+  // Tokens go on where they were if the lease is the same.
+  if (Lease != lease)
+    LastOrder = 0;
   OwnRank = ownRank;
   LeadingSince = now;
   IsLeading = true;
+  IsFenced = false;
   Lease = lease;
-  LastOrder = 0;
   // What a predecessor left shows in the ranks' next statuses.
   Phase = SwitchPhase::Idle;
   SurveySince.reset();
@@ -77,6 +80,7 @@
     // Sent again by the timer.
     return takeActions();
   case MapOrderResult::Fenced:
+    IsFenced = true;
     resign();
     return takeActions();
   case MapOrderResult::Done:
--- a/unittests/Experts/MapSwitchTest.cpp
+++ b/unittests/Experts/MapSwitchTest.cpp
@@ -292,3 +292,66 @@
     CHECK(longStands <= 3);
   }
 }
+
+namespace {
+/// A switch that knows both ranks of a group.
+class TwoRankSwitch {
+public:
+  TwoRankSwitch() : Group(2, true) {}
+
+  /// Leads under \p lease and has both ranks answer until nothing is to do.
+  void lead(std::uint64_t lease) {
+    Switch.lead(lease, 0, Now);
+    for (unsigned i = 0; i < 8; ++i)
+      report();
+  }
+
+  /// Gives the ranks what is in \p actions, and the switch their answers.
+  void give(const SwitchActions &actions) {
+    for (const SendMapOrder &it : actions) {
+      LastFence = std::max(LastFence, it.Order.Fence);
+      MapOrderReply reply{it.Order.Id, Group.take(it.Rank, it.Order, Now)};
+      give(Switch.onReply(it.Rank, reply, Now));
+    }
+  }
+
+  MapSwitch Switch{SwitchLimits()};
+  PlatformGroup Group;
+  TimePoint Now{seconds(100)};
+  FencingToken LastFence;
+
+private:
+  void report() {
+    Now += milliseconds(60);
+    for (unsigned rank = 0; rank < 2; ++rank)
+      give(Switch.onStatus(rank, Group.status(rank, Now), Now, Now));
+  }
+};
+} // namespace
+
+TEST_CASE("a coordinator that doubted its lease leads on with it") {
+  TwoRankSwitch world;
+  world.lead(1);
+  CHECK(world.Switch.canBegin(world.Now));
+  FencingToken before = world.LastFence;
+  world.Switch.resign();
+  CHECK_FALSE(world.Switch.canBegin(world.Now));
+  world.lead(1);
+  CHECK(world.Switch.isLeading());
+  CHECK(world.Switch.canBegin(world.Now));
+  // What it ordered before is void.
+  CHECK(world.LastFence > before);
+}
+
+TEST_CASE("a coordinator that met a higher token never leads under its lease") {
+  TwoRankSwitch world;
+  world.lead(1);
+  MapOrder other;
+  other.Formation = FormationEpoch(1);
+  other.Fence = FencingToken(~0ULL);
+  world.Group.take(1, other, world.Now);
+  world.give(world.Switch.begin(GroupPlacement(2, {{1}}), world.Now));
+  CHECK_FALSE(world.Switch.isLeading());
+  world.lead(1);
+  CHECK_FALSE(world.Switch.isLeading());
+}
