--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -27,12 +27,17 @@
 /// Watchers of the store in one data centre; each costs two calls in 1.5 s.
 static constexpr std::size_t WatchersPerDataCentre = 8;
 
+/// Longest pause between two tries while the store does not answer: three
+/// seconds after its return a process has to know what it missed.
+static constexpr Duration LongestPause = std::chrono::milliseconds(1000);
+
 GossipLimits ospreyspur::makeDirectGossipLimits() {
   GossipLimits limits;
   limits.WatchersPerDataCentre = WatchersPerDataCentre;
   // A watch whose answer is lost must end within the time in which a process
   // has to be in touch again; each watch is one call that is paid for.
   limits.WatchWait = std::chrono::milliseconds(1500);
+  limits.Follower.MaxPause = LongestPause;
   return limits;
 }
 
--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -191,3 +191,15 @@
     CHECK(node.isWatcher());
   }
 }
+
+TEST_CASE("an entry asks a store that was out again within a second") {
+  KeyFollower follower("k", makeDirectGossipLimits().Follower);
+  TimePoint now{std::chrono::hours(1)};
+  // Refused for ten seconds, then the store is back.
+  TimePoint back = now + std::chrono::seconds(10);
+  for (; now < back; now = std::max(now, follower.resumeAt())) {
+    REQUIRE(follower.nextCall(Duration::zero(), now).has_value());
+    follower.onReply({ResultCode::PlatformRefused, {}, {}}, now);
+  }
+  CHECK(now - back <= std::chrono::seconds(1));
+}
