--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -41,8 +41,9 @@
   double SilenceFactor = 4;
   Duration MinSilence = std::chrono::milliseconds(900);
   Duration MaxSilence = std::chrono::milliseconds(1800);
-  /// Pause in a group's streams from which on it is slow: passes of a full group
-  /// with a map that does not fit take up to 170 ms on the users' platform.
+  /// Pause in a group's streams from which on it is slow: passes of a full
+  /// group with a map that does not fit take up to 170 ms on the users'
+  /// platform.
   Duration SlowGap = std::chrono::milliseconds(250);
   /// How long an endpoint that answered counts as serving.
   Duration ProvenTime = std::chrono::seconds(2);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -69,7 +69,7 @@
     Book.onEvents(*call.Current, gap, now);
   if (!call.IsStopping && shouldMove(call, now)) {
     call.IsStopping = true;
-    Out.emplace_back(std::in_place_type<StopAttempt>, id);
+    Out.emplace_back(StopAttempt{id});
   }
   return takeActions();
 }
@@ -131,7 +131,7 @@
   case AttemptEnd::Failed:
     if (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now))
       break;
-    Out.emplace_back(std::in_place_type<PassOnAnswer>, id);
+    Out.emplace_back(PassOnAnswer{id});
     break;
   case AttemptEnd::Lost:
     call.MayHaveRun = true;
@@ -165,7 +165,7 @@
 
 void DirectNode::ask(TimePoint now) {
   for (EndpointRecord &it : Book.takeQuestions(now))
-    Out.emplace_back(std::in_place_type<AskEndpoint>, std::move(it));
+    Out.emplace_back(AskEndpoint{std::move(it)});
 }
 
 DirectActions DirectNode::onCallGone(CallId id, TimePoint now) {
@@ -228,8 +228,8 @@
   call.Silence = silenceFor(call);
   call.Tried.insert(state->Record.Id);
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
-  Out.emplace_back(std::in_place_type<StartAttempt>, call.Request.Id,
-                   state->Record, call.Deadline, call.Attempts, call.Silence);
+  Out.emplace_back(StartAttempt{call.Request.Id, state->Record, call.Deadline,
+                                call.Attempts, call.Silence});
   return true;
 }
 
@@ -273,7 +273,7 @@
 
 void DirectNode::end(Call &call, ResultCode code, Duration retryAfter) {
   CallId id = call.Request.Id;
-  Out.emplace_back(std::in_place_type<EndCall>, id, code, retryAfter);
+  Out.emplace_back(EndCall{id, code, retryAfter});
   Waiting.erase({call.Request.Priority, call.Arrived, id});
   Calls.erase(id);
 }
