--- a/unittests/Direct/EndpointListTest.cpp
+++ b/unittests/Direct/EndpointListTest.cpp
@@ -73,6 +73,7 @@
 TEST_CASE("the endpoint list survives its document") {
   std::vector<EndpointRecord> records = makeRecords(3);
   records[1].IsLeaving = true;
+  records[2].TellsState = true;
   Result<std::vector<EndpointRecord>> read =
       parseEndpoints(formatEndpoints(records));
   REQUIRE(read);
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -59,6 +59,18 @@
   }
 }
 
+TEST_CASE("only endpoints that tell a stage can be asked for their condition") {
+  KvItem row;
+  row.Key = std::string(platform::EndpointPrefix) + "i-1";
+  const std::string common =
+      R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":12)";
+  row.Value = common + "}";
+  REQUIRE(platform::readEndpoint(row));
+  CHECK_FALSE(platform::readEndpoint(row).value().TellsState);
+  row.Value = common + R"(,"stage":"mixed"})";
+  CHECK(platform::readEndpoint(row).value().TellsState);
+}
+
 TEST_CASE("damaged messages are errors and never more") {
   const std::string report =
       R"({"group":{"name":"g","epoch":1,"rank":2,"state":"open"},"size":8,)"
