--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -131,6 +131,9 @@
   const std::map<unsigned, RankStatus> &ranks() const { return Ranks; }
 
 private:
+  /// Room for the orders of one lease holder below its number in a token.
+  static constexpr unsigned OrderBits = 20;
+
   struct Pending {
     MapOrder Order;
     TimePoint SentAt;
@@ -157,6 +160,7 @@
   MapVersion newestVersion() const;
   bool isNewestArmed() const;
   MapVersion nextVersion();
+  static unsigned coordinatorOf(MapVersion version, std::size_t size);
   void beginArming(TimePoint now);
   void beginDisarming(MapVersion version, bool all, TimePoint now);
   bool beginStage(TimePoint now);
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -12,9 +12,6 @@
 
 using namespace ospreyspur;
 
-/// Room for the orders of one lease holder below its number in a token.
-static constexpr unsigned OrderBits = 20;
-
 void MapSwitch::lead(std::uint64_t lease, unsigned ownRank, TimePoint now) {
   // Whoever was refused for a higher token never leads under that lease again.
   if (Lease == lease && (IsLeading || IsFenced))
@@ -175,7 +172,7 @@
 }
 
 /// The rank of the coordinator that gave out \p version in a group of \p size.
-static unsigned coordinatorOf(MapVersion version, std::size_t size) {
+unsigned MapSwitch::coordinatorOf(MapVersion version, std::size_t size) {
   std::uint64_t order = version.get() & ((1ULL << OrderBits) - 1);
   return static_cast<unsigned>(order % size);
 }
@@ -207,60 +204,6 @@
   });
 }
 
-/// The rank out of reach, if it is a single one and all others are in touch.
-std::optional<unsigned> MapSwitch::missingRank(TimePoint now) const {
-  if (Ranks.empty() || now - LeadingSince < Limits.MissingAfter)
-    return std::nullopt;
-  const RankStatus &any = Ranks.begin()->second;
-  std::optional<unsigned> out;
-  for (unsigned rank = 0; rank < any.Size; ++rank) {
-    auto it = Ranks.find(rank);
-    bool isHeard =
-        it != Ranks.end() && now - SeenAt.at(rank) < Limits.StatusAge;
-    if (isHeard && it->second.Formation == any.Formation && it->second.IsOpen)
-      continue;
-    // A rank that was heard under this lease may have been given orders.
-    if (out || it != Ranks.end())
-      return std::nullopt;
-    out = rank;
-  }
-  return out;
-}
-
-/// Whether what an earlier coordinator left can be put in order: all ranks are
-/// in touch, or all but the rank that is armed last.
-bool MapSwitch::canDecide(TimePoint now) const {
-  if (!isSurveyed())
-    return false;
-  if (isComplete(now))
-    return true;
-  std::optional<unsigned> missing = missingRank(now);
-  MapVersion newest = newestVersion();
-  if (!missing || newest == MapVersion(0) || isNewestArmed())
-    return false;
-  return coordinatorOf(newest, Ranks.begin()->second.Size) == *missing;
-}
-
-/// The newest version that any rank in touch is armed for or has prepared.
-MapVersion MapSwitch::newestVersion() const {
-  MapVersion out;
-  for (const auto &[rank, status] : Ranks) {
-    if (status.Armed)
-      out = std::max(out, status.Armed->Version);
-    if (status.Prepared)
-      out = std::max(out, *status.Prepared);
-  }
-  return out;
-}
-
-/// Whether every rank in touch is armed for the newest version.
-bool MapSwitch::isNewestArmed() const {
-  MapVersion newest = newestVersion();
-  return allRanks([newest](const RankStatus &it) {
-    return it.Armed && it.Armed->Version == newest;
-  });
-}
-
 /// Whether every rank has reported since the last phase ended.
 bool MapSwitch::isSurveyed() const {
   return !SurveySince ||
@@ -335,57 +278,6 @@
   }
 }
 
-/// Looks for what an earlier coordinator left.
-void MapSwitch::advanceIdle(TimePoint now) {
-  if (beginClaiming(now) || !canDecide(now))
-    return;
-  std::optional<StepNumber> armed;
-  std::set<StepNumber> held;
-  for (const auto &[rank, status] : Ranks) {
-    if (status.Armed)
-      armed = armed ? std::min(*armed, status.Armed->Step) : status.Armed->Step;
-    if (status.Held)
-      held.insert(*status.Held);
-  }
-  if (!armed && held.empty())
-    return;
-  Formation = Ranks.begin()->second.Formation;
-  BeganAt = now;
-  Step = armed ? *armed : *held.begin();
-  // A rank holds one step only: others make way for the one that matters.
-  held.erase(Step);
-  if (!held.empty()) {
-    releaseOthers(now);
-    return;
-  }
-  enter(SwitchPhase::Freezing, now);
-  orderAll(MapOrderKind::Hold, now);
-}
-
-void MapSwitch::releaseOthers(TimePoint now) {
-  IsChanging = false;
-  enter(SwitchPhase::Releasing, now);
-  for (const auto &[rank, status] : Ranks)
-    if (status.Held && *status.Held != Step)
-      order(rank, MapOrderKind::Release, Version, *status.Held, now);
-}
-
-/// Every rank holds the step: nothing can change but by this coordinator.
-void MapSwitch::advanceFrozen(TimePoint now) {
-  if (!canDecide(now))
-    return;
-  std::optional<ArmedMap> first = Ranks.begin()->second.Armed;
-  bool areAlike =
-      allRanks([&](const RankStatus &it) { return it.Armed == first; });
-  if (areAlike) {
-    if (first)
-      Version = first->Version;
-    release(first.has_value(), now);
-    return;
-  }
-  beginDisarming(newestVersion(), false, now);
-}
-
 void MapSwitch::advanceConfirming(TimePoint now) {
   bool isInForce = allRanks(
       [this](const RankStatus &it) { return it.Map == Version && !it.Armed; });
@@ -511,29 +403,6 @@
   beginStage(now);
 }
 
-/// Claims the ranks that have had no order of this coordinator. False if there
-/// is none.
-bool MapSwitch::beginClaiming(TimePoint now) {
-  if (Ranks.empty())
-    return false;
-  FormationEpoch formation = Ranks.begin()->second.Formation;
-  if (formation != ClaimedIn)
-    Claimed.clear();
-  ClaimedIn = formation;
-  std::vector<unsigned> open;
-  for (const auto &[rank, status] : Ranks)
-    if (!Claimed.contains(rank) && status.Formation == formation)
-      open.push_back(rank);
-  if (open.empty())
-    return false;
-  Formation = formation;
-  enter(SwitchPhase::Claiming, now);
-  // No rank is ever armed for the map that it is formed with.
-  for (unsigned rank : open)
-    order(rank, MapOrderKind::Disarm, MapVersion(0), StepNumber(0), now);
-  return true;
-}
-
 /// Gives the orders of the next stage. False if there is none.
 bool MapSwitch::beginStage(TimePoint now) {
   while (!Stages.empty()) {
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -7,8 +7,6 @@
 #include "ospreyspur/Process/RankAgent.h"
 
 #include "ospreyspur/Support/LogEvent.h"
-#include "platform/ConfigWire.h"
-#include "platform/EndpointWire.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -27,36 +25,11 @@
 /// Over which the agents of a group that start together spread their first look
 /// at its lease; a look takes some 5 ms.
 static constexpr Duration JoinSpread = std::chrono::milliseconds(100);
-/// Between two plans.
-static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
 /// How long a coordinator leads a group of which it does not hear every rank.
 static constexpr Duration MaxIncomplete = std::chrono::milliseconds(2000);
 /// How long a coordinator that took over has before another one tries.
 static constexpr Duration TakeoverTime = std::chrono::milliseconds(1500);
-/// After this time without a report an agent's rank is reached directly.
-static constexpr Duration SilenceOfAgent = std::chrono::milliseconds(400);
-/// Failed reads for each line in the log.
-static constexpr int UnreachableOneIn = 10;
-/// Between two reads of ranks whose agents are silent.
-static constexpr Duration ReachEvery = std::chrono::milliseconds(200);
-/// How old a rank's report may be when asked from another host: the engines
-/// state 200 ms; taken with a margin.
-static constexpr Duration FarReportLag = std::chrono::milliseconds(300);
-/// Between two lines in the log about a group.
-static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
-static constexpr Duration FiguresRetry = std::chrono::seconds(1);
-/// Skew that a change must save: below, copying costs more than it gains.
-static constexpr double MinSkewGain = 0.2;
-/// Experts that one change may bring to a rank; each takes 0.15 s on the
-/// users' links.
-static constexpr std::size_t NewPerRank = 1;
-static constexpr double MinCopyGain = 0.04;
-/// From this skew on, that of a group that was just formed, steps are so slow
-/// that a change should bring more.
-static constexpr double HighSkew = 2.5;
-static constexpr std::size_t NewPerRankIfHigh = 2;
-
 static LeaseLimits makeLeaseLimits(bool checksFences) {
   LeaseLimits limits;
   limits.Span = std::chrono::seconds(3);
@@ -141,69 +114,6 @@
   lookAtLease();
 }
 
-bool RankAgent::isHeard(unsigned rank, TimePoint now) const {
-  auto it = HeardAt.find(rank);
-  return it != HeardAt.end() && now - it->second < SilenceOfAgent;
-}
-
-/// An agent that froze or died must not keep its group from changing maps, nor
-/// leave a step held: its rank is read and ordered from here.
-void RankAgent::reachSilentRanks(TimePoint now) {
-  if (!Own || now < NextReach)
-    return;
-  bool areAllHeard = true;
-  for (unsigned rank = 0; rank < Own->Size; ++rank)
-    areAllHeard = areAllHeard && isHeard(rank, now);
-  if (areAllHeard)
-    return;
-  NextReach = now + ReachEvery;
-  spawn(findRanks());
-}
-
-asio::awaitable<void> RankAgent::findRanks() {
-  KvCall call = KvList{platform::EndpointPrefix, true};
-  KvReply reply = co_await Platform.ask(std::move(call), CallTimeout);
-  // Without an answer the ways found before are tried.
-  for (const KvItem &it : reply.Items) {
-    Result<EndpointRecord> record = platform::readEndpoint(it);
-    if (!record || record.value().Service.get() != Settings.Service)
-      continue;
-    TcpAddress address = record.value().Address;
-    if (!FarLinks.contains(address))
-      FarLinks[address] = std::make_shared<RankLink>(Context, address);
-  }
-  for (const auto &[address, link] : FarLinks)
-    spawn(readFar(link));
-}
-
-asio::awaitable<void> RankAgent::readFar(std::shared_ptr<RankLink> link) {
-  Result<RankStatus> status = co_await link->readStatus(false);
-  TimePoint now = monotonicNow();
-  if (!status) {
-    LOG_EVERY_N(WARNING, UnreachableOneIn)
-        << LogEvent("rank.unreachable").with("detail", status.error().Detail);
-    co_return;
-  }
-  bool isOurs = Member && status.value().Group == Member->Group;
-  if (!isOurs || isHeard(status.value().Rank, now))
-    co_return;
-  unsigned rank = status.value().Rank;
-  LOG_IF(INFO, !FarRanks.contains(rank))
-      << LogEvent("rank.reached")
-             .with("rank", rank)
-             .with("step", status.value().Step.get());
-  FarRanks[rank] = link;
-  apply(Switch.onStatus(rank, status.value(), now - FarReportLag, now));
-}
-
-asio::awaitable<void> RankAgent::giveFar(std::shared_ptr<RankLink> link,
-                                         unsigned rank, MapOrder order) {
-  MapOrderReply reply;
-  reply.Id = order.Id;
-  reply.Result = co_await link->give(std::move(order));
-  apply(Switch.onReply(rank, reply, monotonicNow()));
-}
-
 asio::awaitable<void> RankAgent::readRank() {
   IsReading = true;
   TimePoint now = monotonicNow();
@@ -357,25 +267,6 @@
     Server.send(link->second, action.Order);
 }
 
-/// The link over which a change's first hold goes; null for other orders. A
-/// host that froze as it passed the order on would keep its rank, which holds
-/// the step, out of reach: the order goes to the rank itself, though that is
-/// paid for. If this host freezes instead, others can release the step.
-std::shared_ptr<RankLink> RankAgent::holdLink(const SendMapOrder &action) {
-  bool isFirstHold = action.Order.Kind == MapOrderKind::Hold &&
-                     Switch.phase() == SwitchPhase::Holding;
-  auto status = Switch.ranks().find(action.Rank);
-  if (!isFirstHold || status == Switch.ranks().end())
-    return nullptr;
-  Result<TcpAddress> address = parseAddress(status->second.Endpoint);
-  if (!address)
-    return nullptr;
-  std::shared_ptr<RankLink> &link = FarLinks[address.value()];
-  if (!link)
-    link = std::make_shared<RankLink>(Context, address.value());
-  return link;
-}
-
 asio::awaitable<void> RankAgent::giveOwn(unsigned rank, MapOrder order) {
   MapOrderReply reply;
   reply.Id = order.Id;
@@ -394,119 +285,3 @@
   if (!IsReading)
     co_await readRank();
 }
-
-void RankAgent::readFigures() {
-  TimePoint now = monotonicNow();
-  if (now < NextFigures)
-    return;
-  NextFigures = now + FiguresRetry;
-  KvCall call = KvGet{platform::ConfigDocumentKey, true};
-  Platform.call(std::move(call), CallTimeout, [this](const KvReply &reply) {
-    if (reply.Code != ResultCode::Ok)
-      return;
-    Result<FleetConfig> config = platform::readConfig(reply.Value);
-    const ServiceRule *service =
-        config ? config.value().findService(ServiceId(Settings.Service))
-               : nullptr;
-    if (service)
-      Figures = service->Engine;
-  });
-}
-
-void RankAgent::considerPlan() {
-  TimePoint now = monotonicNow();
-  if (!Figures && Switch.isLeading())
-    readFigures();
-  if (now < NextPlan || !Figures || !Switch.canBegin(now))
-    return;
-  NextPlan = now + PlanEvery;
-  if (!fitsFigures())
-    return;
-  logGroup();
-  PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
-                         NewPerRank, MinCopyGain};
-  PlacementPlan plan =
-      PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
-  if (plan.SkewBefore > HighSkew) {
-    limits.NewPerRank = NewPerRankIfHigh;
-    plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
-  }
-  if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
-    return;
-  apply(Switch.begin(plan.Placement, now));
-  Measures.count("expert_copies_total", plan.Copies);
-  LOG(INFO) << LogEvent("map.proposed")
-                   .with("group", Member->Group.get())
-                   .with("version", Switch.version().get())
-                   .with("copies", plan.Copies)
-                   .with("skew", plan.SkewBefore)
-                   .with("skew_after", plan.SkewAfter);
-}
-
-/// One line a second of what the group does, for whoever looks for pauses.
-void RankAgent::logGroup() {
-  TimePoint now = monotonicNow();
-  if (now < NextGroupLine || !Switch.canBegin(now) || !fitsFigures())
-    return;
-  NextGroupLine = now + GroupLineEvery;
-  PlacementLimits none{Figures->PlacesPerRank, 0, 0, 0};
-  PlacementPlan present =
-      PlacementPlanner(none).plan(Switch.placement(), Demand.demand());
-  Measures.set("group_skew", present.SkewBefore);
-  Measures.set("group_steps_per_second", Switch.stepsPerSecond());
-  LOG(INFO) << LogEvent("group.state")
-                   .with("group", Member->Group.get())
-                   .with("map", Switch.ranks().begin()->second.Map.get())
-                   .with("steps_per_s", Switch.stepsPerSecond())
-                   .with("skew", present.SkewBefore);
-}
-
-/// Whether the engine's figures are known and agree with what ranks report.
-bool RankAgent::fitsFigures() const {
-  if (!Figures || Figures->ExpertSets == 0 || Switch.ranks().empty())
-    return false;
-  const RankPlacement &first = Switch.ranks().begin()->second.Placement;
-  return first.size() == Figures->ExpertSets &&
-         Demand.demand().size() == Figures->ExpertSets * Figures->Experts &&
-         Demand.total() > 0;
-}
-
-/// The word for \p phase in logs.
-static const char *phaseWord(SwitchPhase phase) {
-  switch (phase) {
-  case SwitchPhase::Idle:
-    return "idle";
-  case SwitchPhase::Claiming:
-    return "claiming";
-  case SwitchPhase::Preparing:
-    return "preparing";
-  case SwitchPhase::Holding:
-    return "holding";
-  case SwitchPhase::Arming:
-    return "arming";
-  case SwitchPhase::Releasing:
-    return "releasing";
-  case SwitchPhase::Confirming:
-    return "confirming";
-  case SwitchPhase::Freezing:
-    return "freezing";
-  case SwitchPhase::Disarming:
-    return "disarming";
-  }
-  return "";
-}
-
-void RankAgent::logPhase() {
-  if (Switch.phase() == LoggedPhase)
-    return;
-  LoggedPhase = Switch.phase();
-  Measures.count("map_phases_total{phase=\"" +
-                 std::string(phaseWord(LoggedPhase)) + "\"}");
-  auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      monotonicNow() - Switch.beganAt());
-  LOG(INFO) << LogEvent("map.phase")
-                   .with("group", Member ? Member->Group.get() : "")
-                   .with("version", Switch.version().get())
-                   .with("phase", phaseWord(LoggedPhase))
-                   .with("ms", age.count());
-}
--- /dev/null
+++ b/lib/Process/RankPlans.cpp
@@ -0,0 +1,148 @@
+//===- RankPlans.cpp - when a coordinator changes the map -----------------===//
+//
+// The part of RankAgent that reads the engine's figures, plans placements and
+// logs what the group does. See RankAgent.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/RankAgent.h"
+
+#include "ospreyspur/Support/LogEvent.h"
+#include "platform/ConfigWire.h"
+
+#include <glog/logging.h>
+
+using namespace ospreyspur;
+
+/// Between two plans.
+static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
+/// Between two lines in the log about a group.
+static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
+/// Between two tries to read the engine's figures, and for how long each waits.
+static constexpr Duration FiguresRetry = std::chrono::seconds(1);
+/// Skew that a change must save: below, copying costs more than it gains.
+static constexpr double MinSkewGain = 0.2;
+/// Experts that one change may bring to a rank; each takes 0.15 s on the
+/// users' links.
+static constexpr std::size_t NewPerRank = 1;
+static constexpr double MinCopyGain = 0.04;
+/// From this skew on, that of a group that was just formed, steps are so slow
+/// that a change should bring more.
+static constexpr double HighSkew = 2.5;
+static constexpr std::size_t NewPerRankIfHigh = 2;
+
+void RankAgent::readFigures() {
+  TimePoint now = monotonicNow();
+  if (now < NextFigures)
+    return;
+  NextFigures = now + FiguresRetry;
+  KvCall call = KvGet{platform::ConfigDocumentKey, true};
+  Platform.call(std::move(call), FiguresRetry, [this](const KvReply &reply) {
+    if (reply.Code != ResultCode::Ok)
+      return;
+    Result<FleetConfig> config = platform::readConfig(reply.Value);
+    const ServiceRule *service =
+        config ? config.value().findService(ServiceId(Settings.Service))
+               : nullptr;
+    if (service)
+      Figures = service->Engine;
+  });
+}
+
+void RankAgent::considerPlan() {
+  TimePoint now = monotonicNow();
+  if (!Figures && Switch.isLeading())
+    readFigures();
+  if (now < NextPlan || !Figures || !Switch.canBegin(now))
+    return;
+  NextPlan = now + PlanEvery;
+  if (!fitsFigures())
+    return;
+  logGroup();
+  PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
+                         NewPerRank, MinCopyGain};
+  PlacementPlan plan =
+      PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+  if (plan.SkewBefore > HighSkew) {
+    limits.NewPerRank = NewPerRankIfHigh;
+    plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+  }
+  if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
+    return;
+  apply(Switch.begin(plan.Placement, now));
+  Measures.count("expert_copies_total", plan.Copies);
+  LOG(INFO) << LogEvent("map.proposed")
+                   .with("group", Member->Group.get())
+                   .with("version", Switch.version().get())
+                   .with("copies", plan.Copies)
+                   .with("skew", plan.SkewBefore)
+                   .with("skew_after", plan.SkewAfter);
+}
+
+/// One line a second of what the group does, for whoever looks for pauses.
+void RankAgent::logGroup() {
+  TimePoint now = monotonicNow();
+  if (now < NextGroupLine || !Switch.canBegin(now) || !fitsFigures())
+    return;
+  NextGroupLine = now + GroupLineEvery;
+  PlacementLimits none{Figures->PlacesPerRank, 0, 0, 0};
+  PlacementPlan present =
+      PlacementPlanner(none).plan(Switch.placement(), Demand.demand());
+  Measures.set("group_skew", present.SkewBefore);
+  Measures.set("group_steps_per_second", Switch.stepsPerSecond());
+  LOG(INFO) << LogEvent("group.state")
+                   .with("group", Member->Group.get())
+                   .with("map", Switch.ranks().begin()->second.Map.get())
+                   .with("steps_per_s", Switch.stepsPerSecond())
+                   .with("skew", present.SkewBefore);
+}
+
+/// Whether the engine's figures are known and agree with what ranks report.
+bool RankAgent::fitsFigures() const {
+  if (!Figures || Figures->ExpertSets == 0 || Switch.ranks().empty())
+    return false;
+  const RankPlacement &first = Switch.ranks().begin()->second.Placement;
+  return first.size() == Figures->ExpertSets &&
+         Demand.demand().size() == Figures->ExpertSets * Figures->Experts &&
+         Demand.total() > 0;
+}
+
+/// The word for \p phase in logs.
+static const char *phaseWord(SwitchPhase phase) {
+  switch (phase) {
+  case SwitchPhase::Idle:
+    return "idle";
+  case SwitchPhase::Claiming:
+    return "claiming";
+  case SwitchPhase::Preparing:
+    return "preparing";
+  case SwitchPhase::Holding:
+    return "holding";
+  case SwitchPhase::Arming:
+    return "arming";
+  case SwitchPhase::Releasing:
+    return "releasing";
+  case SwitchPhase::Confirming:
+    return "confirming";
+  case SwitchPhase::Freezing:
+    return "freezing";
+  case SwitchPhase::Disarming:
+    return "disarming";
+  }
+  return "";
+}
+
+void RankAgent::logPhase() {
+  if (Switch.phase() == LoggedPhase)
+    return;
+  LoggedPhase = Switch.phase();
+  Measures.count("map_phases_total{phase=\"" +
+                 std::string(phaseWord(LoggedPhase)) + "\"}");
+  auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      monotonicNow() - Switch.beganAt());
+  LOG(INFO) << LogEvent("map.phase")
+                   .with("group", Member ? Member->Group.get() : "")
+                   .with("version", Switch.version().get())
+                   .with("phase", phaseWord(LoggedPhase))
+                   .with("ms", age.count());
+}
--- /dev/null
+++ b/lib/Rpc/MapCodec.h
@@ -0,0 +1,34 @@
+//===- MapCodec.h - messages about maps to and from protobuf ----*- C++ -*-===//
+//
+// The messages between the agents of one group; the other messages are in
+// Codec.cpp.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_LIB_RPC_MAPCODEC_H
+#define OSPREYSPUR_LIB_RPC_MAPCODEC_H
+
+#include "ospreyspur/Rpc/Codec.h"
+
+#include <optional>
+
+namespace ospreyspur {
+
+namespace wire {
+class MapOrder;
+class MapOrderReply;
+class RankReport;
+} // namespace wire
+
+void encodeMap(const RankStatus &in, wire::Message &message);
+void encodeMap(const MapOrder &in, wire::Message &message);
+void encodeMap(const MapOrderReply &in, wire::Message &message);
+
+/// Nothing if a field has a value that is not known.
+std::optional<Message> decodeMap(const wire::RankReport &in);
+std::optional<Message> decodeMap(const wire::MapOrder &in);
+std::optional<Message> decodeMap(const wire::MapOrderReply &in);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_LIB_RPC_MAPCODEC_H
