Bound what a group's coordinator receives, and never wait for its counts

In a group of 24 each rank sent all counts of its 16 sets of 96 experts every 110 ms as varints of growing width: 24 x 9 x 4 to 5 KB a second, which is the coordinator's whole link of 8 Mbit/s (worked out from the message, then seen: with samples of a byte the holds vanish). Beside it each rank's state went at every step, the whole map was encoded 24 times a change as nested messages, the planner looked at every set again after every copy, and kept connections that a rank had closed made agents lose their rank and orders wait for the coordinator's timer.

Samples (what was chosen since the last one, a byte an expert) at an interval that follows from group size and link (a fifth of it at most); states by exception and each 180 ms; placements only with a new map or a sample; one shared map for the orders of a change, packed; a copy that is tried changes the loads of the ranks concerned only; calls to a rank that found a kept connection closed are sent again on a new one (the same token, so harmless); a member that sees its group stand asks the coordinator first and takes over in the order of ranks; a confirmed change needs no further round of states.

--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -110,6 +110,8 @@
   /// The rank's HTTP address.
   std::string EndpointAddress;
   std::string Service;
+  /// What this host's network link carries, in Mbit/s.
+  double LinkMbps = 0;
   /// Whether ranks refuse an order whose fencing token is lower than one seen.
   bool ChecksFences = true;
 
--- a/include/ospreyspur/Experts/DemandMeter.h
+++ b/include/ospreyspur/Experts/DemandMeter.h
@@ -1,17 +1,16 @@
 //===- DemandMeter.h - which experts are in demand now ----------*- C++ -*-===//
 //
-// Adds up the counts of a group's ranks and lets old ones fade, so that a shift
-// of demand shows within a second.
+// Adds up the samples of a group's ranks and lets old ones fade, so that a
+// shift of demand shows within a second.
 //
 //===----------------------------------------------------------------------===//
 
 #ifndef OSPREYSPUR_EXPERTS_DEMANDMETER_H
 #define OSPREYSPUR_EXPERTS_DEMANDMETER_H
 
-#include "ospreyspur/Experts/RankStatus.h"
 #include "ospreyspur/Support/Time.h"
 
-#include <map>
+#include <cstdint>
 #include <vector>
 
 namespace ospreyspur {
@@ -19,30 +18,23 @@
 /// The demand of one group.
 class DemandMeter {
 public:
-  /// A count is worth half after \p halfLife.
+  /// A sample is worth half after \p halfLife.
   explicit DemandMeter(Duration halfLife) : HalfLife(halfLife) {}
 
-  /// Takes a rank's counts since its start.
-  void add(unsigned rank, FormationEpoch formation,
-           const std::vector<std::uint64_t> &counts, TimePoint now);
+  /// Takes what a rank's requests chose, set by set.
+  void add(const std::vector<std::uint32_t> &picks, TimePoint now);
 
-  /// The demand for each expert, set by set; empty before the second report.
+  /// The demand for each expert, set by set; empty before the first sample.
   const std::vector<double> &demand() const { return Demand; }
   /// All of it together.
   double total() const;
 
 private:
-  struct Last {
-    FormationEpoch Formation;
-    std::vector<std::uint64_t> Counts;
-  };
-
   void fade(TimePoint now);
 
   Duration HalfLife;
   std::vector<double> Demand;
   TimePoint FadedAt;
-  std::map<unsigned, Last> Ranks;
 };
 
 } // namespace ospreyspur
--- /dev/null
+++ b/include/ospreyspur/Experts/DemandSampler.h
@@ -0,0 +1,51 @@
+//===- DemandSampler.h - what a rank tells of its demand --------*- C++ -*-===//
+//
+// Turns the counts of one rank into what was chosen since the sample before,
+// and decides when the next sample is due: all ranks of a group send theirs to
+// one coordinator, whose link is narrow, so a larger group sends fewer of each.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_EXPERTS_DEMANDSAMPLER_H
+#define OSPREYSPUR_EXPERTS_DEMANDSAMPLER_H
+
+#include "ospreyspur/Experts/RankStatus.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <vector>
+
+namespace ospreyspur {
+
+/// How often a rank's demand is sampled.
+struct SampleLimits {
+  /// Shortest time between two samples.
+  Duration Shortest = std::chrono::milliseconds(110);
+  /// What all ranks of a group may send to their coordinator in a second; a
+  /// sample has a byte for each expert of each set.
+  double BytesPerSecond = 0;
+};
+
+/// Samples one rank.
+class DemandSampler {
+public:
+  explicit DemandSampler(SampleLimits limits) : Limits(limits) {}
+
+  bool isDue(TimePoint now) const { return now >= NextAt; }
+
+  /// What was chosen since the last call, by the counts of \p status; empty if
+  /// there is nothing to compare with.
+  std::vector<std::uint32_t> take(const RankStatus &status, TimePoint now);
+
+  /// Time between two samples in a group of \p ranks with \p counts each.
+  Duration interval(unsigned ranks, std::size_t counts) const;
+
+private:
+  SampleLimits Limits;
+  TimePoint NextAt;
+  FormationEpoch Formation;
+  std::vector<std::uint64_t> Last;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_EXPERTS_DEMANDSAMPLER_H
--- a/include/ospreyspur/Experts/MapOrder.h
+++ b/include/ospreyspur/Experts/MapOrder.h
@@ -12,6 +12,7 @@
 #include "ospreyspur/Experts/RankStatus.h"
 
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace ospreyspur {
@@ -42,8 +43,8 @@
   FormationEpoch Formation;
   MapVersion Version;
   StepNumber Step;
-  /// With Prepare.
-  GroupPlacement Map;
+  /// With Prepare. Shared, as every rank of a group gets the same.
+  std::shared_ptr<const GroupPlacement> Map;
 };
 
 enum class MapOrderResult : std::uint8_t {
@@ -57,6 +58,12 @@
   Unanswered,
 };
 
+/// Member to coordinator: does it work on the group? A coordinator that does
+/// answers with the same message.
+struct LeaderCheck {
+  GroupId Group;
+};
+
 struct MapOrderReply {
   MapOrderId Id;
   MapOrderResult Result = MapOrderResult::Unanswered;
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -31,6 +31,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -100,7 +101,8 @@
   void lead(std::uint64_t lease, unsigned ownRank, TimePoint now);
   /// Gives no more orders.
   void resign();
-  /// Takes a rank's state as it stood at \p seen.
+  /// Takes a rank's state as it stood at \p seen; if it has no placement, the
+  /// one reported before for its map stands.
   SwitchActions onStatus(unsigned rank, const RankStatus &status,
                          TimePoint seen, TimePoint now);
   SwitchActions onReply(unsigned rank, const MapOrderReply &reply,
@@ -201,7 +203,7 @@
   /// Ranks that have taken an order under this lease since they were formed.
   std::set<unsigned> Claimed;
   FormationEpoch ClaimedIn;
-  GroupPlacement Wanted;
+  std::shared_ptr<const GroupPlacement> Wanted;
   std::map<unsigned, RankStatus> Ranks;
   std::map<unsigned, TimePoint> SeenAt;
   /// Orders of the present phase without a final answer, by rank.
--- a/include/ospreyspur/Experts/RankStatus.h
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -54,9 +54,12 @@
   /// The group does not begin this step before it is released.
   std::optional<StepNumber> Held;
   /// Times that each expert was chosen since the rank started, set by set;
-  /// empty if not asked for.
+  /// empty if not asked for. Stays on the rank's host.
   std::vector<std::uint64_t> Counts;
-  /// The experts that it holds under Map.
+  /// Times that each expert was chosen since the report before; empty if the
+  /// report has none.
+  std::vector<std::uint32_t> Picks;
+  /// The experts that it holds under Map; empty if reported before.
   RankPlacement Placement;
   /// Where it takes orders; set by the agent on its host.
   std::string Endpoint;
--- a/include/ospreyspur/Experts/SetPlacement.h
+++ b/include/ospreyspur/Experts/SetPlacement.h
@@ -47,7 +47,10 @@
 private:
   double share(ExpertNumber expert) const;
   bool holds(unsigned rank, ExpertNumber expert) const;
-  std::vector<double> loadsAfter(const ExpertCopy &copy) const;
+  void addShares(const std::vector<unsigned> &ranks, double share) const;
+  void changeLoad(unsigned rank, double by) const;
+  void tryCopy(const ExpertCopy &copy) const;
+  void undoCopy() const;
   std::vector<unsigned> hottest() const;
   void considerRank(unsigned rank, ExpertNumber expert, std::size_t places,
                     std::optional<ExpertCopy> &best) const;
@@ -57,7 +60,17 @@
   std::vector<double> Demand;
   /// The ranks that hold each expert.
   std::vector<std::vector<unsigned>> Holders;
-  std::vector<double> Loads;
+  struct Touched {
+    unsigned Rank = 0;
+    double Load = 0;
+  };
+
+  /// A copy that is tried changes the loads of a few ranks only; they are put
+  /// back after it.
+  mutable std::vector<double> Loads;
+  mutable std::vector<Touched> Undo;
+  /// The sum of the loads' eighth powers.
+  mutable double Sum = 0;
   double Mean = 0;
   /// The load measure of Loads.
   double Measure = 0;
--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -22,6 +22,14 @@
 
 namespace ospreyspur {
 
+/// Whether a request may be sent a second time.
+enum class Repetition : std::uint8_t {
+  Never,
+  /// It does no harm to send it again at once: on a new connection, if a kept
+  /// one ended without a byte of an answer.
+  AfterLostConnection,
+};
+
 /// Receives a streamed answer.
 struct HttpSink {
   std::function<void(unsigned status, std::string contentType)> OnHead;
@@ -47,8 +55,9 @@
 
   /// Sends \p request and reads the whole answer. Errors: PlatformRefused (the
   /// request was not sent) or PlatformTimeout (it may have arrived).
-  boost::asio::awaitable<Result<HttpResponse>> call(HttpRequest request,
-                                                    Duration timeout);
+  boost::asio::awaitable<Result<HttpResponse>>
+  call(HttpRequest request, Duration timeout,
+       Repetition repetition = Repetition::Never);
 
   /// Sends \p request on a connection of its own and streams the answer into
   /// \p sink. Ok if the answer came whole; EndpointUnreachable if the
@@ -61,6 +70,10 @@
 private:
   using Stream = std::unique_ptr<boost::beast::tcp_stream>;
 
+  boost::asio::awaitable<Result<Stream>> connect(Duration timeout);
+  boost::asio::awaitable<Result<HttpResponse>>
+  exchange(Stream stream, const HttpRequest &request, bool &isLost);
+
   boost::asio::io_context &Context;
   TcpAddress Server;
   std::vector<Stream> Idle;
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -11,11 +11,14 @@
 
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Experts/CoordinatorWatch.h"
 #include "ospreyspur/Experts/DemandMeter.h"
+#include "ospreyspur/Experts/DemandSampler.h"
 #include "ospreyspur/Experts/LeaseHolder.h"
 #include "ospreyspur/Experts/MapSwitch.h"
 #include "ospreyspur/Experts/PlacementPlanner.h"
 #include "ospreyspur/Experts/StallWatch.h"
+#include "ospreyspur/Experts/StatusFilter.h"
 #include "ospreyspur/Platform/PlatformClient.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Process/PeerLinks.h"
@@ -58,6 +61,10 @@
   void join(const RankStatus &status);
   void checkLease(TimePoint now);
   void watchForStall(const RankStatus &status);
+  void askCoordinator();
+  void takeOver(const RankStatus &status);
+  void onMessage(LinkId from, const Message &message);
+  void onOrderMessage(const EndpointId &from, const Message &message);
   void report(const RankStatus &status);
   void onReply(LinkId from, const MapOrderReply &reply);
   void takeStatus(const RankStatus &status, std::optional<LinkId> from);
@@ -88,6 +95,9 @@
   std::optional<RankStatus> Own;
   std::unique_ptr<Membership> Member;
   StallWatch Stall;
+  CoordinatorWatch Coordinator;
+  DemandSampler Sampler;
+  StatusFilter Filter;
   MapSwitch Switch;
   SwitchPhase LoggedPhase = SwitchPhase::Idle;
   DemandMeter Demand;
@@ -95,7 +105,6 @@
   std::optional<EngineFigures> Figures;
   /// When the group was last heard whole while leading.
   TimePoint CompleteAt;
-  TimePoint NextCounts;
   TimePoint NextFigures;
   TimePoint NextPlan;
   TimePoint NextGroupLine;
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -140,11 +140,11 @@
 struct LeavingSeen {};
 
 /// Any message between two of our processes.
-using Message =
-    std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel, Accepted,
-                 Refused, Head, Chunk, Finish, ResolveReply, Leaving,
-                 LeavingSeen, GroupOrder, GroupReply, GossipDigest,
-                 GossipUpdate, RankStatus, MapOrder, MapOrderReply>;
+using Message = std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel,
+                             Accepted, Refused, Head, Chunk, Finish,
+                             ResolveReply, Leaving, LeavingSeen, GroupOrder,
+                             GroupReply, GossipDigest, GossipUpdate, RankStatus,
+                             MapOrder, MapOrderReply, LeaderCheck>;
 
 } // namespace ospreyspur
 
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -216,6 +216,12 @@
       reader.readAddress("rank.endpoint", "the HTTP address of the rank");
   out.Service =
       reader.readText("rank.service", "the service that the rank belongs to");
+  constexpr double DefaultLink = 20;
+  constexpr double MaxLink = 1e6;
+  out.LinkMbps =
+      reader.readFraction("rank.link_mbps", DefaultLink, 0.1, MaxLink,
+                          "what this host's network link carries, Mbit/s; "
+                          "samples of demand take a fifth of it at most");
   out.ChecksFences =
       reader.readFlag("rank.checks_fences", true,
                       "whether ranks refuse orders with a lower fencing token");
--- /dev/null
+++ b/lib/Experts/CoordinatorWatch.cpp
@@ -0,0 +1,42 @@
+//===- CoordinatorWatch.cpp - may a member take its group over? -----------===//
+//
+// See CoordinatorWatch.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/CoordinatorWatch.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+
+/// How long an answer counts.
+static constexpr Duration TrustTime = std::chrono::milliseconds(300);
+
+StallAdvice CoordinatorWatch::onStalled(unsigned rank, TimePoint now) {
+  if (!DoubtedAt)
+    DoubtedAt = now;
+  bool isTrusted = now - *DoubtedAt < LongestTrust;
+  if (isTrusted && now < TrustedUntil)
+    return StallAdvice::Wait;
+  if (!AskedAt && isTrusted) {
+    AskedAt = now;
+    return StallAdvice::Ask;
+  }
+  Duration turn = std::min(NextRankAfter * int(rank), LongestTurn);
+  if (isTrusted && now - *AskedAt < AnswerTime + turn)
+    return StallAdvice::Wait;
+  onMoving();
+  return StallAdvice::TakeOver;
+}
+
+void CoordinatorWatch::onAnswer(TimePoint now) {
+  AskedAt.reset();
+  TrustedUntil = now + TrustTime;
+}
+
+void CoordinatorWatch::onMoving() {
+  DoubtedAt.reset();
+  AskedAt.reset();
+  TrustedUntil = TimePoint();
+}
--- a/lib/Experts/DemandMeter.cpp
+++ b/lib/Experts/DemandMeter.cpp
@@ -11,19 +11,11 @@
 
 using namespace ospreyspur;
 
-void DemandMeter::add(unsigned rank, FormationEpoch formation,
-                      const std::vector<std::uint64_t> &counts, TimePoint now) {
+void DemandMeter::add(const std::vector<std::uint32_t> &picks, TimePoint now) {
   fade(now);
-  Last &last = Ranks[rank];
-  bool isSame =
-      last.Formation == formation && last.Counts.size() == counts.size();
-  if (isSame) {
-    Demand.resize(counts.size());
-    for (std::size_t i = 0; i < counts.size(); ++i)
-      if (counts[i] > last.Counts[i])
-        Demand[i] += double(counts[i] - last.Counts[i]);
-  }
-  last = {formation, counts};
+  Demand.resize(picks.size());
+  for (std::size_t i = 0; i < picks.size(); ++i)
+    Demand[i] += double(picks[i]);
 }
 
 double DemandMeter::total() const {
--- /dev/null
+++ b/lib/Experts/DemandSampler.cpp
@@ -0,0 +1,35 @@
+//===- DemandSampler.cpp - what a rank tells of its demand ----------------===//
+//
+// See DemandSampler.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/DemandSampler.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+
+std::vector<std::uint32_t> DemandSampler::take(const RankStatus &status,
+                                               TimePoint now) {
+  const std::vector<std::uint64_t> &counts = status.Counts;
+  NextAt = now + interval(status.Size, counts.size());
+  std::vector<std::uint32_t> out;
+  if (Formation == status.Formation && Last.size() == counts.size()) {
+    out.reserve(counts.size());
+    for (std::size_t i = 0; i < counts.size(); ++i)
+      out.push_back(
+          static_cast<std::uint32_t>(counts[i] - std::min(counts[i], Last[i])));
+  }
+  Formation = status.Formation;
+  Last = counts;
+  return out;
+}
+
+Duration DemandSampler::interval(unsigned ranks, std::size_t counts) const {
+  if (Limits.BytesPerSecond <= 0)
+    return Limits.Shortest;
+  double seconds = double(ranks) * double(counts) / Limits.BytesPerSecond;
+  return std::max(Limits.Shortest, std::chrono::duration_cast<Duration>(
+                                       std::chrono::duration<double>(seconds)));
+}
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -43,7 +43,13 @@
 SwitchActions MapSwitch::onStatus(unsigned rank, const RankStatus &status,
                                   TimePoint seen, TimePoint now) {
   noteStep(status, seen);
-  Ranks[rank] = status;
+  RankStatus &known = Ranks[rank];
+  bool isSameMap = known.Formation == status.Formation &&
+                   known.Map == status.Map && status.Placement.empty();
+  RankPlacement placement =
+      isSameMap ? std::move(known.Placement) : status.Placement;
+  known = status;
+  known.Placement = std::move(placement);
   SeenAt[rank] = seen;
   std::erase_if(Ranks, [&](const auto &it) { return it.first >= status.Size; });
   advance(now);
@@ -154,7 +160,7 @@
   if (!canBegin(now))
     return takeActions();
   Version = nextVersion();
-  Wanted = placement;
+  Wanted = std::make_shared<const GroupPlacement>(placement);
   Formation = Ranks.begin()->second.Formation;
   BeganAt = now;
   enter(SwitchPhase::Preparing, now);
@@ -285,7 +291,11 @@
   bool isWaiting = allRanks([this](const RankStatus &it) {
     return it.Armed == ArmedMap{Version, Step} && !it.Held;
   });
-  if (isInForce || (now - PhaseAt > Limits.PhaseTime && !isWaiting))
+  // Statuses that show the new map are younger than all that was ordered: the
+  // next change need not wait for another round of them, some 0.1 s.
+  if (isInForce)
+    enter(SwitchPhase::Idle, now);
+  else if (now - PhaseAt > Limits.PhaseTime && !isWaiting)
     enterIdle(now);
 }
 
--- a/lib/Experts/PlacementPlanner.cpp
+++ b/lib/Experts/PlacementPlanner.cpp
@@ -25,6 +25,7 @@
 private:
   bool mayTake(std::size_t set, unsigned rank) const;
   void findCopies();
+  void forgetCopiesTo(unsigned rank);
   double meanSkew() const;
 
   const PlacementLimits &Limits;
@@ -74,6 +75,12 @@
   }
 }
 
+void Draft::forgetCopiesTo(unsigned rank) {
+  for (std::size_t set = 0; set < Sets.size(); ++set)
+    if (Best[set] && Best[set]->Rank == rank)
+      IsKnown[set] = false;
+}
+
 double Draft::meanSkew() const {
   double sum = 0;
   for (const SetPlacement &it : Sets)
@@ -98,9 +105,10 @@
     ++plan.Copies;
     ++NewInSet[set][rank];
     IsKnown[set] = false;
-    // A rank that is full for this change is no choice in any set.
+    // A rank that is full for this change is no choice in any set. Copies to
+    // other ranks stay the best of their sets.
     if (++NewOnRank[rank] >= Limits.NewPerRank)
-      std::fill(IsKnown.begin(), IsKnown.end(), false);
+      forgetCopiesTo(rank);
   }
   plan.SkewAfter = meanSkew();
   plan.Placement.resize(RankCount);
--- a/lib/Experts/SetPlacement.cpp
+++ b/lib/Experts/SetPlacement.cpp
@@ -17,15 +17,14 @@
 /// Ranks that a copy is looked for, from the most loaded down.
 static constexpr std::size_t HotRanks = 2;
 
-/// The eighth root of the sum of eighth powers.
-static double measureLoads(const std::vector<double> &loads) {
-  double sum = 0;
-  for (double it : loads) {
-    double square = it * it;
-    double fourth = square * square;
-    sum += fourth * fourth;
-  }
-  return std::sqrt(std::sqrt(std::sqrt(sum)));
+static double eighthPower(double it) {
+  double square = it * it;
+  double fourth = square * square;
+  return fourth * fourth;
+}
+
+static double eighthRoot(double it) {
+  return std::sqrt(std::sqrt(std::sqrt(std::max(it, 0.0))));
 }
 
 SetPlacement::SetPlacement(std::vector<std::vector<ExpertNumber>> ranks,
@@ -40,7 +39,9 @@
       Loads[rank] += share(it);
   Mean = std::accumulate(Loads.begin(), Loads.end(), 0.0) /
          double(std::max<std::size_t>(Loads.size(), 1));
-  Measure = measureLoads(Loads);
+  for (double it : Loads)
+    Sum += eighthPower(it);
+  Measure = eighthRoot(Sum);
 }
 
 /// What each holder of \p expert bears of its demand.
@@ -60,28 +61,46 @@
   return *std::max_element(Loads.begin(), Loads.end()) / Mean;
 }
 
-std::vector<double> SetPlacement::loadsAfter(const ExpertCopy &copy) const {
-  std::vector<double> loads = Loads;
+void SetPlacement::changeLoad(unsigned rank, double by) const {
+  double before = Loads[rank];
+  Undo.push_back({rank, before});
+  Loads[rank] += by;
+  Sum += eighthPower(Loads[rank]) - eighthPower(before);
+}
+
+void SetPlacement::addShares(const std::vector<unsigned> &ranks,
+                             double share) const {
+  for (unsigned it : ranks)
+    changeLoad(it, share);
+}
+
+/// Changes the loads as \p copy would.
+void SetPlacement::tryCopy(const ExpertCopy &copy) const {
+  Undo.clear();
   if (copy.Evicted) {
     const std::vector<unsigned> &holders = Holders[*copy.Evicted];
-    double before = share(*copy.Evicted);
     double after = Demand[*copy.Evicted] / double(holders.size() - 1);
-    for (unsigned it : holders)
-      loads[it] += after - before;
-    loads[copy.Rank] -= after;
+    addShares(holders, after - share(*copy.Evicted));
+    changeLoad(copy.Rank, -after);
   }
   const std::vector<unsigned> &holders = Holders[copy.Expert];
-  double before = share(copy.Expert);
   double after = Demand[copy.Expert] / double(holders.size() + 1);
-  for (unsigned it : holders)
-    loads[it] += after - before;
-  loads[copy.Rank] += after;
-  return loads;
+  addShares(holders, after - share(copy.Expert));
+  changeLoad(copy.Rank, after);
+}
+
+void SetPlacement::undoCopy() const {
+  for (; !Undo.empty(); Undo.pop_back())
+    Loads[Undo.back().Rank] = Undo.back().Load;
 }
 
 void SetPlacement::apply(const ExpertCopy &copy) {
-  Loads = loadsAfter(copy);
-  Measure = measureLoads(Loads);
+  tryCopy(copy);
+  // Sums of differences would drift over many copies.
+  Sum = 0;
+  for (double it : Loads)
+    Sum += eighthPower(it);
+  Measure = eighthRoot(Sum);
   if (copy.Evicted) {
     std::erase(Holders[*copy.Evicted], copy.Rank);
     std::erase(Ranks[copy.Rank], *copy.Evicted);
@@ -130,7 +149,11 @@
                             std::optional<ExpertCopy> &best) const {
   if (Mean <= 0)
     return;
-  copy.Gain = (Measure - measureLoads(loadsAfter(copy))) / Mean;
+  double sum = Sum;
+  tryCopy(copy);
+  copy.Gain = (Measure - eighthRoot(Sum)) / Mean;
+  undoCopy();
+  Sum = sum;
   if (copy.Gain > 0 && (!best || copy.Gain > best->Gain))
     best = copy;
 }
--- /dev/null
+++ b/lib/Experts/StatusFilter.cpp
@@ -0,0 +1,38 @@
+//===- StatusFilter.cpp - which states a coordinator needs to hear --------===//
+//
+// See StatusFilter.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/StatusFilter.h"
+
+using namespace ospreyspur;
+
+std::optional<RankStatus> StatusFilter::filter(const RankStatus &status,
+                                               const std::string &address,
+                                               TimePoint now) {
+  if (address != Address)
+    reset();
+  Address = address;
+  bool isDue = now - ToldAt >= Heartbeat || !status.Picks.empty();
+  if (Told && !isDue && !isNews(status))
+    return std::nullopt;
+  RankStatus out = status;
+  out.Counts.clear();
+  bool hasPlacement =
+      Told && Told->Formation == status.Formation && Told->Map == status.Map;
+  // Samples carry it again, should it have been lost on the way.
+  if (hasPlacement && status.Picks.empty())
+    out.Placement.clear();
+  Told = status;
+  ToldAt = now;
+  return out;
+}
+
+bool StatusFilter::isNews(const RankStatus &status) const {
+  return Told->Group != status.Group || Told->Formation != status.Formation ||
+         Told->Rank != status.Rank || Told->Size != status.Size ||
+         Told->IsOpen != status.IsOpen || Told->Map != status.Map ||
+         Told->Prepared != status.Prepared || Told->Armed != status.Armed ||
+         Told->Held != status.Held;
+}
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -32,35 +32,60 @@
 HttpClient::HttpClient(asio::io_context &ioc, TcpAddress server)
     : Context(ioc), Server(std::move(server)) {}
 
-asio::awaitable<Result<HttpResponse>> HttpClient::call(HttpRequest request,
-                                                       Duration timeout) {
+asio::awaitable<Result<HttpResponse>>
+HttpClient::call(HttpRequest request, Duration timeout, Repetition repetition) {
   request.keep_alive(true);
   request.prepare_payload();
-  Stream stream;
+  bool isLost = false;
   if (!Idle.empty()) {
-    stream = std::move(Idle.back());
+    Stream kept = std::move(Idle.back());
     Idle.pop_back();
-    stream->expires_after(timeout);
-  } else {
-    stream = std::make_unique<beast::tcp_stream>(Context);
-    stream->expires_after(timeout);
-    auto [ec] = co_await stream->async_connect(Server, AsTuple);
-    if (ec)
-      co_return Error{ResultCode::PlatformRefused,
-                      "cannot connect: " + ec.message()};
-    stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    kept->expires_after(timeout);
+    Result<HttpResponse> response =
+        co_await exchange(std::move(kept), request, isLost);
+    // Servers close connections that rest, and with them go those that rested
+    // longer.
+    bool canRepeat = isLost && repetition == Repetition::AfterLostConnection;
+    if (!canRepeat)
+      co_return response;
+    Idle.clear();
   }
+  Result<Stream> stream = co_await connect(timeout);
+  if (!stream)
+    co_return stream.error();
+  co_return co_await exchange(std::move(stream.value()), request, isLost);
+}
+
+asio::awaitable<Result<HttpClient::Stream>>
+HttpClient::connect(Duration timeout) {
+  auto stream = std::make_unique<beast::tcp_stream>(Context);
+  stream->expires_after(timeout);
+  auto [ec] = co_await stream->async_connect(Server, AsTuple);
+  if (ec)
+    co_return Error{ResultCode::PlatformRefused,
+                    "cannot connect: " + ec.message()};
+  stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  co_return std::move(stream);
+}
+
+/// Sets \p isLost if the connection ended without a byte of an answer.
+asio::awaitable<Result<HttpResponse>>
+HttpClient::exchange(Stream stream, const HttpRequest &request, bool &isLost) {
   auto [writeError, written] =
       co_await http::async_write(*stream, request, AsTuple);
-  if (writeError)
+  if (writeError) {
+    isLost = writeError != beast::error::timeout;
     co_return Error{ResultCode::PlatformTimeout, writeError.message()};
+  }
   beast::flat_buffer buf;
   http::response_parser<http::string_body> parser;
   parser.body_limit(MaxAnswerBytes);
   auto [readError, got] =
       co_await http::async_read(*stream, buf, parser, AsTuple);
-  if (readError)
+  if (readError) {
+    isLost = readError != beast::error::timeout && !parser.got_some();
     co_return Error{ResultCode::PlatformTimeout, readError.message()};
+  }
   HttpResponse response = parser.release();
   if (response.keep_alive() && Idle.size() < MaxIdleConnections) {
     stream->expires_never();
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -18,8 +18,9 @@
 /// Between two looks at the rank, about a step; asking it on its own host is
 /// free.
 static constexpr Duration ReadEvery = std::chrono::milliseconds(60);
-/// The same for its counts, which are a kilobyte to the coordinator.
-static constexpr Duration CountsEvery = std::chrono::milliseconds(110);
+/// What a group's samples of demand may take of its coordinator's link. The
+/// link also carries the group's orders, which must not wait.
+static constexpr double SampleShare = 0.2;
 /// Half-life of counts: demand shifts every few seconds.
 static constexpr Duration DemandHalfLife = std::chrono::milliseconds(400);
 /// Over which the agents of a group that start together spread their first look
@@ -30,6 +31,14 @@
 static constexpr Duration MaxIncomplete = std::chrono::milliseconds(2000);
 /// How long a coordinator that took over has before another one tries.
 static constexpr Duration TakeoverTime = std::chrono::milliseconds(1500);
+
+static SampleLimits makeSampleLimits(const RankSettings &settings) {
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  SampleLimits limits;
+  limits.BytesPerSecond = settings.LinkMbps * BytesPerMegabit * SampleShare;
+  return limits;
+}
+
 static LeaseLimits makeLeaseLimits(bool checksFences) {
   LeaseLimits limits;
   limits.Span = std::chrono::seconds(3);
@@ -46,27 +55,43 @@
     : Context(ioc), Settings(settings), Measures(metrics), Random(seed),
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
-      Switch(SwitchLimits()), Demand(DemandHalfLife),
-      Timer(ioc, [this] { tick(); }),
+      Sampler(makeSampleLimits(settings)), Switch(SwitchLimits()),
+      Demand(DemandHalfLife), Timer(ioc, [this] { tick(); }),
       LeaseTimer(ioc, [this] { lookAtLease(); }),
       OrderTimer(ioc, [this] { apply(Switch.onTimer(monotonicNow())); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
                 asio::post(Context, [this, from, messages] {
-                  for (const Message &it : messages) {
-                    if (const auto *status = std::get_if<RankStatus>(&it))
-                      takeStatus(*status, from);
-                    else if (const auto *reply =
-                                 std::get_if<MapOrderReply>(&it))
-                      onReply(from, *reply);
-                  }
+                  for (const Message &it : messages)
+                    onMessage(from, it);
                 });
               },
               [](LinkId) {}}),
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
-                    if (const auto *order = std::get_if<MapOrder>(&message))
-                      spawn(giveFor(from, *order));
+                    onOrderMessage(from, message);
                   },
-                  [](const EndpointId &) {}}) {}
+                  [this](const EndpointId &) { Filter.reset(); }}) {}
+
+/// What members tell.
+void RankAgent::onMessage(LinkId from, const Message &message) {
+  if (const auto *status = std::get_if<RankStatus>(&message))
+    takeStatus(*status, from);
+  else if (const auto *reply = std::get_if<MapOrderReply>(&message))
+    onReply(from, *reply);
+  else if (const auto *check = std::get_if<LeaderCheck>(&message)) {
+    bool isOurs = Member && Member->Group == check->Group;
+    if (isOurs && Switch.isLeading())
+      Server.send(from, *check);
+  }
+}
+
+/// What the coordinator tells.
+void RankAgent::onOrderMessage(const EndpointId &from, const Message &message) {
+  if (const auto *order = std::get_if<MapOrder>(&message))
+    spawn(giveFor(from, *order));
+  else if (std::holds_alternative<LeaderCheck>(message) && Member &&
+           from.get() == Member->Lease.holder())
+    Coordinator.onAnswer(monotonicNow());
+}
 
 Result<void> RankAgent::start() {
   Result<void> listening = Server.listen(Settings.linkListen());
@@ -117,10 +142,7 @@
 asio::awaitable<void> RankAgent::readRank() {
   IsReading = true;
   TimePoint now = monotonicNow();
-  bool withCounts = now >= NextCounts;
-  if (withCounts)
-    NextCounts = now + CountsEvery;
-  Result<RankStatus> status = co_await Rank.readStatus(withCounts);
+  Result<RankStatus> status = co_await Rank.readStatus(Sampler.isDue(now));
   IsReading = false;
   if (!status) {
     LOG_IF(WARNING, Own.has_value())
@@ -137,6 +159,8 @@
                               .with("open", status.value().IsOpen)
                               .with("map", status.value().Map.get());
   Own = status.value();
+  if (!Own->Counts.empty())
+    Own->Picks = Sampler.take(*Own, now);
   Own->Endpoint = Settings.EndpointAddress;
   if (!Own->Group.get().empty())
     onStatus(*Own);
@@ -159,10 +183,35 @@
 /// died or frozen in the middle of a change.
 void RankAgent::watchForStall(const RankStatus &status) {
   TimePoint now = monotonicNow();
-  if (!Stall.isStalled(status, now) || !Settings.ChecksFences)
+  if (!Stall.isStalled(status, now)) {
+    Coordinator.onMoving();
+    return;
+  }
+  if (!Settings.ChecksFences)
+    return;
+  switch (Coordinator.onStalled(status.Rank, now)) {
+  case StallAdvice::Wait:
     return;
-  // All agents of the group see it at about the same time; the one whose write
-  // comes first gets the time to put the group in order.
+  case StallAdvice::Ask:
+    askCoordinator();
+    return;
+  case StallAdvice::TakeOver:
+    takeOver(status);
+    return;
+  }
+}
+
+void RankAgent::askCoordinator() {
+  const std::string &address = Member->Lease.holder();
+  if (address.empty() || address == Settings.linkListen())
+    return;
+  Peers.send(EndpointId(address), LeaderCheck{Member->Group}, monotonicNow());
+}
+
+/// The first whose write comes gets the time to put the group in order; the
+/// others learn from the store's refusal who it is.
+void RankAgent::takeOver(const RankStatus &status) {
+  TimePoint now = monotonicNow();
   Stall.reset(now + TakeoverTime);
   LOG(WARNING) << LogEvent("group.stalled")
                       .with("group", status.Group.get())
@@ -219,7 +268,9 @@
     return;
   EndpointId coordinator(address);
   Peers.setAddresses({{coordinator, address}});
-  Peers.send(coordinator, status, monotonicNow());
+  TimePoint now = monotonicNow();
+  if (std::optional<RankStatus> news = Filter.filter(status, address, now))
+    Peers.send(coordinator, *news, now);
 }
 
 /// A status of the coordinator's own rank has no link.
@@ -233,8 +284,8 @@
     Links[status.Rank] = *from;
   else
     Links.erase(status.Rank);
-  if (!status.Counts.empty())
-    Demand.add(status.Rank, status.Formation, status.Counts, now);
+  if (!status.Picks.empty())
+    Demand.add(status.Picks, now);
   apply(Switch.onStatus(status.Rank, status, now, now));
   considerPlan();
 }
--- a/lib/Process/RankLink.cpp
+++ b/lib/Process/RankLink.cpp
@@ -15,8 +15,8 @@
 static constexpr Duration CallTimeout = std::chrono::milliseconds(400);
 
 asio::awaitable<Result<std::string>> RankLink::fetch(HttpRequest request) {
-  Result<HttpResponse> response =
-      co_await Client.call(std::move(request), CallTimeout);
+  Result<HttpResponse> response = co_await Client.call(
+      std::move(request), CallTimeout, Repetition::AfterLostConnection);
   if (!response)
     co_return response.error();
   if (response.value().result_int() != 200)
@@ -79,8 +79,10 @@
 
 asio::awaitable<MapOrderResult> RankLink::give(MapOrder order) {
   HttpRequest request = platform::makeOrderCall(order);
-  Result<HttpResponse> response =
-      co_await Client.call(std::move(request), CallTimeout);
+  // A second copy says the same under the same token, and a step that waits for
+  // it must not wait for the coordinator to notice.
+  Result<HttpResponse> response = co_await Client.call(
+      std::move(request), CallTimeout, Repetition::AfterLostConnection);
   if (response)
     co_return platform::readOrderResult(response.value().result_int());
   // Nothing was sent if there was no connection.
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -318,6 +318,10 @@
   encodeMap(in, message);
 }
 
+static void put(const LeaderCheck &in, wire::Message &message) {
+  encodeMap(in, message);
+}
+
 void ospreyspur::encode(const Message &message, wire::Message &out) {
   std::visit([&out](const auto &it) { put(it, out); }, message);
 }
@@ -363,6 +367,8 @@
     return decodeMap(in.map_order());
   case wire::Message::kMapOrderReply:
     return decodeMap(in.map_order_reply());
+  case wire::Message::kLeaderCheck:
+    return decodeMap(in.leader_check());
   case wire::Message::kGossipUpdate:
     return get(in.gossip_update());
   case wire::Message::BODY_NOT_SET:
--- a/lib/Rpc/MapCodec.cpp
+++ b/lib/Rpc/MapCodec.cpp
@@ -8,8 +8,16 @@
 
 #include "generated/peer.pb.h"
 
+#include <algorithm>
+
 using namespace ospreyspur;
 
+static constexpr std::uint32_t MaxByte = 255;
+/// With this shift a byte's highest bit is that of a 32-bit number.
+static constexpr unsigned MaxPicksShift = 24;
+/// More ranks or sets than any group has; bounds what a bad order can cost.
+static constexpr std::uint32_t MaxMapDimension = 4096;
+
 static void put(const RankPlacement &in, wire::RankPlacement *out) {
   for (const auto &set : in) {
     wire::SetExperts *row = out->add_sets();
@@ -24,6 +32,23 @@
   return out;
 }
 
+/// A byte holds the largest of them; the others are rounded alike. A sample is
+/// used for shares, for which an eighth of a percent is more than enough.
+static void putPicks(const std::vector<std::uint32_t> &in,
+                     wire::RankReport &out) {
+  if (in.empty())
+    return;
+  std::uint32_t most = *std::max_element(in.begin(), in.end());
+  unsigned shift = 0;
+  while ((most >> shift) > MaxByte)
+    ++shift;
+  std::string *bytes = out.mutable_picks();
+  bytes->reserve(in.size());
+  for (std::uint32_t it : in)
+    bytes->push_back(static_cast<char>(it >> shift));
+  out.set_picks_shift(shift);
+}
+
 void ospreyspur::encodeMap(const RankStatus &in, wire::Message &message) {
   auto *out = message.mutable_rank_report();
   out->set_group(in.Group.get());
@@ -41,7 +66,7 @@
   }
   if (in.Held)
     out->set_held(in.Held->get());
-  out->mutable_counts()->Add(in.Counts.begin(), in.Counts.end());
+  putPicks(in.Picks, *out);
   put(in.Placement, out->mutable_placement());
   out->set_endpoint(in.Endpoint);
 }
@@ -62,12 +87,47 @@
         ArmedMap{MapVersion(in.armed_version()), StepNumber(in.armed_step())};
   if (in.has_held())
     out.Held = StepNumber(in.held());
-  out.Counts.assign(in.counts().begin(), in.counts().end());
+  if (in.picks_shift() > MaxPicksShift)
+    return std::nullopt;
+  for (char it : in.picks())
+    out.Picks.push_back(std::uint32_t(static_cast<unsigned char>(it))
+                        << in.picks_shift());
   out.Placement = get(in.placement());
   out.Endpoint = in.endpoint();
   return out;
 }
 
+static void putMap(const GroupPlacement &in, wire::MapOrder &out) {
+  std::size_t sets = in.empty() ? 0 : in.front().size();
+  out.add_map(static_cast<std::uint32_t>(in.size()));
+  out.add_map(static_cast<std::uint32_t>(sets));
+  for (const RankPlacement &rank : in)
+    for (const std::vector<ExpertNumber> &set : rank) {
+      out.add_map(static_cast<std::uint32_t>(set.size()));
+      out.mutable_map()->Add(set.begin(), set.end());
+    }
+}
+
+/// Null if \p in does not hold a whole map.
+static std::shared_ptr<const GroupPlacement> getMap(const wire::MapOrder &in) {
+  const std::uint32_t *it = in.map().data();
+  const std::uint32_t *end = it + in.map_size();
+  if (end - it < 2 || it[0] > MaxMapDimension || it[1] > MaxMapDimension)
+    return nullptr;
+  auto out = std::make_shared<GroupPlacement>(it[0]);
+  std::uint32_t sets = it[1];
+  it += 2;
+  for (RankPlacement &rank : *out)
+    for (std::uint32_t set = 0; set < sets; ++set) {
+      if (it == end || *it >= std::uint64_t(end - it))
+        return nullptr;
+      std::uint32_t n = *it++;
+      rank.emplace_back(it, it + n);
+      it += n;
+    }
+  return it == end ? out : nullptr;
+}
+
 void ospreyspur::encodeMap(const MapOrder &in, wire::Message &message) {
   auto *out = message.mutable_map_order();
   out->set_id(in.Id.get());
@@ -76,8 +136,8 @@
   out->set_formation(in.Formation.get());
   out->set_version(in.Version.get());
   out->set_step(in.Step.get());
-  for (const RankPlacement &it : in.Map)
-    put(it, out->add_map());
+  if (in.Map)
+    putMap(*in.Map, *out);
 }
 
 std::optional<Message> ospreyspur::decodeMap(const wire::MapOrder &in) {
@@ -90,8 +150,11 @@
   out.Formation = FormationEpoch(in.formation());
   out.Version = MapVersion(in.version());
   out.Step = StepNumber(in.step());
-  for (const wire::RankPlacement &it : in.map())
-    out.Map.push_back(get(it));
+  if (in.map_size() > 0)
+    out.Map = getMap(in);
+  bool needsMap = out.Kind == MapOrderKind::Prepare;
+  if (needsMap != bool(out.Map))
+    return std::nullopt;
   return out;
 }
 
@@ -107,3 +170,11 @@
   return MapOrderReply{MapOrderId(in.id()),
                        static_cast<MapOrderResult>(in.result())};
 }
+
+void ospreyspur::encodeMap(const LeaderCheck &in, wire::Message &message) {
+  message.mutable_leader_check()->set_group(in.Group.get());
+}
+
+std::optional<Message> ospreyspur::decodeMap(const wire::LeaderCheck &in) {
+  return LeaderCheck{GroupId(in.group())};
+}
--- a/lib/Rpc/MapCodec.h
+++ b/lib/Rpc/MapCodec.h
@@ -15,6 +15,7 @@
 namespace ospreyspur {
 
 namespace wire {
+class LeaderCheck;
 class MapOrder;
 class MapOrderReply;
 class RankReport;
@@ -23,11 +24,13 @@
 void encodeMap(const RankStatus &in, wire::Message &message);
 void encodeMap(const MapOrder &in, wire::Message &message);
 void encodeMap(const MapOrderReply &in, wire::Message &message);
+void encodeMap(const LeaderCheck &in, wire::Message &message);
 
 /// Nothing if a field has a value that is not known.
 std::optional<Message> decodeMap(const wire::RankReport &in);
 std::optional<Message> decodeMap(const wire::MapOrder &in);
 std::optional<Message> decodeMap(const wire::MapOrderReply &in);
+std::optional<Message> decodeMap(const wire::LeaderCheck &in);
 
 } // namespace ospreyspur
 
--- /dev/null
+++ b/unittests/Experts/RankReportTest.cpp
@@ -0,0 +1,153 @@
+//===- RankReportTest.cpp - what a rank's agent tells its coordinator -----===//
+//
+// Samples of demand, states by exception, and questions before a takeover: what
+// a coordinator receives is bounded whatever its group's size.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/CoordinatorWatch.h"
+#include "ospreyspur/Experts/DemandSampler.h"
+#include "ospreyspur/Experts/StatusFilter.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr TimePoint Start{seconds(100)};
+
+static RankStatus makeStatus(std::vector<std::uint64_t> counts) {
+  RankStatus out;
+  out.Group = GroupId("g");
+  out.Formation = FormationEpoch(1);
+  out.Size = 4;
+  out.IsOpen = true;
+  out.Placement = {{1, 2}};
+  out.Counts = std::move(counts);
+  return out;
+}
+
+TEST_CASE("a rank's restart is no demand") {
+  DemandSampler sampler{SampleLimits()};
+  RankStatus status = makeStatus({1000, 0});
+  CHECK(sampler.take(status, Start).empty());
+  status.Counts = {1100, 3};
+  CHECK(sampler.take(status, Start) == std::vector<std::uint32_t>{100, 3});
+  status.Formation = FormationEpoch(2);
+  status.Counts = {10, 10};
+  CHECK(sampler.take(status, Start).empty());
+  status.Counts = {5, 10};
+  CHECK(sampler.take(status, Start) == std::vector<std::uint32_t>{0, 0});
+}
+
+TEST_CASE("samples of a group of any size fit its coordinator's link") {
+  SampleLimits limits;
+  limits.BytesPerSecond = 200000;
+  DemandSampler sampler(limits);
+  for (unsigned ranks : {4U, 24U, 32U, 96U, 256U})
+    for (std::size_t counts : {288U, 1536U, 14848U}) {
+      Duration every = sampler.interval(ranks, counts);
+      double length = std::chrono::duration<double>(every).count();
+      CHECK(every >= limits.Shortest);
+      CHECK(double(ranks) * double(counts) / length <=
+            limits.BytesPerSecond * 1.001);
+    }
+  CHECK(sampler.isDue(Start));
+  sampler.take(makeStatus({1, 2}), Start);
+  CHECK_FALSE(sampler.isDue(Start + limits.Shortest - Duration(1)));
+  CHECK(sampler.isDue(Start + limits.Shortest));
+}
+
+TEST_CASE("a state in which only the step is new is told now and then") {
+  StatusFilter filter;
+  RankStatus status = makeStatus({});
+  std::optional<RankStatus> first = filter.filter(status, "a:1", Start);
+  REQUIRE(first);
+  CHECK(first->Placement == status.Placement);
+  unsigned told = 0;
+  for (int ms = 60; ms <= 1800; ms += 60) {
+    status.Step = StepNumber(status.Step.get() + 1);
+    std::optional<RankStatus> it =
+        filter.filter(status, "a:1", Start + milliseconds(ms));
+    told += it ? 1 : 0;
+    CHECK((!it || it->Placement.empty()));
+  }
+  CHECK(told == 10);
+}
+
+TEST_CASE("whatever a coordinator decides by is told at once") {
+  using Change = void (*)(RankStatus &);
+  for (Change change : std::initializer_list<Change>{
+           [](RankStatus &it) { it.Formation = FormationEpoch(2); },
+           [](RankStatus &it) { it.IsOpen = false; },
+           [](RankStatus &it) { it.Map = MapVersion(7); },
+           [](RankStatus &it) { it.Prepared = MapVersion(7); },
+           [](RankStatus &it) {
+             it.Armed = ArmedMap{MapVersion(7), StepNumber(3)};
+           },
+           [](RankStatus &it) { it.Held = StepNumber(3); },
+           [](RankStatus &it) { it.Picks = {1}; }}) {
+    StatusFilter filter;
+    RankStatus status = makeStatus({});
+    REQUIRE(filter.filter(status, "a:1", Start));
+    CHECK_FALSE(filter.filter(status, "a:1", Start));
+    change(status);
+    CHECK(filter.filter(status, "a:1", Start));
+  }
+}
+
+TEST_CASE("a new coordinator, or one whose link broke, is told everything") {
+  StatusFilter filter;
+  RankStatus status = makeStatus({});
+  REQUIRE(filter.filter(status, "a:1", Start));
+  std::optional<RankStatus> other = filter.filter(status, "b:1", Start);
+  REQUIRE(other);
+  CHECK(other->Placement == status.Placement);
+  filter.reset();
+  std::optional<RankStatus> again = filter.filter(status, "b:1", Start);
+  REQUIRE(again);
+  CHECK(again->Placement == status.Placement);
+}
+
+TEST_CASE("a coordinator that answers keeps its lease") {
+  for (unsigned rank : {0U, 5U, 31U, 255U}) {
+    CoordinatorWatch watch;
+    unsigned takeovers = 0;
+    for (int ms = 0; ms < 2400; ms += 60) {
+      TimePoint now = Start + milliseconds(ms);
+      StallAdvice advice = watch.onStalled(rank, now);
+      takeovers += advice == StallAdvice::TakeOver ? 1 : 0;
+      if (advice == StallAdvice::Ask)
+        watch.onAnswer(now + milliseconds(30));
+    }
+    CHECK(takeovers == 0);
+  }
+}
+
+TEST_CASE("one that answers though its group stands for long loses it") {
+  CoordinatorWatch watch;
+  unsigned takeovers = 0;
+  for (int ms = 0; ms < 3000; ms += 60) {
+    TimePoint now = Start + milliseconds(ms);
+    StallAdvice advice = watch.onStalled(3, now);
+    takeovers += advice == StallAdvice::TakeOver ? 1 : 0;
+    if (advice == StallAdvice::Ask)
+      watch.onAnswer(now);
+  }
+  CHECK(takeovers == 1);
+}
+
+TEST_CASE("ranks take a silent coordinator's lease one after the other") {
+  auto takesAfter = [](unsigned rank) {
+    CoordinatorWatch watch;
+    for (int ms = 0;; ++ms)
+      if (watch.onStalled(rank, Start + milliseconds(ms)) ==
+          StallAdvice::TakeOver)
+        return ms;
+  };
+  CHECK(takesAfter(0) == 150);
+  CHECK(takesAfter(1) == 180);
+  CHECK(takesAfter(2) == 210);
+  CHECK(takesAfter(255) == 650);
+}
