--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -132,6 +132,7 @@
   void startWaiting(TimePoint now);
   void startWaiting(bool onTime, TimePoint now);
   void retry(Call &call, ResultCode reason, TimePoint now);
+  void resume(Call &call, TimePoint now);
   void end(Call &call, ResultCode code, Duration retryAfter);
   void endNotRun(Call &call, ResultCode code, TimePoint now);
   void endAttempt(Call &call);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -142,10 +142,10 @@
     break;
   case AttemptEnd::BrokeOff:
     call.MayHaveRun = true;
-    if (route.IsResumable && call.Attempts < route.Attempts &&
-        tryStart(call, now))
-      break;
-    this->end(call, ResultCode::EndpointFailed, Duration::zero());
+    if (route.IsResumable)
+      resume(call, now);
+    else
+      this->end(call, ResultCode::EndpointFailed, Duration::zero());
     break;
   }
   ask(now);
@@ -263,6 +263,22 @@
     endNotRun(call, reason, now);
 }
 
+/// Goes on with a stream that broke off, after the last event that its caller
+/// has. When a group breaks there may be no room for all of its streams at
+/// once; cutting those would send their callers round again, and each may come
+/// back only once.
+void DirectNode::resume(Call &call, TimePoint now) {
+  bool mayTry = call.Attempts < call.Request.Route->Attempts &&
+                call.Arrivals < Limits.MaxArrivals;
+  if (mayTry && tryStart(call, now))
+    return;
+  call.WaitUntil = std::min(call.HeardAt + Limits.MaxSilence, call.Deadline);
+  if (mayTry && now < call.WaitUntil)
+    Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
+  else
+    end(call, ResultCode::EndpointFailed, Duration::zero());
+}
+
 /// Ends \p call with the truth: "not run" only if no attempt may have run.
 void DirectNode::endNotRun(Call &call, ResultCode code, TimePoint now) {
   if (call.MayHaveRun)
