Lead a group on through an outage of the store by its members' consent

A candidate that takes the lease stops reporting at that moment, agents refuse orders of earlier holders, a successor that has not reached every agent waits 3 s, in which its predecessor must have stopped; orders past an agent straight to its rank are given only while the store has confirmed the lease; after a pause of the process only the store's word counts. A lease that ran out is taken again by its holder at once.

Tests: MemberConsentTest, LeaseHolderTest; written with the change, not seen red before it, as the classes are new.

--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -14,6 +14,7 @@
 #include "ospreyspur/Platform/KeyValue.h"
 #include "ospreyspur/Support/Time.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -31,9 +32,12 @@
   /// After this time a call without an answer is given up.
   Duration CallTimeout = std::chrono::seconds(2);
   /// Whether a holder whose renewals are not answered acts on until it learns
-  /// that the lease is gone. Only where all that it orders is fenced: then a
-  /// later holder's first order ends what this one may do.
+  /// that the lease is gone. Only where something else ends what it may do: the
+  /// fencing of all that it orders, or its members' consent.
   bool OutlastsOutage = false;
+  /// Whether a lease of an earlier life of the process is taken at once. Only
+  /// where what that life ordered is fenced.
+  bool TakesOwn = false;
 };
 
 /// Gets and keeps one lease.
@@ -60,6 +64,13 @@
   bool isHeld(TimePoint now) const {
     return Holder.get() > 0 && (Limits.OutlastsOutage || now < ActUntil);
   }
+  /// Whether the store has confirmed that the lease stands at \p now.
+  bool isConfirmed(TimePoint now) const {
+    return Holder.get() > 0 && now < ActUntil;
+  }
+  /// The newest holder's revision that is known, the own one included; 0 if
+  /// none is.
+  Revision newestHolder() const { return std::max(Holder, OtherHolder); }
   /// The epoch; only meaningful while held.
   Epoch epoch() const { return Epoch(Holder.get()); }
   /// What the present holder wrote, as last read; empty if there was none.
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -131,6 +131,10 @@
   /// When the change under way began.
   TimePoint beganAt() const { return BeganAt; }
   const std::map<unsigned, RankStatus> &ranks() const { return Ranks; }
+  /// The number of the lease under which an order with \p token was given.
+  static std::uint64_t leaseOf(FencingToken token) {
+    return token.get() >> OrderBits;
+  }
 
 private:
   /// Room for the orders of one lease holder below its number in a token.
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -16,6 +16,7 @@
 #include "ospreyspur/Experts/DemandSampler.h"
 #include "ospreyspur/Experts/LeaseHolder.h"
 #include "ospreyspur/Experts/MapSwitch.h"
+#include "ospreyspur/Experts/MemberConsent.h"
 #include "ospreyspur/Experts/PlacementPlanner.h"
 #include "ospreyspur/Experts/StallWatch.h"
 #include "ospreyspur/Experts/StatusFilter.h"
@@ -59,7 +60,11 @@
   boost::asio::awaitable<void> readRank();
   void onStatus(const RankStatus &status);
   void join(const RankStatus &status);
+  void onOrderTimer();
   void checkLease(TimePoint now);
+  bool mayLead(TimePoint now) const;
+  bool mayBegin(TimePoint now) const;
+  bool mayReach(TimePoint now) const;
   void watchForStall(const RankStatus &status);
   void askCoordinator();
   void takeOver(const RankStatus &status);
@@ -98,6 +103,10 @@
   CoordinatorWatch Coordinator;
   DemandSampler Sampler;
   StatusFilter Filter;
+  MemberConsent Consent;
+  OrderGate Gate;
+  /// When this agent came to lead.
+  TimePoint LedSince;
   MapSwitch Switch;
   SwitchPhase LoggedPhase = SwitchPhase::Idle;
   DemandMeter Demand;
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -64,7 +64,7 @@
     // An earlier life of this process held it: nobody else will use it. What
     // that life ordered is fenced.
     bool wasOwn = reply.Code == ResultCode::Ok && reply.Value == Self;
-    if (wasOwn && Limits.OutlastsOutage)
+    if (wasOwn && Limits.TakesOwn)
       takeOver(now);
     return;
   }
@@ -77,8 +77,14 @@
     noteHolder(reply);
   bool isGone = reply.Code == ResultCode::NotFound ||
                 reply.Code == ResultCode::PlatformConflict;
-  if (Holder.get() > 0 && isGone)
-    lose(now);
+  if (Holder.get() == 0 || !isGone)
+    return;
+  lose(now);
+  // A lease that ran out in an outage is free for everybody at this moment; the
+  // group is best led by whoever led it.
+  IsFree = reply.Code == ResultCode::NotFound;
+  if (IsFree)
+    NextCall = now;
 }
 
 void LeaseHolder::hold(Revision at) {
--- /dev/null
+++ b/lib/Experts/MemberConsent.cpp
@@ -0,0 +1,33 @@
+//===- MemberConsent.cpp - leading a group without the store --------------===//
+//
+// See MemberConsent.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/MemberConsent.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+
+void MemberConsent::onAlive(TimePoint now) {
+  IsVoid = IsVoid || now - AliveAt >= Pause;
+  AliveAt = now;
+}
+
+bool MemberConsent::isFollowed(unsigned size, Duration age,
+                               TimePoint now) const {
+  if (size == 0 || IsVoid)
+    return false;
+  for (unsigned rank = 0; rank < size; ++rank) {
+    auto it = HeardAt.find(rank);
+    if (it == HeardAt.end() || now - it->second >= age)
+      return false;
+  }
+  return true;
+}
+
+bool OrderGate::accepts(std::uint64_t lease, std::uint64_t newest) {
+  Highest = std::max({Highest, lease, newest});
+  return lease == Highest;
+}
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -46,7 +46,17 @@
   limits.RenewEvery = std::chrono::milliseconds(900);
   limits.RetryEvery = std::chrono::milliseconds(1500);
   limits.CallTimeout = std::chrono::milliseconds(900);
-  limits.OutlastsOutage = checksFences;
+  limits.OutlastsOutage = true;
+  limits.TakesOwn = checksFences;
+  return limits;
+}
+
+static SwitchLimits makeSwitchLimits(bool checksFences) {
+  SwitchLimits limits;
+  // Only a rank's check of tokens lets a successor act beside an agent that may
+  // still follow its predecessor.
+  if (!checksFences)
+    limits.MissingAfter = MemberConsent::SuccessorWait;
   return limits;
 }
 
@@ -55,10 +65,11 @@
     : Context(ioc), Settings(settings), Measures(metrics), Random(seed),
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
-      Sampler(makeSampleLimits(settings)), Switch(SwitchLimits()),
-      Demand(DemandHalfLife), Timer(ioc, [this] { tick(); }),
+      Sampler(makeSampleLimits(settings)),
+      Switch(makeSwitchLimits(settings.ChecksFences)), Demand(DemandHalfLife),
+      Timer(ioc, [this] { tick(); }),
       LeaseTimer(ioc, [this] { lookAtLease(); }),
-      OrderTimer(ioc, [this] { apply(Switch.onTimer(monotonicNow())); }),
+      OrderTimer(ioc, [this] { onOrderTimer(); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
                 asio::post(Context, [this, from, messages] {
                   for (const Message &it : messages)
@@ -115,17 +126,29 @@
 void RankAgent::tick() {
   TimePoint now = monotonicNow();
   Timer.set(now + ReadEvery);
+  Consent.onAlive(now);
+  checkLease(now);
   if (!IsReading)
     spawn(readRank());
   apply(Switch.onTimer(now));
   considerPlan();
+}
+
+void RankAgent::onOrderTimer() {
+  TimePoint now = monotonicNow();
+  Consent.onAlive(now);
   checkLease(now);
+  apply(Switch.onTimer(now));
 }
 
 /// Ranks that no longer report may have found another coordinator.
 void RankAgent::checkLease(TimePoint now) {
-  bool isLeading = Member && Member->Lease.isHeld(now);
-  if (isLeading)
+  if (Member && Member->Lease.isConfirmed(now))
+    Consent.onConfirmed();
+  bool isLeading = mayLead(now);
+  if (Switch.isLeading() && !isLeading)
+    lookAtLease();
+  if (isLeading && mayReach(now))
     reachSilentRanks(now);
   bool isFenced = isLeading && !Switch.isLeading();
   if (!isLeading || (Switch.isComplete(now) && !isFenced)) {
@@ -139,6 +162,33 @@
   lookAtLease();
 }
 
+/// Whether this agent is its group's coordinator. In an outage of the store the
+/// lease tells only where a later holder's orders fence those of this one;
+/// elsewhere all members must still follow.
+bool RankAgent::mayLead(TimePoint now) const {
+  if (!Member || !Member->Lease.isHeld(now))
+    return false;
+  return Settings.ChecksFences || Member->Lease.isConfirmed(now) ||
+         (Own && Consent.isFollowed(Own->Size, MemberConsent::Longest, now));
+}
+
+/// Whether to begin a change.
+bool RankAgent::mayBegin(TimePoint now) const {
+  if (!mayLead(now))
+    return false;
+  return Settings.ChecksFences || Member->Lease.isConfirmed(now) ||
+         (Own && Consent.isFollowed(Own->Size, MemberConsent::Fresh, now));
+}
+
+/// Whether ranks on other hosts may be ordered past their agents, which would
+/// refuse an earlier coordinator's orders where the rank does not.
+bool RankAgent::mayReach(TimePoint now) const {
+  if (Settings.ChecksFences)
+    return true;
+  return Member && Member->Lease.isConfirmed(now) &&
+         now - LedSince >= MemberConsent::SuccessorWait;
+}
+
 asio::awaitable<void> RankAgent::readRank() {
   IsReading = true;
   TimePoint now = monotonicNow();
@@ -171,10 +221,14 @@
       Member && Member->Group == status.Group && Member->Rank == status.Rank;
   if (!isMember)
     join(status);
-  if (Member->Lease.isHeld(monotonicNow())) {
+  TimePoint now = monotonicNow();
+  if (mayLead(now)) {
     takeStatus(status, std::nullopt);
     return;
   }
+  // Whoever holds a lease, confirmed or not, follows nobody.
+  if (Member->Lease.isHeld(now))
+    return;
   report(status);
   watchForStall(status);
 }
@@ -229,6 +283,7 @@
       status, LeaseHolder(key, Settings.linkListen(),
                           makeLeaseLimits(Settings.ChecksFences)));
   Switch.resign();
+  Consent.clear();
   // All agents of a group start together; one should be first.
   std::uniform_int_distribution<Duration::rep> spread(0, JoinSpread.count());
   LeaseTimer.set(monotonicNow() + Duration(spread(Random)));
@@ -249,10 +304,12 @@
     Platform.call(std::move(*call), CallTimeout, onReply);
   }
   bool wasLeading = Switch.isLeading();
-  if (lease.isHeld(now))
+  if (mayLead(now))
     Switch.lead(lease.epoch().get(), Member->Rank, now);
   else
     Switch.resign();
+  if (!wasLeading && Switch.isLeading())
+    LedSince = now;
   if (wasLeading != Switch.isLeading())
     LOG(INFO) << LogEvent(wasLeading ? "lease.lost" : "lease.won")
                      .with("group", Member->Group.get())
@@ -279,7 +336,9 @@
   if (!Member || status.Group != Member->Group)
     return;
   TimePoint now = monotonicNow();
+  Consent.onAlive(now);
   HeardAt[status.Rank] = now;
+  Consent.onReport(status.Rank, now);
   if (from)
     Links[status.Rank] = *from;
   else
@@ -291,9 +350,13 @@
 }
 
 void RankAgent::onReply(LinkId from, const MapOrderReply &reply) {
+  TimePoint now = monotonicNow();
+  Consent.onAlive(now);
+  if (!mayLead(now))
+    return;
   for (const auto &[rank, link] : Links)
     if (link == from) {
-      apply(Switch.onReply(rank, reply, monotonicNow()));
+      apply(Switch.onReply(rank, reply, now));
       return;
     }
 }
@@ -307,10 +370,12 @@
 
 void RankAgent::perform(const SendMapOrder &action) {
   auto link = Links.find(action.Rank);
-  auto far = FarRanks.find(action.Rank);
+  bool canReach = mayReach(monotonicNow());
+  auto far = canReach ? FarRanks.find(action.Rank) : FarRanks.end();
   if (Own && Own->Rank == action.Rank)
     spawn(giveOwn(action.Rank, action.Order));
-  else if (std::shared_ptr<RankLink> direct = holdLink(action))
+  else if (std::shared_ptr<RankLink> direct =
+               canReach ? holdLink(action) : nullptr)
     spawn(giveFar(std::move(direct), action.Rank, action.Order));
   else if (far != FarRanks.end() && !isHeard(action.Rank, monotonicNow()))
     spawn(giveFar(far->second, action.Rank, action.Order));
@@ -331,6 +396,16 @@
 asio::awaitable<void> RankAgent::giveFor(EndpointId from, MapOrder order) {
   MapOrderReply reply;
   reply.Id = order.Id;
+  std::uint64_t newest = Member ? Member->Lease.newestHolder().get() : 0;
+  if (!Gate.accepts(MapSwitch::leaseOf(order.Fence), newest)) {
+    LOG(WARNING) << LogEvent("order.refused")
+                        .with("from", from.get())
+                        .with("fence", order.Fence.get())
+                        .with("newest", newest);
+    reply.Result = MapOrderResult::Fenced;
+    Peers.send(from, reply, monotonicNow());
+    co_return;
+  }
   reply.Result = co_await Rank.give(std::move(order));
   Peers.send(from, reply, monotonicNow());
   if (!IsReading)
--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -64,7 +64,7 @@
   TimePoint now = monotonicNow();
   if (!Figures && Switch.isLeading())
     readFigures();
-  if (now < NextPlan || !Figures || !Switch.canBegin(now))
+  if (now < NextPlan || !Figures || !Switch.canBegin(now) || !mayBegin(now))
     return;
   NextPlan = now + PlanEvery;
   if (!fitsFigures())
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -36,7 +36,7 @@
 
 TEST_CASE("a holder that was started again takes its own lease at once") {
   LeaseLimits limits;
-  limits.OutlastsOutage = true;
+  limits.TakesOwn = true;
   LeaseHolder holder("k", "a", limits);
   REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(Start)));
   holder.onReply({ResultCode::Ok, Revision(3), "a"}, Start);
@@ -75,7 +75,7 @@
   CHECK(holder.isHeld(sent + limits.Span - limits.Margin - Duration(1)));
 }
 
-TEST_CASE("a lost lease is taken anew, with another epoch") {
+TEST_CASE("a lost lease is taken anew at once, with another epoch") {
   LeaseHolder holder("k", "a", LeaseLimits());
   take(holder, Start);
   TimePoint late = Start + seconds(60);
@@ -83,9 +83,29 @@
       *holder.nextCall(Start + LeaseLimits().RenewEvery)));
   holder.onReply({ResultCode::NotFound, {}, {}}, late);
   CHECK_FALSE(holder.isHeld(late));
+  std::optional<KvCall> call = holder.nextCall(late);
+  REQUIRE(call);
+  REQUIRE(std::holds_alternative<KvPut>(*call));
+  CHECK(std::get<KvPut>(*call).Expected == Revision(0));
+  // Another was faster.
+  holder.onReply({ResultCode::PlatformConflict, Revision(9), "b"}, late);
+  CHECK_FALSE(holder.isHeld(late));
+  CHECK(holder.holder() == "b");
   CHECK(std::holds_alternative<KvGet>(*holder.nextCall(late + seconds(10))));
 }
 
+TEST_CASE("the store's word on a lease ends with its span") {
+  LeaseLimits limits;
+  limits.OutlastsOutage = true;
+  LeaseHolder holder("k", "a", limits);
+  take(holder, Start);
+  TimePoint end = Start + limits.Span - limits.Margin;
+  CHECK(holder.isConfirmed(end - Duration(1)));
+  CHECK_FALSE(holder.isConfirmed(end));
+  CHECK(holder.isHeld(end));
+  CHECK(holder.newestHolder() == Revision(7));
+}
+
 /// Gives \p order to the member and has \p rank answer what it asks.
 static GroupReply exchange(GroupMember &member, standin::RankModel &rank,
                            const GroupOrder &order) {
--- /dev/null
+++ b/unittests/Experts/MemberConsentTest.cpp
@@ -0,0 +1,72 @@
+//===- MemberConsentTest.cpp - leading a group without the store ----------===//
+//
+// Two coordinators are never both followed by every agent, and an agent never
+// goes back to an earlier one.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/MemberConsent.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr TimePoint Start{seconds(100)};
+static constexpr unsigned Size = 3;
+
+/// A coordinator that the store has confirmed and all agents follow.
+static MemberConsent makeFollowed() {
+  MemberConsent out;
+  out.onAlive(Start);
+  out.onConfirmed();
+  for (unsigned rank = 0; rank < Size; ++rank)
+    out.onReport(rank, Start);
+  return out;
+}
+
+TEST_CASE("a group follows while each of its agents reports") {
+  MemberConsent consent = makeFollowed();
+  CHECK(consent.isFollowed(Size, MemberConsent::Fresh, Start));
+  CHECK_FALSE(consent.isFollowed(Size + 1, MemberConsent::Fresh, Start));
+  CHECK_FALSE(consent.isFollowed(0, MemberConsent::Fresh, Start));
+  TimePoint later = Start + MemberConsent::Fresh;
+  consent.onReport(0, later);
+  consent.onReport(2, later);
+  CHECK_FALSE(consent.isFollowed(Size, MemberConsent::Fresh, later));
+  CHECK(consent.isFollowed(Size, MemberConsent::Longest, later));
+  consent.onReport(1, later);
+  CHECK(consent.isFollowed(Size, MemberConsent::Fresh, later));
+}
+
+TEST_CASE("a successor waits for longer than its predecessor goes on") {
+  // The predecessor may take a last report this much later than it was sent.
+  Duration goesOn = MemberConsent::Longest + MemberConsent::Pause;
+  CHECK(goesOn < MemberConsent::SuccessorWait);
+}
+
+TEST_CASE("reports found after a pause say nothing until the store has") {
+  MemberConsent consent = makeFollowed();
+  TimePoint woken = Start + MemberConsent::Pause;
+  consent.onAlive(woken);
+  for (unsigned rank = 0; rank < Size; ++rank)
+    consent.onReport(rank, woken);
+  CHECK_FALSE(consent.isFollowed(Size, MemberConsent::Longest, woken));
+  consent.onAlive(woken + milliseconds(60));
+  CHECK_FALSE(consent.isFollowed(Size, MemberConsent::Longest, woken));
+  consent.onConfirmed();
+  CHECK(consent.isFollowed(Size, MemberConsent::Longest, woken));
+}
+
+TEST_CASE("an agent passes on no order of a coordinator before the latest") {
+  OrderGate gate;
+  CHECK(gate.accepts(5, 5));
+  CHECK(gate.accepts(7, 5));
+  CHECK_FALSE(gate.accepts(5, 5));
+  CHECK(gate.accepts(7, 7));
+  // The store tells of a later one before it has given an order.
+  CHECK_FALSE(gate.accepts(7, 9));
+  CHECK_FALSE(gate.accepts(8, 7));
+  CHECK(gate.accepts(9, 9));
+}
