Take an own earlier lease at once also where ranks check no tokens

Ruled out as a danger: orders of the earlier life that are carried out late, 2 s at the earliest, name a step; a change that it left is ended some 0.1 s after the lease is taken, so the step has begun by then and they are refused. Waiting for the lease gave them time to land while the step was held.

--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -35,8 +35,10 @@
   /// that the lease is gone. Only where something else ends what it may do: the
   /// fencing of all that it orders, or its members' consent.
   bool OutlastsOutage = false;
-  /// Whether a lease of an earlier life of the process is taken at once. Only
-  /// where what that life ordered is fenced.
+  /// Whether a lease of an earlier life of the process is taken at once: nobody
+  /// else acts under it. What that life ordered and is carried out late must be
+  /// fenced, or refused because its step has begun; a change that it left is
+  /// ended sooner the sooner the lease is taken.
   bool TakesOwn = false;
 };
 
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -39,7 +39,7 @@
   return limits;
 }
 
-static LeaseLimits makeLeaseLimits(bool checksFences) {
+static LeaseLimits makeLeaseLimits() {
   LeaseLimits limits;
   limits.Span = std::chrono::seconds(3);
   limits.Margin = std::chrono::milliseconds(700);
@@ -47,7 +47,7 @@
   limits.RetryEvery = std::chrono::milliseconds(1500);
   limits.CallTimeout = std::chrono::milliseconds(900);
   limits.OutlastsOutage = true;
-  limits.TakesOwn = checksFences;
+  limits.TakesOwn = true;
   return limits;
 }
 
@@ -280,8 +280,7 @@
   std::string key =
       "ospreyspur/groups/" + Settings.Service + "/" + status.Group.get();
   Member = std::make_unique<Membership>(
-      status, LeaseHolder(key, Settings.linkListen(),
-                          makeLeaseLimits(Settings.ChecksFences)));
+      status, LeaseHolder(key, Settings.linkListen(), makeLeaseLimits()));
   Switch.resign();
   Consent.clear();
   // All agents of a group start together; one should be first.
