Spare slow ranks: fewer experts in demand, fewer requests

All ranks of a group wait for the slowest.

Agents tell how slow their rank is, as it reports it; a plan counts the rank's load by as much more, and it may give up experts that others hold too, which copies nothing. An entry that sees a group pass slower than 180 ms asks its ranks once a second and gives a slow one as many fewer places.

With it: a successor need not wait 3 s for the rank of its predecessor's own host where ranks check no tokens; every other agent refuses the predecessor by then.

--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -103,6 +103,8 @@
   bool IsOpen = true;
   /// Requests of all callers that it runs.
   unsigned Running = 0;
+  /// How many times slower than usual it works; 1 if as usual.
+  double Pace = 1;
 };
 
 /// One output of the direct path's state machine.
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -50,6 +50,10 @@
   /// It gets nothing before it has told that it takes requests.
   bool MustTell = false;
   TimePoint AskAt;
+  /// How many times slower than usual it works, and when it told.
+  double Pace = 1;
+  TimePoint PaceAt;
+  TimePoint AskPaceAt;
 };
 
 /// Load and health by endpoint.
@@ -70,6 +74,12 @@
   static constexpr std::size_t AskersPerPause = 8;
   /// After this time a question without an answer is asked again.
   static constexpr Duration AskTimeout = std::chrono::seconds(1);
+  /// From this pause between the events of a group's streams on its ranks are
+  /// asked how fast they work: passes of a full group with a map that fits stay
+  /// below it on the users' platform.
+  static constexpr Duration SlowPass = std::chrono::milliseconds(180);
+  /// Between two such questions to an endpoint; what it told holds for two.
+  static constexpr Duration PaceEvery = std::chrono::milliseconds(1000);
   /// After this time another entry's report no longer counts.
   static constexpr Duration PeerLoadAge = std::chrono::seconds(1);
 
@@ -95,6 +105,8 @@
   void onFull(const EndpointId &id, TimePoint now);
   /// The endpoints to ask for their condition now, one of each known group.
   std::vector<EndpointRecord> takeQuestions(TimePoint now);
+  /// The endpoints of slow groups to ask how fast they work.
+  std::vector<EndpointRecord> takePaceQuestions(TimePoint now);
   /// What an endpoint told; nothing if it did not answer.
   void onTold(const EndpointId &id,
               const std::optional<EndpointCondition> &condition, TimePoint now);
@@ -112,6 +124,11 @@
   /// The pause between events to expect at \p state's endpoint; zero if it is
   /// of no group or nothing is known.
   Duration gapOf(const EndpointState &state, TimePoint now) const;
+  /// How many times slower than usual the endpoint works; 1 if that is not
+  /// known.
+  static double paceOf(const EndpointState &state, TimePoint now) {
+    return now - state.PaceAt < 2 * PaceEvery ? state.Pace : 1;
+  }
   /// This entry's load, for the other entries.
   std::vector<EndpointLoad> ownLoads() const;
   /// Other entries heard of lately.
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -124,6 +124,8 @@
   bool isComplete(TimePoint now) const;
   /// The experts of every rank, as reported.
   GroupPlacement placement() const;
+  /// How many times slower than usual each rank works, as reported.
+  std::vector<double> paces() const;
   /// The version under way, or the last one.
   MapVersion version() const { return Version; }
   /// How fast the group steps, as last measured.
--- a/include/ospreyspur/Experts/PlacementPlanner.h
+++ b/include/ospreyspur/Experts/PlacementPlanner.h
@@ -2,7 +2,8 @@
 //
 // Improves a group's placement step by step: each step copies one expert of a
 // hot rank to a cooler one. Copies take time on the rank's link, so a plan has
-// few of them; the next plan goes on from there.
+// few of them; the next plan goes on from there. A slow rank counts as loaded
+// by as much more, and may give experts up that others hold too.
 //
 //===----------------------------------------------------------------------===//
 
@@ -44,9 +45,11 @@
   explicit PlacementPlanner(PlacementLimits limits) : Limits(limits) {}
 
   /// The placement to use after \p current for \p demand, which has the same
-  /// number of experts for each set.
+  /// number of experts for each set. \p paces tells how many times slower than
+  /// usual each rank works; empty if all work as usual.
   PlacementPlan plan(const GroupPlacement &current,
-                     const std::vector<double> &demand) const;
+                     const std::vector<double> &demand,
+                     const std::vector<double> &paces = {}) const;
 
 private:
   PlacementLimits Limits;
--- a/include/ospreyspur/Experts/RankStatus.h
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -59,6 +59,8 @@
   /// Times that each expert was chosen since the report before; empty if the
   /// report has none.
   std::vector<std::uint32_t> Picks;
+  /// How many times slower than usual the rank works; 1 if as usual.
+  double Pace = 1;
   /// The experts that it holds under Map; empty if reported before.
   RankPlacement Placement;
   /// Where it takes orders; set by the agent on its host.
--- a/include/ospreyspur/Experts/SetPlacement.h
+++ b/include/ospreyspur/Experts/SetPlacement.h
@@ -16,10 +16,10 @@
 
 namespace ospreyspur {
 
-/// Copy \c Expert to \c Rank.
+/// Copy \c Expert to \c Rank, or have the rank only give \c Evicted up.
 struct ExpertCopy {
   unsigned Rank = 0;
-  ExpertNumber Expert = 0;
+  std::optional<ExpertNumber> Expert;
   /// The expert that makes room; none if there is a free place.
   std::optional<ExpertNumber> Evicted;
   /// By how much the set's load measure falls, in mean loads.
@@ -29,9 +29,10 @@
 /// One set.
 class SetPlacement {
 public:
-  /// \p ranks holds each rank's experts; \p demand that for each expert.
+  /// \p ranks holds each rank's experts; \p demand that for each expert;
+  /// \p paces how many times slower each rank works, empty if none does.
   SetPlacement(std::vector<std::vector<ExpertNumber>> ranks,
-               std::vector<double> demand);
+               std::vector<double> demand, std::vector<double> paces = {});
 
   /// The copy with the highest gain to a rank that \p mayTake one more, if any
   /// gains; no rank holds more than \p places.
@@ -52,12 +53,14 @@
   void tryCopy(const ExpertCopy &copy) const;
   void undoCopy() const;
   std::vector<unsigned> hottest() const;
+  void considerGivingUp(unsigned rank, std::optional<ExpertCopy> &best) const;
   void considerRank(unsigned rank, ExpertNumber expert, std::size_t places,
                     std::optional<ExpertCopy> &best) const;
   void consider(ExpertCopy copy, std::optional<ExpertCopy> &best) const;
 
   std::vector<std::vector<ExpertNumber>> Ranks;
   std::vector<double> Demand;
+  std::vector<double> Paces;
   /// The ranks that hold each expert.
   std::vector<std::vector<unsigned>> Holders;
   struct Touched {
@@ -65,6 +68,7 @@
     double Load = 0;
   };
 
+  /// The demand that each rank bears, times its pace.
   /// A copy that is tried changes the loads of a few ranks only; they are put
   /// back after it.
   mutable std::vector<double> Loads;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -166,6 +166,8 @@
 void DirectNode::ask(TimePoint now) {
   for (EndpointRecord &it : Book.takeQuestions(now))
     Out.emplace_back(AskEndpoint{std::move(it)});
+  for (EndpointRecord &it : Book.takePaceQuestions(now))
+    Out.emplace_back(AskEndpoint{std::move(it)});
 }
 
 DirectActions DirectNode::onCallGone(CallId id, TimePoint now) {
@@ -360,7 +362,9 @@
   if (isEngine && !canFinish(state, call, now))
     return false;
   double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
-  return Book.totalLoad(state, now).Running < limit;
+  // All ranks of a group wait for the slowest: it gets as much less.
+  return Book.totalLoad(state, now).Running <
+         limit / EndpointBook::paceOf(state, now);
 }
 
 /// Whether the rest of a usual answer would come within the call's time: where
@@ -392,7 +396,7 @@
   double reading = engine.ReadTokensPerSecond > 0
                        ? load.Unread / engine.ReadTokensPerSecond
                        : 0;
-  return load.Running * each + reading;
+  return (load.Running * each + reading) * EndpointBook::paceOf(state, now);
 }
 
 ServiceId DirectNode::pickService(const RouteRule &route) {
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -148,6 +148,18 @@
   return out;
 }
 
+std::vector<EndpointRecord> EndpointBook::takePaceQuestions(TimePoint now) {
+  std::vector<EndpointRecord> out;
+  for (auto &[id, state] : States) {
+    bool isSlow = state.Record.TellsState && gapOf(state, now) >= SlowPass;
+    if (!isSlow || state.MustTell || now < state.AskPaceAt)
+      continue;
+    state.AskPaceAt = now + PaceEvery;
+    out.push_back(state.Record);
+  }
+  return out;
+}
+
 std::optional<TimePoint> EndpointBook::nextQuestion() const {
   std::optional<TimePoint> next;
   for (const auto &[id, state] : States)
@@ -160,6 +172,10 @@
                           const std::optional<EndpointCondition> &condition,
                           TimePoint now) {
   EndpointState *told = findMutable(id);
+  if (told && condition) {
+    told->Pace = condition->Pace;
+    told->PaceAt = now;
+  }
   if (!told || !told->MustTell)
     return;
   if (condition)
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -200,6 +200,13 @@
   return out;
 }
 
+std::vector<double> MapSwitch::paces() const {
+  std::vector<double> out;
+  for (const auto &[rank, status] : Ranks)
+    out.push_back(status.Pace);
+  return out;
+}
+
 bool MapSwitch::isComplete(TimePoint now) const {
   if (Ranks.empty() || Ranks.size() != Ranks.begin()->second.Size)
     return false;
--- a/lib/Experts/PlacementPlanner.cpp
+++ b/lib/Experts/PlacementPlanner.cpp
@@ -18,7 +18,7 @@
 class Draft {
 public:
   Draft(const PlacementLimits &limits, const GroupPlacement &current,
-        const std::vector<double> &demand);
+        const std::vector<double> &demand, const std::vector<double> &paces);
 
   PlacementPlan make();
 
@@ -41,7 +41,8 @@
 } // namespace
 
 Draft::Draft(const PlacementLimits &limits, const GroupPlacement &current,
-             const std::vector<double> &demand)
+             const std::vector<double> &demand,
+             const std::vector<double> &paces)
     : Limits(limits), RankCount(current.size()) {
   std::size_t sets = current.empty() ? 0 : current.front().size();
   std::size_t experts = sets == 0 ? 0 : demand.size() / sets;
@@ -52,7 +53,7 @@
     auto first = demand.begin() + std::ptrdiff_t(set * experts);
     Sets.emplace_back(
         std::move(ranks),
-        std::vector<double>(first, first + std::ptrdiff_t(experts)));
+        std::vector<double>(first, first + std::ptrdiff_t(experts)), paces);
   }
   Best.resize(sets);
   IsKnown.resize(sets, false);
@@ -102,9 +103,12 @@
     auto set = std::size_t(best - Best.begin());
     unsigned rank = (*best)->Rank;
     Sets[set].apply(**best);
+    bool isNew = (*best)->Expert.has_value();
+    IsKnown[set] = false;
+    if (!isNew)
+      continue;
     ++plan.Copies;
     ++NewInSet[set][rank];
-    IsKnown[set] = false;
     // A rank that is full for this change is no choice in any set. Copies to
     // other ranks stay the best of their sets.
     if (++NewOnRank[rank] >= Limits.NewPerRank)
@@ -119,6 +123,7 @@
 }
 
 PlacementPlan PlacementPlanner::plan(const GroupPlacement &current,
-                                     const std::vector<double> &demand) const {
-  return Draft(Limits, current, demand).make();
+                                     const std::vector<double> &demand,
+                                     const std::vector<double> &paces) const {
+  return Draft(Limits, current, demand, paces).make();
 }
--- a/lib/Experts/SetPlacement.cpp
+++ b/lib/Experts/SetPlacement.cpp
@@ -17,6 +17,9 @@
 /// Ranks that a copy is looked for, from the most loaded down.
 static constexpr std::size_t HotRanks = 2;
 
+/// From this pace on a rank gives experts up.
+static constexpr double SlowPace = 1.5;
+
 static double eighthPower(double it) {
   double square = it * it;
   double fourth = square * square;
@@ -28,16 +31,19 @@
 }
 
 SetPlacement::SetPlacement(std::vector<std::vector<ExpertNumber>> ranks,
-                           std::vector<double> demand)
+                           std::vector<double> demand,
+                           std::vector<double> paces)
     : Ranks(std::move(ranks)), Demand(std::move(demand)),
-      Holders(Demand.size()), Loads(Ranks.size(), 0.0) {
+      Paces(std::move(paces)), Holders(Demand.size()),
+      Loads(Ranks.size(), 0.0) {
+  Paces.resize(Ranks.size(), 1.0);
   for (unsigned rank = 0; rank < Ranks.size(); ++rank)
     for (ExpertNumber it : Ranks[rank])
       Holders[it].push_back(rank);
   for (unsigned rank = 0; rank < Ranks.size(); ++rank)
     for (ExpertNumber it : Ranks[rank])
-      Loads[rank] += share(it);
-  Mean = std::accumulate(Loads.begin(), Loads.end(), 0.0) /
+      Loads[rank] += share(it) * Paces[rank];
+  Mean = std::accumulate(Demand.begin(), Demand.end(), 0.0) /
          double(std::max<std::size_t>(Loads.size(), 1));
   for (double it : Loads)
     Sum += eighthPower(it);
@@ -64,7 +70,7 @@
 void SetPlacement::changeLoad(unsigned rank, double by) const {
   double before = Loads[rank];
   Undo.push_back({rank, before});
-  Loads[rank] += by;
+  Loads[rank] += by * Paces[rank];
   Sum += eighthPower(Loads[rank]) - eighthPower(before);
 }
 
@@ -83,9 +89,11 @@
     addShares(holders, after - share(*copy.Evicted));
     changeLoad(copy.Rank, -after);
   }
-  const std::vector<unsigned> &holders = Holders[copy.Expert];
-  double after = Demand[copy.Expert] / double(holders.size() + 1);
-  addShares(holders, after - share(copy.Expert));
+  if (!copy.Expert)
+    return;
+  const std::vector<unsigned> &holders = Holders[*copy.Expert];
+  double after = Demand[*copy.Expert] / double(holders.size() + 1);
+  addShares(holders, after - share(*copy.Expert));
   changeLoad(copy.Rank, after);
 }
 
@@ -105,8 +113,10 @@
     std::erase(Holders[*copy.Evicted], copy.Rank);
     std::erase(Ranks[copy.Rank], *copy.Evicted);
   }
-  Holders[copy.Expert].push_back(copy.Rank);
-  Ranks[copy.Rank].push_back(copy.Expert);
+  if (!copy.Expert)
+    return;
+  Holders[*copy.Expert].push_back(copy.Rank);
+  Ranks[copy.Rank].push_back(*copy.Expert);
 }
 
 std::vector<unsigned> SetPlacement::hottest() const {
@@ -124,14 +134,25 @@
 SetPlacement::findCopy(std::size_t places,
                        const std::function<bool(unsigned)> &mayTake) const {
   std::optional<ExpertCopy> best;
-  for (unsigned hot : hottest())
+  for (unsigned hot : hottest()) {
+    if (Paces[hot] >= SlowPace)
+      considerGivingUp(hot, best);
     for (ExpertNumber expert : Ranks[hot])
       for (unsigned rank = 0; rank < Ranks.size(); ++rank)
         if (Loads[rank] < Loads[hot] && !holds(rank, expert) && mayTake(rank))
           considerRank(rank, expert, places, best);
+  }
   return best;
 }
 
+/// A slow rank bears less with fewer experts; others have to hold them, too.
+void SetPlacement::considerGivingUp(unsigned rank,
+                                    std::optional<ExpertCopy> &best) const {
+  for (ExpertNumber it : Ranks[rank])
+    if (Holders[it].size() > 1)
+      consider({rank, std::nullopt, it, 0}, best);
+}
+
 /// Looks at all ways to make room for \p expert on \p rank.
 void SetPlacement::considerRank(unsigned rank, ExpertNumber expert,
                                 std::size_t places,
--- a/lib/Experts/StatusFilter.cpp
+++ b/lib/Experts/StatusFilter.cpp
@@ -6,8 +6,13 @@
 
 #include "ospreyspur/Experts/StatusFilter.h"
 
+#include <cmath>
+
 using namespace ospreyspur;
 
+/// A rank's pace wavers a little; it is news from this part of it on.
+static constexpr double PaceChange = 0.2;
+
 std::optional<RankStatus> StatusFilter::filter(const RankStatus &status,
                                                const std::string &address,
                                                TimePoint now) {
@@ -34,5 +39,6 @@
          Told->Rank != status.Rank || Told->Size != status.Size ||
          Told->IsOpen != status.IsOpen || Told->Map != status.Map ||
          Told->Prepared != status.Prepared || Told->Armed != status.Armed ||
-         Told->Held != status.Held;
+         Told->Held != status.Held ||
+         std::abs(Told->Pace - status.Pace) > PaceChange * Told->Pace;
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -291,8 +291,8 @@
   std::optional<EndpointCondition> condition;
   if (status) {
     bool isOpen = status.value().Group.get().empty() || status.value().IsOpen;
-    condition =
-        EndpointCondition{status.value().Group, isOpen, status.value().Running};
+    condition = EndpointCondition{status.value().Group, isOpen,
+                                  status.value().Running, status.value().Pace};
   }
   Measures.count("endpoint_questions_total");
   bool takesRequests = condition && condition->IsOpen;
@@ -301,6 +301,7 @@
                    .with("group", condition ? condition->Group.get() : "")
                    .with("open", takesRequests)
                    .with("running", condition ? condition->Running : 0)
+                   .with("pace", condition ? condition->Pace : 0.0)
                    .with("detail", status ? "" : status.error().Detail);
   apply(Node.onTold(endpoint.Id, condition, monotonicNow()));
 }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -51,23 +51,13 @@
   return limits;
 }
 
-static SwitchLimits makeSwitchLimits(bool checksFences) {
-  SwitchLimits limits;
-  // Only a rank's check of tokens lets a successor act beside an agent that may
-  // still follow its predecessor.
-  if (!checksFences)
-    limits.MissingAfter = MemberConsent::SuccessorWait;
-  return limits;
-}
-
 RankAgent::RankAgent(asio::io_context &ioc, const RankSettings &settings,
                      Metrics &metrics, std::uint64_t seed)
     : Context(ioc), Settings(settings), Measures(metrics), Random(seed),
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
-      Sampler(makeSampleLimits(settings)),
-      Switch(makeSwitchLimits(settings.ChecksFences)), Demand(DemandHalfLife),
-      Timer(ioc, [this] { tick(); }),
+      Sampler(makeSampleLimits(settings)), Switch(SwitchLimits()),
+      Demand(DemandHalfLife), Timer(ioc, [this] { tick(); }),
       LeaseTimer(ioc, [this] { lookAtLease(); }),
       OrderTimer(ioc, [this] { onOrderTimer(); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -72,11 +72,12 @@
   logGroup();
   PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
                          NewPerRank, MinCopyGain};
-  PlacementPlan plan =
-      PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+  PlacementPlan plan = PlacementPlanner(limits).plan(
+      Switch.placement(), Demand.demand(), Switch.paces());
   if (plan.SkewBefore > HighSkew) {
     limits.NewPerRank = NewPerRankIfHigh;
-    plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand());
+    plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand(),
+                                         Switch.paces());
   }
   if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
     return;
@@ -97,8 +98,8 @@
     return;
   NextGroupLine = now + GroupLineEvery;
   PlacementLimits none{Figures->PlacesPerRank, 0, 0, 0};
-  PlacementPlan present =
-      PlacementPlanner(none).plan(Switch.placement(), Demand.demand());
+  PlacementPlan present = PlacementPlanner(none).plan(
+      Switch.placement(), Demand.demand(), Switch.paces());
   Measures.set("group_skew", present.SkewBefore);
   Measures.set("group_steps_per_second", Switch.stepsPerSecond());
   LOG(INFO) << LogEvent("group.state")
--- a/lib/Rpc/MapCodec.cpp
+++ b/lib/Rpc/MapCodec.cpp
@@ -9,12 +9,15 @@
 #include "generated/peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 using namespace ospreyspur;
 
 static constexpr std::uint32_t MaxByte = 255;
 /// With this shift a byte's highest bit is that of a 32-bit number.
 static constexpr unsigned MaxPicksShift = 24;
+/// Slower ranks serve nobody.
+static constexpr double MaxPace = 100;
 /// More ranks or sets than any group has; bounds what a bad order can cost.
 static constexpr std::uint32_t MaxMapDimension = 4096;
 
@@ -67,6 +70,7 @@
   if (in.Held)
     out->set_held(in.Held->get());
   putPicks(in.Picks, *out);
+  out->set_pace(static_cast<float>(in.Pace));
   put(in.Placement, out->mutable_placement());
   out->set_endpoint(in.Endpoint);
 }
@@ -89,6 +93,9 @@
     out.Held = StepNumber(in.held());
   if (in.picks_shift() > MaxPicksShift)
     return std::nullopt;
+  // Neither a number that is none nor one below 1 says anything.
+  if (std::isfinite(in.pace()))
+    out.Pace = std::clamp(double(in.pace()), 1.0, MaxPace);
   for (char it : in.picks())
     out.Picks.push_back(std::uint32_t(static_cast<unsigned char>(it))
                         << in.picks_shift());
--- a/unittests/Direct/NodeWorld.h
+++ b/unittests/Direct/NodeWorld.h
@@ -89,6 +89,14 @@
   return actions.size() == 1 ? std::get_if<T>(&actions.front()) : nullptr;
 }
 
+/// The first action of the kind; null if there is none.
+template <typename T> const T *find(const DirectActions &actions) {
+  for (const DirectAction &it : actions)
+    if (const auto *out = std::get_if<T>(&it))
+      return out;
+  return nullptr;
+}
+
 inline ResultCode codeOf(const DirectActions &actions) {
   const auto *end = only<EndCall>(actions);
   return end ? end->Code : ResultCode::Ok;
--- a/unittests/Experts/PlacementPlannerTest.cpp
+++ b/unittests/Experts/PlacementPlannerTest.cpp
@@ -105,3 +105,29 @@
   CHECK(meter.demand()[0] == doctest::Approx(50));
   CHECK(meter.demand()[1] == doctest::Approx(40));
 }
+
+TEST_CASE("a slow rank bears less than the others") {
+  PlacementLimits limits{11, 4, 3, 0.04};
+  std::vector<double> paces(Ranks, 1.0);
+  constexpr unsigned Slow = 3;
+  paces[Slow] = 5;
+  GroupPlacement present = dealt();
+  std::vector<double> demand = skewed(1);
+  PlacementPlanner planner(limits);
+  PlacementPlan plan = planner.plan(present, demand, paces);
+  double before = plan.SkewBefore;
+  CHECK(before > 4);
+  for (int i = 0; i < 8; ++i) {
+    present = plan.Placement;
+    plan = planner.plan(present, demand, paces);
+  }
+  CHECK(plan.SkewAfter < before / 2);
+  for (std::size_t set = 0; set < Sets; ++set) {
+    std::set<ExpertNumber> held;
+    for (const RankPlacement &rank : plan.Placement)
+      held.insert(rank[set].begin(), rank[set].end());
+    CHECK(held.size() == Experts);
+    // It gave up what others hold, too.
+    CHECK(plan.Placement[Slow][set].size() <= Experts / Ranks);
+  }
+}
--- a/unittests/Rpc/MapCodecTest.cpp
+++ b/unittests/Rpc/MapCodecTest.cpp
@@ -37,6 +37,7 @@
   status.Armed = ArmedMap{MapVersion(6), StepNumber(815)};
   status.Held = StepNumber(815);
   status.Picks = {1, 0, 7};
+  status.Pace = 2.5;
   status.Placement = {{1, 2}, {0}};
   status.Endpoint = "10.0.0.1:8725";
   RankStatus read = pass(status);
@@ -51,6 +52,7 @@
   CHECK((read.Armed == status.Armed));
   CHECK(read.Held == status.Held);
   CHECK(read.Picks == status.Picks);
+  CHECK(read.Pace == status.Pace);
   CHECK(read.Placement == status.Placement);
   CHECK(read.Endpoint == status.Endpoint);
 }
