--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -46,8 +46,7 @@
   RankStatus &known = Ranks[rank];
   bool isSameMap = known.Formation == status.Formation &&
                    known.Map == status.Map && status.Placement.empty();
-  RankPlacement placement =
-      isSameMap ? std::move(known.Placement) : status.Placement;
+  RankPlacement placement = isSameMap ? known.Placement : status.Placement;
   known = status;
   known.Placement = std::move(placement);
   SeenAt[rank] = seen;
