--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -61,8 +61,7 @@
       noteHolder(reply);
     if (IsFree)
       NextCall = now;
-    // An earlier life of this process held it: nobody else will use it. What
-    // that life ordered is fenced.
+    // An earlier life of this process held it: nobody else will use it.
     bool wasOwn = reply.Code == ResultCode::Ok && reply.Value == Self;
     if (wasOwn && Limits.TakesOwn)
       takeOver(now);
