--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -14,8 +14,7 @@
 
 using namespace ospreyspur;
 
-// Found by trials of fixed days on the users' bench; docs/PLATFORM.md says
-// which.
+// Found by trials on fixed days of traffic; docs/PLATFORM.md says which.
 
 /// Between two plans.
 static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
