Move the picking of endpoints and a request's state into files of their own

EndpointPicker holds the four queries that choose an endpoint, CallState and DirectLimits what both use.

--- /dev/null
+++ b/include/ospreyspur/Direct/CallState.h
@@ -0,0 +1,52 @@
+//===- CallState.h - one request at a DirectNode ----------------*- C++ -*-===//
+//
+// What the direct path's state machine holds of a request between its arrival
+// and its final answer.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_CALLSTATE_H
+#define OSPREYSPUR_DIRECT_CALLSTATE_H
+
+#include "ospreyspur/Direct/DirectActions.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <optional>
+#include <set>
+
+namespace ospreyspur {
+
+/// One request.
+struct CallState {
+  DirectRequest Request;
+  ServiceId Service;
+  TimePoint Arrived;
+  TimePoint Deadline;
+  /// A request that has not started by then cannot be on time.
+  TimePoint OnTimeUntil;
+  TimePoint WaitUntil;
+  /// Endpoints that may have run it or said that they were full.
+  unsigned Attempts = 0;
+  /// Requests sent, those to endpoints that were another by then included.
+  unsigned Arrivals = 0;
+  /// When the attempt under way began, and when it last got something.
+  TimePoint SentAt;
+  TimePoint HeardAt;
+  /// Times that something of the answer came.
+  unsigned Parts = 0;
+  bool IsStopping = false;
+  /// Silence for which the attempt is to be given up.
+  Duration Silence{};
+  bool HasFirstByte = false;
+  /// Whether an endpoint said that it was full: the next attempt is only for
+  /// one that is known to serve.
+  bool WasTurnedAway = false;
+  /// Whether an attempt was sent whose fate is unknown.
+  bool MayHaveRun = false;
+  std::set<EndpointId> Tried;
+  std::optional<EndpointId> Current;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_CALLSTATE_H
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -10,52 +10,21 @@
 #ifndef OSPREYSPUR_DIRECT_DIRECTNODE_H
 #define OSPREYSPUR_DIRECT_DIRECTNODE_H
 
-#include "ospreyspur/Direct/DirectActions.h"
-#include "ospreyspur/Direct/EndpointBook.h"
-#include "ospreyspur/Direct/RetryWindow.h"
+#include "ospreyspur/Direct/EndpointPicker.h"
 
-#include <list>
 #include <map>
 #include <random>
 #include <set>
 
 namespace ospreyspur {
 
-/// Bounds and waits of a DirectNode.
-struct DirectLimits {
-  /// How long a request may wait for room: a late answer serves its caller
-  /// better than none. Callers give a silent stream up after two seconds.
-  Duration MaxWait = std::chrono::milliseconds(1500);
-  /// The same as a part of the time that its caller still has.
-  double MaxWaitPart = 0.4;
-  /// Part of the route's target after which a request that still waits cannot
-  /// be on time; those that can go first.
-  double OnTimePart = 0.6;
-  std::size_t MaxWaiting = 256;
-  RetryBounds Retries;
-  /// Requests sent for one call, those to replaced endpoints included.
-  unsigned MaxArrivals = 4;
-  /// Silence after which a stream is moved, as a multiple of what endpoints of
-  /// its service take to their first event at present, with its bounds. Before
-  /// any has answered the longest holds. Callers give up after two seconds.
-  double SilenceFactor = 4;
-  Duration MinSilence = std::chrono::milliseconds(900);
-  Duration MaxSilence = std::chrono::milliseconds(1800);
-  /// Pause in a group's streams from which on it is slow: passes of a full
-  /// group with a map that does not fit take up to 170 ms on the users'
-  /// platform.
-  Duration SlowGap = std::chrono::milliseconds(250);
-  /// How long an endpoint that answered counts as serving.
-  Duration ProvenTime = std::chrono::seconds(2);
-  /// Requests that an endpoint of a plain service may have, by its slots.
-  double PlainOverload = 2.0;
-};
-
 /// Decides for the requests of one entry.
 class DirectNode {
 public:
   /// \p seed feeds ties and splits between services.
   DirectNode(DataCentreId dataCentre, DirectLimits limits, std::uint64_t seed);
+  DirectNode(const DirectNode &) = delete;
+  DirectNode &operator=(const DirectNode &) = delete;
 
   // Commands: each takes one input and gives the actions that follow.
 
@@ -94,69 +63,33 @@
   std::size_t waitingCount() const { return Waiting.size(); }
 
 private:
-  struct Call {
-    DirectRequest Request;
-    ServiceId Service;
-    TimePoint Arrived;
-    TimePoint Deadline;
-    /// A request that has not started by then cannot be on time.
-    TimePoint OnTimeUntil;
-    TimePoint WaitUntil;
-    /// Endpoints that may have run it or said that they were full.
-    unsigned Attempts = 0;
-    /// Requests sent, those to endpoints that were another by then included.
-    unsigned Arrivals = 0;
-    /// When the attempt under way began, and when it last got something.
-    TimePoint SentAt;
-    TimePoint HeardAt;
-    /// Times that something of the answer came.
-    unsigned Parts = 0;
-    bool IsStopping = false;
-    /// Silence for which the attempt is to be given up.
-    Duration Silence{};
-    bool HasFirstByte = false;
-    /// Whether an endpoint said that it was full: the next attempt is only for
-    /// one that is known to serve.
-    bool WasTurnedAway = false;
-    /// Whether an attempt was sent whose fate is unknown.
-    bool MayHaveRun = false;
-    std::set<EndpointId> Tried;
-    std::optional<EndpointId> Current;
-  };
-
-  void startOrWait(Call &call, TimePoint now);
-  bool tryStart(Call &call, TimePoint now);
-  void noteFirstByte(const Call &call, TimePoint now);
-  Duration silenceFor(const Call &call) const;
+  void startOrWait(CallState &call, TimePoint now);
+  bool tryStart(CallState &call, TimePoint now);
+  void noteFirstByte(const CallState &call, TimePoint now);
+  Duration silenceFor(const CallState &call) const;
   void ask(TimePoint now);
   void startWaiting(TimePoint now);
   void startWaiting(bool onTime, TimePoint now);
-  void retry(Call &call, ResultCode reason, TimePoint now);
-  void resume(Call &call, TimePoint now);
-  void end(Call &call, ResultCode code, Duration retryAfter);
-  void endNotRun(Call &call, ResultCode code, TimePoint now);
-  void endAttempt(Call &call);
-  void noteEvidence(const Call &call, AttemptEnd end, TimePoint now);
-  const EndpointState *pick(const Call &call, TimePoint now);
-  bool hasRoom(const EndpointState &state, const Call &call,
-               TimePoint now) const;
-  bool canFinish(const EndpointState &state, const Call &call,
-                 TimePoint now) const;
-  bool shouldMove(const Call &call, TimePoint now);
-  double costOf(const EndpointState &state, const Call &call,
-                TimePoint now) const;
+  void retry(CallState &call, ResultCode reason, TimePoint now);
+  void resume(CallState &call, TimePoint now);
+  void end(CallState &call, ResultCode code, Duration retryAfter);
+  void endNotRun(CallState &call, ResultCode code, TimePoint now);
+  void endAttempt(CallState &call);
+  void noteEvidence(const CallState &call, AttemptEnd end, TimePoint now);
+  bool shouldMove(const CallState &call, TimePoint now);
   ServiceId pickService(const RouteRule &route);
-  Duration expectedDrain(const Call &call, TimePoint now) const;
+  Duration expectedDrain(const CallState &call, TimePoint now) const;
   DirectActions takeActions();
 
   DataCentreId DataCentre;
   DirectLimits Limits;
   std::mt19937_64 Random;
   EndpointBook Book;
+  EndpointPicker Picker;
   RetryWindow Retries;
   /// What endpoints of a service take to their first byte, as a running mean.
   std::map<ServiceId, Duration> FirstByteTimes;
-  std::map<CallId, Call> Calls;
+  std::map<CallId, CallState> Calls;
   /// Calls without an endpoint, the most urgent first, then the oldest.
   std::set<std::tuple<unsigned, TimePoint, CallId>> Waiting;
   DirectActions Out;
--- /dev/null
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -0,0 +1,48 @@
+//===- EndpointPicker.h - the endpoint for a request ------------*- C++ -*-===//
+//
+// Picks the least loaded endpoint at which a request can be whole in time, out
+// of what an EndpointBook knows.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_ENDPOINTPICKER_H
+#define OSPREYSPUR_DIRECT_ENDPOINTPICKER_H
+
+#include "ospreyspur/Direct/CallState.h"
+#include "ospreyspur/Direct/DirectLimits.h"
+#include "ospreyspur/Direct/EndpointBook.h"
+
+#include <random>
+
+namespace ospreyspur {
+
+/// Queries only; whoever uses a pick notes it in the book.
+class EndpointPicker {
+public:
+  /// Everything is kept by reference; \p random breaks ties.
+  EndpointPicker(const EndpointBook &book, const DirectLimits &limits,
+                 const DataCentreId &dataCentre, std::mt19937_64 &random)
+      : Book(book), Limits(limits), DataCentre(dataCentre), Random(random) {}
+
+  /// The endpoint for \p call; null if none has room for it.
+  const EndpointState *pick(const CallState &call, TimePoint now) const;
+  /// Whether the rest of a usual answer to \p call would come from \p state's
+  /// endpoint within its time. The service must have an engine.
+  bool canFinish(const EndpointState &state, const CallState &call,
+                 TimePoint now) const;
+
+private:
+  bool hasRoom(const EndpointState &state, const CallState &call,
+               TimePoint now) const;
+  double costOf(const EndpointState &state, const CallState &call,
+                TimePoint now) const;
+
+  const EndpointBook &Book;
+  const DirectLimits &Limits;
+  const DataCentreId &DataCentre;
+  std::mt19937_64 &Random;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_ENDPOINTPICKER_H
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -22,7 +22,7 @@
 DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
                        std::uint64_t seed)
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
-      Retries(limits.Retries) {}
+      Picker(Book, Limits, DataCentre, Random), Retries(limits.Retries) {}
 
 static Duration partOf(Duration whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
@@ -31,7 +31,7 @@
 DirectActions DirectNode::onCall(DirectRequest request, TimePoint now) {
   CallId id = request.Id;
   const RouteRule &route = *request.Route;
-  Call &call = Calls[id];
+  CallState &call = Calls[id];
   call.Service = pickService(route);
   call.Arrived = now;
   Duration left =
@@ -62,7 +62,7 @@
   auto it = Calls.find(id);
   if (it == Calls.end() || !it->second.Current)
     return takeActions();
-  Call &call = it->second;
+  CallState &call = it->second;
   ++call.Parts;
   Duration gap = now - std::exchange(call.HeardAt, now);
   if (gap > Duration::zero())
@@ -75,24 +75,24 @@
 }
 
 /// Whether a stream would not end in time where it is, and has room elsewhere.
-bool DirectNode::shouldMove(const Call &call, TimePoint now) {
+bool DirectNode::shouldMove(const CallState &call, TimePoint now) {
   const RouteRule &route = *call.Request.Route;
   const ServiceRule *service = call.Request.Config->findService(call.Service);
   bool mayMove = route.IsResumable && call.Attempts < route.Attempts;
   const EndpointState *state = Book.find(*call.Current);
   if (!mayMove || !service || !service->Engine || !state)
     return false;
-  return !canFinish(*state, call, now) && pick(call, now) &&
+  return !Picker.canFinish(*state, call, now) && Picker.pick(call, now) &&
          Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
 }
 
-void DirectNode::noteFirstByte(const Call &call, TimePoint now) {
+void DirectNode::noteFirstByte(const CallState &call, TimePoint now) {
   Duration taken = now - call.SentAt;
   auto [it, isFirst] = FirstByteTimes.try_emplace(call.Service, taken);
   it->second += partOf(taken - it->second, FirstByteWeight);
 }
 
-Duration DirectNode::silenceFor(const Call &call) const {
+Duration DirectNode::silenceFor(const CallState &call) const {
   auto it = FirstByteTimes.find(call.Service);
   if (it == FirstByteTimes.end())
     return Limits.MaxSilence;
@@ -105,7 +105,7 @@
   auto it = Calls.find(id);
   if (it == Calls.end() || !it->second.Current)
     return takeActions();
-  Call &call = it->second;
+  CallState &call = it->second;
   const RouteRule &route = *call.Request.Route;
   bool isRepeatable = route.isRepeatable();
   noteEvidence(call, end, now);
@@ -204,7 +204,7 @@
 }
 
 /// Starts an attempt if there is room; else the call waits for it.
-void DirectNode::startOrWait(Call &call, TimePoint now) {
+void DirectNode::startOrWait(CallState &call, TimePoint now) {
   if (tryStart(call, now))
     return;
   if (now >= call.WaitUntil || Waiting.size() >= Limits.MaxWaiting) {
@@ -214,8 +214,8 @@
   Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
 }
 
-bool DirectNode::tryStart(Call &call, TimePoint now) {
-  const EndpointState *state = pick(call, now);
+bool DirectNode::tryStart(CallState &call, TimePoint now) {
+  const EndpointState *state = Picker.pick(call, now);
   if (!state)
     return false;
   bool isRepeat = call.Arrivals > 0;
@@ -244,14 +244,14 @@
 
 void DirectNode::startWaiting(bool onTime, TimePoint now) {
   for (auto it = Waiting.begin(); it != Waiting.end();) {
-    Call &call = Calls.at(std::get<CallId>(*it));
+    CallState &call = Calls.at(std::get<CallId>(*it));
     bool isStarted = (now < call.OnTimeUntil) == onTime && tryStart(call, now);
     it = isStarted ? Waiting.erase(it) : std::next(it);
   }
 }
 
 /// The call did not run, or may run again: tries another endpoint.
-void DirectNode::retry(Call &call, ResultCode reason, TimePoint now) {
+void DirectNode::retry(CallState &call, ResultCode reason, TimePoint now) {
   bool mayTry = call.Attempts < call.Request.Route->Attempts &&
                 call.Arrivals < Limits.MaxArrivals && now < call.Deadline;
   if (mayTry && tryStart(call, now))
@@ -269,7 +269,7 @@
 /// has. When a group breaks there may be no room for all of its streams at
 /// once; cutting those would send their callers round again, and each may come
 /// back only once.
-void DirectNode::resume(Call &call, TimePoint now) {
+void DirectNode::resume(CallState &call, TimePoint now) {
   bool mayTry = call.Attempts < call.Request.Route->Attempts &&
                 call.Arrivals < Limits.MaxArrivals;
   if (mayTry && tryStart(call, now))
@@ -282,21 +282,21 @@
 }
 
 /// Ends \p call with the truth: "not run" only if no attempt may have run.
-void DirectNode::endNotRun(Call &call, ResultCode code, TimePoint now) {
+void DirectNode::endNotRun(CallState &call, ResultCode code, TimePoint now) {
   if (call.MayHaveRun)
     end(call, ResultCode::ContactLost, Duration::zero());
   else
     end(call, code, expectedDrain(call, now));
 }
 
-void DirectNode::end(Call &call, ResultCode code, Duration retryAfter) {
+void DirectNode::end(CallState &call, ResultCode code, Duration retryAfter) {
   CallId id = call.Request.Id;
   Out.emplace_back(EndCall{id, code, retryAfter});
   Waiting.erase({call.Request.Priority, call.Arrived, id});
   Calls.erase(id);
 }
 
-void DirectNode::endAttempt(Call &call) {
+void DirectNode::endAttempt(CallState &call) {
   if (!call.Current)
     return;
   bool wasWriting = std::exchange(call.HasFirstByte, false);
@@ -306,7 +306,8 @@
   call.Current.reset();
 }
 
-void DirectNode::noteEvidence(const Call &call, AttemptEnd end, TimePoint now) {
+void DirectNode::noteEvidence(const CallState &call, AttemptEnd end,
+                              TimePoint now) {
   const EndpointId &id = *call.Current;
   switch (end) {
   case AttemptEnd::Complete:
@@ -330,75 +331,6 @@
   }
 }
 
-/// The least loaded endpoint with room. Suspect and missing ones and those of a
-/// group that is slow or stands are used only if there is no other at all.
-const EndpointState *DirectNode::pick(const Call &call, TimePoint now) {
-  const EndpointState *best = nullptr;
-  std::tuple<bool, double, bool, std::uint64_t> bestCost;
-  for (const auto &[id, state] : Book.states()) {
-    if (state.Record.Service != call.Service || state.Record.IsLeaving ||
-        call.Tried.contains(id) || !hasRoom(state, call, now))
-      continue;
-    bool isDoubtful = state.IsMissing || now < state.SuspectUntil ||
-                      Book.gapOf(state, now) > Limits.SlowGap;
-    bool isFar = state.Record.DataCentre != DataCentre;
-    std::tuple cost(isDoubtful, costOf(state, call, now), isFar, Random());
-    if (best && cost >= bestCost)
-      continue;
-    best = &state;
-    bestCost = cost;
-  }
-  return best;
-}
-
-bool DirectNode::hasRoom(const EndpointState &state, const Call &call,
-                         TimePoint now) const {
-  if (now < state.FullUntil || state.MustTell)
-    return false;
-  if (call.WasTurnedAway && now - state.ProvenAt > Limits.ProvenTime)
-    return false;
-  const ServiceRule *service = call.Request.Config->findService(call.Service);
-  bool isEngine = service && service->Engine;
-  if (isEngine && !canFinish(state, call, now))
-    return false;
-  double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
-  // All ranks of a group wait for the slowest: it gets as much less.
-  return Book.totalLoad(state, now).Running <
-         limit / EndpointBook::paceOf(state, now);
-}
-
-/// Whether the rest of a usual answer would come within the call's time: where
-/// it would not, the request only makes others slower.
-bool DirectNode::canFinish(const EndpointState &state, const Call &call,
-                           TimePoint now) const {
-  const ServiceRule *service = call.Request.Config->findService(call.Service);
-  const EngineFigures &engine = *service->Engine;
-  unsigned tokens = engine.UsualAnswer;
-  if (call.Request.Tokens.Answer > 0)
-    tokens = std::min(tokens, call.Request.Tokens.Answer);
-  // At least one more is always to come.
-  unsigned parts = std::max(tokens / engine.StepsPerPass, call.Parts + 1);
-  return Book.gapOf(state, now) * (parts - call.Parts) < call.Deadline - now;
-}
-
-/// What the load at an endpoint adds to each of its passes, in seconds; for a
-/// plain service the part of its slots in use. How long the group's passes take
-/// now is left out: it follows from the map, which changes as fast.
-double DirectNode::costOf(const EndpointState &state, const Call &call,
-                          TimePoint now) const {
-  EndpointLoad load = Book.totalLoad(state, now);
-  const ServiceRule *service = call.Request.Config->findService(call.Service);
-  if (!service || !service->Engine)
-    return double(load.Running) / state.Record.Slots;
-  const EngineFigures &engine = *service->Engine;
-  double each = std::chrono::duration<double>(engine.StepPerRequest).count() *
-                engine.StepsPerPass;
-  double reading = engine.ReadTokensPerSecond > 0
-                       ? load.Unread / engine.ReadTokensPerSecond
-                       : 0;
-  return (load.Running * each + reading) * EndpointBook::paceOf(state, now);
-}
-
 ServiceId DirectNode::pickService(const RouteRule &route) {
   unsigned total = std::accumulate(
       route.Services.begin(), route.Services.end(), 0U,
@@ -417,7 +349,7 @@
 
 /// When a refused caller may find room: the calls that wait before it, at the
 /// rate at which a full fleet of that service gets free.
-Duration DirectNode::expectedDrain(const Call &call, TimePoint now) const {
+Duration DirectNode::expectedDrain(const CallState &call, TimePoint now) const {
   unsigned running = 0;
   for (const auto &[id, state] : Book.states())
     if (state.Record.Service == call.Service)
--- /dev/null
+++ b/lib/Direct/EndpointPicker.cpp
@@ -0,0 +1,82 @@
+//===- EndpointPicker.cpp - the endpoint for a request --------------------===//
+//
+// See EndpointPicker.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/EndpointPicker.h"
+
+#include <algorithm>
+#include <tuple>
+
+using namespace ospreyspur;
+
+/// The least loaded endpoint with room. Suspect and missing ones and those of a
+/// group that is slow or stands are used only if there is no other at all.
+const EndpointState *EndpointPicker::pick(const CallState &call,
+                                          TimePoint now) const {
+  const EndpointState *best = nullptr;
+  std::tuple<bool, double, bool, std::uint64_t> bestCost;
+  for (const auto &[id, state] : Book.states()) {
+    if (state.Record.Service != call.Service || state.Record.IsLeaving ||
+        call.Tried.contains(id) || !hasRoom(state, call, now))
+      continue;
+    bool isDoubtful = state.IsMissing || now < state.SuspectUntil ||
+                      Book.gapOf(state, now) > Limits.SlowGap;
+    bool isFar = state.Record.DataCentre != DataCentre;
+    std::tuple cost(isDoubtful, costOf(state, call, now), isFar, Random());
+    if (best && cost >= bestCost)
+      continue;
+    best = &state;
+    bestCost = cost;
+  }
+  return best;
+}
+
+bool EndpointPicker::hasRoom(const EndpointState &state, const CallState &call,
+                             TimePoint now) const {
+  if (now < state.FullUntil || state.MustTell)
+    return false;
+  if (call.WasTurnedAway && now - state.ProvenAt > Limits.ProvenTime)
+    return false;
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  bool isEngine = service && service->Engine;
+  if (isEngine && !canFinish(state, call, now))
+    return false;
+  double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
+  // All ranks of a group wait for the slowest: it gets as much less.
+  return Book.totalLoad(state, now).Running <
+         limit / EndpointBook::paceOf(state, now);
+}
+
+/// Whether the rest of a usual answer would come within the call's time: where
+/// it would not, the request only makes others slower.
+bool EndpointPicker::canFinish(const EndpointState &state,
+                               const CallState &call, TimePoint now) const {
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  const EngineFigures &engine = *service->Engine;
+  unsigned tokens = engine.UsualAnswer;
+  if (call.Request.Tokens.Answer > 0)
+    tokens = std::min(tokens, call.Request.Tokens.Answer);
+  // At least one more is always to come.
+  unsigned parts = std::max(tokens / engine.StepsPerPass, call.Parts + 1);
+  return Book.gapOf(state, now) * (parts - call.Parts) < call.Deadline - now;
+}
+
+/// What the load at an endpoint adds to each of its passes, in seconds; for a
+/// plain service the part of its slots in use. How long the group's passes take
+/// now is left out: it follows from the map, which changes as fast.
+double EndpointPicker::costOf(const EndpointState &state, const CallState &call,
+                              TimePoint now) const {
+  EndpointLoad load = Book.totalLoad(state, now);
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  if (!service || !service->Engine)
+    return double(load.Running) / state.Record.Slots;
+  const EngineFigures &engine = *service->Engine;
+  double each = std::chrono::duration<double>(engine.StepPerRequest).count() *
+                engine.StepsPerPass;
+  double reading = engine.ReadTokensPerSecond > 0
+                       ? load.Unread / engine.ReadTokensPerSecond
+                       : 0;
+  return (load.Running * each + reading) * EndpointBook::paceOf(state, now);
+}
