Tell why a request begins to wait, and by what a stream was judged too slow

Three explanations of the streams that were cut (no room, their group taken for standing, no repeat left) could not be told apart by the log. Each request that begins to wait now has one line with the entry's allowance and the endpoints counted by what keeps the request from them; a moved stream's line has the pause and the time left that it was judged by.

--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -88,6 +88,10 @@
 /// there is room elsewhere.
 struct StopAttempt {
   CallId Call;
+  /// What it was judged by: the pause to expect between events there, and the
+  /// time that is left.
+  Duration Gap{};
+  Duration TimeLeft{};
 };
 
 /// Ask this endpoint for its condition.
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -15,6 +15,8 @@
 #include <map>
 #include <random>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -53,6 +55,9 @@
   /// Does what is due at \p now.
   DirectActions onTimer(TimePoint now);
 
+  /// The requests that began to wait since the last call, for the log.
+  std::vector<WaitNote> takeWaitNotes() { return std::exchange(Notes, {}); }
+
   // Queries.
 
   std::optional<TimePoint> nextTimer() const;
@@ -64,6 +69,7 @@
 
 private:
   void startOrWait(CallState &call, TimePoint now);
+  void wait(const CallState &call, TimePoint now);
   bool tryStart(CallState &call, TimePoint now);
   void noteFirstByte(const CallState &call, TimePoint now);
   Duration silenceFor(const CallState &call) const;
@@ -92,6 +98,7 @@
   std::map<CallId, CallState> Calls;
   /// Calls without an endpoint, the most urgent first, then the oldest.
   std::set<std::tuple<unsigned, TimePoint, CallId>> Waiting;
+  std::vector<WaitNote> Notes;
   DirectActions Out;
 };
 
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -11,6 +11,7 @@
 #include "ospreyspur/Direct/CallState.h"
 #include "ospreyspur/Direct/DirectLimits.h"
 #include "ospreyspur/Direct/EndpointBook.h"
+#include "ospreyspur/Direct/WaitNote.h"
 
 #include <random>
 
@@ -30,10 +31,12 @@
   /// endpoint within its time. The service must have an engine.
   bool canFinish(const EndpointState &state, const CallState &call,
                  TimePoint now) const;
+  /// How many endpoints of \p call's service have which obstacle for it.
+  ObstacleCounts countObstacles(const CallState &call, TimePoint now) const;
 
 private:
-  bool hasRoom(const EndpointState &state, const CallState &call,
-               TimePoint now) const;
+  Obstacle obstacleAt(const EndpointState &state, const CallState &call,
+                      TimePoint now) const;
   double costOf(const EndpointState &state, const CallState &call,
                 TimePoint now) const;
 
--- /dev/null
+++ b/include/ospreyspur/Direct/WaitNote.h
@@ -0,0 +1,55 @@
+//===- WaitNote.h - why a request was not started ---------------*- C++ -*-===//
+//
+// What an entry tells in its log when a request has to wait for an endpoint.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_WAITNOTE_H
+#define OSPREYSPUR_DIRECT_WAITNOTE_H
+
+#include "ospreyspur/Support/Ids.h"
+
+#include <array>
+#include <string_view>
+
+namespace ospreyspur {
+
+/// Why an endpoint is not used for a request.
+enum class Obstacle : std::uint8_t {
+  /// It can be used.
+  None,
+  /// It is leaving or has left.
+  Leaving,
+  /// The request was there already.
+  Tried,
+  /// It said that it takes nothing, or has not told its condition yet.
+  Closed,
+  /// The request was turned away once, and nobody knows whether this one
+  /// serves.
+  Unproven,
+  /// The answer would not end in time there.
+  TooSlow,
+  /// All its places are taken.
+  Full,
+};
+
+/// The words for obstacles in the log, in their order.
+inline constexpr std::array<std::string_view, 7> ObstacleWords = {
+    "usable", "leaving", "tried", "closed", "unproven", "too_slow", "full"};
+
+/// Numbers of endpoints by their obstacle.
+using ObstacleCounts = std::array<unsigned, ObstacleWords.size()>;
+
+/// A request begins to wait for an endpoint.
+struct WaitNote {
+  CallId Call;
+  /// Requests sent for it so far.
+  unsigned Arrivals = 0;
+  /// Whether the entry may send one more repeat to the service now.
+  bool HasRepeat = true;
+  ObstacleCounts Endpoints{};
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_WAITNOTE_H
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -57,6 +57,7 @@
       it->second->Inbox.post(std::move(action));
   }
   boost::asio::awaitable<void> askEndpoint(EndpointRecord endpoint);
+  void logWaits();
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
   void closeUnused();
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -69,7 +69,9 @@
     Book.onEvents(*call.Current, gap, now);
   if (!call.IsStopping && shouldMove(call, now)) {
     call.IsStopping = true;
-    Out.emplace_back(StopAttempt{id});
+    const EndpointState &state = *Book.find(*call.Current);
+    Out.emplace_back(
+        StopAttempt{id, Book.gapOf(state, now), call.Deadline - now});
   }
   return takeActions();
 }
@@ -211,7 +213,15 @@
     endNotRun(call, ResultCode::NoEndpoint, now);
     return;
   }
+  wait(call, now);
+}
+
+void DirectNode::wait(const CallState &call, TimePoint now) {
   Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
+  bool hasRepeat = call.Arrivals == 0 ||
+                   Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
+  Notes.push_back({call.Request.Id, call.Arrivals, hasRepeat,
+                   Picker.countObstacles(call, now)});
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
@@ -260,7 +270,7 @@
     end(call, reason, Duration::zero());
   else if (mayTry && now < call.WaitUntil &&
            (!call.MayHaveRun || call.Request.Route->isRepeatable()))
-    Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
+    wait(call, now);
   else
     endNotRun(call, reason, now);
 }
@@ -276,7 +286,7 @@
     return;
   call.WaitUntil = std::min(call.HeardAt + Limits.MaxSilence, call.Deadline);
   if (mayTry && now < call.WaitUntil)
-    Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
+    wait(call, now);
   else
     end(call, ResultCode::EndpointFailed, Duration::zero());
 }
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -18,8 +18,8 @@
   const EndpointState *best = nullptr;
   std::tuple<bool, double, bool, std::uint64_t> bestCost;
   for (const auto &[id, state] : Book.states()) {
-    if (state.Record.Service != call.Service || state.Record.IsLeaving ||
-        call.Tried.contains(id) || !hasRoom(state, call, now))
+    if (state.Record.Service != call.Service ||
+        obstacleAt(state, call, now) != Obstacle::None)
       continue;
     bool isDoubtful = state.IsMissing || now < state.SuspectUntil ||
                       Book.gapOf(state, now) > Limits.SlowGap;
@@ -33,20 +33,35 @@
   return best;
 }
 
-bool EndpointPicker::hasRoom(const EndpointState &state, const CallState &call,
-                             TimePoint now) const {
+Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
+                                    const CallState &call,
+                                    TimePoint now) const {
+  if (state.Record.IsLeaving)
+    return Obstacle::Leaving;
+  if (call.Tried.contains(state.Record.Id))
+    return Obstacle::Tried;
   if (now < state.FullUntil || state.MustTell)
-    return false;
+    return Obstacle::Closed;
   if (call.WasTurnedAway && now - state.ProvenAt > Limits.ProvenTime)
-    return false;
+    return Obstacle::Unproven;
   const ServiceRule *service = call.Request.Config->findService(call.Service);
   bool isEngine = service && service->Engine;
   if (isEngine && !canFinish(state, call, now))
-    return false;
+    return Obstacle::TooSlow;
   double limit = state.Record.Slots * (isEngine ? 1.0 : Limits.PlainOverload);
   // All ranks of a group wait for the slowest: it gets as much less.
-  return Book.totalLoad(state, now).Running <
-         limit / EndpointBook::paceOf(state, now);
+  bool isFull = Book.totalLoad(state, now).Running >=
+                limit / EndpointBook::paceOf(state, now);
+  return isFull ? Obstacle::Full : Obstacle::None;
+}
+
+ObstacleCounts EndpointPicker::countObstacles(const CallState &call,
+                                              TimePoint now) const {
+  ObstacleCounts out{};
+  for (const auto &[id, state] : Book.states())
+    if (state.Record.Service == call.Service)
+      ++out.at(static_cast<std::size_t>(obstacleAt(state, call, now)));
+  return out;
 }
 
 /// Whether the rest of a usual answer would come within the call's time: where
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -53,6 +53,10 @@
   return "";
 }
 
+static std::int64_t toMillis(Duration it) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+}
+
 static DirectLimits makeLimits(const DirectSettings &settings) {
   DirectLimits limits;
   limits.Retries = settings.Retries;
@@ -265,9 +269,27 @@
   Loads.onChange();
   for (DirectAction &action : actions)
     std::visit([this](auto &it) { perform(it); }, action);
+  logWaits();
   Timer.set(Node.nextTimer());
 }
 
+/// One line for each request that begins to wait, with what each endpoint of
+/// its service lacked.
+void DirectTraffic::logWaits() {
+  for (const WaitNote &note : Node.takeWaitNotes()) {
+    auto it = Calls.find(note.Call);
+    if (it == Calls.end())
+      continue;
+    LogEvent line("request.waits");
+    line.with("id", it->second->Request.Label)
+        .with("sent", note.Arrivals)
+        .with("may_repeat", note.HasRepeat);
+    for (std::size_t i = 0; i < ObstacleWords.size(); ++i)
+      line.with(ObstacleWords[i], note.Endpoints[i]);
+    LOG(INFO) << line;
+  }
+}
+
 void DirectTraffic::perform(AskEndpoint &action) {
   asio::co_spawn(Context, askEndpoint(action.Endpoint), asio::detached);
 }
@@ -281,7 +303,9 @@
   LOG(INFO) << LogEvent("request.moved")
                    .with("id", it->second->Request.Label)
                    .with("endpoints", it->second->Endpoints)
-                   .with("reason", "too_slow");
+                   .with("reason", "too_slow")
+                   .with("gap_ms", toMillis(action.Gap))
+                   .with("left_ms", toMillis(action.TimeLeft));
   it->second->Connection->Stream.close();
 }
 
@@ -326,7 +350,6 @@
                  std::to_string(static_cast<unsigned>(code)) + "\"}");
   if (call.FirstByte)
     Measures.observe("first_byte", *call.FirstByte - call.Arrived);
-  auto toMillis = [](Duration it) { return it.count() / 1000; };
   LOG(INFO) << LogEvent("request.done")
                    .with("id", call.Request.Label)
                    .with("route", call.Request.Route->Name)
