--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -129,24 +129,6 @@
         ResultCode::EndpointFailed);
 }
 
-/// Fills two endpoints of two places and breaks the first stream off.
-static std::uint64_t breakOffWithoutRoom(NodeWorld &world) {
-  DirectActions first = world.call(1);
-  REQUIRE(only<StartAttempt>(first));
-  std::uint64_t onOther = 0;
-  for (std::uint64_t id = 2; id <= 4; ++id) {
-    DirectActions next = world.call(id);
-    REQUIRE(only<StartAttempt>(next));
-    if (only<StartAttempt>(next)->Endpoint.Id !=
-        only<StartAttempt>(first)->Endpoint.Id)
-      onOther = id;
-  }
-  world.Node.onFirstByte(CallId(1), world.Now);
-  CHECK(world.end(1, AttemptEnd::BrokeOff).empty());
-  CHECK(world.Node.waitingCount() == 1);
-  return onOther;
-}
-
 TEST_CASE("a stream that broke off waits for room") {
   NodeWorld world(2, makeRoute(RequestKind::Stream, 2, true));
   std::uint64_t onOther = breakOffWithoutRoom(world);
--- a/unittests/Direct/NodeWorld.h
+++ b/unittests/Direct/NodeWorld.h
@@ -9,6 +9,8 @@
 
 #include "ospreyspur/Direct/DirectNode.h"
 
+#include <doctest/doctest.h>
+
 #include <algorithm>
 #include <memory>
 #include <string>
@@ -108,6 +110,24 @@
       [](const DirectAction &it) { return std::holds_alternative<T>(it); });
 }
 
+/// Fills two endpoints of two places and breaks the first stream off.
+inline std::uint64_t breakOffWithoutRoom(NodeWorld &world) {
+  DirectActions first = world.call(1);
+  REQUIRE(only<StartAttempt>(first));
+  std::uint64_t onOther = 0;
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    DirectActions next = world.call(id);
+    REQUIRE(only<StartAttempt>(next));
+    if (only<StartAttempt>(next)->Endpoint.Id !=
+        only<StartAttempt>(first)->Endpoint.Id)
+      onOther = id;
+  }
+  world.Node.onFirstByte(CallId(1), world.Now);
+  CHECK(world.end(1, AttemptEnd::BrokeOff).empty());
+  CHECK(world.Node.waitingCount() == 1);
+  return onOther;
+}
+
 } // namespace test
 
 #endif // OSPREYSPUR_UNITTESTS_DIRECT_NODEWORLD_H
--- /dev/null
+++ b/unittests/Direct/SilentStreamTest.cpp
@@ -0,0 +1,165 @@
+//===- SilentStreamTest.cpp - streams are not cut for want of a place -----===//
+//
+// Seen: callers' connections closed in the middle of a stream, 0.9 s after its
+// endpoint had gone quiet, while other endpoints had room.
+//
+// How it came about: the silence of one stream was noted as the pace of its
+// whole group. Sound streams of that group were then broken off as too slow,
+// dozens at a time, until the entry's share of repeats was used up. A stream
+// that had been broken off could not go on without a repeat and was cut.
+//
+// Proved by the log lines of waiting requests, which count endpoints by what
+// keeps a request from them: none was full, half were "too slow", and no repeat
+// was left.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Direct/TwoGroupWorld.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace ospreyspur;
+using namespace test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr Duration UsualGap = milliseconds(50);
+
+namespace {
+/// Streams in two groups, of which some are silent at times.
+class StreamWorld : public TwoGroupWorld {
+public:
+  StreamWorld() {
+    auto config = std::make_shared<FleetConfig>(*Config);
+    config->Services.at(ServiceId("s")).Engine->UsualAnswer = 600;
+    Config = std::move(config);
+  }
+
+  /// Starts streams 1 to \p n, which all begin to write.
+  void begin(std::uint64_t n) {
+    for (std::uint64_t id = 1; id <= n; ++id) {
+      Groups.push_back(start(id));
+      REQUIRE_FALSE(Groups.back().empty());
+      Node.onFirstByte(CallId(id), Now);
+    }
+  }
+
+  const std::string &groupOf(std::uint64_t id) const {
+    return Groups.at(id - 1);
+  }
+
+  /// Events come for all streams but those of which \p isSilent, each 50 ms for
+  /// \p span. Returns the streams that are to be broken off.
+  template <typename Predicate>
+  std::vector<CallId> write(Duration span, Predicate isSilent) {
+    std::vector<CallId> stopped;
+    for (TimePoint end = Now + span; Now < end;) {
+      Now += UsualGap;
+      for (std::uint64_t id = 1; id <= Groups.size(); ++id) {
+        if (isSilent(id))
+          continue;
+        for (const DirectAction &it : Node.onEvents(CallId(id), Now))
+          if (const auto *stop = std::get_if<StopAttempt>(&it))
+            stopped.push_back(stop->Call);
+      }
+    }
+    return stopped;
+  }
+
+  /// The group with the most streams.
+  std::string fullest() const {
+    auto n = std::count(Groups.begin(), Groups.end(), "a");
+    return 2 * static_cast<std::size_t>(n) > Groups.size() ? "a" : "b";
+  }
+
+  /// Has the streams of \p group get an event each 600 ms, of which an answer
+  /// in time cannot be made. Returns those to be broken off.
+  std::vector<CallId> slowDown(const std::string &group) {
+    std::vector<CallId> stopped;
+    for (unsigned i = 0; i < 5 && stopped.empty(); ++i) {
+      auto isSlow = [&](std::uint64_t id) { return groupOf(id) == group; };
+      write(milliseconds(550), isSlow);
+      stopped = write(UsualGap, [](std::uint64_t /*id*/) { return false; });
+    }
+    return stopped;
+  }
+
+private:
+  std::vector<std::string> Groups;
+};
+} // namespace
+
+TEST_CASE("one silent stream does not make its group slow") {
+  constexpr std::uint64_t Silent = 8;
+  StreamWorld world;
+  world.begin(Silent);
+  CHECK(world.write(seconds(1), [](std::uint64_t /*id*/) { return false; })
+            .empty());
+  auto isSilent = [](std::uint64_t id) { return id == Silent; };
+  CHECK(world.write(DirectLimits().MinSilence, isSilent).empty());
+  world.end(Silent, AttemptEnd::BrokeOff);
+  // The others of its group wrote all the time.
+  for (const auto &[id, state] : world.Node.book().states())
+    CHECK(world.Node.book().gapOf(state, world.Now) < 2 * UsualGap);
+  CHECK(world.write(seconds(1), isSilent).empty());
+}
+
+/// Every stream that is broken off goes on elsewhere at once.
+static void checkAllGoOn(StreamWorld &world,
+                         const std::vector<CallId> &stopped) {
+  for (CallId it : stopped) {
+    DirectActions next = world.end(it.get(), AttemptEnd::BrokeOff);
+    const auto *attempt = find<StartAttempt>(next);
+    CHECK((attempt && attempt->Call == it));
+    CHECK((attempt &&
+           attempt->Endpoint.Id.get().substr(0, 1) != world.groupOf(it.get())));
+  }
+}
+
+TEST_CASE("a stream is broken off and ended only when it must be") {
+  SUBCASE("no more streams are broken off than repeats are left") {
+    StreamWorld world;
+    world.Node.setRetries({0, 2, seconds(10)});
+    world.begin(6);
+    std::vector<CallId> stopped = world.slowDown(world.groupOf(1));
+    CHECK(stopped.size() == 1);
+    checkAllGoOn(world, stopped);
+  }
+  SUBCASE("no more streams are broken off than there are places elsewhere") {
+    StreamWorld world;
+    // Eight places in each group; one of the sound group's is left.
+    world.begin(15);
+    std::vector<CallId> stopped = world.slowDown(world.fullest());
+    CHECK(stopped.size() == 1);
+    checkAllGoOn(world, stopped);
+  }
+  SUBCASE("one that broke off waits for room as long as it has time") {
+    NodeWorld world(2, makeRoute(RequestKind::Stream, 2, true));
+    std::uint64_t onOther = breakOffWithoutRoom(world);
+    world.Now += seconds(3);
+    CHECK(world.Node.onTimer(world.Now).empty());
+    DirectActions freed = world.end(onOther, AttemptEnd::Complete);
+    const auto *attempt = find<StartAttempt>(freed);
+    CHECK((attempt && attempt->Call == CallId(1)));
+  }
+  SUBCASE("so does one whose next endpoint could not be reached") {
+    NodeWorld world(3, makeRoute(RequestKind::Stream, 2, true));
+    REQUIRE(only<StartAttempt>(world.call(1)));
+    world.Node.onFirstByte(CallId(1), world.Now);
+    world.Now += seconds(3);
+    DirectActions next = world.end(1, AttemptEnd::BrokeOff);
+    REQUIRE(only<StartAttempt>(next));
+    std::vector<std::uint64_t> others;
+    for (std::uint64_t id = 2; !world.call(id).empty(); ++id)
+      others.push_back(id);
+    CHECK(world.end(1, AttemptEnd::NeverSent).empty());
+    bool hasGoneOn = false;
+    for (std::uint64_t id : others)
+      if (const auto *it =
+              find<StartAttempt>(world.end(id, AttemptEnd::Complete)))
+        hasGoneOn = hasGoneOn || it->Call == CallId(1);
+    CHECK(hasGoneOn);
+  }
+}
--- /dev/null
+++ b/unittests/Direct/TwoGroupWorld.h
@@ -0,0 +1,65 @@
+//===- TwoGroupWorld.h - a DirectNode before two groups ---------*- C++ -*-===//
+//
+// What the tests of streams in groups have in common.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_UNITTESTS_DIRECT_TWOGROUPWORLD_H
+#define OSPREYSPUR_UNITTESTS_DIRECT_TWOGROUPWORLD_H
+
+#include "Direct/NodeWorld.h"
+
+#include <array>
+
+namespace test {
+
+/// A node before two groups of two endpoints with four slots each.
+class TwoGroupWorld : public NodeWorld {
+public:
+  TwoGroupWorld() : NodeWorld(0, makeRoute(RequestKind::Stream, 2, true)) {
+    auto config = std::make_shared<FleetConfig>(*Config);
+    EngineFigures &engine = *config->Services.at(ServiceId("s")).Engine;
+    engine.UsualAnswer = 160;
+    engine.StepsPerPass = 6;
+    Config = std::move(config);
+    for (const char *id : {"a0", "a1", "b0", "b1"}) {
+      add(id);
+      Listed.back().Record.TellsState = true;
+      Listed.back().Record.Slots = 4;
+    }
+    Node.setEndpoints(Listed);
+    for (const DirectAction &it : Node.onTimer(Now)) {
+      const EndpointId &id = std::get<AskEndpoint>(it).Endpoint.Id;
+      EndpointCondition condition{GroupId(id.get().substr(0, 1)), true, 0};
+      Node.onTold(id, condition, Now);
+    }
+  }
+
+  /// Starts call \p id. Returns its group, or nothing if it has to wait.
+  std::string start(std::uint64_t id) {
+    DirectActions actions = call(id);
+    const auto *attempt = only<StartAttempt>(actions);
+    return attempt ? attempt->Endpoint.Id.get().substr(0, 1) : "";
+  }
+
+  /// Has calls 1 and 2, one in each group, write for three seconds, with
+  /// these pauses.
+  void write(Duration pauseOfFirst, Duration pauseOfSecond) {
+    std::array<TimePoint, 2> last = {Now, Now};
+    std::array<Duration, 2> pauses = {pauseOfFirst, pauseOfSecond};
+    Node.onFirstByte(CallId(1), Now);
+    Node.onFirstByte(CallId(2), Now);
+    for (unsigned i = 0; i < 300; ++i) {
+      Now += std::chrono::milliseconds(10);
+      for (unsigned k = 0; k < 2; ++k)
+        if (Now - last[k] >= pauses[k]) {
+          last[k] = Now;
+          Node.onEvents(CallId(k + 1), Now);
+        }
+    }
+  }
+};
+
+} // namespace test
+
+#endif // OSPREYSPUR_UNITTESTS_DIRECT_TWOGROUPWORLD_H
--- /dev/null
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -0,0 +1,169 @@
+//===- DirectTrafficTest.cpp - silent endpoints over real sockets ---------===//
+//
+// An endpoint that says nothing for a while in the middle of a stream: the
+// stream goes on elsewhere if it can, and else its caller is kept, as the
+// endpoint may go on.
+//
+//===----------------------------------------------------------------------===//
+
+#include "FreeAddress.h"
+
+#include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Process/DirectTraffic.h"
+#include "ospreyspur/Support/Address.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <list>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+static constexpr std::string_view Request =
+    "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 8000\r\n"
+    "Content-Length: 0\r\n\r\n";
+static constexpr std::string_view EndOfStream = "\r\n0\r\n\r\n";
+
+namespace {
+/// An endpoint that writes one event, is silent, and writes another.
+class PausingEndpoint {
+public:
+  PausingEndpoint(asio::io_context &ioc, Duration pause)
+      : Context(ioc), Pause(pause),
+        Server(ioc, HttpLimits(), [this](HttpExchange &it) { return run(it); }),
+        Address(test::findFreeAddress()) {
+    REQUIRE(Server.listen(Address));
+  }
+
+  const tcp::endpoint &address() const { return Address; }
+  /// The event after which each request asked to go on; empty for the first.
+  const std::vector<std::string> &requests() const { return Requests; }
+
+private:
+  asio::awaitable<void> run(HttpExchange &exchange) {
+    Requests.push_back(exchange.header("Last-Event-Id"));
+    HttpResponse head;
+    head.set("Content-Type", "text/event-stream");
+    head.set("Request-Id", exchange.header("Request-Id"));
+    head.set("Replica-Stamp", "s");
+    co_await exchange.beginStream(head);
+    if (Requests.back().empty()) {
+      co_await exchange.writeStream("id: 1\ndata: first\n\n");
+      asio::steady_timer timer(Context, Pause);
+      boost::system::error_code ec;
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_await exchange.writeStream("id: 2\ndata: second\n\n");
+    co_await exchange.endStream();
+  }
+
+  asio::io_context &Context;
+  Duration Pause;
+  std::vector<std::string> Requests;
+  HttpServer Server;
+  tcp::endpoint Address;
+};
+
+/// An entry before some endpoints that pause.
+class TrafficWorld {
+public:
+  TrafficWorld(unsigned endpoints, Duration pause)
+      : Traffic(Context, makeSettings(), Measures, 1) {
+    REQUIRE(Traffic.start());
+    auto snapshot = std::make_shared<DirectSnapshot>();
+    snapshot->Config = makeConfig();
+    for (unsigned i = 0; i < endpoints; ++i) {
+      const PausingEndpoint &it = Endpoints.emplace_back(Context, pause);
+      EndpointRecord record;
+      record.Id = EndpointId("e" + std::to_string(i));
+      record.Service = ServiceId("s");
+      record.Address = it.address();
+      record.Slots = 2;
+      snapshot->Endpoints.push_back({record, false});
+    }
+    Traffic.setSnapshot(snapshot);
+  }
+
+  /// Everything that a caller gets until its stream or its connection ends.
+  std::string call() {
+    tcp::socket socket(Context);
+    socket.connect(parseAddress(Settings.Listen).value());
+    asio::write(socket, asio::buffer(Request));
+    std::string text;
+    asio::async_read_until(socket, asio::dynamic_buffer(text), EndOfStream,
+                           [this](boost::system::error_code /*ec*/,
+                                  std::size_t /*n*/) { Context.stop(); });
+    Context.restart();
+    Context.run();
+    return text;
+  }
+
+  const std::list<PausingEndpoint> &endpoints() const { return Endpoints; }
+
+private:
+  const DirectSettings &makeSettings() {
+    Settings.Name = "n";
+    Settings.Listen = toText(test::findFreeAddress());
+    tcp::endpoint links = test::findFreeAddress();
+    Settings.LinkListen = toText(links);
+    Settings.PeerPorts = std::to_string(links.port()) + ",0";
+    return Settings;
+  }
+
+  static std::string toText(const tcp::endpoint &it) {
+    return it.address().to_string() + ":" + std::to_string(it.port());
+  }
+
+  static std::shared_ptr<const FleetConfig> makeConfig() {
+    auto config = std::make_shared<FleetConfig>();
+    RouteRule route;
+    route.Host = "h";
+    route.Prefix = "/";
+    route.Kind = RequestKind::Stream;
+    route.IsResumable = true;
+    route.Attempts = 2;
+    route.Services = {{ServiceId("s"), 1}};
+    config->Routes.push_back(route);
+    config->Services.emplace(ServiceId("s"),
+                             ServiceRule{ServiceId("s"), 100, std::nullopt});
+    return config;
+  }
+
+  asio::io_context Context;
+  Metrics Measures;
+  DirectSettings Settings;
+  std::list<PausingEndpoint> Endpoints;
+  DirectTraffic Traffic;
+};
+} // namespace
+
+/// Longer than any silence after which a stream is moved.
+static constexpr Duration LongPause =
+    DirectLimits().MaxSilence + std::chrono::milliseconds(400);
+
+TEST_CASE("a silent stream that has nowhere to go is not cut") {
+  TrafficWorld world(1, LongPause);
+  std::string text = world.call();
+  CHECK(text.find("first") != std::string::npos);
+  CHECK(text.find("second") != std::string::npos);
+  CHECK(text.ends_with(EndOfStream));
+  CHECK(world.endpoints().front().requests().size() == 1);
+}
+
+TEST_CASE("a silent stream goes on after its last event where there is room") {
+  TrafficWorld world(2, std::chrono::seconds(60));
+  std::string text = world.call();
+  CHECK(text.find("second") != std::string::npos);
+  CHECK(text.ends_with(EndOfStream));
+  std::vector<std::string> all;
+  for (const PausingEndpoint &it : world.endpoints())
+    all.insert(all.end(), it.requests().begin(), it.requests().end());
+  std::sort(all.begin(), all.end());
+  CHECK(all == std::vector<std::string>{"", "1"});
+}
