Take a stream's silence for its group's only where the whole group is silent

A stream given up after 0.9 s of silence set the pace of its whole group to that, though its other streams had events each 50 ms. Until other events had worn it off (a twentieth each), nothing there could end in time: sound streams were broken off by dozens, which used up the entry's repeats and left later ones without any.

A silence counts for the group only as far as no stream of it wrote.

Ruled out: full endpoints (request.waits counted none but one).

--- a/lib/Direct/GroupPaces.cpp
+++ b/lib/Direct/GroupPaces.cpp
@@ -37,7 +37,10 @@
 
 void GroupPaces::onSilence(const Key &group, Duration silence, TimePoint now) {
   Pace &pace = Paces[group];
-  pace.Gap = std::max(pace.Gap, silence);
+  // All ranks of a group step together, so it is as silent as the least silent
+  // of its streams; a longer silence is the stream's own. Taken for the
+  // group's, one of 0.9 s had dozens of sound streams broken off.
+  pace.Gap = std::max(pace.Gap, std::min(silence, now - pace.At));
   pace.At = now;
 }
 
