Break a stream off only where it surely goes on; silence alone ends nothing

A stream that was too slow was told to stop if some endpoint had room and one repeat was left at that moment; neither was taken, so many were stopped for the same one. A silent stream was stopped whether or not anything could take its place.

A stream is stopped once a place and a repeat are taken for it, never for a place at a doubtful endpoint. A silent one stays where it is until then; its endpoint may go on, and its caller knows how long it listens. The same holds for what may be repeated and has not begun. One that has begun waits for a place until its deadline. What is stopped here is no evidence against its endpoint.

"One that finds none ends before its caller stops listening" asked for the cut; in its place a test asks for an end exactly at the deadline. "A group with a slow rank" counts the place that the moved stream takes.

--- a/include/ospreyspur/Direct/CallState.h
+++ b/include/ospreyspur/Direct/CallState.h
@@ -34,10 +34,15 @@
   TimePoint HeardAt;
   /// Times that something of the answer came.
   unsigned Parts = 0;
+  /// Whether the attempt under way has been told to stop.
   bool IsStopping = false;
+  /// Whether the attempt under way says nothing for longer than it may.
+  bool IsSilent = false;
   /// Silence for which the attempt is to be given up.
   Duration Silence{};
   bool HasFirstByte = false;
+  /// Whether a part of the answer has come in any attempt.
+  bool HasBegun = false;
   /// Whether an endpoint said that it was full: the next attempt is only for
   /// one that is known to serve.
   bool WasTurnedAway = false;
@@ -45,6 +50,13 @@
   bool MayHaveRun = false;
   std::set<EndpointId> Tried;
   std::optional<EndpointId> Current;
+  /// Where it goes on once the attempt under way has stopped; a place there and
+  /// a repeat are taken already.
+  std::optional<EndpointRecord> Next;
+
+  /// Until when it may wait for an endpoint. How long the caller of a stream
+  /// that has begun bears silence only the caller knows; it hangs up then.
+  TimePoint waitLimit() const { return HasBegun ? Deadline : WaitUntil; }
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -84,10 +84,18 @@
   CallId Call;
 };
 
-/// Break the attempt under way off: it cannot end in time where it is, and
-/// there is room elsewhere.
+/// Why an attempt is stopped.
+enum class MoveReason : std::uint8_t {
+  /// The answer cannot end in time where it is.
+  TooSlow,
+  /// Nothing has come for longer than it may take.
+  Silent,
+};
+
+/// Break the attempt under way off; the call goes on elsewhere.
 struct StopAttempt {
   CallId Call;
+  MoveReason Reason = MoveReason::TooSlow;
   /// What it was judged by: the pause to expect between events there, and the
   /// time that is left.
   Duration Gap{};
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -44,6 +44,9 @@
   DirectActions onFirstByte(CallId id, TimePoint now);
   /// Events of the answer came; onFirstByte() came before.
   DirectActions onEvents(CallId id, TimePoint now);
+  /// The attempt under way has said nothing for the silence it was given. It
+  /// is stopped if the call can go on elsewhere at once; else it may go on.
+  DirectActions onSilent(CallId id, TimePoint now);
   /// The attempt under way has ended.
   DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
   /// What an endpoint told that was asked; nothing if it did not answer.
@@ -70,19 +73,25 @@
 private:
   void startOrWait(CallState &call, TimePoint now);
   void wait(const CallState &call, TimePoint now);
+  void noteWait(const CallState &call, TimePoint now);
   bool tryStart(CallState &call, TimePoint now);
   void noteFirstByte(const CallState &call, TimePoint now);
   Duration silenceFor(const CallState &call) const;
   void ask(TimePoint now);
   void startWaiting(TimePoint now);
   void startWaiting(bool onTime, TimePoint now);
+  void begin(CallState &call, const EndpointRecord &endpoint, TimePoint now);
   void retry(CallState &call, ResultCode reason, TimePoint now);
-  void resume(CallState &call, TimePoint now);
+  bool mayTry(const CallState &call, TimePoint now) const;
+  bool tryMove(CallState &call, MoveReason reason, TimePoint now);
+  bool goOn(CallState &call, TimePoint now);
+  void releaseNext(CallState &call);
+  void noteHeard(CallState &call, TimePoint now);
   void end(CallState &call, ResultCode code, Duration retryAfter);
   void endNotRun(CallState &call, ResultCode code, TimePoint now);
   void endAttempt(CallState &call);
   void noteEvidence(const CallState &call, AttemptEnd end, TimePoint now);
-  bool shouldMove(const CallState &call, TimePoint now);
+  bool isTooSlow(const CallState &call, TimePoint now) const;
   ServiceId pickService(const RouteRule &route);
   Duration expectedDrain(const CallState &call, TimePoint now) const;
   DirectActions takeActions();
@@ -98,6 +107,8 @@
   std::map<CallId, CallState> Calls;
   /// Calls without an endpoint, the most urgent first, then the oldest.
   std::set<std::tuple<unsigned, TimePoint, CallId>> Waiting;
+  /// Calls whose attempt under way is silent.
+  std::set<CallId> Silent;
   std::vector<WaitNote> Notes;
   DirectActions Out;
 };
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -31,6 +31,9 @@
   /// endpoint within its time. The service must have an engine.
   bool canFinish(const EndpointState &state, const CallState &call,
                  TimePoint now) const;
+  /// Whether \p state's endpoint is suspect, has vanished from the list or is
+  /// of a group that is slow or stands.
+  bool isDoubtful(const EndpointState &state, TimePoint now) const;
   /// How many endpoints of \p call's service have which obstacle for it.
   ObstacleCounts countObstacles(const CallState &call, TimePoint now) const;
 
--- a/include/ospreyspur/Direct/WaitNote.h
+++ b/include/ospreyspur/Direct/WaitNote.h
@@ -40,11 +40,13 @@
 /// Numbers of endpoints by their obstacle.
 using ObstacleCounts = std::array<unsigned, ObstacleWords.size()>;
 
-/// A request begins to wait for an endpoint.
+/// A request begins to wait for an endpoint, or its endpoint is silent and it
+/// cannot go on elsewhere.
 struct WaitNote {
   CallId Call;
   /// Requests sent for it so far.
   unsigned Arrivals = 0;
+  bool IsSilent = false;
   /// Whether the entry may send one more repeat to the service now.
   bool HasRepeat = true;
   ObstacleCounts Endpoints{};
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -12,19 +12,29 @@
 #include "ospreyspur/Http/HttpExchange.h"
 #include "ospreyspur/Process/DirectCall.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <functional>
+#include <memory>
 
 namespace ospreyspur {
 
+/// What an attempt tells while it runs.
+struct AttemptHandlers {
+  /// A part of the answer came.
+  std::function<void()> OnData;
+  /// Nothing has come for the order's silence, and once more each time it
+  /// passes again.
+  std::function<void()> OnSilence;
+};
+
 /// One attempt.
 class DirectAttempt {
 public:
-  /// \p onData runs whenever a part of the answer came.
   DirectAttempt(EndpointPool &pool, HttpExchange &exchange, DirectCall &call,
-                const StartAttempt &order, std::function<void()> onData);
+                const StartAttempt &order, AttemptHandlers handlers);
 
   /// Runs to the end.
   boost::asio::awaitable<AttemptEnd> run();
@@ -40,18 +50,24 @@
   boost::asio::awaitable<AttemptEnd> passOnWhole();
   boost::asio::awaitable<AttemptEnd> passOnEvents();
   boost::asio::awaitable<bool> passOn(std::string events);
-  boost::asio::awaitable<boost::system::error_code> readSome(std::string &data,
-                                                             TimePoint until);
+  boost::asio::awaitable<boost::system::error_code> readSome(std::string &data);
   AttemptEnd endOfBroken() const;
-  TimePoint stallLimit() const;
+  void watchSilence(Duration pause);
+  void onSilenceTimer();
   void keepConnection();
 
   EndpointPool &Pool;
   HttpExchange &Exchange;
   DirectCall &Call;
   const StartAttempt &Order;
-  std::function<void()> OnData;
+  AttemptHandlers Handlers;
   EndpointPool::Connection Connection;
+  std::optional<boost::asio::steady_timer> SilenceTimer;
+  /// Gone with this object, which a timer's handler may outlive.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  /// Since when the endpoint is waited for; nothing while a part of the answer
+  /// is on its way to the caller.
+  std::optional<TimePoint> ReadingSince;
   std::optional<Parser> Answer;
   EndpointAnswer Head;
   HttpResponse CallerHead;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -51,7 +51,8 @@
   if (it == Calls.end() || !it->second.Current || it->second.HasFirstByte)
     return takeActions();
   it->second.HasFirstByte = true;
-  it->second.HeardAt = now;
+  it->second.HasBegun = true;
+  noteHeard(it->second, now);
   noteFirstByte(it->second, now);
   Book.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt, now);
   startWaiting(now);
@@ -64,28 +65,90 @@
     return takeActions();
   CallState &call = it->second;
   ++call.Parts;
-  Duration gap = now - std::exchange(call.HeardAt, now);
+  Duration gap = now - call.HeardAt;
+  noteHeard(call, now);
   if (gap > Duration::zero())
     Book.onEvents(*call.Current, gap, now);
-  if (!call.IsStopping && shouldMove(call, now)) {
-    call.IsStopping = true;
-    const EndpointState &state = *Book.find(*call.Current);
-    Out.emplace_back(
-        StopAttempt{id, Book.gapOf(state, now), call.Deadline - now});
+  if (isTooSlow(call, now))
+    tryMove(call, MoveReason::TooSlow, now);
+  return takeActions();
+}
+
+void DirectNode::noteHeard(CallState &call, TimePoint now) {
+  call.HeardAt = now;
+  if (std::exchange(call.IsSilent, false))
+    Silent.erase(call.Request.Id);
+}
+
+DirectActions DirectNode::onSilent(CallId id, TimePoint now) {
+  auto it = Calls.find(id);
+  if (it == Calls.end() || !it->second.Current)
+    return takeActions();
+  CallState &call = it->second;
+  bool isNew = !std::exchange(call.IsSilent, true);
+  if (isNew) {
+    Silent.insert(id);
+    Book.onFailure(*call.Current, now);
   }
+  if (!tryMove(call, MoveReason::Silent, now) && isNew)
+    noteWait(call, now);
   return takeActions();
 }
 
-/// Whether a stream would not end in time where it is, and has room elsewhere.
-bool DirectNode::shouldMove(const CallState &call, TimePoint now) {
-  const RouteRule &route = *call.Request.Route;
+/// Whether a stream would not end in time where it is.
+bool DirectNode::isTooSlow(const CallState &call, TimePoint now) const {
   const ServiceRule *service = call.Request.Config->findService(call.Service);
-  bool mayMove = route.IsResumable && call.Attempts < route.Attempts;
   const EndpointState *state = Book.find(*call.Current);
-  if (!mayMove || !service || !service->Engine || !state)
+  return call.Request.Route->IsResumable && service && service->Engine &&
+         state && !Picker.canFinish(*state, call, now);
+}
+
+/// Stops the attempt under way if the call can surely go on elsewhere: the
+/// place there and the repeat are taken here and now. Where either was only
+/// looked at, many streams were broken off for the same one, and those that
+/// came too late were cut.
+bool DirectNode::tryMove(CallState &call, MoveReason reason, TimePoint now) {
+  const RouteRule &route = *call.Request.Route;
+  std::size_t entries = Book.livePeers(now) + 1;
+  bool mayMove = route.IsResumable || (route.isRepeatable() && !call.HasBegun);
+  if (!mayMove || call.IsStopping || !mayTry(call, now) ||
+      !Retries.canSpend(call.Service, entries, now))
+    return false;
+  const EndpointState *state = Picker.pick(call, now);
+  if (!state || Picker.isDoubtful(*state, now))
     return false;
-  return !Picker.canFinish(*state, call, now) && Picker.pick(call, now) &&
-         Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
+  Retries.spend(call.Service, entries, now);
+  call.Next = state->Record;
+  call.IsStopping = true;
+  Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
+  const EndpointState *current = Book.find(*call.Current);
+  Out.emplace_back(StopAttempt{call.Request.Id, reason,
+                               current ? Book.gapOf(*current, now) : Duration(),
+                               call.Deadline - now});
+  return true;
+}
+
+/// Goes on where a place was taken for the call. Returns false if there is none
+/// or the endpoint has begun to leave since.
+bool DirectNode::goOn(CallState &call, TimePoint now) {
+  if (!call.Next)
+    return false;
+  const EndpointState *state = Book.find(call.Next->Id);
+  if (!state || state->Record.IsLeaving) {
+    releaseNext(call);
+    return false;
+  }
+  EndpointRecord next = *std::exchange(call.Next, std::nullopt);
+  begin(call, next, now);
+  return true;
+}
+
+void DirectNode::releaseNext(CallState &call) {
+  if (!call.Next)
+    return;
+  Book.dropUnread(call.Next->Id, call.Request.Tokens.Prompt);
+  Book.onEnded(call.Next->Id, false);
+  call.Next.reset();
 }
 
 void DirectNode::noteFirstByte(const CallState &call, TimePoint now) {
@@ -114,6 +177,7 @@
   endAttempt(call);
   switch (end) {
   case AttemptEnd::Complete:
+    releaseNext(call);
     Calls.erase(it);
     break;
   case AttemptEnd::Full:
@@ -128,10 +192,12 @@
   case AttemptEnd::NeverSent:
     --call.Attempts;
     --call.Arrivals;
-    startOrWait(call, now);
+    if (!goOn(call, now))
+      startOrWait(call, now);
     break;
   case AttemptEnd::Failed:
-    if (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now))
+    if (goOn(call, now) ||
+        (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now)))
       break;
     Out.emplace_back(PassOnAnswer{id});
     break;
@@ -145,7 +211,7 @@
   case AttemptEnd::BrokeOff:
     call.MayHaveRun = true;
     if (route.IsResumable)
-      resume(call, now);
+      retry(call, ResultCode::EndpointFailed, now);
     else
       this->end(call, ResultCode::EndpointFailed, Duration::zero());
     break;
@@ -177,6 +243,7 @@
   if (it == Calls.end())
     return takeActions();
   endAttempt(it->second);
+  releaseNext(it->second);
   Waiting.erase({it->second.Request.Priority, it->second.Arrived, id});
   Calls.erase(it);
   startWaiting(now);
@@ -188,7 +255,7 @@
   startWaiting(now);
   std::vector<CallId> late;
   for (const auto &[priority, arrived, id] : Waiting)
-    if (Calls.at(id).WaitUntil <= now)
+    if (Calls.at(id).waitLimit() <= now)
       late.push_back(id);
   for (CallId id : late)
     endNotRun(Calls.at(id), ResultCode::NoEndpoint, now);
@@ -198,7 +265,7 @@
 std::optional<TimePoint> DirectNode::nextTimer() const {
   std::optional<TimePoint> next = Book.nextQuestion();
   for (const auto &[priority, arrived, id] : Waiting) {
-    TimePoint due = Calls.at(id).WaitUntil;
+    TimePoint due = Calls.at(id).waitLimit();
     if (!next || due < *next)
       next = due;
   }
@@ -209,7 +276,7 @@
 void DirectNode::startOrWait(CallState &call, TimePoint now) {
   if (tryStart(call, now))
     return;
-  if (now >= call.WaitUntil || Waiting.size() >= Limits.MaxWaiting) {
+  if (now >= call.waitLimit() || Waiting.size() >= Limits.MaxWaiting) {
     endNotRun(call, ResultCode::NoEndpoint, now);
     return;
   }
@@ -218,9 +285,13 @@
 
 void DirectNode::wait(const CallState &call, TimePoint now) {
   Waiting.emplace(call.Request.Priority, call.Arrived, call.Request.Id);
+  noteWait(call, now);
+}
+
+void DirectNode::noteWait(const CallState &call, TimePoint now) {
   bool hasRepeat = call.Arrivals == 0 ||
                    Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
-  Notes.push_back({call.Request.Id, call.Arrivals, hasRepeat,
+  Notes.push_back({call.Request.Id, call.Arrivals, call.IsSilent, hasRepeat,
                    Picker.countObstacles(call, now)});
 }
 
@@ -231,24 +302,32 @@
   bool isRepeat = call.Arrivals > 0;
   if (isRepeat && !Retries.spend(call.Service, Book.livePeers(now) + 1, now))
     return false;
+  Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
+  begin(call, state->Record, now);
+  return true;
+}
+
+/// Sends the request to \p endpoint, where its place is taken.
+void DirectNode::begin(CallState &call, const EndpointRecord &endpoint,
+                       TimePoint now) {
   ++call.Attempts;
   ++call.Arrivals;
-  call.Current = state->Record.Id;
+  call.Current = endpoint.Id;
   call.IsStopping = false;
   call.SentAt = now;
   call.HeardAt = now;
   call.Silence = silenceFor(call);
-  call.Tried.insert(state->Record.Id);
-  Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
-  Out.emplace_back(StartAttempt{call.Request.Id, state->Record, call.Deadline,
+  call.Tried.insert(endpoint.Id);
+  Out.emplace_back(StartAttempt{call.Request.Id, endpoint, call.Deadline,
                                 call.Attempts, call.Silence});
-  return true;
 }
 
 /// Gives room that has come free to the calls that wait for it. In a backlog,
 /// serving in the order of arrival would make every call late.
 void DirectNode::startWaiting(TimePoint now) {
   startWaiting(true, now);
+  for (CallId id : std::vector<CallId>(Silent.begin(), Silent.end()))
+    tryMove(Calls.at(id), MoveReason::Silent, now);
   startWaiting(false, now);
 }
 
@@ -260,35 +339,29 @@
   }
 }
 
-/// The call did not run, or may run again: tries another endpoint.
-void DirectNode::retry(CallState &call, ResultCode reason, TimePoint now) {
-  bool mayTry = call.Attempts < call.Request.Route->Attempts &&
-                call.Arrivals < Limits.MaxArrivals && now < call.Deadline;
-  if (mayTry && tryStart(call, now))
-    return;
-  if (reason == ResultCode::ContactLost)
-    end(call, reason, Duration::zero());
-  else if (mayTry && now < call.WaitUntil &&
-           (!call.MayHaveRun || call.Request.Route->isRepeatable()))
-    wait(call, now);
-  else
-    endNotRun(call, reason, now);
+bool DirectNode::mayTry(const CallState &call, TimePoint now) const {
+  const RouteRule &route = *call.Request.Route;
+  return (!call.MayHaveRun || route.isRepeatable()) &&
+         call.Attempts < route.Attempts && call.Arrivals < Limits.MaxArrivals &&
+         now < call.Deadline;
 }
 
-/// Goes on with a stream that broke off, after the last event that its caller
-/// has. When a group breaks there may be no room for all of its streams at
+/// The call did not run, or may run again: tries another endpoint, or waits for
+/// one. When a group breaks there may be no room for all of its streams at
 /// once; cutting those would send their callers round again, and each may come
 /// back only once.
-void DirectNode::resume(CallState &call, TimePoint now) {
-  bool mayTry = call.Attempts < call.Request.Route->Attempts &&
-                call.Arrivals < Limits.MaxArrivals;
-  if (mayTry && tryStart(call, now))
+void DirectNode::retry(CallState &call, ResultCode reason, TimePoint now) {
+  if (goOn(call, now))
+    return;
+  bool canTry = mayTry(call, now);
+  if (canTry && tryStart(call, now))
     return;
-  call.WaitUntil = std::min(call.HeardAt + Limits.MaxSilence, call.Deadline);
-  if (mayTry && now < call.WaitUntil)
+  if (canTry && now < call.waitLimit())
     wait(call, now);
+  else if (describe(reason).Kind == Outcome::NotRun)
+    endNotRun(call, reason, now);
   else
-    end(call, ResultCode::EndpointFailed, Duration::zero());
+    end(call, reason, Duration::zero());
 }
 
 /// Ends \p call with the truth: "not run" only if no attempt may have run.
@@ -301,6 +374,7 @@
 
 void DirectNode::end(CallState &call, ResultCode code, Duration retryAfter) {
   CallId id = call.Request.Id;
+  releaseNext(call);
   Out.emplace_back(EndCall{id, code, retryAfter});
   Waiting.erase({call.Request.Priority, call.Arrived, id});
   Calls.erase(id);
@@ -309,6 +383,8 @@
 void DirectNode::endAttempt(CallState &call) {
   if (!call.Current)
     return;
+  if (std::exchange(call.IsSilent, false))
+    Silent.erase(call.Request.Id);
   bool wasWriting = std::exchange(call.HasFirstByte, false);
   if (!wasWriting)
     Book.dropUnread(*call.Current, call.Request.Tokens.Prompt);
@@ -334,7 +410,9 @@
   case AttemptEnd::NeverSent:
   case AttemptEnd::Lost:
   case AttemptEnd::BrokeOff:
-    Book.onFailure(id, now);
+    // Silence has been noted; what was stopped here is no sign of a failure.
+    if (!call.IsSilent && !call.IsStopping)
+      Book.onFailure(id, now);
     if (now - call.HeardAt >= call.Silence)
       Book.onSilence(id, now - call.HeardAt, now);
     break;
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -21,10 +21,9 @@
     if (state.Record.Service != call.Service ||
         obstacleAt(state, call, now) != Obstacle::None)
       continue;
-    bool isDoubtful = state.IsMissing || now < state.SuspectUntil ||
-                      Book.gapOf(state, now) > Limits.SlowGap;
     bool isFar = state.Record.DataCentre != DataCentre;
-    std::tuple cost(isDoubtful, costOf(state, call, now), isFar, Random());
+    std::tuple cost(isDoubtful(state, now), costOf(state, call, now), isFar,
+                    Random());
     if (best && cost >= bestCost)
       continue;
     best = &state;
@@ -33,6 +32,12 @@
   return best;
 }
 
+bool EndpointPicker::isDoubtful(const EndpointState &state,
+                                TimePoint now) const {
+  return state.IsMissing || now < state.SuspectUntil ||
+         Book.gapOf(state, now) > Limits.SlowGap;
+}
+
 Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
                                     const CallState &call,
                                     TimePoint now) const {
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -39,9 +39,9 @@
 
 DirectAttempt::DirectAttempt(EndpointPool &pool, HttpExchange &exchange,
                              DirectCall &call, const StartAttempt &order,
-                             std::function<void()> onData)
+                             AttemptHandlers handlers)
     : Pool(pool), Exchange(exchange), Call(call), Order(order),
-      OnData(std::move(onData)) {}
+      Handlers(std::move(handlers)) {}
 
 asio::awaitable<AttemptEnd> DirectAttempt::run() {
   Connection = co_await open();
@@ -54,6 +54,8 @@
   Call.Connection = Connection.get();
   if (Call.IsCallerGone)
     co_return AttemptEnd::NeverSent;
+  SilenceTimer.emplace(Connection->Stream.get_executor());
+  watchSilence(Order.Silence);
   if (!co_await send() || !co_await readHead())
     co_return endOfBroken();
   bool isSuccess = Head.Status >= 200 && Head.Status < 300;
@@ -90,9 +92,11 @@
     Answer->body_limit(MaxAnswerBytes);
     Answer->header_limit(MaxHeadBytes);
     Answer->skip(Exchange.request().method() == http::verb::head);
-    Connection->Stream.expires_at(toSteady(stallLimit()));
+    Connection->Stream.expires_at(toSteady(Order.Deadline));
+    ReadingSince = monotonicNow();
     auto [ec, n] = co_await http::async_read_header(
         Connection->Stream, Connection->Buffer, *Answer, AsTuple);
+    ReadingSince.reset();
     if (ec)
       co_return false;
     HttpResponse head;
@@ -109,23 +113,43 @@
   co_return false;
 }
 
-/// A stream that can go on elsewhere is not waited for to its deadline.
-TimePoint DirectAttempt::stallLimit() const {
-  if (!Call.Request.Route->IsResumable)
-    return Order.Deadline;
-  return std::min(Order.Deadline, monotonicNow() + Order.Silence);
+/// Looks after \p pause how long the endpoint has said nothing. Silence alone
+/// ends no attempt: it may go on, and whether another can take its place is not
+/// known here.
+void DirectAttempt::watchSilence(Duration pause) {
+  if (!Call.Request.Route->isRepeatable() || Order.Silence <= Duration::zero())
+    return;
+  SilenceTimer->expires_after(pause);
+  SilenceTimer->async_wait(
+      [this, alive = std::weak_ptr<bool>(Alive)](boost::system::error_code ec) {
+        if (!ec && !alive.expired())
+          onSilenceTimer();
+      });
+}
+
+void DirectAttempt::onSilenceTimer() {
+  TimePoint now = monotonicNow();
+  Duration silence = ReadingSince ? now - *ReadingSince : Duration::zero();
+  if (silence < Order.Silence) {
+    watchSilence(Order.Silence - silence);
+    return;
+  }
+  watchSilence(Order.Silence);
+  Handlers.OnSilence();
 }
 
 asio::awaitable<boost::system::error_code>
-DirectAttempt::readSome(std::string &data, TimePoint until) {
+DirectAttempt::readSome(std::string &data) {
   std::array<char, ReadBytes> bytes;
   auto &body = Answer->get().body();
   body.data = bytes.data();
   body.size = bytes.size();
   body.more = true;
-  Connection->Stream.expires_at(toSteady(until));
+  Connection->Stream.expires_at(toSteady(Order.Deadline));
+  ReadingSince = monotonicNow();
   auto [ec, n] = co_await http::async_read_some(
       Connection->Stream, Connection->Buffer, *Answer, AsTuple);
+  ReadingSince.reset();
   data.assign(bytes.data(), bytes.size() - body.size);
   if (ec == http::error::need_buffer)
     ec = {};
@@ -135,7 +159,7 @@
 asio::awaitable<bool> DirectAttempt::readBody(std::string &body) {
   while (!Answer->is_done()) {
     std::string data;
-    auto ec = co_await readSome(data, Order.Deadline);
+    auto ec = co_await readSome(data);
     body += data;
     if (ec || body.size() > MaxAnswerBytes)
       co_return false;
@@ -169,7 +193,7 @@
     Call.FailedAnswer = std::move(CallerHead);
     co_return AttemptEnd::Failed;
   }
-  OnData();
+  Handlers.OnData();
   co_await Exchange.respond(std::move(CallerHead));
   co_return AttemptEnd::Complete;
 }
@@ -177,7 +201,7 @@
 asio::awaitable<AttemptEnd> DirectAttempt::passOnEvents() {
   while (!Answer->is_done()) {
     std::string data;
-    auto ec = co_await readSome(data, stallLimit());
+    auto ec = co_await readSome(data);
     std::string events = Call.Events.add(data);
     if (!events.empty() && !co_await passOn(std::move(events)))
       co_return AttemptEnd::BrokeOff;
@@ -195,7 +219,7 @@
 }
 
 asio::awaitable<bool> DirectAttempt::passOn(std::string events) {
-  OnData();
+  Handlers.OnData();
   if (!Exchange.hasBegun() && !co_await Exchange.beginStream(CallerHead))
     co_return false;
   bool isSent = co_await Exchange.writeStream(std::move(events));
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -256,7 +256,8 @@
     if (!actions.empty())
       apply(std::move(actions));
   };
-  DirectAttempt running(Pool, exchange, call, order, onData);
+  auto onSilence = [this, id] { apply(Node.onSilent(id, monotonicNow())); };
+  DirectAttempt running(Pool, exchange, call, order, {onData, onSilence});
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
   Measures.set("requests_waiting", double(Node.waitingCount()));
@@ -283,6 +284,7 @@
     LogEvent line("request.waits");
     line.with("id", it->second->Request.Label)
         .with("sent", note.Arrivals)
+        .with("silent", note.IsSilent)
         .with("may_repeat", note.HasRepeat);
     for (std::size_t i = 0; i < ObstacleWords.size(); ++i)
       line.with(ObstacleWords[i], note.Endpoints[i]);
@@ -294,7 +296,7 @@
   asio::co_spawn(Context, askEndpoint(action.Endpoint), asio::detached);
 }
 
-/// The attempt ends as broken off and goes on elsewhere.
+/// The attempt ends as broken off or lost and the call goes on elsewhere.
 void DirectTraffic::perform(StopAttempt &action) {
   auto it = Calls.find(action.Call);
   if (it == Calls.end() || !it->second->Connection)
@@ -303,7 +305,9 @@
   LOG(INFO) << LogEvent("request.moved")
                    .with("id", it->second->Request.Label)
                    .with("endpoints", it->second->Endpoints)
-                   .with("reason", "too_slow")
+                   .with("reason", action.Reason == MoveReason::Silent
+                                       ? "silent"
+                                       : "too_slow")
                    .with("gap_ms", toMillis(action.Gap))
                    .with("left_ms", toMillis(action.TimeLeft));
   it->second->Connection->Stream.close();
