--- /dev/null
+++ b/lib/Direct/DirectMoves.cpp
@@ -0,0 +1,83 @@
+//===- DirectMoves.cpp - calls that go on at another endpoint -------------===//
+//
+// The part of DirectNode that takes an attempt away from an endpoint that is
+// silent or too slow. An attempt is stopped only once its successor is sure.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/DirectNode.h"
+
+#include <utility>
+
+using namespace ospreyspur;
+
+DirectActions DirectNode::onSilent(CallId id, TimePoint now) {
+  auto it = Calls.find(id);
+  if (it == Calls.end() || !it->second.Current)
+    return takeActions();
+  CallState &call = it->second;
+  bool isNew = !std::exchange(call.IsSilent, true);
+  if (isNew) {
+    Silent.insert(id);
+    Book.onFailure(*call.Current, now);
+  }
+  if (!tryMove(call, MoveReason::Silent, now) && isNew)
+    noteWait(call, now);
+  return takeActions();
+}
+
+/// Whether a stream would not end in time where it is.
+bool DirectNode::isTooSlow(const CallState &call, TimePoint now) const {
+  const ServiceRule *service = call.Request.Config->findService(call.Service);
+  const EndpointState *state = Book.find(*call.Current);
+  return call.Request.Route->IsResumable && service && service->Engine &&
+         state && !Picker.canFinish(*state, call, now);
+}
+
+/// Stops the attempt under way if the call can surely go on elsewhere: the
+/// place there and the repeat are taken here and now. Where either was only
+/// looked at, many streams were broken off for the same one, and those that
+/// came too late were cut.
+bool DirectNode::tryMove(CallState &call, MoveReason reason, TimePoint now) {
+  const RouteRule &route = *call.Request.Route;
+  std::size_t entries = Book.livePeers(now) + 1;
+  bool mayMove = route.IsResumable || (route.isRepeatable() && !call.HasBegun);
+  if (!mayMove || call.IsStopping || !mayTry(call, now) ||
+      !Retries.canSpend(call.Service, entries, now))
+    return false;
+  const EndpointState *state = Picker.pick(call, now);
+  if (!state || Picker.isDoubtful(*state, now))
+    return false;
+  Retries.spend(call.Service, entries, now);
+  call.Next = state->Record;
+  call.IsStopping = true;
+  Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
+  const EndpointState *current = Book.find(*call.Current);
+  Out.emplace_back(StopAttempt{call.Request.Id, reason,
+                               current ? Book.gapOf(*current, now) : Duration(),
+                               call.Deadline - now});
+  return true;
+}
+
+/// Goes on where a place was taken for the call. Returns false if there is none
+/// or the endpoint has begun to leave since.
+bool DirectNode::goOn(CallState &call, TimePoint now) {
+  if (!call.Next)
+    return false;
+  const EndpointState *state = Book.find(call.Next->Id);
+  if (!state || state->Record.IsLeaving) {
+    releaseNext(call);
+    return false;
+  }
+  EndpointRecord next = *std::exchange(call.Next, std::nullopt);
+  begin(call, next, now);
+  return true;
+}
+
+void DirectNode::releaseNext(CallState &call) {
+  if (!call.Next)
+    return;
+  Book.dropUnread(call.Next->Id, call.Request.Tokens.Prompt);
+  Book.onEnded(call.Next->Id, false);
+  call.Next.reset();
+}
