Ask another rank where one does not answer, instead of keeping its group closed

A closed group is asked through one rank at a time. Where that one could not be reached, the others were not due for a second, the same one was due again after 0.1 s, and its failure put the others off once more: an entry that alone cannot reach that rank kept the whole group closed.

Now another rank is asked at once, and each that does not answer is left alone for a second, so that a group of which none answers is not asked without a pause.

Two tests; the first was red before (no further question).

--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -50,6 +50,8 @@
   /// It gets nothing before it has told that it takes requests.
   bool MustTell = false;
   TimePoint AskAt;
+  /// It did not answer a question; others of its group are asked until then.
+  TimePoint UnansweredUntil;
   /// How many times slower than usual it works, and when it told.
   double Pace = 1;
   TimePoint PaceAt;
@@ -140,6 +142,7 @@
     std::unordered_map<EndpointId, EndpointLoad> Loads;
   };
 
+  void onUnanswered(EndpointState &asked, TimePoint now);
   EndpointState *findMutable(const EndpointId &id);
   std::vector<EndpointState *> groupOf(EndpointState &state);
   Duration askPause(TimePoint now) const;
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -178,17 +178,14 @@
   }
   if (!told || !told->MustTell)
     return;
-  if (condition)
-    told->Group = condition->Group;
+  if (!condition) {
+    onUnanswered(*told, now);
+    return;
+  }
+  told->Group = condition->Group;
   bool takesRequests =
-      condition && condition->IsOpen && condition->Running < told->Record.Slots;
-  if (!condition)
-    onFailure(id, now);
-  // One without an answer says nothing of its group.
-  std::vector<EndpointState *> members = {told};
-  if (condition)
-    members = groupOf(*told);
-  for (EndpointState *it : members) {
+      condition->IsOpen && condition->Running < told->Record.Slots;
+  for (EndpointState *it : groupOf(*told)) {
     it->MustTell = !takesRequests;
     it->AskAt = now + askPause(now);
     if (takesRequests)
@@ -196,6 +193,21 @@
   }
 }
 
+/// One without an answer says nothing of its group: another one of it is asked
+/// at once. Where only this entry cannot reach it, the group would otherwise
+/// stay closed here for as long.
+void EndpointBook::onUnanswered(EndpointState &asked, TimePoint now) {
+  onFailure(asked.Record.Id, now);
+  asked.AskAt = now + askPause(now);
+  for (EndpointState *it : groupOf(asked)) {
+    if (it == &asked)
+      continue;
+    it->AskAt = std::max(now, it->UnansweredUntil);
+    asked.AskAt = now + AskTimeout;
+  }
+  asked.UnansweredUntil = now + AskTimeout;
+}
+
 Duration EndpointBook::askPause(TimePoint now) const {
   std::size_t entries = livePeers(now) + 1;
   return AskPause * ((entries + AskersPerPause - 1) / AskersPerPause);
--- a/unittests/Direct/DirectGroupTest.cpp
+++ b/unittests/Direct/DirectGroupTest.cpp
@@ -75,6 +75,36 @@
   CHECK(countOf<StartAttempt>(after.front()) == 2);
 }
 
+TEST_CASE("one rank that does not answer keeps no group closed") {
+  GroupWorld world;
+  world.open();
+  REQUIRE(countOf<StartAttempt>(world.call(1)) == 1);
+  DirectActions refused = world.end(1, AttemptEnd::Full);
+  REQUIRE(countOf<AskEndpoint>(refused) == 1);
+  EndpointId silent = find<AskEndpoint>(refused)->Endpoint.Id;
+  // Another one of the group is asked in its place.
+  DirectActions next = world.Node.onTold(silent, std::nullopt, world.Now);
+  REQUIRE(countOf<AskEndpoint>(next) == 1);
+  CHECK(find<AskEndpoint>(next)->Endpoint.Id != silent);
+  world.tell(next, true);
+  CHECK(countOf<StartAttempt>(world.call(2)) == 1);
+}
+
+TEST_CASE("a group of which no rank answers is not asked without a pause") {
+  GroupWorld world;
+  world.open();
+  world.call(1);
+  DirectActions asked = world.end(1, AttemptEnd::Full);
+  std::set<EndpointId> all;
+  while (const auto *it = find<AskEndpoint>(asked)) {
+    REQUIRE(all.insert(it->Endpoint.Id).second);
+    asked = world.Node.onTold(it->Endpoint.Id, std::nullopt, world.Now);
+  }
+  CHECK(all.size() == 3);
+  world.Now += EndpointBook::AskTimeout;
+  CHECK(countOf<AskEndpoint>(world.Node.onTimer(world.Now)) == 1);
+}
+
 TEST_CASE("many entries ask a closed group no more often together") {
   // 16 entries are two for each question of a pause, 17 are more.
   for (auto [entries, pauses] : {std::pair(8, 1), {16, 2}, {17, 3}, {80, 10}}) {
