--- a/include/ospreyspur/Direct/WaitNote.h
+++ b/include/ospreyspur/Direct/WaitNote.h
@@ -46,6 +46,8 @@
   CallId Call;
   /// Requests sent for it so far.
   unsigned Arrivals = 0;
+  /// Endpoints that it may still be sent to by its route.
+  unsigned AttemptsLeft = 0;
   bool IsSilent = false;
   /// Whether the entry may send one more repeat to the service now.
   bool HasRepeat = true;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -220,8 +220,10 @@
 void DirectNode::noteWait(const CallState &call, TimePoint now) {
   bool hasRepeat = call.Arrivals == 0 ||
                    Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
-  Notes.push_back({call.Request.Id, call.Arrivals, call.IsSilent, hasRepeat,
-                   Picker.countObstacles(call, now)});
+  unsigned attempts = call.Request.Route->Attempts;
+  unsigned left = attempts - std::min(attempts, call.Attempts);
+  Notes.push_back({call.Request.Id, call.Arrivals, left, call.IsSilent,
+                   hasRepeat, Picker.countObstacles(call, now)});
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -284,6 +284,7 @@
     LogEvent line("request.waits");
     line.with("id", it->second->Request.Label)
         .with("sent", note.Arrivals)
+        .with("attempts_left", note.AttemptsLeft)
         .with("silent", note.IsSilent)
         .with("may_repeat", note.HasRepeat);
     for (std::size_t i = 0; i < ObstacleWords.size(); ++i)
