Let a refusal use up no attempt of a stream that has begun

Ruled out: running on more endpoints than the route allows; what refuses does not run it, and the bound of four sends and that on repeats stand.

Its test was red before.

--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -111,6 +111,11 @@
     break;
   case AttemptEnd::Full:
     call.WasTurnedAway = true;
+    // It did not run there. Cutting a caller in the middle for it would cost
+    // more than the repeat that it takes anyway: when a group breaks, its other
+    // ranks refuse what broke off.
+    if (call.HasBegun)
+      --call.Attempts;
     retry(call, ResultCode::QueueFull, now);
     break;
   case AttemptEnd::OtherEndpoint:
--- a/unittests/Direct/SilentStreamTest.cpp
+++ b/unittests/Direct/SilentStreamTest.cpp
@@ -277,6 +277,19 @@
           0);
 }
 
+TEST_CASE("a refusal does not use up the attempts of a stream that has begun") {
+  // When a group breaks, its other ranks refuse what broke off at the first.
+  NodeWorld world(3, makeRoute(RequestKind::Stream, 2, true));
+  world.prove(3);
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  world.Node.onFirstByte(CallId(1), world.Now);
+  REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::BrokeOff)));
+  REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::Full)));
+  // Now there is nowhere left; it waits as long as its caller listens.
+  CHECK(countOf<EndCall>(world.end(1, AttemptEnd::Full)) == 0);
+  CHECK(world.Node.waitingCount() == 1);
+}
+
 TEST_CASE("nobody is told that a stream did not run once it may have") {
   NodeWorld world(2, makeRoute(RequestKind::Stream, 2, true));
   REQUIRE(only<StartAttempt>(world.call(1)));
