--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -219,3 +219,37 @@
   CHECK(spent == 21);
   CHECK(window.spend(service, 2, now + seconds(10)));
 }
+
+TEST_CASE("an endpoint that fails all it gets does not draw the load") {
+  NodeWorld world(2, makeRoute(RequestKind::OnceOnly, 1));
+  unsigned failed = 0;
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    DirectActions actions = world.call(id);
+    REQUIRE(only<StartAttempt>(actions));
+    bool isFailing =
+        only<StartAttempt>(actions)->Endpoint.Id == EndpointId("e0");
+    failed += isFailing ? 1 : 0;
+    world.Now += milliseconds(10);
+    world.end(id, isFailing ? AttemptEnd::Failed : AttemptEnd::Complete);
+    world.Node.onCallGone(CallId(id), world.Now);
+  }
+  // It is tried again at times, as it may have recovered.
+  CHECK(failed >= 2);
+  CHECK(failed <= 5);
+}
+
+TEST_CASE("one failed answer says nothing against its endpoint") {
+  NodeWorld world(1, makeRoute(RequestKind::OnceOnly, 1));
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  world.end(1, AttemptEnd::Failed);
+  CHECK(world.Node.book().find(EndpointId("e0"))->SuspectUntil <= world.Now);
+}
+
+TEST_CASE("a repeat that reached nobody is given back") {
+  NodeWorld world(6, makeRoute(RequestKind::Repeatable, 2));
+  // One repeat in a window.
+  world.Node.setRetries({0, 2, seconds(10)});
+  REQUIRE(only<StartAttempt>(world.call(1)));
+  REQUIRE(only<StartAttempt>(world.end(1, AttemptEnd::Lost)));
+  CHECK(only<StartAttempt>(world.end(1, AttemptEnd::NeverSent)));
+}
--- a/unittests/Process/DirectTrafficTest.cpp
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -28,6 +28,7 @@
 static constexpr std::string_view Request =
     "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 8000\r\n"
     "Content-Length: 0\r\n\r\n";
+static constexpr std::chrono::seconds CallerPatience(5);
 static constexpr std::string_view EndOfStream = "\r\n0\r\n\r\n";
 
 namespace {
@@ -70,16 +71,17 @@
   tcp::endpoint Address;
 };
 
-/// An entry before some endpoints that pause.
-class TrafficWorld {
+/// An entry before some endpoints, each made with \p argument.
+template <typename Endpoint> class TrafficWorld {
 public:
-  TrafficWorld(unsigned endpoints, Duration pause)
+  template <typename Argument>
+  TrafficWorld(unsigned endpoints, Argument &&argument)
       : Traffic(Context, makeSettings(), Measures, 1) {
     REQUIRE(Traffic.start());
     auto snapshot = std::make_shared<DirectSnapshot>();
     snapshot->Config = makeConfig();
     for (unsigned i = 0; i < endpoints; ++i) {
-      const PausingEndpoint &it = Endpoints.emplace_back(Context, pause);
+      const Endpoint &it = Endpoints.emplace_back(Context, argument);
       EndpointRecord record;
       record.Id = EndpointId("e" + std::to_string(i));
       record.Service = ServiceId("s");
@@ -90,21 +92,22 @@
     Traffic.setSnapshot(snapshot);
   }
 
-  /// Everything that a caller gets until its stream or its connection ends.
-  std::string call() {
+  /// Everything that a caller gets until \p end or until its connection ends.
+  /// It hangs up after a time in which each test's answer has long come.
+  std::string call(std::string_view end = EndOfStream) {
     tcp::socket socket(Context);
     socket.connect(parseAddress(Settings.Listen).value());
     asio::write(socket, asio::buffer(Request));
     std::string text;
-    asio::async_read_until(socket, asio::dynamic_buffer(text), EndOfStream,
+    asio::async_read_until(socket, asio::dynamic_buffer(text), end,
                            [this](boost::system::error_code /*ec*/,
                                   std::size_t /*n*/) { Context.stop(); });
     Context.restart();
-    Context.run();
+    Context.run_for(CallerPatience);
     return text;
   }
 
-  const std::list<PausingEndpoint> &endpoints() const { return Endpoints; }
+  const std::list<Endpoint> &endpoints() const { return Endpoints; }
 
 private:
   const DirectSettings &makeSettings() {
@@ -138,17 +141,57 @@
   asio::io_context Context;
   Metrics Measures;
   DirectSettings Settings;
-  std::list<PausingEndpoint> Endpoints;
+  std::list<Endpoint> Endpoints;
   DirectTraffic Traffic;
 };
 } // namespace
 
+namespace {
+/// Answers that it failed, or ends the connection without an answer.
+class FailingEndpoint {
+public:
+  FailingEndpoint(asio::io_context &ioc, unsigned &served)
+      : Server(ioc, HttpLimits(),
+               [&served](HttpExchange &it) { return run(it, served); }),
+        Address(test::findFreeAddress()) {
+    REQUIRE(Server.listen(Address));
+  }
+
+  const tcp::endpoint &address() const { return Address; }
+
+private:
+  /// The first request of all is answered, later ones are lost.
+  static asio::awaitable<void> run(HttpExchange &exchange, unsigned &served) {
+    if (served++ > 0) {
+      exchange.cut();
+      co_return;
+    }
+    HttpResponse answer;
+    answer.result(500);
+    answer.set("Request-Id", exchange.header("Request-Id"));
+    answer.set("Replica-Stamp", "s");
+    co_await exchange.respond(std::move(answer));
+  }
+
+  HttpServer Server;
+  tcp::endpoint Address;
+};
+} // namespace
+
+TEST_CASE("a caller whose request failed once and was lost then hears so") {
+  unsigned served = 0;
+  TrafficWorld<FailingEndpoint> world(2, served);
+  std::string text = world.call("\r\n\r\n");
+  CHECK(served == 2);
+  CHECK(text.starts_with("HTTP/1.1 502"));
+}
+
 /// Longer than any silence after which a stream is moved.
 static constexpr Duration LongPause =
     DirectLimits().MaxSilence + std::chrono::milliseconds(400);
 
 TEST_CASE("a silent stream that has nowhere to go is not cut") {
-  TrafficWorld world(1, LongPause);
+  TrafficWorld<PausingEndpoint> world(1, LongPause);
   std::string text = world.call();
   CHECK(text.find("first") != std::string::npos);
   CHECK(text.find("second") != std::string::npos);
@@ -157,7 +200,7 @@
 }
 
 TEST_CASE("a silent stream goes on after its last event where there is room") {
-  TrafficWorld world(2, std::chrono::seconds(60));
+  TrafficWorld<PausingEndpoint> world(2, Duration(std::chrono::seconds(60)));
   std::string text = world.call();
   CHECK(text.find("second") != std::string::npos);
   CHECK(text.ends_with(EndOfStream));
