Answer a caller whose request failed at one endpoint and was lost at the next

An answer that says the run failed is kept back while another endpoint is tried, and its status was noted as the call's. When the second attempt was lost, the state machine ended the call, but the coroutine took the noted status for an answer that had been given: it logged code=0 status=500 and returned without reading the order to refuse. The caller heard nothing and waited out its time; a stream that had begun was left open without its end.

The call now knows that it was answered by the attempt that was complete.

--- a/include/ospreyspur/Process/DirectCall.h
+++ b/include/ospreyspur/Process/DirectCall.h
@@ -39,6 +39,9 @@
   EndpointConnection *Connection = nullptr;
   bool IsCallerGone = false;
   EventCutter Events;
+  /// Whether its whole answer has been given. A status alone does not say so:
+  /// an answer that says the run failed is kept back while others are tried.
+  bool IsAnswered = false;
   /// An answer that says the run failed, should no attempt do better.
   std::optional<HttpResponse> FailedAnswer;
   /// For the log.
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -206,7 +206,7 @@
     }
     if (auto *order = std::get_if<StartAttempt>(&event)) {
       co_await attempt(exchange, call, *order);
-      if (!Node.isKnown(call.Request.Id) && call.Status != 0) {
+      if (call.IsAnswered) {
         finish(call, ResultCode::Ok);
         co_return;
       }
@@ -263,6 +263,7 @@
   Measures.set("requests_waiting", double(Node.waitingCount()));
   if (call.IsCallerGone)
     co_return;
+  call.IsAnswered = end == AttemptEnd::Complete;
   apply(Node.onAttemptEnded(id, end, monotonicNow()));
 }
 
