Suspect an endpoint after two failed answers in a row

An answer that says the run failed counted for nothing. An endpoint that fails at once is always the least loaded, so it got the next request too: 13 of 64 endpoints got two of three requests.

--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -38,6 +38,8 @@
   /// Prompt tokens of this entry's requests without a first byte.
   unsigned OwnUnread = 0;
   unsigned FailuresInRow = 0;
+  /// Answers in a row that said that the run had failed.
+  unsigned FailedAnswersInRow = 0;
   /// Left out until then, if there is any other.
   TimePoint SuspectUntil;
   /// It said that it was full; taken as full until then.
@@ -63,6 +65,11 @@
 public:
   static constexpr Duration FirstSuspicion = std::chrono::milliseconds(500);
   static constexpr Duration LongestSuspicion = std::chrono::seconds(8);
+  /// From this number of failed answers in a row on an endpoint is suspect: one
+  /// may be the request's own fault. An endpoint that fails at once is always
+  /// the least loaded; unsuspected, a fifth of them got two thirds of all
+  /// requests.
+  static constexpr unsigned SuspectFailedAnswers = 2;
   /// How long an endpoint that said it was full gets nothing new: about two
   /// passes of an engine; twice as long each time in a row, as ranks whose
   /// group is being formed say the same.
@@ -104,6 +111,8 @@
   void onSilence(const EndpointId &id, Duration silence, TimePoint now);
   void onSuccess(const EndpointId &id, TimePoint now);
   void onFailure(const EndpointId &id, TimePoint now);
+  /// It answered that the run had failed.
+  void onFailedAnswer(const EndpointId &id, TimePoint now);
   void onFull(const EndpointId &id, TimePoint now);
   /// The endpoints to ask for their condition now, one of each known group.
   std::vector<EndpointRecord> takeQuestions(TimePoint now);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -339,6 +339,7 @@
     Book.onFull(id, now);
     break;
   case AttemptEnd::Failed:
+    Book.onFailedAnswer(id, now);
     break;
   case AttemptEnd::OtherEndpoint:
     Book.onReplaced(id, now);
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -99,6 +99,7 @@
   if (EndpointState *it = findMutable(id)) {
     it->ProvenAt = now;
     it->FailuresInRow = 0;
+    it->FailedAnswersInRow = 0;
     it->FullInRow = 0;
     it->SuspectUntil = TimePoint();
   }
@@ -113,6 +114,12 @@
   it->FailuresInRow = std::min(it->FailuresInRow + 1, MaxDoublings);
 }
 
+void EndpointBook::onFailedAnswer(const EndpointId &id, TimePoint now) {
+  EndpointState *it = findMutable(id);
+  if (it && ++it->FailedAnswersInRow >= SuspectFailedAnswers)
+    onFailure(id, now);
+}
+
 void EndpointBook::onFull(const EndpointId &id, TimePoint now) {
   EndpointState *it = findMutable(id);
   if (!it)
