Give a repeat back whose connection was never made

Each connection that could not be made spent one of the entry's repeats, though nothing had reached an endpoint; where endpoints cannot be reached, up to five in a row, that used up what streams that broke off need to go on.

Ruled out: counting them as arrivals; nothing arrived. The bound of sends for a call is not touched (such a send did not count there either).

--- a/include/ospreyspur/Direct/RetryWindow.h
+++ b/include/ospreyspur/Direct/RetryWindow.h
@@ -39,6 +39,8 @@
   /// Takes one repeat from the share of one of \p entries entries; false if
   /// there is none.
   bool spend(const ServiceId &service, std::size_t entries, TimePoint now);
+  /// The latest repeat has not been sent after all.
+  void giveBack(const ServiceId &service);
   /// Whether spend() would take one now.
   bool canSpend(const ServiceId &service, std::size_t entries, TimePoint now);
 
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -125,7 +125,9 @@
     break;
   case AttemptEnd::NeverSent:
     --call.Attempts;
-    --call.Arrivals;
+    // Without a connection nothing was repeated.
+    if (--call.Arrivals > 0)
+      Retries.giveBack(call.Service);
     if (!goOn(call, now))
       startOrWait(call, now);
     break;
--- a/lib/Direct/RetryWindow.cpp
+++ b/lib/Direct/RetryWindow.cpp
@@ -33,6 +33,12 @@
   return true;
 }
 
+void RetryWindow::giveBack(const ServiceId &service) {
+  std::deque<TimePoint> &repeats = Services[service].Repeats;
+  if (!repeats.empty())
+    repeats.pop_back();
+}
+
 void RetryWindow::forget(Counts &counts, TimePoint now) const {
   auto drop = [&](std::deque<TimePoint> &times) {
     while (!times.empty() && times.front() <= now - Bounds.Window)
