Ask a successor before its lease is taken, too

Cause: a member that had asked the frozen coordinator without an answer kept that silence when it learned that another one leads. In a group of 32 the last ranks' turns come 0.65 s after their question, so there is time for that; in groups of 8 seldom.

Now the doubt begins anew with each holder, who is asked first.

RankReportTest, "a successor is asked": red without it.

--- a/include/ospreyspur/Experts/CoordinatorWatch.h
+++ b/include/ospreyspur/Experts/CoordinatorWatch.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Support/Time.h"
 
 #include <optional>
+#include <string>
 
 namespace ospreyspur {
 
@@ -37,14 +38,18 @@
   /// time may be cut off from some of its ranks; its own phases end earlier.
   static constexpr Duration LongestTrust = std::chrono::milliseconds(2500);
 
-  /// The group stands, as seen by the member of \p rank.
-  StallAdvice onStalled(unsigned rank, TimePoint now);
+  /// The group stands, as seen by the member of \p rank, which takes \p holder
+  /// for its coordinator. Another one than before is doubted anew: the silence
+  /// of its predecessor says nothing of it.
+  StallAdvice onStalled(const std::string &holder, unsigned rank,
+                        TimePoint now);
   /// The coordinator has answered.
   void onAnswer(TimePoint now);
   /// The group moves.
   void onMoving();
 
 private:
+  std::string Holder;
   std::optional<TimePoint> DoubtedAt;
   std::optional<TimePoint> AskedAt;
   TimePoint TrustedUntil;
--- a/lib/Experts/CoordinatorWatch.cpp
+++ b/lib/Experts/CoordinatorWatch.cpp
@@ -13,7 +13,12 @@
 /// How long an answer counts.
 static constexpr Duration TrustTime = std::chrono::milliseconds(300);
 
-StallAdvice CoordinatorWatch::onStalled(unsigned rank, TimePoint now) {
+StallAdvice CoordinatorWatch::onStalled(const std::string &holder,
+                                        unsigned rank, TimePoint now) {
+  if (holder != Holder) {
+    Holder = holder;
+    onMoving();
+  }
   if (!DoubtedAt)
     DoubtedAt = now;
   bool isTrusted = now - *DoubtedAt < LongestTrust;
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -240,7 +240,7 @@
   }
   if (!Settings.ChecksFences)
     return;
-  switch (Coordinator.onStalled(status.Rank, now)) {
+  switch (Coordinator.onStalled(Member->Lease.holder(), status.Rank, now)) {
   case StallAdvice::Wait:
     return;
   case StallAdvice::Ask:
--- a/unittests/Experts/RankReportTest.cpp
+++ b/unittests/Experts/RankReportTest.cpp
@@ -116,7 +116,7 @@
     unsigned takeovers = 0;
     for (int ms = 0; ms < 2400; ms += 60) {
       TimePoint now = Start + milliseconds(ms);
-      StallAdvice advice = watch.onStalled(rank, now);
+      StallAdvice advice = watch.onStalled("a:1", rank, now);
       takeovers += advice == StallAdvice::TakeOver ? 1 : 0;
       if (advice == StallAdvice::Ask)
         watch.onAnswer(now + milliseconds(30));
@@ -130,7 +130,7 @@
   unsigned takeovers = 0;
   for (int ms = 0; ms < 3000; ms += 60) {
     TimePoint now = Start + milliseconds(ms);
-    StallAdvice advice = watch.onStalled(3, now);
+    StallAdvice advice = watch.onStalled("a:1", 3, now);
     takeovers += advice == StallAdvice::TakeOver ? 1 : 0;
     if (advice == StallAdvice::Ask)
       watch.onAnswer(now);
@@ -142,7 +142,7 @@
   auto takesAfter = [](unsigned rank) {
     CoordinatorWatch watch;
     for (int ms = 0;; ++ms)
-      if (watch.onStalled(rank, Start + milliseconds(ms)) ==
+      if (watch.onStalled("a:1", rank, Start + milliseconds(ms)) ==
           StallAdvice::TakeOver)
         return ms;
   };
@@ -151,3 +151,24 @@
   CHECK(takesAfter(2) == 210);
   CHECK(takesAfter(255) == 650);
 }
+
+TEST_CASE("a successor is asked before its lease is taken, too") {
+  // The members of a large group learn one after the other that the lease has
+  // gone to another one, which is at work and answers.
+  for (unsigned rank : {2U, 16U, 31U, 255U})
+    for (int learntAfter : {30, 200, 600}) {
+      CoordinatorWatch watch;
+      unsigned takeovers = 0;
+      for (int ms = 0; ms < 2400; ms += 30) {
+        TimePoint now = Start + milliseconds(ms);
+        bool isNew = ms >= learntAfter;
+        StallAdvice advice = watch.onStalled(isNew ? "b:1" : "a:1", rank, now);
+        if (!isNew)
+          continue;
+        takeovers += advice == StallAdvice::TakeOver ? 1 : 0;
+        if (advice == StallAdvice::Ask)
+          watch.onAnswer(now + milliseconds(30));
+      }
+      CHECK(takeovers == 0);
+    }
+}
