Pass over late answers of the store to earlier calls about a lease

Two holders of one revision have the same fencing tokens, and nothing then keeps their orders apart.

An answer counted for whatever call was under way: a read that was answered late passed for the answer to a renewal or to a write, and its revision, another holder's, for the own one. The coordinator of the other path tells its calls apart; the ranks' agents did not. Now each answer names its call.

LeaseHolderTest, "a late answer": red before in both cases.

--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -50,6 +50,15 @@
 
   /// The call to make now, if any; its answer goes to onReply().
   std::optional<KvCall> nextCall(TimePoint now);
+  /// The number of the call that nextCall() gave last.
+  std::uint64_t lastCall() const { return LastCall; }
+  /// Takes the answer to the call \p number. One to an earlier call than the
+  /// latest is passed over: a late answer to a read would pass for one to a
+  /// write, and two holders would have one revision.
+  void onReply(std::uint64_t number, const KvReply &reply, TimePoint now) {
+    if (number == LastCall)
+      onReply(reply, now);
+  }
   /// Takes the answer to the latest call.
   void onReply(const KvReply &reply, TimePoint now);
   /// The holder gives no sign of life: takes the lease from it by the next
@@ -97,6 +106,7 @@
   TimePoint ActUntil;
   TimePoint NextCall;
   TimePoint SentAt;
+  std::uint64_t LastCall = 0;
   bool IsCalling = false;
   /// Whether the key was read as absent.
   bool IsFree = false;
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -22,6 +22,7 @@
   if (IsStopped || now < NextCall || (IsCalling && !isLost))
     return std::nullopt;
   IsCalling = true;
+  ++LastCall;
   SentAt = now;
   if (Holder.get() > 0) {
     NextCall = now + Limits.RenewEvery;
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -291,10 +291,11 @@
   TimePoint now = monotonicNow();
   LeaseHolder &lease = Member->Lease;
   if (std::optional<KvCall> call = lease.nextCall(now)) {
-    auto onReply = [this, group = Member->Group](const KvReply &reply) {
+    auto onReply = [this, group = Member->Group,
+                    number = lease.lastCall()](const KvReply &reply) {
       if (!Member || Member->Group != group)
         return;
-      Member->Lease.onReply(reply, monotonicNow());
+      Member->Lease.onReply(number, reply, monotonicNow());
       lookAtLease();
     };
     Platform.call(std::move(*call), CallTimeout, onReply);
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -244,3 +244,26 @@
   // One that stops altogether still stands.
   CHECK(watch.isStalled(status, now + StallWatch::LongestPatience));
 }
+
+TEST_CASE("a late answer to an earlier call gives nobody another's lease") {
+  LeaseLimits limits;
+  LeaseHolder holder("k", "a", limits);
+  // A read that is answered only after the next one has led to a lease.
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(Start)));
+  std::uint64_t late = holder.lastCall();
+  TimePoint now = Start + limits.RetryEvery + limits.CallTimeout;
+  REQUIRE(std::holds_alternative<KvGet>(*holder.nextCall(now)));
+  holder.onReply(holder.lastCall(), {ResultCode::NotFound, {}, {}}, now);
+  REQUIRE(std::holds_alternative<KvPut>(*holder.nextCall(now)));
+  SUBCASE("while it is being taken") {
+    holder.onReply(late, {ResultCode::Ok, Revision(9), "other"}, now);
+    CHECK_FALSE(holder.isHeld(now));
+  }
+  SUBCASE("while it is being renewed") {
+    holder.onReply(holder.lastCall(), {ResultCode::Ok, Revision(7), {}}, now);
+    now += limits.RenewEvery;
+    REQUIRE(std::holds_alternative<KvRenew>(*holder.nextCall(now)));
+    holder.onReply(late, {ResultCode::Ok, Revision(9), "other"}, now);
+    CHECK(holder.epoch() == Epoch(7));
+  }
+}
