Begin no change while a rank's placement is not known

Agents leave out a placement that they have told before, a coordinator forgets what it was told as it begins to lead, and a change could be planned with an empty placement. Likely cause, not proved by a trace.

Test: MapSwitchTest, "no change begins while a rank's placement is not known", red without the condition.

--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -188,7 +188,8 @@
     return false;
   MapVersion map = Ranks.begin()->second.Map;
   return allRanks([map](const RankStatus &it) {
-    return it.Map == map && !it.Armed && !it.Held;
+    // Agents leave a placement out that they have told before.
+    return it.Map == map && !it.Armed && !it.Held && !it.Placement.empty();
   });
 }
 
--- a/unittests/Experts/MapSwitchTest.cpp
+++ b/unittests/Experts/MapSwitchTest.cpp
@@ -411,3 +411,26 @@
   world.give(world.Switch.begin(GroupPlacement(2, {{0}}), world.Now));
   CHECK(world.Switch.version() > first);
 }
+TEST_CASE("no change begins while a rank's placement is not known") {
+  PlatformGroup group(2, true);
+  MapSwitch coordinator{SwitchLimits()};
+  TimePoint now{seconds(100)};
+  coordinator.lead(1, 0, now);
+  auto report = [&](bool withPlacement) {
+    now += milliseconds(60);
+    for (unsigned rank = 0; rank < 2; ++rank) {
+      RankStatus status = group.status(rank, now);
+      if (rank == 1 && !withPlacement)
+        status.Placement.clear();
+      for (const SendMapOrder &it :
+           coordinator.onStatus(rank, status, now, now))
+        coordinator.onReply(
+            it.Rank, {it.Order.Id, group.take(it.Rank, it.Order, now)}, now);
+    }
+  };
+  for (unsigned i = 0; i < 8; ++i)
+    report(false);
+  CHECK_FALSE(coordinator.canBegin(now));
+  report(true);
+  CHECK(coordinator.canBegin(now));
+}
