Replace the test of who gets a free place by one of the order that is kept

So the order stays: who can be on time, then who has begun, then the others; the new test pins all three.

--- a/unittests/Direct/DirectCallsTest.cpp
+++ b/unittests/Direct/DirectCallsTest.cpp
@@ -117,7 +117,7 @@
   CHECK(countOf<PassOnAnswer>(world.end(1, AttemptEnd::Failed)) == 0);
 }
 
-TEST_CASE("the next place is for the stream that has begun") {
+TEST_CASE("a begun stream takes the place that none on time needs") {
   NodeWorld world(2, makeRoute(RequestKind::Stream, 2, true));
   std::uint64_t onOther = breakOffWithoutRoom(world);
   world.Now += milliseconds(500);
@@ -126,9 +126,17 @@
   world.call(11);
   REQUIRE(world.Node.waitingCount() == 2);
   DirectActions freed = world.end(onOther, AttemptEnd::Complete);
-  const auto *attempt = find<StartAttempt>(freed);
-  REQUIRE(attempt);
-  CHECK(attempt->Call == CallId(1));
+  const auto *first = find<StartAttempt>(freed);
+  REQUIRE(first);
+  CHECK(first->Call == CallId(11));
+  // One that waited for too long to be on time comes after it.
+  world.call(12);
+  world.Now += milliseconds(300);
+  REQUIRE(world.Node.waitingCount() == 2);
+  DirectActions next = world.end(11, AttemptEnd::Complete);
+  const auto *second = find<StartAttempt>(next);
+  REQUIRE(second);
+  CHECK(second->Call == CallId(1));
 }
 
 /// One repeat in ten seconds, three endpoints of two places.
