--- a/include/ospreyspur/Direct/CallState.h
+++ b/include/ospreyspur/Direct/CallState.h
@@ -38,7 +38,7 @@
   bool IsStopping = false;
   /// Whether the attempt under way says nothing for longer than it may.
   bool IsSilent = false;
-  /// Silence for which the attempt is to be given up.
+  /// Silence after which the attempt is moved if it can be.
   Duration Silence{};
   bool HasFirstByte = false;
   /// Whether a part of the answer has come in any attempt.
--- a/include/ospreyspur/Direct/DirectLimits.h
+++ b/include/ospreyspur/Direct/DirectLimits.h
@@ -27,7 +27,8 @@
   unsigned MaxArrivals = 4;
   /// Silence after which a stream is moved, as a multiple of what endpoints of
   /// its service take to their first event at present, with its bounds. Before
-  /// any has answered the longest holds. Callers give up after two seconds.
+  /// any has answered the longest holds. Callers give up after two seconds at
+  /// the earliest.
   double SilenceFactor = 4;
   Duration MinSilence = std::chrono::milliseconds(900);
   Duration MaxSilence = std::chrono::milliseconds(1800);
