--- a/unittests/Direct/SilentStreamTest.cpp
+++ b/unittests/Direct/SilentStreamTest.cpp
@@ -259,6 +259,34 @@
   CHECK(world.Node.book().find(world.Origin)->SuspectUntil == suspect);
 }
 
+TEST_CASE("a stream that was too slow is no sign of a failure either") {
+  StreamWorld world;
+  world.begin(4);
+  std::vector<CallId> stopped = world.slowDown(world.groupOf(1));
+  REQUIRE_FALSE(stopped.empty());
+  for (CallId it : stopped)
+    REQUIRE(countOf<StartAttempt>(world.end(it.get(), AttemptEnd::BrokeOff)) ==
+            1);
+  for (const auto &[id, state] : world.Node.book().states())
+    CHECK(state.SuspectUntil == TimePoint());
+}
+
+TEST_CASE("a silent stream is not moved to a suspect endpoint") {
+  SilentWorld world(2);
+  // Of three more requests at least one is at the other endpoint.
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    DirectActions next = world.call(id);
+    REQUIRE(only<StartAttempt>(next));
+    bool isAtOther = only<StartAttempt>(next)->Endpoint.Id == world.other();
+    world.end(id, isAtOther ? AttemptEnd::Failed : AttemptEnd::Complete);
+    world.Node.onCallGone(CallId(id), world.Now);
+  }
+  REQUIRE(world.Node.book().find(world.other())->SuspectUntil > world.Now);
+  CHECK(world.Node.onSilent(CallId(1), world.Now).empty());
+  world.Now = world.Node.book().find(world.other())->SuspectUntil;
+  CHECK(only<StopAttempt>(world.Node.onSilent(CallId(1), world.Now)));
+}
+
 TEST_CASE("what runs once is not moved however silent it is") {
   NodeWorld world(2, makeRoute(RequestKind::OnceOnly, 2));
   REQUIRE(only<StartAttempt>(world.call(1)));
