Pace maps on a coordinator's link; bound repeats and reads past agents

Cause: in a group of 96 an order without an answer was repeated each 40 ms, but a whole map to each of 95 agents takes 0.85 s of the coordinator's link of 6 Mbit/s. A coordinator that then heard nobody, because its own link was full, asked every rank of the service each 200 ms, which kept the link full.

Now maps wait in a lane of their own (OrderLane) at two fifths of the link's rate and small orders pass them; an order is not repeated before it has been handed on, and the more orders are without an answer the later each is repeated (eight repeats in 40 ms, as before for groups of up to eight).

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -28,6 +28,7 @@
 #include "ospreyspur/Experts/MapOrder.h"
 #include "ospreyspur/Support/Time.h"
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -43,6 +44,12 @@
   /// After this time an order without an answer is sent again, with a higher
   /// token. An answer takes some milliseconds; the group may stand meanwhile.
   Duration Resend = std::chrono::milliseconds(40);
+  /// Repeats that may go in that time. While more orders are without an answer,
+  /// each waits longer: answers of a large group come one after the other, and
+  /// copies sent meanwhile would queue before the next order. In a group of 96
+  /// on links of 6 Mbit/s each map went five times, and no change came to its
+  /// end.
+  std::size_t RepeatsPerResend = 8;
   /// A status older than this says nothing.
   Duration StatusAge = std::chrono::milliseconds(1500);
   /// How long ranks may take to copy experts.
@@ -108,6 +115,11 @@
   SwitchActions onReply(unsigned rank, const MapOrderReply &reply,
                         TimePoint now);
   SwitchActions onTimer(TimePoint now);
+  /// The order \p id to \p rank waits for the link: it is not sent again before
+  /// onSent().
+  void onQueued(unsigned rank, MapOrderId id);
+  /// It has been handed to the link.
+  void onSent(unsigned rank, MapOrderId id, TimePoint now);
   /// Begins to bring \p placement into force; only while canBegin().
   SwitchActions begin(const GroupPlacement &placement, TimePoint now);
 
@@ -118,6 +130,8 @@
   /// False before lead() and once a higher fencing token was met.
   bool isLeading() const { return IsLeading; }
   SwitchPhase phase() const { return Phase; }
+  /// Whether the order \p id to \p rank still wants an answer.
+  bool isPending(unsigned rank, MapOrderId id) const;
   /// Whether a change may begin: the ranks are known and nothing is left over.
   bool canBegin(TimePoint now) const;
   /// Whether every rank of one formation has reported lately.
@@ -146,6 +160,8 @@
     MapOrder Order;
     TimePoint SentAt;
     unsigned Tries = 0;
+    /// Whether it waits for the link.
+    bool IsQueued = false;
   };
 
   struct PlannedOrder {
@@ -154,6 +170,7 @@
     MapVersion Version;
   };
 
+  Duration resendAfter() const;
   bool isSurveyed() const;
   bool allRanks(const std::function<bool(const RankStatus &)> &test) const;
   void noteStep(const RankStatus &status, TimePoint now);
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -18,7 +18,9 @@
 #include "ospreyspur/Experts/MapDelta.h"
 #include "ospreyspur/Experts/MapSwitch.h"
 #include "ospreyspur/Experts/MemberConsent.h"
+#include "ospreyspur/Experts/OrderLane.h"
 #include "ospreyspur/Experts/PlacementPlanner.h"
+#include "ospreyspur/Experts/ReachPlanner.h"
 #include "ospreyspur/Experts/StallWatch.h"
 #include "ospreyspur/Experts/StatusFilter.h"
 #include "ospreyspur/Platform/PlatformClient.h"
@@ -74,14 +76,16 @@
   void report(const RankStatus &status);
   void onReply(LinkId from, const MapOrderReply &reply);
   void takeStatus(const RankStatus &status, std::optional<LinkId> from);
-  bool isHeard(unsigned rank, TimePoint now) const;
   void reachSilentRanks(TimePoint now);
-  boost::asio::awaitable<void> findRanks();
-  boost::asio::awaitable<void> readFar(std::shared_ptr<RankLink> link);
+  boost::asio::awaitable<void> readCandidates();
+  boost::asio::awaitable<void> readFar(TcpAddress address);
+  std::shared_ptr<RankLink> farLink(const TcpAddress &address);
   boost::asio::awaitable<void> giveFar(std::shared_ptr<RankLink> link,
                                        unsigned rank, MapOrder order);
   void apply(const SwitchActions &actions);
   void perform(const SendMapOrder &action);
+  void sendMaps();
+  void sendOrQueue(const SendMapOrder &action, LinkId link);
   std::shared_ptr<RankLink> holdLink(const SendMapOrder &action);
   void considerPlan();
   void readFigures();
@@ -118,16 +122,16 @@
   TimePoint NextFigures;
   TimePoint NextPlan;
   TimePoint NextGroupLine;
-  /// The link on which each rank's agent reports, and when it last did.
+  /// The link on which each rank's agent reports.
   std::map<unsigned, LinkId> Links;
-  std::map<unsigned, TimePoint> HeardAt;
   /// What the group's agents know of maps, and what this one knows.
   SentMaps Sent;
+  OrderLane Lane;
   ToldMap Told;
   /// Direct ways to endpoints, for ranks whose agents are silent.
   std::map<TcpAddress, std::shared_ptr<RankLink>> FarLinks;
   std::map<unsigned, std::shared_ptr<RankLink>> FarRanks;
-  TimePoint NextReach;
+  ReachPlanner Reach;
   NodeTimer Timer;
   NodeTimer LeaseTimer;
   NodeTimer OrderTimer;
--- a/include/ospreyspur/Rpc/Codec.h
+++ b/include/ospreyspur/Rpc/Codec.h
@@ -9,6 +9,7 @@
 
 #include "ospreyspur/Rpc/Messages.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace ospreyspur {
@@ -20,6 +21,9 @@
 /// Writes \p message into \p out.
 void encode(const Message &message, wire::Message &out);
 
+/// How many bytes \p message takes on the wire, without a link's framing.
+std::size_t sizeOf(const Message &message);
+
 /// Reads \p in; nothing if it is of a kind that this version does not know.
 std::optional<Message> decode(const wire::Message &in);
 
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -138,7 +138,7 @@
     return takeActions();
   std::vector<std::pair<unsigned, Pending>> late;
   for (const auto &[rank, pending] : Orders)
-    if (now - pending.SentAt >= Limits.Resend)
+    if (!pending.IsQueued && now - pending.SentAt >= resendAfter())
       late.emplace_back(rank, pending);
   for (const auto &[rank, pending] : late)
     send(rank, pending.Order, pending.Tries + 1, now);
@@ -149,12 +149,41 @@
 std::optional<TimePoint> MapSwitch::nextTimer() const {
   std::optional<TimePoint> next;
   for (const auto &[rank, pending] : Orders) {
-    TimePoint due = pending.SentAt + Limits.Resend;
+    if (pending.IsQueued)
+      continue;
+    TimePoint due = pending.SentAt + resendAfter();
     next = next ? std::min(*next, due) : due;
   }
   return next;
 }
 
+/// The more orders are without an answer the longer.
+Duration MapSwitch::resendAfter() const {
+  std::size_t n = Limits.RepeatsPerResend;
+  return Limits.Resend * std::max<std::size_t>(1, (Orders.size() + n - 1) / n);
+}
+
+bool MapSwitch::isPending(unsigned rank, MapOrderId id) const {
+  auto it = Orders.find(rank);
+  return it != Orders.end() && it->second.Order.Id == id;
+}
+
+void MapSwitch::onQueued(unsigned rank, MapOrderId id) {
+  if (isPending(rank, id))
+    Orders.at(rank).IsQueued = true;
+}
+
+void MapSwitch::onSent(unsigned rank, MapOrderId id, TimePoint now) {
+  if (!isPending(rank, id))
+    return;
+  Pending &it = Orders.at(rank);
+  it.IsQueued = false;
+  it.SentAt = now;
+  // Large maps take long on a narrow link; ranks have their time after that.
+  if (Phase == SwitchPhase::Preparing)
+    PhaseAt = now;
+}
+
 SwitchActions MapSwitch::begin(const GroupPlacement &placement, TimePoint now) {
   if (!canBegin(now))
     return takeActions();
--- /dev/null
+++ b/lib/Experts/OrderLane.cpp
@@ -0,0 +1,44 @@
+//===- OrderLane.cpp - paces maps on a coordinator's link -----------------===//
+//
+// See OrderLane.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/OrderLane.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace ospreyspur;
+
+void OrderLane::push(SendMapOrder order) {
+  drop(order.Rank);
+  Waiting.push_back(std::move(order));
+}
+
+void OrderLane::drop(unsigned rank) {
+  std::erase_if(Waiting,
+                [rank](const SendMapOrder &it) { return it.Rank == rank; });
+}
+
+std::optional<SendMapOrder> OrderLane::pop(TimePoint now) {
+  if (Waiting.empty() || now < FreeAt)
+    return std::nullopt;
+  SendMapOrder out = Waiting.front();
+  Waiting.pop_front();
+  return out;
+}
+
+void OrderLane::onSent(std::size_t bytes, TimePoint now) {
+  if (BytesPerSecond <= 0)
+    return;
+  std::chrono::duration<double> taken(double(bytes) / BytesPerSecond);
+  FreeAt = std::max(FreeAt, now - Burst) +
+           std::chrono::duration_cast<Duration>(taken);
+}
+
+std::optional<TimePoint> OrderLane::nextTimer() const {
+  if (Waiting.empty())
+    return std::nullopt;
+  return FreeAt;
+}
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -6,6 +6,7 @@
 
 #include "ospreyspur/Process/RankAgent.h"
 
+#include "ospreyspur/Rpc/Codec.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +22,9 @@
 /// What a group's samples of demand may take of its coordinator's link. The
 /// link also carries the group's orders, which must not wait.
 static constexpr double SampleShare = 0.2;
+/// What maps may take of it: with the samples, three fifths stay for orders,
+/// states and the lease.
+static constexpr double MapShare = 0.4;
 /// Half-life of counts: demand shifts every few seconds.
 static constexpr Duration DemandHalfLife = std::chrono::milliseconds(400);
 /// Over which the agents of a group that start together spread their first look
@@ -32,10 +36,15 @@
 /// How long a coordinator that took over has before another one tries.
 static constexpr Duration TakeoverTime = std::chrono::milliseconds(1500);
 
-static SampleLimits makeSampleLimits(const RankSettings &settings) {
+/// Bytes a second in \p share of this host's link; 0 if its rate is not known.
+static double linkBytes(const RankSettings &settings, double share) {
   constexpr double BytesPerMegabit = 1e6 / 8;
+  return settings.LinkMbps * BytesPerMegabit * share;
+}
+
+static SampleLimits makeSampleLimits(const RankSettings &settings) {
   SampleLimits limits;
-  limits.BytesPerSecond = settings.LinkMbps * BytesPerMegabit * SampleShare;
+  limits.BytesPerSecond = linkBytes(settings, SampleShare);
   return limits;
 }
 
@@ -57,7 +66,8 @@
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
       Sampler(makeSampleLimits(settings)), Switch(SwitchLimits()),
-      Demand(DemandHalfLife), Timer(ioc, [this] { tick(); }),
+      Demand(DemandHalfLife), Lane(linkBytes(settings, MapShare)),
+      Timer(ioc, [this] { tick(); }),
       LeaseTimer(ioc, [this] { lookAtLease(); }),
       OrderTimer(ioc, [this] { onOrderTimer(); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
@@ -280,6 +290,9 @@
       status, LeaseHolder(key, Settings.linkListen(), makeLeaseLimits()));
   Switch.resign();
   Consent.clear();
+  // Ranks are numbered anew.
+  Reach = ReachPlanner();
+  FarRanks.clear();
   // All agents of a group start together; one should be first.
   std::uniform_int_distribution<Duration::rep> spread(0, JoinSpread.count());
   LeaseTimer.set(monotonicNow() + Duration(spread(Random)));
@@ -305,8 +318,10 @@
     Switch.lead(lease.epoch().get(), Member->Rank, now);
   else
     Switch.resign();
-  if (!wasLeading && Switch.isLeading())
+  if (!wasLeading && Switch.isLeading()) {
     LedSince = now;
+    Reach.lead(now);
+  }
   if (wasLeading != Switch.isLeading())
     LOG(INFO) << LogEvent(wasLeading ? "lease.lost" : "lease.won")
                      .with("group", Member->Group.get())
@@ -334,7 +349,8 @@
     return;
   TimePoint now = monotonicNow();
   Consent.onAlive(now);
-  HeardAt[status.Rank] = now;
+  if (Result<TcpAddress> address = parseAddress(status.Endpoint))
+    Reach.onHeard(status.Rank, address.value(), now);
   Consent.onReport(status.Rank, now);
   if (from)
     Links[status.Rank] = *from;
@@ -361,10 +377,30 @@
 void RankAgent::apply(const SwitchActions &actions) {
   for (const SendMapOrder &it : actions)
     perform(it);
-  OrderTimer.set(Switch.nextTimer());
+  sendMaps();
   logPhase();
 }
 
+/// Hands maps to the link as it has room for them.
+void RankAgent::sendMaps() {
+  TimePoint now = monotonicNow();
+  while (std::optional<SendMapOrder> next = Lane.pop(now)) {
+    if (!Switch.isPending(next->Rank, next->Order.Id))
+      continue;
+    Switch.onSent(next->Rank, next->Order.Id, now);
+    auto link = Links.find(next->Rank);
+    if (link == Links.end())
+      continue;
+    MapOrder order =
+        Sent.shorten(next->Rank, link->second, next->Order, next->Tries);
+    Lane.onSent(sizeOf(order), now);
+    Server.send(link->second, order);
+  }
+  std::optional<TimePoint> due = Switch.nextTimer();
+  std::optional<TimePoint> room = Lane.nextTimer();
+  OrderTimer.set(due && room ? std::min(*due, *room) : (due ? due : room));
+}
+
 void RankAgent::perform(const SendMapOrder &action) {
   auto link = Links.find(action.Rank);
   bool canReach = mayReach(monotonicNow());
@@ -374,11 +410,22 @@
   else if (std::shared_ptr<RankLink> direct =
                canReach ? holdLink(action) : nullptr)
     spawn(giveFar(std::move(direct), action.Rank, action.Order));
-  else if (far != FarRanks.end() && !isHeard(action.Rank, monotonicNow()))
+  else if (far != FarRanks.end() && !Reach.isHeard(action.Rank, monotonicNow()))
     spawn(giveFar(far->second, action.Rank, action.Order));
   else if (link != Links.end())
-    Server.send(link->second, Sent.shorten(action.Rank, link->second,
-                                           action.Order, action.Tries));
+    sendOrQueue(action, link->second);
+}
+
+/// Maps wait for room on the link; whatever else goes to a rank makes void what
+/// waits for it.
+void RankAgent::sendOrQueue(const SendMapOrder &action, LinkId link) {
+  if (OrderLane::mustWait(action.Order)) {
+    Lane.push(action);
+    Switch.onQueued(action.Rank, action.Order.Id);
+    return;
+  }
+  Lane.drop(action.Rank);
+  Server.send(link, action.Order);
 }
 
 asio::awaitable<void> RankAgent::giveOwn(unsigned rank, MapOrder order) {
--- a/lib/Process/RankReach.cpp
+++ b/lib/Process/RankReach.cpp
@@ -15,54 +15,51 @@
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
-/// After this time without a report an agent's rank is reached directly.
-static constexpr Duration SilenceOfAgent = std::chrono::milliseconds(400);
 /// Failed reads for each line in the log.
 static constexpr int UnreachableOneIn = 10;
-/// Between two reads of ranks whose agents are silent.
-static constexpr Duration ReachEvery = std::chrono::milliseconds(200);
 /// How old a rank's report may be when asked from another host: the engines
 /// state 200 ms; taken with a margin.
 static constexpr Duration FarReportLag = std::chrono::milliseconds(300);
 /// After this time a read of the list of endpoints is given up.
 static constexpr Duration ListTimeout = std::chrono::seconds(1);
 
-bool RankAgent::isHeard(unsigned rank, TimePoint now) const {
-  auto it = HeardAt.find(rank);
-  return it != HeardAt.end() && now - it->second < SilenceOfAgent;
-}
-
-/// An agent that froze or died must not keep its group from changing maps, nor
-/// leave a step held: its rank is read and ordered from here.
 void RankAgent::reachSilentRanks(TimePoint now) {
-  if (!Own || now < NextReach)
+  if (!Own)
     return;
-  bool areAllHeard = true;
-  for (unsigned rank = 0; rank < Own->Size; ++rank)
-    areAllHeard = areAllHeard && isHeard(rank, now);
-  if (areAllHeard)
-    return;
-  NextReach = now + ReachEvery;
-  spawn(findRanks());
+  if (Reach.takeListQuestion(Own->Size, now))
+    spawn(readCandidates());
+  for (const TcpAddress &it : Reach.take(Own->Size, now))
+    spawn(readFar(it));
 }
 
-asio::awaitable<void> RankAgent::findRanks() {
+/// Looks in the list of endpoints for ranks whose addresses are not known.
+asio::awaitable<void> RankAgent::readCandidates() {
   KvCall call = KvList{platform::EndpointPrefix, true};
   KvReply reply = co_await Platform.ask(std::move(call), ListTimeout);
-  // Without an answer the ways found before are tried.
+  if (reply.Code != ResultCode::Ok) {
+    LOG(INFO) << LogEvent("rank.list_unknown")
+                     .with("code", static_cast<unsigned>(reply.Code));
+    co_return;
+  }
+  std::vector<TcpAddress> addresses;
   for (const KvItem &it : reply.Items) {
     Result<EndpointRecord> record = platform::readEndpoint(it);
-    if (!record || record.value().Service.get() != Settings.Service)
-      continue;
-    TcpAddress address = record.value().Address;
-    if (!FarLinks.contains(address))
-      FarLinks[address] = std::make_shared<RankLink>(Context, address);
+    if (record && record.value().Service.get() == Settings.Service)
+      addresses.push_back(record.value().Address);
   }
-  for (const auto &[address, link] : FarLinks)
-    spawn(readFar(link));
+  Reach.setCandidates(std::move(addresses));
 }
 
-asio::awaitable<void> RankAgent::readFar(std::shared_ptr<RankLink> link) {
+/// The way past the agents to the rank at \p address.
+std::shared_ptr<RankLink> RankAgent::farLink(const TcpAddress &address) {
+  std::shared_ptr<RankLink> &link = FarLinks[address];
+  if (!link)
+    link = std::make_shared<RankLink>(Context, address);
+  return link;
+}
+
+asio::awaitable<void> RankAgent::readFar(TcpAddress address) {
+  std::shared_ptr<RankLink> link = farLink(address);
   Result<RankStatus> status = co_await link->readStatus(false);
   TimePoint now = monotonicNow();
   if (!status) {
@@ -70,10 +67,14 @@
         << LogEvent("rank.unreachable").with("detail", status.error().Detail);
     co_return;
   }
-  bool isOurs = Member && status.value().Group == Member->Group;
-  if (!isOurs || isHeard(status.value().Rank, now))
-    co_return;
   unsigned rank = status.value().Rank;
+  if (!Member || status.value().Group != Member->Group) {
+    Reach.onOther(address);
+    co_return;
+  }
+  Reach.onFound(rank, address);
+  if (Reach.isHeard(rank, now))
+    co_return;
   LOG_IF(INFO, !FarRanks.contains(rank))
       << LogEvent("rank.reached")
              .with("rank", rank)
@@ -103,8 +104,5 @@
   Result<TcpAddress> address = parseAddress(status->second.Endpoint);
   if (!address)
     return nullptr;
-  std::shared_ptr<RankLink> &link = FarLinks[address.value()];
-  if (!link)
-    link = std::make_shared<RankLink>(Context, address.value());
-  return link;
+  return farLink(address.value());
 }
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -326,6 +326,12 @@
   std::visit([&out](const auto &it) { put(it, out); }, message);
 }
 
+std::size_t ospreyspur::sizeOf(const Message &message) {
+  wire::Message out;
+  encode(message, out);
+  return out.ByteSizeLong();
+}
+
 std::optional<Message> ospreyspur::decode(const wire::Message &in) {
   switch (in.body_case()) {
   case wire::Message::kProbe:
