Tell a group's first map by what differs from the dealt one

Cause: on a new link the whole map went, 7 KB to each of 95 ranks, which takes two seconds of the lane. The map that a group is formed with is dealt by a rule, so both sides can make it: the first map, too, goes as what differs, if that is shorter.

--- a/include/ospreyspur/Experts/MapDelta.h
+++ b/include/ospreyspur/Experts/MapDelta.h
@@ -3,7 +3,9 @@
 // A whole map goes to every rank of a group. In a large group that is more than
 // the coordinator's link carries in a step, and the answers of the engine on
 // its host wait behind it. So a link on which a map has gone before carries
-// only the sets that differ from that one.
+// only the sets that differ from that one, and another link those that differ
+// from the map that the group was formed with, which a rule gives: with 96
+// ranks of 16 x 3 experts a fifth of the whole.
 //
 //===----------------------------------------------------------------------===//
 
@@ -14,6 +16,8 @@
 #include "ospreyspur/Support/Ids.h"
 
 #include <map>
+#include <memory>
+#include <optional>
 
 namespace ospreyspur {
 
@@ -32,7 +36,13 @@
     std::shared_ptr<const GroupPlacement> Map;
   };
 
+  std::optional<MapDelta> dealtDelta(const MapOrder &order);
+
   std::map<unsigned, Sent> LastSent;
+  /// The map that was last told by what differs from the dealt one, if that is
+  /// shorter, and how.
+  std::shared_ptr<const GroupPlacement> DealtOf;
+  std::optional<MapDelta> Dealt;
 };
 
 /// The agent's side: the last map that was told here.
--- a/include/ospreyspur/Experts/MapOrder.h
+++ b/include/ospreyspur/Experts/MapOrder.h
@@ -44,10 +44,20 @@
   std::vector<ExpertNumber> Experts;
 };
 
+/// The map that a group is formed with: the experts of each set are dealt to
+/// the ranks in turn.
+struct DealtShape {
+  std::uint32_t Ranks = 0;
+  std::uint32_t Sets = 0;
+  std::uint32_t Experts = 0;
+};
+
 /// A map told by the sets that differ from another one.
 struct MapDelta {
+  /// The map that was told before; not used if there is a Dealt one.
   MapVersion Base;
   std::vector<RankSet> Sets;
+  std::optional<DealtShape> Dealt = std::nullopt;
 };
 
 struct MapOrder {
--- a/lib/Experts/MapDelta.cpp
+++ b/lib/Experts/MapDelta.cpp
@@ -7,6 +7,7 @@
 
 #include "ospreyspur/Experts/MapDelta.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace ospreyspur;
@@ -32,6 +33,57 @@
   return out;
 }
 
+/// The map that a group of \p shape is formed with.
+static GroupPlacement deal(const DealtShape &shape) {
+  RankPlacement none(shape.Sets);
+  GroupPlacement out(shape.Ranks, none);
+  for (std::uint32_t expert = 0; expert < shape.Experts; ++expert)
+    for (auto &set : out[expert % shape.Ranks])
+      set.push_back(static_cast<ExpertNumber>(expert));
+  return out;
+}
+
+/// The shape of the map that a group with the experts of \p map is formed with.
+static DealtShape shapeOf(const GroupPlacement &map) {
+  DealtShape out;
+  out.Ranks = static_cast<std::uint32_t>(map.size());
+  out.Sets = static_cast<std::uint32_t>(map.empty() ? 0 : map.front().size());
+  for (const RankPlacement &rank : map)
+    for (const auto &set : rank)
+      for (ExpertNumber it : set)
+        out.Experts = std::max(out.Experts, it + 1U);
+  return out;
+}
+
+/// Numbers on the wire.
+static std::size_t lengthOf(const std::vector<RankSet> &sets) {
+  constexpr std::size_t Head = 3;
+  std::size_t out = 0;
+  for (const RankSet &it : sets)
+    out += Head + it.Experts.size();
+  return out;
+}
+
+static std::size_t lengthOf(const GroupPlacement &map) {
+  std::size_t out = 2;
+  for (const RankPlacement &rank : map)
+    for (const auto &set : rank)
+      out += 1 + set.size();
+  return out;
+}
+
+/// \p map as what differs from the one that its group was formed with; nothing
+/// if that is not shorter.
+static std::optional<MapDelta> fromDealt(const GroupPlacement &map) {
+  DealtShape shape = shapeOf(map);
+  if (shape.Ranks == 0)
+    return std::nullopt;
+  auto sets = differingSets(deal(shape), map);
+  if (!sets || lengthOf(*sets) >= lengthOf(map))
+    return std::nullopt;
+  return MapDelta{MapVersion(), std::move(*sets), shape};
+}
+
 MapOrder SentMaps::shorten(unsigned rank, LinkId link, const MapOrder &order,
                            unsigned tries) {
   MapOrder out = order;
@@ -41,20 +93,32 @@
   auto it = LastSent.find(rank);
   bool isKnown = it != LastSent.end() && it->second.Link == link;
   if (isKnown && tries <= MaxShortTries) {
-    if (auto sets = differingSets(*it->second.Map, *order.Map)) {
-      out.Map = nullptr;
+    if (auto sets = differingSets(*it->second.Map, *order.Map))
       out.Delta = MapDelta{it->second.Version, std::move(*sets)};
-    }
+  } else if (tries <= MaxShortTries) {
+    out.Delta = dealtDelta(order);
   }
+  if (out.Delta)
+    out.Map = nullptr;
   LastSent[rank] = std::move(now);
   return out;
 }
 
+/// The same for all ranks: worked out once for each map.
+std::optional<MapDelta> SentMaps::dealtDelta(const MapOrder &order) {
+  if (DealtOf != order.Map) {
+    DealtOf = order.Map;
+    Dealt = fromDealt(*order.Map);
+  }
+  return Dealt;
+}
+
 bool ToldMap::complete(MapOrder &order) {
   if (order.Delta) {
-    if (!Map || Version != order.Delta->Base)
+    bool isDealt = order.Delta->Dealt.has_value();
+    if (!isDealt && (!Map || Version != order.Delta->Base))
       return false;
-    GroupPlacement whole = *Map;
+    GroupPlacement whole = isDealt ? deal(*order.Delta->Dealt) : *Map;
     for (const RankSet &it : order.Delta->Sets) {
       if (it.Rank >= whole.size() || it.Set >= whole[it.Rank].size())
         return false;
--- a/lib/Rpc/MapCodec.cpp
+++ b/lib/Rpc/MapCodec.cpp
@@ -20,6 +20,8 @@
 static constexpr double MaxPace = 100;
 /// More ranks or sets than any group has; bounds what a bad order can cost.
 static constexpr std::uint32_t MaxMapDimension = 4096;
+/// More experts in all sets than any model has; likewise.
+static constexpr std::uint32_t MaxDealtExperts = 1U << 18U;
 
 static void put(const RankPlacement &in, wire::RankPlacement *out) {
   for (const auto &set : in) {
@@ -135,8 +137,14 @@
   return it == end ? out : nullptr;
 }
 
+/// A base of 0 stands for a dealt map, whose shape comes first.
 static void putDelta(const MapDelta &in, wire::MapOrder &out) {
-  out.set_base(in.Base.get());
+  out.set_base(in.Dealt ? 0 : in.Base.get());
+  if (in.Dealt) {
+    out.add_map(in.Dealt->Ranks);
+    out.add_map(in.Dealt->Sets);
+    out.add_map(in.Dealt->Experts);
+  }
   for (const RankSet &it : in.Sets) {
     out.add_map(it.Rank);
     out.add_map(it.Set);
@@ -145,13 +153,29 @@
   }
 }
 
-/// Nothing if \p in ends within a set.
+/// Nothing if no group has such a shape.
+static std::optional<DealtShape> getShape(const std::uint32_t *it) {
+  DealtShape out{it[0], it[1], it[2]};
+  bool isSound = out.Ranks > 0 && out.Ranks <= MaxMapDimension &&
+                 out.Sets <= MaxMapDimension &&
+                 out.Experts <= MaxMapDimension &&
+                 out.Sets * out.Experts <= MaxDealtExperts;
+  return isSound ? std::optional(out) : std::nullopt;
+}
+
+/// Nothing if \p in ends within a set or its shape.
 static std::optional<MapDelta> getDelta(const wire::MapOrder &in) {
   constexpr std::ptrdiff_t HeadSize = 3;
+  constexpr std::ptrdiff_t ShapeSize = 3;
   MapDelta out;
   out.Base = MapVersion(in.base());
   const std::uint32_t *it = in.map().data();
   const std::uint32_t *end = it + in.map_size();
+  if (in.base() == 0) {
+    if (end - it < ShapeSize || !(out.Dealt = getShape(it)))
+      return std::nullopt;
+    it += ShapeSize;
+  }
   while (it != end) {
     if (end - it < HeadSize || it[2] > std::uint64_t(end - it - HeadSize))
       return std::nullopt;
--- /dev/null
+++ b/unittests/Experts/LargeGroupTest.cpp
@@ -0,0 +1,285 @@
+//===- LargeGroupTest.cpp - groups whose maps fill a coordinator's link ---===//
+//
+// A coordinator of 32, 96 and 256 ranks behind a narrow link changes maps: what
+// it sends waits for the link, copies of orders too. Members' hosts freeze and
+// the coordinator's host does; orders are lost.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RandomScheduler.h"
+#include "ospreyspur/Experts/MapDelta.h"
+#include "ospreyspur/Experts/MapSwitch.h"
+#include "ospreyspur/Experts/OrderLane.h"
+#include "ospreyspur/Rpc/Codec.h"
+#include "standin/PlatformGroup.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace ospreyspur;
+using standin::PlatformGroup;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+/// Sets of layers and places a rank and set of the users' large groups.
+constexpr unsigned Sets = 16;
+constexpr unsigned Places = 3;
+constexpr double LinkBytesPerSecond = 6e6 / 8;
+constexpr double MapShare = 0.4;
+
+/// Two experts a rank and set, dealt in turn, and one copy a rank that moves
+/// with each turn.
+GroupPlacement makeMap(unsigned size, unsigned turn) {
+  GroupPlacement out(size, RankPlacement(Sets));
+  for (unsigned rank = 0; rank < size; ++rank)
+    for (unsigned set = 0; set < Sets; ++set) {
+      for (unsigned i = 0; i + 1 < Places; ++i)
+        out[rank][set].push_back(static_cast<ExpertNumber>(i * size + rank));
+      if (set == (turn + rank) % Sets)
+        out[rank][set].push_back(
+            static_cast<ExpertNumber>((rank + turn) % size));
+    }
+  return out;
+}
+
+/// What goes wrong beside the narrow link.
+struct Trouble {
+  /// Parts in a hundred.
+  unsigned LostOrders = 0;
+  bool FreezesMembers = false;
+  bool FreezesCoordinator = false;
+};
+
+/// A large group and its coordinators on virtual time.
+class LargeWorld {
+public:
+  LargeWorld(unsigned size, std::uint64_t seed, Trouble trouble)
+      : Time(seed, 0), Size(size), What(trouble), Group(size, true),
+        FrozenUntil(size) {
+    addCoordinator(0);
+    at(Duration(0), [this] { step(); });
+    for (unsigned rank = 0; rank < Size; ++rank)
+      at(Duration(Time.below(180000)), [this, rank] { report(rank); });
+    at(Duration(0), [this] { tick(); });
+  }
+
+  void run(Duration length) { Time.runUntil(Time.now() + length); }
+  /// Lets all troubles end.
+  void calm() { What = {}; }
+
+  PlatformGroup &group() { return Group; }
+  unsigned changes() const { return Changes; }
+  /// How long after the start.
+  Duration firstChange() const { return FirstChange; }
+  std::uint64_t orders() const { return Orders; }
+  std::uint64_t bytes() const { return Bytes; }
+  Duration longestQueue() const { return LongestQueue; }
+
+private:
+  struct Coordinator {
+    explicit Coordinator(unsigned own) : Own(own) {}
+    unsigned Own;
+    MapSwitch Switch{SwitchLimits()};
+    OrderLane Lane{LinkBytesPerSecond * MapShare};
+    SentMaps Sent;
+    TimePoint LinkFreeAt;
+    std::optional<TimePoint> WakeAt;
+  };
+  using Owner = std::shared_ptr<Coordinator>;
+
+  void at(Duration after, std::function<void()> what) {
+    Time.at(Time.now() + after, std::move(what));
+  }
+
+  Duration draw(Duration low, Duration high) {
+    return low + Duration(Time.below(std::uint64_t((high - low).count()) + 1));
+  }
+
+  void addCoordinator(unsigned own) {
+    Present = std::make_shared<Coordinator>(own);
+    Present->Switch.lead(++Lease, own, Time.now());
+    All.push_back(Present);
+  }
+
+  bool isFrozen(unsigned rank) const { return Time.now() < FrozenUntil[rank]; }
+
+  /// Runs \p what when the host of \p rank is awake.
+  void onHost(unsigned rank, std::function<void()> what) {
+    if (!isFrozen(rank)) {
+      what();
+      return;
+    }
+    Time.at(FrozenUntil[rank],
+            [this, rank, what = std::move(what)] { onHost(rank, what); });
+  }
+
+  void step() {
+    MapVersion before = Group.map();
+    Group.step(Time.now());
+    if (Group.map() > before && ++Changes == 1)
+      FirstChange = Time.now() - Began;
+    at(draw(milliseconds(30), milliseconds(90)), [this] { step(); });
+  }
+
+  void report(unsigned rank) {
+    if (!isFrozen(rank)) {
+      RankStatus status = Group.status(rank, Time.now());
+      Owner to = Present;
+      at(draw(milliseconds(1), milliseconds(8)), [this, rank, status, to] {
+        onHost(to->Own, [this, rank, status, to] {
+          act(to, to->Switch.onStatus(rank, status, Time.now(), Time.now()));
+        });
+      });
+    }
+    at(milliseconds(120), [this, rank] { report(rank); });
+  }
+
+  void tick() {
+    for (const Owner &it : All)
+      onHost(it->Own, [this, it] {
+        act(it, it->Switch.onTimer(Time.now()));
+        if (it->Switch.canBegin(Time.now()))
+          act(it, it->Switch.begin(makeMap(Size, ++Turn), Time.now()));
+      });
+    if (What.FreezesMembers && Time.chance(2))
+      freeze(unsigned(Time.below(Size)));
+    if (What.FreezesCoordinator && Time.below(200) == 0) {
+      freeze(Present->Own);
+      at(milliseconds(600), [this] {
+        addCoordinator((Present->Own + 1) % Size);
+        if (All.size() > 3)
+          All.erase(All.begin());
+      });
+    }
+    at(milliseconds(20), [this] { tick(); });
+  }
+
+  void freeze(unsigned rank) {
+    FrozenUntil[rank] = Time.now() + draw(milliseconds(50), seconds(2));
+  }
+
+  void act(const Owner &from, const SwitchActions &actions) {
+    for (const SendMapOrder &it : actions) {
+      if (it.Rank != from->Own && OrderLane::mustWait(it.Order)) {
+        from->Lane.push(it);
+        from->Switch.onQueued(it.Rank, it.Order.Id);
+        continue;
+      }
+      from->Lane.drop(it.Rank);
+      transmit(from, it.Rank, it.Order);
+    }
+    sendMaps(from);
+  }
+
+  void sendMaps(const Owner &from) {
+    TimePoint now = Time.now();
+    while (std::optional<SendMapOrder> next = from->Lane.pop(now)) {
+      if (!from->Switch.isPending(next->Rank, next->Order.Id))
+        continue;
+      from->Switch.onSent(next->Rank, next->Order.Id, now);
+      MapOrder order =
+          from->Sent.shorten(next->Rank, LinkId(1), next->Order, next->Tries);
+      from->Lane.onSent(sizeOf(order), now);
+      transmit(from, next->Rank, next->Order, sizeOf(order));
+    }
+    std::optional<TimePoint> room = from->Lane.nextTimer();
+    if (!room || (from->WakeAt && *from->WakeAt <= *room))
+      return;
+    from->WakeAt = room;
+    Time.at(*room, [this, from] {
+      from->WakeAt.reset();
+      onHost(from->Own, [this, from] { sendMaps(from); });
+    });
+  }
+
+  void transmit(const Owner &from, unsigned rank, const MapOrder &order,
+                std::size_t bytes = 0) {
+    constexpr std::size_t SmallOrder = 120;
+    bytes = std::max(bytes, SmallOrder);
+    ++Orders;
+    Bytes += bytes;
+    TimePoint now = Time.now();
+    from->LinkFreeAt =
+        std::max(from->LinkFreeAt, now) +
+        std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(double(bytes) / LinkBytesPerSecond));
+    LongestQueue = std::max(LongestQueue, from->LinkFreeAt - now);
+    if (Time.chance(What.LostOrders))
+      return;
+    Time.at(from->LinkFreeAt + draw(milliseconds(1), milliseconds(5)),
+            [this, from, rank, order] {
+              onHost(rank,
+                     [this, from, rank, order] { take(from, rank, order); });
+            });
+  }
+
+  void take(const Owner &from, unsigned rank, const MapOrder &order) {
+    MapOrderReply reply{order.Id, Group.take(rank, order, Time.now())};
+    at(draw(milliseconds(2), milliseconds(12)), [this, from, rank, reply] {
+      onHost(from->Own, [this, from, rank, reply] {
+        act(from, from->Switch.onReply(rank, reply, Time.now()));
+      });
+    });
+  }
+
+  test::RandomScheduler Time;
+  unsigned Size;
+  Trouble What;
+  PlatformGroup Group;
+  std::vector<TimePoint> FrozenUntil;
+  std::uint64_t Lease = 0;
+  std::vector<Owner> All;
+  Owner Present;
+  unsigned Turn = 0;
+  unsigned Changes = 0;
+  TimePoint Began = Time.now();
+  Duration FirstChange{};
+  std::uint64_t Orders = 0;
+  std::uint64_t Bytes = 0;
+  Duration LongestQueue{};
+};
+} // namespace
+
+TEST_CASE("a large group changes its map again and again on a narrow link") {
+  for (unsigned size : {32U, 96U, 256U}) {
+    INFO("ranks " << size);
+    LargeWorld world(size, 1, {});
+    world.run(seconds(30));
+    // With 256 ranks what differs takes 2.4 s of the lane's part of the link.
+    CHECK(world.changes() >= (size < 256 ? 10 : 5));
+    // The first one, from what the ranks were formed with.
+    CHECK(world.firstChange() < seconds(5));
+    CHECK(world.group().mixedSteps() == 0);
+    // Steps wait for a few orders at most, not for maps.
+    CHECK(world.group().heldSteps() <= world.changes() * 2);
+    // Five orders a change and rank, one more at the coordinator's start, and
+    // those of the change under way.
+    std::uint64_t wanted = std::uint64_t(size) * 5 * (world.changes() + 2);
+    CHECK(world.orders() <= wanted);
+    CHECK(world.longestQueue() < milliseconds(200));
+  }
+}
+
+TEST_CASE("no step of a large group has two maps while hosts freeze") {
+  Trouble trouble;
+  trouble.LostOrders = 2;
+  trouble.FreezesMembers = true;
+  trouble.FreezesCoordinator = true;
+  for (unsigned size : {32U, 96U}) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      INFO("ranks " << size << ", seed " << seed);
+      LargeWorld world(size, seed, trouble);
+      world.run(seconds(40));
+      CHECK(world.group().mixedSteps() == 0);
+      // Once nothing fails any more, maps come into force again.
+      world.calm();
+      world.run(seconds(5));
+      unsigned before = world.changes();
+      world.run(seconds(15));
+      CHECK(world.changes() > before);
+      CHECK(world.group().mixedSteps() == 0);
+    }
+  }
+}
--- a/unittests/Experts/MapDeltaTest.cpp
+++ b/unittests/Experts/MapDeltaTest.cpp
@@ -12,6 +12,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace ospreyspur;
@@ -58,6 +59,50 @@
   CHECK(bytesOf(sent.shorten(3, Link, prepare(2, map), 1)) < 64);
 }
 
+TEST_CASE(
+    "the first map of a group is told by what differs from the dealt one") {
+  constexpr unsigned Size = 96;
+  constexpr unsigned AllExperts = 192;
+  GroupPlacement map(Size, RankPlacement(Sets));
+  for (unsigned expert = 0; expert < AllExperts; ++expert)
+    for (auto &set : map[expert % Size])
+      set.push_back(static_cast<ExpertNumber>(expert));
+  std::size_t whole = 0;
+  for (const RankPlacement &rank : map)
+    for (const auto &set : rank)
+      whole += 1 + set.size();
+  for (unsigned rank = 0; rank < Size; ++rank)
+    map[rank][rank % Sets].push_back((rank * 7) % AllExperts);
+  SentMaps sent;
+  MapOrder order = sent.shorten(3, Link, prepare(9, map), 0);
+  CHECK(bytesOf(order) < whole / 3);
+  // Over the wire and back.
+  wire::Message bytes;
+  encode(order, bytes);
+  std::optional<Message> read = decode(bytes);
+  REQUIRE(read);
+  auto told = std::get<MapOrder>(*read);
+  REQUIRE(ToldMap().complete(told));
+  CHECK(*told.Map == map);
+  // What no longer resembles it goes whole.
+  for (auto &rank : map)
+    for (auto &set : rank)
+      std::reverse(set.begin(), set.end());
+  CHECK(SentMaps().shorten(3, Link, prepare(10, map), 0).Map);
+}
+
+TEST_CASE("a dealt map of no group's shape is not read") {
+  MapOrder order = prepare(1, {});
+  order.Map = nullptr;
+  for (DealtShape it : {DealtShape{0, 1, 1}, DealtShape{8, 4000, 4000},
+                        DealtShape{8, 1, 5000}, DealtShape{5000, 1, 1}}) {
+    order.Delta = MapDelta{MapVersion(), {}, it};
+    wire::Message bytes;
+    encode(order, bytes);
+    CHECK_FALSE(decode(bytes));
+  }
+}
+
 TEST_CASE("what is told by what differs is the same map, whatever was lost") {
   std::mt19937 random(1);
   GroupPlacement map = dealt();
