Keep each life of an endpoint apart; rows by other writers name none

Cause: an endpoint may start again under its name and then knows nothing of before. Every table was keyed by the name, so health, load, group, pace and what a request had tried there passed over to the next life. And a row of the list with a field missing or of another type was read with a default, an unknown state passed for "leaving", and a row that could no longer be read kept what stood there before; each cost a line in the log at every change.

Now the id is made of the name and the start that the endpoint tells, so no table can take two lives for one; the name alone goes to the endpoint. A life with a successor, under its name or at its address, leaves the list at once instead of after a grace. Ranks tell their start with their state: placement, counts, claims and the change under way of the earlier life are dropped. An answer of a later life to a question says nothing of the asked one. A row has to have all that endpoints write, typed, and a known state; else it is EndpointRowUnreadable (6006), replaces what stood there, and is logged once a key, for a hundred keys at most.

Tests: each was written with the change; before it they do not compile (the record had no name or life). The row in "only endpoints that tell a stage" was one that no endpoint writes (no zone, version or counter); it is whole now.

Not done: an order to a rank names the formation only. The platform forms a group anew when one of its ranks starts again, so an order for the earlier life is refused; no test of ours shows that the platform always does. Fuzzing of the row decoder beyond the listed damages.

--- a/include/ospreyspur/Control/ListReader.h
+++ b/include/ospreyspur/Control/ListReader.h
@@ -12,6 +12,7 @@
 #include "ospreyspur/Platform/PlatformClient.h"
 
 #include <map>
+#include <set>
 
 namespace ospreyspur {
 
@@ -31,6 +32,8 @@
 
   PlatformClient &Platform;
   std::map<std::string, EndpointRecord> Rows;
+  /// Rows that could not be read and were logged.
+  std::set<std::string> LoggedKeys;
   /// 0 before the first whole list and after its history was lost.
   Revision SeenAt;
 };
--- a/include/ospreyspur/Direct/EndpointRecord.h
+++ b/include/ospreyspur/Direct/EndpointRecord.h
@@ -12,9 +12,24 @@
 
 namespace ospreyspur {
 
-/// One incarnation of an endpoint; a restarted one has another id.
+/// When an endpoint started, in ms of the time of day; 0 if it does not say.
+/// Only ever compared for being the same.
+using EndpointLife = StrongType<struct EndpointLifeTag, std::uint64_t>;
+
+/// The id of one life of the endpoint \p name. One that starts again under its
+/// name knows nothing of before, so it must share nothing with its earlier life
+/// in any table: neither health nor load, group, pace or what was tried.
+inline EndpointId makeEndpointId(const std::string &name, EndpointLife life) {
+  bool isTold = life != EndpointLife(0);
+  return EndpointId(isTold ? name + "@" + std::to_string(life.get()) : name);
+}
+
+/// One life of an endpoint.
 struct EndpointRecord {
   EndpointId Id;
+  /// What it is called, in this life and others.
+  std::string Name;
+  EndpointLife Life = EndpointLife(0);
   ServiceId Service;
   TcpAddress Address;
   DataCentreId DataCentre;
--- a/include/ospreyspur/Experts/DemandSampler.h
+++ b/include/ospreyspur/Experts/DemandSampler.h
@@ -42,6 +42,7 @@
 private:
   SampleLimits Limits;
   TimePoint NextAt;
+  RankLife Life;
   FormationEpoch Formation;
   std::vector<std::uint64_t> Last;
 };
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -173,6 +173,7 @@
   Duration resendAfter() const;
   bool isSurveyed() const;
   bool allRanks(const std::function<bool(const RankStatus &)> &test) const;
+  void forgetRank(unsigned rank, TimePoint now);
   void noteStep(const RankStatus &status, TimePoint now);
   void enter(SwitchPhase phase, TimePoint now);
   void enterIdle(TimePoint now);
--- a/include/ospreyspur/Experts/RankStatus.h
+++ b/include/ospreyspur/Experts/RankStatus.h
@@ -26,6 +26,10 @@
 /// The experts of one rank, by set of layers.
 using RankPlacement = std::vector<std::vector<ExpertNumber>>;
 
+/// When a rank's engine started, in ms of the time of day; 0 if it does not
+/// say. Tells its lives apart.
+using RankLife = StrongType<struct RankLifeTag, std::uint64_t>;
+
 /// A map that a rank will take as a step begins.
 struct ArmedMap {
   MapVersion Version;
@@ -37,6 +41,7 @@
 /// One rank's own view, as it stood when it answered.
 struct RankStatus {
   GroupId Group;
+  RankLife Life;
   FormationEpoch Formation;
   /// From 0.
   unsigned Rank = 0;
--- a/include/ospreyspur/Process/RankLink.h
+++ b/include/ospreyspur/Process/RankLink.h
@@ -11,6 +11,7 @@
 #include "ospreyspur/Http/HttpClient.h"
 
 #include <optional>
+#include <tuple>
 
 namespace ospreyspur {
 
@@ -40,7 +41,7 @@
   HttpClient Client;
   /// The placement as last read, and the map that it belongs to.
   RankPlacement Placement;
-  std::optional<std::pair<FormationEpoch, MapVersion>> PlacementOf;
+  std::optional<std::tuple<RankLife, FormationEpoch, MapVersion>> PlacementOf;
 };
 
 } // namespace ospreyspur
--- a/lib/Control/ListReader.cpp
+++ b/lib/Control/ListReader.cpp
@@ -15,6 +15,10 @@
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
+/// Rows that cannot be read are logged once each, and no more of them than
+/// this: whoever writes them may go on doing so.
+static constexpr std::size_t MaxLoggedKeys = 100;
+
 asio::awaitable<KvReply> ListReader::ask(Duration wait, Duration timeout) {
   if (SeenAt.get() == 0)
     co_return co_await readAll(timeout);
@@ -56,10 +60,16 @@
     Rows[item.Key] = std::move(record.value());
     return;
   }
-  LOG(ERROR) << LogEvent("endpoint.unreadable")
-                    .with("key", item.Key)
-                    .with("revision", item.At.get())
-                    .with("detail", record.error().Detail);
+  // Whatever stood there before, it names no endpoint now.
+  Rows.erase(item.Key);
+  bool isNew =
+      LoggedKeys.size() < MaxLoggedKeys && LoggedKeys.insert(item.Key).second;
+  LOG_IF(ERROR, isNew) << LogEvent("endpoint.unreadable")
+                              .with("key", item.Key)
+                              .with("revision", item.At.get())
+                              .with("code",
+                                    static_cast<unsigned>(record.error().Code))
+                              .with("detail", record.error().Detail);
 }
 
 KvReply ListReader::makeReply() const {
--- a/lib/Direct/EndpointDocument.cpp
+++ b/lib/Direct/EndpointDocument.cpp
@@ -17,7 +17,8 @@
   for (const EndpointRecord &it : endpoints) {
     std::string address = it.Address.address().to_string() + ":" +
                           std::to_string(it.Address.port());
-    out.push_back(json::object{{"id", it.Id.get()},
+    out.push_back(json::object{{"name", it.Name},
+                               {"life", it.Life.get()},
                                {"service", it.Service.get()},
                                {"address", address},
                                {"data_centre", it.DataCentre.get()},
@@ -53,7 +54,11 @@
   if (!address || !leaving || !leaving->is_bool())
     return Error{ResultCode::PlatformBadAnswer,
                  "an endpoint lacks its address or state"};
-  return EndpointRecord{EndpointId(textOf(in, "id")),
+  std::string name = textOf(in, "name");
+  EndpointLife life(numberOf(in, "life"));
+  return EndpointRecord{makeEndpointId(name, life),
+                        name,
+                        life,
                         ServiceId(textOf(in, "service")),
                         address.value(),
                         DataCentreId(textOf(in, "data_centre")),
--- a/lib/Direct/EndpointList.cpp
+++ b/lib/Direct/EndpointList.cpp
@@ -23,13 +23,21 @@
 void EndpointList::replace(const std::vector<EndpointRecord> &records,
                            TimePoint now) {
   std::map<TcpAddress, Revision> latest = findLatest(records);
+  std::set<std::string> names;
   std::set<EndpointId> present;
   for (const EndpointRecord &it : records) {
     if (it.ListedAt < latest[it.Address])
       continue;
     present.insert(it.Id);
+    names.insert(it.Name);
     Rows[it.Id] = {it, std::nullopt};
   }
+  // What has a successor, under its name or at its address, has ended.
+  std::erase_if(Rows, [&](const auto &it) {
+    const EndpointRecord &record = it.second.Record;
+    return !present.contains(it.first) &&
+           (names.contains(record.Name) || latest.contains(record.Address));
+  });
   std::vector<Row *> vanished;
   for (auto &[id, row] : Rows)
     if (!row.DropAt && !present.contains(id))
--- a/lib/Experts/DemandSampler.cpp
+++ b/lib/Experts/DemandSampler.cpp
@@ -15,12 +15,14 @@
   const std::vector<std::uint64_t> &counts = status.Counts;
   NextAt = now + interval(status.Size, counts.size());
   std::vector<std::uint32_t> out;
-  if (Formation == status.Formation && Last.size() == counts.size()) {
+  if (Life == status.Life && Formation == status.Formation &&
+      Last.size() == counts.size()) {
     out.reserve(counts.size());
     for (std::size_t i = 0; i < counts.size(); ++i)
       out.push_back(
           static_cast<std::uint32_t>(counts[i] - std::min(counts[i], Last[i])));
   }
+  Life = status.Life;
   Formation = status.Formation;
   Last = counts;
   return out;
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -43,6 +43,9 @@
 SwitchActions MapSwitch::onStatus(unsigned rank, const RankStatus &status,
                                   TimePoint seen, TimePoint now) {
   noteStep(status, seen);
+  auto before = Ranks.find(rank);
+  if (before != Ranks.end() && before->second.Life != status.Life)
+    forgetRank(rank, now);
   RankStatus &known = Ranks[rank];
   bool isSameMap = known.Formation == status.Formation &&
                    known.Map == status.Map && status.Placement.empty();
@@ -55,6 +58,15 @@
   return takeActions();
 }
 
+/// The rank has started again: nothing that it was ordered or said stands. A
+/// change that counted on it is looked at anew.
+void MapSwitch::forgetRank(unsigned rank, TimePoint now) {
+  Ranks.erase(rank);
+  Claimed.erase(rank);
+  if (Phase != SwitchPhase::Idle)
+    enterIdle(now);
+}
+
 /// Measures how fast the group steps.
 void MapSwitch::noteStep(const RankStatus &status, TimePoint now) {
   if (status.Formation != StepFormation || status.Step < LastStep) {
--- a/lib/Experts/StatusFilter.cpp
+++ b/lib/Experts/StatusFilter.cpp
@@ -24,8 +24,9 @@
     return std::nullopt;
   RankStatus out = status;
   out.Counts.clear();
-  bool hasPlacement =
-      Told && Told->Formation == status.Formation && Told->Map == status.Map;
+  bool hasPlacement = Told && Told->Life == status.Life &&
+                      Told->Formation == status.Formation &&
+                      Told->Map == status.Map;
   // Samples carry it again, should it have been lost on the way.
   if (hasPlacement && status.Picks.empty())
     out.Placement.clear();
@@ -35,10 +36,10 @@
 }
 
 bool StatusFilter::isNews(const RankStatus &status) const {
-  return Told->Group != status.Group || Told->Formation != status.Formation ||
-         Told->Rank != status.Rank || Told->Size != status.Size ||
-         Told->IsOpen != status.IsOpen || Told->Map != status.Map ||
-         Told->Prepared != status.Prepared || Told->Armed != status.Armed ||
-         Told->Held != status.Held ||
+  return Told->Group != status.Group || Told->Life != status.Life ||
+         Told->Formation != status.Formation || Told->Rank != status.Rank ||
+         Told->Size != status.Size || Told->IsOpen != status.IsOpen ||
+         Told->Map != status.Map || Told->Prepared != status.Prepared ||
+         Told->Armed != status.Armed || Told->Held != status.Held ||
          std::abs(Told->Pace - status.Pace) > PaceChange * Told->Pace;
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -319,7 +319,10 @@
   RankLink link(Context, endpoint.Address);
   Result<RankStatus> status = co_await link.readReport();
   std::optional<EndpointCondition> condition;
-  if (status) {
+  // A later life says nothing of this one, which has ended.
+  bool isLater = status && status.value().Life.get() != endpoint.Life.get() &&
+                 endpoint.Life.get() != 0;
+  if (status && !isLater) {
     bool isOpen = status.value().Group.get().empty() || status.value().IsOpen;
     condition = EndpointCondition{status.value().Group, isOpen,
                                   status.value().Running, status.value().Pace};
--- a/lib/Process/RankLink.cpp
+++ b/lib/Process/RankLink.cpp
@@ -61,7 +61,7 @@
 
 /// A placement changes only with its map.
 asio::awaitable<Result<void>> RankLink::readPlacement(RankStatus &out) {
-  std::pair wanted(out.Formation, out.Map);
+  std::tuple wanted(out.Life, out.Formation, out.Map);
   if (PlacementOf != wanted) {
     HttpRequest request = platform::makePlacementCall();
     Result<std::string> body = co_await fetch(std::move(request));
--- a/lib/Rpc/MapCodec.cpp
+++ b/lib/Rpc/MapCodec.cpp
@@ -58,6 +58,7 @@
   auto *out = message.mutable_rank_report();
   out->set_group(in.Group.get());
   out->set_formation(in.Formation.get());
+  out->set_life(in.Life.get());
   out->set_rank(in.Rank);
   out->set_size(in.Size);
   out->set_is_open(in.IsOpen);
@@ -81,6 +82,7 @@
   RankStatus out;
   out.Group = GroupId(in.group());
   out.Formation = FormationEpoch(in.formation());
+  out.Life = RankLife(in.life());
   out.Rank = in.rank();
   out.Size = in.size();
   out.IsOpen = in.is_open();
--- a/unittests/Direct/EndpointListTest.cpp
+++ b/unittests/Direct/EndpointListTest.cpp
@@ -17,6 +17,7 @@
 static EndpointRecord makeRecord(const std::string &id, unsigned host = 1) {
   EndpointRecord out;
   out.Id = EndpointId(id);
+  out.Name = id;
   out.Service = ServiceId("s");
   out.Address = parseAddress("10.0.0." + std::to_string(host) + ":80").value();
   out.DataCentre = DataCentreId("a");
@@ -56,6 +57,32 @@
   CHECK_FALSE(list.endpoints().front().IsMissing);
 }
 
+TEST_CASE("an earlier life is dropped as soon as the next one is listed") {
+  TimePoint now{seconds(10)};
+  EndpointRecord first = makeRecord("e0");
+  first.Life = EndpointLife(1700);
+  first.Id = makeEndpointId(first.Name, first.Life);
+  EndpointRecord second = first;
+  second.Life = EndpointLife(1701);
+  second.Id = makeEndpointId(second.Name, second.Life);
+  EndpointList list;
+  list.replace({first}, now);
+  list.replace({second}, now);
+  REQUIRE(list.endpoints().size() == 1);
+  CHECK(list.endpoints().front().Record.Id == second.Id);
+  CHECK_FALSE(list.endpoints().front().IsMissing);
+  // Elsewhere, too.
+  second.Address = parseAddress("10.0.0.9:80").value();
+  list.replace({first}, now);
+  list.replace({second}, now);
+  CHECK(list.endpoints().size() == 1);
+  // The list as text keeps them apart.
+  auto read = parseEndpoints(formatEndpoints({first, second}));
+  REQUIRE(read);
+  CHECK(read.value().front().Id == first.Id);
+  CHECK(read.value().back().Id == second.Id);
+}
+
 TEST_CASE("of two rows with one address the later stands") {
   TimePoint now{seconds(10)};
   EndpointRecord old = makeRecord("old");
--- a/unittests/Experts/MapSwitchTest.cpp
+++ b/unittests/Experts/MapSwitchTest.cpp
@@ -348,6 +348,23 @@
   CHECK(world.LastFence > before);
 }
 
+TEST_CASE("what a rank was before it started again counts for nothing") {
+  TwoRankSwitch world;
+  world.lead(1);
+  REQUIRE(world.Switch.canBegin(world.Now));
+  // A change is under way as rank 1 starts again, under the same formation.
+  world.Switch.begin(GroupPlacement(2, {{1}}), world.Now);
+  REQUIRE(world.Switch.phase() == SwitchPhase::Preparing);
+  RankStatus reborn = world.Group.status(1, world.Now);
+  reborn.Life = RankLife(1701);
+  reborn.Placement.clear();
+  world.Switch.onStatus(1, reborn, world.Now, world.Now);
+  CHECK(world.Switch.phase() != SwitchPhase::Preparing);
+  CHECK_FALSE(world.Switch.canBegin(world.Now));
+  // Its placement of before is not taken for the present one.
+  CHECK(world.Switch.placement().back().empty());
+}
+
 TEST_CASE("a coordinator that met a higher token never leads under its lease") {
   TwoRankSwitch world;
   world.lead(1);
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -63,7 +63,8 @@
   KvItem row;
   row.Key = std::string(platform::EndpointPrefix) + "i-1";
   const std::string common =
-      R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":12)";
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+      R"("state":"ready","slots":12,"seq":3)";
   row.Value = common + "}";
   REQUIRE(platform::readEndpoint(row));
   CHECK_FALSE(platform::readEndpoint(row).value().TellsState);
@@ -71,6 +72,74 @@
   CHECK(platform::readEndpoint(row).value().TellsState);
 }
 
+namespace {
+KvItem makeRow(const std::string &value) {
+  KvItem row;
+  row.Key = std::string(platform::EndpointPrefix) + "i-1";
+  row.Value = value;
+  return row;
+}
+} // namespace
+
+TEST_CASE("rows by other writers name no endpoint") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+      R"("slots":12,"state":"ready","cold_left_ms":0,"seq":4,"born":1700})";
+  REQUIRE(platform::readEndpoint(makeRow(good)));
+  auto without = [&](const std::string &from, const std::string &to) {
+    std::string text = good;
+    std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+  };
+  for (const std::string &it : {without(R"("service":"s",)", ""),
+                                without(R"("s")", "7"),
+                                without(R"("address":"10.0.0.1:80",)", ""),
+                                without("10.0.0.1:80", "here"),
+                                without(R"("zone":"a",)", ""),
+                                without(R"("version":"v1",)", ""),
+                                without(R"("slots":12,)", ""),
+                                without("12", R"("12")"),
+                                without("12", "-1"),
+                                without("12", "0"),
+                                without("12", "1.5"),
+                                without("12", "99999999999"),
+                                without(R"("ready")", R"("asleep")"),
+                                without(R"("ready")", "true"),
+                                without(R"("seq":4)", R"("seq":"4")"),
+                                without("1700", R"("1700")"),
+                                without("1700", "1.5"),
+                                std::string("[]"),
+                                std::string("\xff\x00{", 3),
+                                std::string()}) {
+    INFO(it);
+    Result<EndpointRecord> read = platform::readEndpoint(makeRow(it));
+    REQUIRE_FALSE(read);
+    CHECK(read.error().Code == ResultCode::EndpointRowUnreadable);
+  }
+  KvItem nameless = makeRow(good);
+  nameless.Key = platform::EndpointPrefix;
+  CHECK_FALSE(platform::readEndpoint(nameless));
+}
+
+TEST_CASE("the lives of one endpoint are different endpoints of one name") {
+  const std::string head =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+      R"("slots":12,"state":"ready","seq":4)";
+  auto read = [&](const std::string &born) {
+    return platform::readEndpoint(makeRow(head + born + "}")).value();
+  };
+  EndpointRecord first = read(R"(,"born":1700)");
+  EndpointRecord second = read(R"(,"born":1701)");
+  CHECK(first.Id != second.Id);
+  CHECK(first.Name == "i-1");
+  CHECK(second.Name == "i-1");
+  CHECK(read("").Id == EndpointId("i-1"));
+  CHECK(platform::readReport(R"({"born":1701,"group":{"name":"g"}})")
+            .value()
+            .Life == RankLife(1701));
+}
+
 TEST_CASE("damaged messages are errors and never more") {
   const std::string report =
       R"({"group":{"name":"g","epoch":1,"rank":2,"state":"open"},"size":8,)"
@@ -136,8 +205,7 @@
   CHECK(caller.Tokens.Prompt == 1460);
   CHECK(caller.Tokens.Answer == 80);
   HttpRequest out = platform::makeEndpointRequest(
-      request, {EndpointId("i-1"), WorkspaceId("w"),
-                std::chrono::milliseconds(700), "12"});
+      request, {"i-1", WorkspaceId("w"), std::chrono::milliseconds(700), "12"});
   CHECK(std::string(out.target()) == "/a/x?y=1");
   CHECK(out.body() == "body");
   CHECK(std::string(out["Request-Id"]) == "abc");
--- a/unittests/Process/DirectTrafficTest.cpp
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -83,7 +83,8 @@
     for (unsigned i = 0; i < endpoints; ++i) {
       const Endpoint &it = Endpoints.emplace_back(Context, argument);
       EndpointRecord record;
-      record.Id = EndpointId("e" + std::to_string(i));
+      record.Name = "e" + std::to_string(i);
+      record.Id = EndpointId(record.Name);
       record.Service = ServiceId("s");
       record.Address = it.address();
       record.Slots = 2;
