Sample a large group's demand more often; copy more small experts a change

Cause: with 96 ranks of 16 x 192 experts a fifth of the coordinator's link gave one sample of each rank in 2 s, while demand shifts each 4 s: plans followed chance. And a plan ended at a skew of 1.8, as the least gain of a copy (0.04 of a set's mean load) is more than relieving one of many equally hot ranks changes. At that skew a full rank's pass takes 145 ms of the 150 ms that a stream may pause.

Now samples take up to half of the link where they would be rarer than each 0.8 s; a change brings as many experts to a rank as are copied in 40 ms (two of 18 ms; one where an expert takes longer, as before), and the least gain falls with the group's size beyond 48 ranks.

--- a/include/ospreyspur/Direct/FleetConfig.h
+++ b/include/ospreyspur/Direct/FleetConfig.h
@@ -87,6 +87,8 @@
   std::size_t PlacesPerRank = 0;
   /// New experts that one change may bring to a rank in each set.
   std::size_t SparePlaces = 0;
+  /// How long a rank copies one expert; zero if its operator does not say.
+  Duration CopyTime{};
 };
 
 /// One service.
--- a/include/ospreyspur/Experts/DemandSampler.h
+++ b/include/ospreyspur/Experts/DemandSampler.h
@@ -20,9 +20,15 @@
 struct SampleLimits {
   /// Shortest time between two samples.
   Duration Shortest = std::chrono::milliseconds(110);
+  /// Demand shifts every few seconds. A sample that comes more rarely than this
+  /// tells of one shift what the next one has changed, and a plan then follows
+  /// chance: more of the link is worth it.
+  Duration LongestWanted = std::chrono::milliseconds(800);
   /// What all ranks of a group may send to their coordinator in a second; a
   /// sample has a byte for each expert of each set.
   double BytesPerSecond = 0;
+  /// The same where samples would otherwise come more rarely than wanted.
+  double MostBytesPerSecond = 0;
 };
 
 /// Samples one rank.
@@ -40,6 +46,8 @@
   Duration interval(unsigned ranks, std::size_t counts) const;
 
 private:
+  static Duration spread(double bytes, double bytesPerSecond);
+
   SampleLimits Limits;
   TimePoint NextAt;
   RankLife Life;
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -11,6 +11,7 @@
 
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Experts/ChangeBudget.h"
 #include "ospreyspur/Experts/CoordinatorWatch.h"
 #include "ospreyspur/Experts/DemandMeter.h"
 #include "ospreyspur/Experts/DemandSampler.h"
@@ -88,6 +89,7 @@
   void sendOrQueue(const SendMapOrder &action, LinkId link);
   std::shared_ptr<RankLink> holdLink(const SendMapOrder &action);
   void considerPlan();
+  PlacementPlan makePlan(bool isUrgent) const;
   void readFigures();
   void logPhase();
   void logGroup();
--- a/lib/Experts/DemandSampler.cpp
+++ b/lib/Experts/DemandSampler.cpp
@@ -28,10 +28,19 @@
   return out;
 }
 
+/// How long \p bytes take at \p bytesPerSecond.
+Duration DemandSampler::spread(double bytes, double bytesPerSecond) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(bytes / bytesPerSecond));
+}
+
 Duration DemandSampler::interval(unsigned ranks, std::size_t counts) const {
   if (Limits.BytesPerSecond <= 0)
     return Limits.Shortest;
-  double seconds = double(ranks) * double(counts) / Limits.BytesPerSecond;
-  return std::max(Limits.Shortest, std::chrono::duration_cast<Duration>(
-                                       std::chrono::duration<double>(seconds)));
+  double bytes = double(ranks) * double(counts);
+  Duration usual = spread(bytes, Limits.BytesPerSecond);
+  if (usual > Limits.LongestWanted && Limits.MostBytesPerSecond > 0)
+    usual = std::max(Limits.LongestWanted,
+                     spread(bytes, Limits.MostBytesPerSecond));
+  return std::max(Limits.Shortest, usual);
 }
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -22,8 +22,10 @@
 /// What a group's samples of demand may take of its coordinator's link. The
 /// link also carries the group's orders, which must not wait.
 static constexpr double SampleShare = 0.2;
-/// What maps may take of it: with the samples, three fifths stay for orders,
-/// states and the lease.
+/// The same for a group so large that its samples would come too rarely. On the
+/// users' large deployment a rank is then sampled each 0.8 s instead of 2.
+static constexpr double LargestSampleShare = 0.5;
+/// What maps may take of it on the way out; samples come in.
 static constexpr double MapShare = 0.4;
 /// Half-life of counts: demand shifts every few seconds.
 static constexpr Duration DemandHalfLife = std::chrono::milliseconds(400);
@@ -45,6 +47,7 @@
 static SampleLimits makeSampleLimits(const RankSettings &settings) {
   SampleLimits limits;
   limits.BytesPerSecond = linkBytes(settings, SampleShare);
+  limits.MostBytesPerSecond = linkBytes(settings, LargestSampleShare);
   return limits;
 }
 
--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -24,15 +24,9 @@
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
 /// Skew that a change must save: below, copying costs more than it gains.
 static constexpr double MinSkewGain = 0.2;
-/// Experts that one change may bring to a rank; each takes 0.15 s on the
-/// users' links.
-static constexpr std::size_t NewPerRank = 1;
-/// Smallest gain that a copy is worth, as part of a set's mean load.
-static constexpr double MinCopyGain = 0.04;
 /// From this skew on, steps are so slow that a change should bring more; a
 /// group that was just formed has 3.3.
 static constexpr double HighSkew = 2.5;
-static constexpr std::size_t NewPerRankIfHigh = 2;
 
 void RankAgent::readFigures() {
   TimePoint now = monotonicNow();
@@ -69,15 +63,9 @@
   if (!fitsFigures())
     return;
   logGroup();
-  PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
-                         NewPerRank, MinCopyGain};
-  PlacementPlan plan = PlacementPlanner(limits).plan(
-      Switch.placement(), Demand.demand(), Switch.paces());
-  if (plan.SkewBefore > HighSkew) {
-    limits.NewPerRank = NewPerRankIfHigh;
-    plan = PlacementPlanner(limits).plan(Switch.placement(), Demand.demand(),
-                                         Switch.paces());
-  }
+  PlacementPlan plan = makePlan(false);
+  if (plan.SkewBefore > HighSkew)
+    plan = makePlan(true);
   if (plan.SkewBefore - plan.SkewAfter < MinSkewGain)
     return;
   apply(Switch.begin(plan.Placement, now));
@@ -90,6 +78,14 @@
                    .with("skew_after", plan.SkewAfter);
 }
 
+PlacementPlan RankAgent::makePlan(bool isUrgent) const {
+  ChangeBudget budget(Figures->CopyTime, Switch.ranks().size());
+  PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
+                         budget.newPerRank(isUrgent), budget.minGain()};
+  return PlacementPlanner(limits).plan(Switch.placement(), Demand.demand(),
+                                       Switch.paces());
+}
+
 /// One line a second of what the group does, for whoever looks for pauses.
 void RankAgent::logGroup() {
   TimePoint now = monotonicNow();
