--- a/include/ospreyspur/Experts/MapDelta.h
+++ b/include/ospreyspur/Experts/MapDelta.h
@@ -4,8 +4,8 @@
 // the coordinator's link carries in a step, and the answers of the engine on
 // its host wait behind it. So a link on which a map has gone before carries
 // only the sets that differ from that one, and another link those that differ
-// from the map that the group was formed with, which a rule gives: with 96
-// ranks of 16 x 3 experts a fifth of the whole.
+// from the map that the group was formed with, which a rule gives: with one
+// copy a rank in a group of 96 less than a third of the whole.
 //
 //===----------------------------------------------------------------------===//
 
--- a/include/ospreyspur/Experts/OrderLane.h
+++ b/include/ospreyspur/Experts/OrderLane.h
@@ -38,7 +38,6 @@
   void push(SendMapOrder order);
   /// Whatever waits for \p rank is void.
   void drop(unsigned rank);
-  void clear() { Waiting.clear(); }
   /// The order to send now, if the link has room for one; what it takes of the
   /// link has to be told by onSent().
   std::optional<SendMapOrder> pop(TimePoint now);
@@ -49,7 +48,6 @@
 
   /// When pop() next has something to give.
   std::optional<TimePoint> nextTimer() const;
-  bool isEmpty() const { return Waiting.empty(); }
 
 private:
   double BytesPerSecond;
--- a/include/ospreyspur/Experts/ReachPlanner.h
+++ b/include/ospreyspur/Experts/ReachPlanner.h
@@ -30,8 +30,8 @@
   static constexpr Duration SilenceOfAgent = std::chrono::milliseconds(400);
   /// Between two rounds of reads.
   static constexpr Duration RoundEvery = std::chrono::milliseconds(200);
-  /// Reads of a round. A report takes some 0.7 KB: 56 KB a second, a thirteenth
-  /// of a link of 6 Mbit/s.
+  /// Reads of a round. With 0.7 KB each, as estimated, 56 KB a second: a
+  /// thirteenth of a link of 6 Mbit/s.
   static constexpr std::size_t MostInRound = 16;
   /// Members look for their coordinator each 1.5 s.
   static constexpr Duration JoinTime = std::chrono::milliseconds(2000);
--- a/lib/Rpc/MapCodec.cpp
+++ b/lib/Rpc/MapCodec.cpp
@@ -20,8 +20,8 @@
 static constexpr double MaxPace = 100;
 /// More ranks or sets than any group has; bounds what a bad order can cost.
 static constexpr std::uint32_t MaxMapDimension = 4096;
-/// More experts in all sets than any model has; likewise.
-static constexpr std::uint32_t MaxDealtExperts = 1U << 18U;
+/// More experts, or rows of ranks, in all sets than any model has; likewise.
+static constexpr std::uint32_t MaxDealtRows = 1U << 18U;
 
 static void put(const RankPlacement &in, wire::RankPlacement *out) {
   for (const auto &set : in) {
@@ -161,7 +161,8 @@
   bool isSound = out.Ranks > 0 && out.Ranks <= MaxMapDimension &&
                  out.Sets <= MaxMapDimension &&
                  out.Experts <= MaxMapDimension &&
-                 out.Sets * out.Experts <= MaxDealtExperts;
+                 out.Sets * out.Experts <= MaxDealtRows &&
+                 out.Sets * out.Ranks <= MaxDealtRows;
   return isSound ? std::optional(out) : std::nullopt;
 }
 
--- a/unittests/Experts/MapDeltaTest.cpp
+++ b/unittests/Experts/MapDeltaTest.cpp
@@ -94,8 +94,9 @@
 TEST_CASE("a dealt map of no group's shape is not read") {
   MapOrder order = prepare(1, {});
   order.Map = nullptr;
-  for (DealtShape it : {DealtShape{0, 1, 1}, DealtShape{8, 4000, 4000},
-                        DealtShape{8, 1, 5000}, DealtShape{5000, 1, 1}}) {
+  for (DealtShape it :
+       {DealtShape{0, 1, 1}, DealtShape{8, 4000, 4000}, DealtShape{8, 1, 5000},
+        DealtShape{4000, 4000, 1}, DealtShape{5000, 1, 1}}) {
     order.Delta = MapDelta{MapVersion(), {}, it};
     wire::Message bytes;
     encode(order, bytes);
