Give the engine's figures time to come over a full link

A read now waits five seconds, and the next begins a second after its end. The size of the configuration was not measured, 0.3 MB is an estimate from its routes. Not covered by a test: the agent's wiring has none.

--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -20,8 +20,13 @@
 static constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 /// Between two lines in the log about a group.
 static constexpr Duration GroupLineEvery = std::chrono::seconds(1);
-/// Between two tries to read the engine's figures, and for how long each waits.
+/// Between two tries to read the engine's figures.
 static constexpr Duration FiguresRetry = std::chrono::seconds(1);
+/// For how long each waits. They come with the whole configuration, some 0.3
+/// MB, over a narrow link that is busiest when a large group has just been
+/// formed. Given up after a second and begun again, the read filled that link
+/// for good and its group kept the map that it was formed with.
+static constexpr Duration FiguresTimeout = std::chrono::seconds(5);
 /// Skew that a change must save: below, copying costs more than it gains.
 static constexpr double MinSkewGain = 0.2;
 /// From this skew on, steps are so slow that a change should bring more; a
@@ -32,9 +37,10 @@
   TimePoint now = monotonicNow();
   if (now < NextFigures)
     return;
-  NextFigures = now + FiguresRetry;
+  NextFigures = now + FiguresTimeout + FiguresRetry;
   KvCall call = KvGet{platform::ConfigDocumentKey, true};
-  Platform.call(std::move(call), FiguresRetry, [this](const KvReply &reply) {
+  Platform.call(std::move(call), FiguresTimeout, [this](const KvReply &reply) {
+    NextFigures = monotonicNow() + FiguresRetry;
     Result<FleetConfig> config =
         reply.Code == ResultCode::Ok
             ? platform::readConfig(reply.Value)
