--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -25,7 +25,7 @@
   Duration MaxPause = std::chrono::seconds(5);
   /// News that come one after the other are gathered for this time before the
   /// service is asked again: when a fleet starts or is replaced, every row
-  /// would wake every watcher (204 rows and 40 watchers made two thirds of a
+  /// would wake every watcher (204 rows times 40 watchers are two thirds of a
   /// calm day's 11,400 calls). A tenth of the shortest time in which what
   /// leaves has to be known.
   Duration Gather = std::chrono::milliseconds(200);
--- a/include/ospreyspur/Experts/ChangeBudget.h
+++ b/include/ospreyspur/Experts/ChangeBudget.h
@@ -22,9 +22,10 @@
 class ChangeBudget {
 public:
   /// How long a rank may copy for a change, but for one expert that may take
-  /// longer; twice as long for an urgent one. With three or four experts of
-  /// 18 ms on ranks of a group of 96 the skew fell no further and more requests
-  /// were late.
+  /// longer; twice as long for an urgent one. On ranks of a group of 96 with
+  /// experts of 18 ms, single plays of 18 s: two experts and more samples
+  /// served best (mean worth 0.87 of 0.82 before), four without them no better
+  /// (0.80).
   static constexpr Duration Copying = std::chrono::milliseconds(40);
   /// The least gain that a copy is worth in groups of up to LargeFrom ranks, as
   /// part of a set's mean load; in larger ones less by as much as they are
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -55,9 +55,9 @@
 
 /// Requests that other entries send before they can be heard of would all go
 /// to the one that looks the least loaded: with 52 entries and some five such
-/// requests, one request in a hundred came to a full endpoint while others had
-/// room, and was late for it. So the choice is among as many as leave each of
-/// them one of its own.
+/// requests, 68 of 2,511 came to a full endpoint in a model on virtual time
+/// with a third of all places free; now fewer than one in 500. So the choice is
+/// among as many as leave each of them one of its own.
 std::size_t EndpointPicker::sampleSize(const ServiceId &service,
                                        std::size_t endpoints,
                                        TimePoint now) const {
