Find shifts of demand by what contradicts it; sample the last moments

A sum with a half-life of 0.4 s, of samples that each cover 0.64 s, mixes both: at 0.3 s after the shift it told a skew of 1.75, the first change was planned for a demand that never was, and three to four followed.

Now the last 12 samples are held against the sum; where they contradict it by 0.09 and 2.5 times what is usual the sum is begun anew with the last four, and a plan waits until 12 have come. A sample covers 0.15 s whatever the time between two, and members that start together take turns.

Ruled out: learning the topics. A shift gives random experts the liked places (singular values of eleven recorded demands fall slowly), so what comes next cannot be known before it is counted.

--- a/include/ospreyspur/Experts/DemandSampler.h
+++ b/include/ospreyspur/Experts/DemandSampler.h
@@ -3,6 +3,9 @@
 // Turns the counts of one rank into what was chosen since the sample before,
 // and decides when the next sample is due: all ranks of a group send theirs to
 // one coordinator, whose link is narrow, so a larger group sends fewer of each.
+// A sample tells of the last moments only: one of all that was chosen since the
+// sample before, 0.6 s in a group of 63, still has as much of what was liked
+// before a shift as of what is liked now.
 //
 //===----------------------------------------------------------------------===//
 
@@ -24,6 +27,8 @@
   /// tells of one shift what the next one has changed, and a plan then follows
   /// chance: more of the link is worth it.
   Duration LongestWanted = std::chrono::milliseconds(800);
+  /// Longest time that a sample covers; some two passes of a busy group.
+  Duration Window = std::chrono::milliseconds(150);
   /// What all ranks of a group may send to their coordinator in a second; a
   /// sample has a byte for each expert of each set.
   double BytesPerSecond = 0;
@@ -38,8 +43,8 @@
 
   bool isDue(TimePoint now) const { return now >= NextAt; }
 
-  /// What was chosen since the last call, by the counts of \p status; empty if
-  /// there is nothing to compare with.
+  /// What was chosen lately, by the counts of \p status; empty if there is
+  /// nothing to compare with yet.
   std::vector<std::uint32_t> take(const RankStatus &status, TimePoint now);
 
   /// Time between two samples in a group of \p ranks with \p counts each.
@@ -47,9 +52,16 @@
 
 private:
   static Duration spread(double bytes, double bytesPerSecond);
+  bool isSameCount(const RankStatus &status) const;
+  void begin(const RankStatus &status);
+  std::vector<std::uint32_t>
+  sinceLast(const std::vector<std::uint64_t> &counts) const;
 
   SampleLimits Limits;
+  /// When counts are wanted next.
   TimePoint NextAt;
+  /// Whether Last begins a sample; else it only tells what is counted.
+  bool IsSampling = false;
   RankLife Life;
   FormationEpoch Formation;
   std::vector<std::uint64_t> Last;
--- a/lib/Experts/DemandSampler.cpp
+++ b/lib/Experts/DemandSampler.cpp
@@ -10,21 +10,49 @@
 
 using namespace ospreyspur;
 
+bool DemandSampler::isSameCount(const RankStatus &status) const {
+  return Life == status.Life && Formation == status.Formation &&
+         Last.size() == status.Counts.size();
+}
+
+void DemandSampler::begin(const RankStatus &status) {
+  IsSampling = true;
+  Life = status.Life;
+  Formation = status.Formation;
+  Last = status.Counts;
+}
+
 std::vector<std::uint32_t> DemandSampler::take(const RankStatus &status,
                                                TimePoint now) {
-  const std::vector<std::uint64_t> &counts = status.Counts;
-  NextAt = now + interval(status.Size, counts.size());
-  std::vector<std::uint32_t> out;
-  if (Life == status.Life && Formation == status.Formation &&
-      Last.size() == counts.size()) {
-    out.reserve(counts.size());
-    for (std::size_t i = 0; i < counts.size(); ++i)
-      out.push_back(
-          static_cast<std::uint32_t>(counts[i] - std::min(counts[i], Last[i])));
+  Duration every = interval(status.Size, status.Counts.size());
+  Duration window = std::min(every, Limits.Window);
+  if (!isSameCount(status)) {
+    begin(status);
+    // Members of a group that start together tell one after the other.
+    Duration turn = every * status.Rank / std::max(status.Size, 1U);
+    IsSampling = turn < Limits.Shortest;
+    NextAt = now + (IsSampling ? window : turn);
+    return {};
   }
-  Life = status.Life;
-  Formation = status.Formation;
-  Last = counts;
+  if (!IsSampling) {
+    begin(status);
+    NextAt = now + window;
+    return {};
+  }
+  std::vector<std::uint32_t> out = sinceLast(status.Counts);
+  begin(status);
+  IsSampling = every - window < Limits.Shortest;
+  NextAt = now + (IsSampling ? every : every - window);
+  return out;
+}
+
+std::vector<std::uint32_t>
+DemandSampler::sinceLast(const std::vector<std::uint64_t> &counts) const {
+  std::vector<std::uint32_t> out;
+  out.reserve(counts.size());
+  for (std::size_t i = 0; i < counts.size(); ++i)
+    out.push_back(
+        static_cast<std::uint32_t>(counts[i] - std::min(counts[i], Last[i])));
   return out;
 }
 
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -27,8 +27,6 @@
 static constexpr double LargestSampleShare = 0.5;
 /// What maps may take of it on the way out; samples come in.
 static constexpr double MapShare = 0.4;
-/// Half-life of counts: demand shifts every few seconds.
-static constexpr Duration DemandHalfLife = std::chrono::milliseconds(400);
 /// Over which the agents of a group that start together spread their first look
 /// at its lease; a look takes some 5 ms.
 static constexpr Duration JoinSpread = std::chrono::milliseconds(100);
@@ -69,7 +67,7 @@
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
       Sampler(makeSampleLimits(settings)), Switch(SwitchLimits()),
-      Demand(DemandHalfLife), Lane(linkBytes(settings, MapShare)),
+      Demand(DemandLimits()), Lane(linkBytes(settings, MapShare)),
       Timer(ioc, [this] { tick(); }),
       LeaseTimer(ioc, [this] { lookAtLease(); }),
       OrderTimer(ioc, [this] { onOrderTimer(); }),
--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -65,9 +65,9 @@
     readFigures();
   if (now < NextPlan || !Figures || !Switch.canBegin(now) || !mayBegin(now))
     return;
-  NextPlan = now + PlanEvery;
-  if (!fitsFigures())
+  if (!fitsFigures() || !Demand.isSettled(now))
     return;
+  NextPlan = now + PlanEvery;
   logGroup();
   PlacementPlan plan = makePlan(false);
   if (plan.SkewBefore > HighSkew)
@@ -80,6 +80,7 @@
                    .with("group", Member->Group.get())
                    .with("version", Switch.version().get())
                    .with("copies", plan.Copies)
+                   .with("demands", Demand.changes())
                    .with("skew", plan.SkewBefore)
                    .with("skew_after", plan.SkewAfter);
 }
--- /dev/null
+++ b/unittests/Experts/DemandMeterTest.cpp
@@ -0,0 +1,184 @@
+//===- DemandMeterTest.cpp - demand that changes all at once --------------===//
+//
+// The pattern: 63 ranks, each sampled in its turn each 0.6 s, whose streams
+// like nine topics in parts that differ from rank to rank; every 3.3 s other
+// experts are in demand. Recorded counts of such a group gave the figures: the
+// most liked expert of 252 has 0.047 of its set's demand, the n-th liked some
+// n^-0.67 of that, and a shift moves about a quarter of the demand.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Experts/DemandMeter.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numeric>
+#include <random>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+constexpr std::size_t Experts = 252;
+constexpr std::size_t Topics = 9;
+constexpr TimePoint Start{seconds(100)};
+
+/// What a group's streams choose.
+class LikedExperts {
+public:
+  explicit LikedExperts(std::uint64_t seed) : Random(seed) {
+    constexpr double Steepness = -0.67;
+    std::vector<double> common;
+    for (std::size_t i = 1; i <= Experts; ++i)
+      common.push_back(std::pow(double(i), Steepness));
+    double all = std::accumulate(common.begin(), common.end(), 0.0);
+    for (double &it : common)
+      it /= all;
+    // Topics share most of what they like.
+    for (auto &it : Likes)
+      it = reordered(common, drawSwaps(Experts / 24));
+  }
+
+  /// A share of what is liked changes.
+  void shift() {
+    std::vector<std::size_t> to = drawSwaps(Experts / 2);
+    for (auto &topic : Likes)
+      topic = reordered(topic, to);
+  }
+
+  /// The demand of a group that has as much of each topic.
+  std::vector<double> demand() const {
+    std::vector<double> out(Experts, 0.0);
+    for (const auto &topic : Likes)
+      for (std::size_t i = 0; i < Experts; ++i)
+        out[i] += topic[i] / double(Topics);
+    return out;
+  }
+
+  /// Counts of one rank, whose \p writers have topics drawn at random.
+  std::vector<std::uint32_t> sample(unsigned writers) {
+    std::vector<double> sum(Experts, 0.0);
+    for (unsigned n = 0; n < writers; ++n) {
+      const auto &topic = Likes[Random() % Topics];
+      for (std::size_t i = 0; i < Experts; ++i)
+        sum[i] += 500 * topic[i];
+    }
+    std::vector<std::uint32_t> out;
+    out.reserve(Experts);
+    for (double it : sum)
+      out.push_back(std::poisson_distribution<std::uint32_t>(it)(Random));
+    return out;
+  }
+
+private:
+  /// Where each expert goes if \p n pairs of them change places.
+  std::vector<std::size_t> drawSwaps(std::size_t n) {
+    std::vector<std::size_t> out(Experts);
+    std::iota(out.begin(), out.end(), std::size_t(0));
+    while (n-- > 0)
+      std::swap(out[Random() % Experts], out[Random() % Experts]);
+    return out;
+  }
+
+  static std::vector<double> reordered(const std::vector<double> &from,
+                                       const std::vector<std::size_t> &to) {
+    std::vector<double> out(from.size());
+    for (std::size_t i = 0; i < from.size(); ++i)
+      out[to[i]] = from[i];
+    return out;
+  }
+
+  std::mt19937_64 Random;
+  std::array<std::vector<double>, Topics> Likes;
+};
+
+/// The part in which \p measured and \p demand differ.
+double distance(const std::vector<double> &measured,
+                const std::vector<double> &demand) {
+  double all = std::accumulate(measured.begin(), measured.end(), 0.0);
+  double out = 0;
+  for (std::size_t i = 0; i < demand.size(); ++i)
+    out += std::abs(measured[i] / all - demand[i]);
+  return out / 2;
+}
+
+/// A meter that hears of a group each 10 ms.
+struct MeteredGroup {
+  explicit MeteredGroup(std::uint64_t seed) : Liked(seed) {}
+
+  void run(Duration length, unsigned writers) {
+    for (TimePoint end = Now + length; Now < end; Now += milliseconds(10))
+      Meter.add(Liked.sample(writers), Now);
+  }
+
+  LikedExperts Liked;
+  DemandMeter Meter{DemandLimits()};
+  TimePoint Now = Start;
+};
+} // namespace
+
+TEST_CASE("a shift of demand is found at once and leaves nothing of before") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    MeteredGroup group(seed);
+    group.run(seconds(3), 6);
+    for (int shift = 0; shift < 5; ++shift) {
+      std::uint64_t before = group.Meter.changes();
+      group.Liked.shift();
+      group.run(milliseconds(150), 6);
+      CHECK(group.Meter.changes() > before);
+      group.run(milliseconds(200), 6);
+      CHECK(group.Meter.isSettled(group.Now));
+      // What fades with a half-life of 0.4 s still has half of what was.
+      CHECK(distance(group.Meter.demand(), group.Liked.demand()) < 0.09);
+      group.run(seconds(3), 6);
+      CHECK(distance(group.Meter.demand(), group.Liked.demand()) < 0.04);
+    }
+  }
+}
+
+TEST_CASE("a demand that stays alike is never begun anew") {
+  // Few streams: each that ends changes what is liked.
+  for (unsigned writers : {1U, 2U, 6U})
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      INFO("seed " << seed << ", " << writers << " writers");
+      MeteredGroup group(seed);
+      group.run(seconds(20), writers);
+      CHECK(group.Meter.changes() == 0);
+    }
+}
+
+TEST_CASE("a change that is just found waits for what is told after it") {
+  MeteredGroup group(1);
+  group.run(seconds(3), 6);
+  group.Liked.shift();
+  while (group.Meter.changes() == 0)
+    group.run(milliseconds(10), 6);
+  CHECK_FALSE(group.Meter.isSettled(group.Now - milliseconds(10)));
+  // Should no more be told, the plan is not put off for ever.
+  CHECK(group.Meter.isSettled(group.Now + DemandLimits().LongestSettling));
+}
+
+TEST_CASE("old demand fades") {
+  DemandLimits limits;
+  limits.HalfLife = milliseconds(500);
+  DemandMeter meter{limits};
+  TimePoint now{seconds(10)};
+  CHECK(meter.demand().empty());
+  meter.add({100, 0}, now + seconds(1));
+  CHECK(meter.demand()[0] == doctest::Approx(100));
+  meter.add({0, 40}, now + milliseconds(1500));
+  CHECK(meter.demand()[0] == doctest::Approx(50));
+  CHECK(meter.demand()[1] == doctest::Approx(40));
+}
+
+TEST_CASE("another shape of counts begins anew") {
+  MeteredGroup group(1);
+  group.run(seconds(2), 6);
+  group.Meter.add({1, 2, 3}, group.Now);
+  CHECK(group.Meter.demand() == std::vector<double>{1, 2, 3});
+}
--- a/unittests/Experts/PlacementPlannerTest.cpp
+++ b/unittests/Experts/PlacementPlannerTest.cpp
@@ -6,7 +6,6 @@
 //===----------------------------------------------------------------------===//
 
 #include "ospreyspur/Experts/PlacementPlanner.h"
-#include "ospreyspur/Experts/DemandMeter.h"
 
 #include <doctest/doctest.h>
 
@@ -15,8 +14,6 @@
 #include <set>
 
 using namespace ospreyspur;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 static constexpr unsigned Ranks = 8;
 static constexpr std::size_t Sets = 6;
@@ -95,17 +92,6 @@
   CHECK(planner.plan(dealt(), none).Copies == 0);
 }
 
-TEST_CASE("old demand fades") {
-  DemandMeter meter{Duration(milliseconds(500))};
-  TimePoint now{seconds(10)};
-  CHECK(meter.demand().empty());
-  meter.add({100, 0}, now + seconds(1));
-  CHECK(meter.demand()[0] == doctest::Approx(100));
-  meter.add({0, 40}, now + milliseconds(1500));
-  CHECK(meter.demand()[0] == doctest::Approx(50));
-  CHECK(meter.demand()[1] == doctest::Approx(40));
-}
-
 TEST_CASE("a slow rank bears less than the others") {
   PlacementLimits limits{11, 4, 3, 0.04};
   std::vector<double> paces(Ranks, 1.0);
--- a/unittests/Experts/RankReportTest.cpp
+++ b/unittests/Experts/RankReportTest.cpp
@@ -11,6 +11,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -59,6 +61,63 @@
   CHECK(sampler.isDue(Start + limits.Shortest));
 }
 
+TEST_CASE("a sample tells of the last moments, whatever the time between two") {
+  SampleLimits limits;
+  // One sample of each of 63 ranks in 0.64 s, as on links of 8 Mbit/s.
+  limits.BytesPerSecond = 200000;
+  constexpr std::size_t Counts = std::size_t(8) * 252;
+  DemandSampler sampler(limits);
+  RankStatus status = makeStatus(std::vector<std::uint64_t>(Counts, 0));
+  status.Size = 63;
+  status.Rank = 40;
+  Duration every = sampler.interval(status.Size, Counts);
+  CHECK(every > milliseconds(600));
+  std::uint64_t counted = 0;
+  unsigned told = 0;
+  unsigned reads = 0;
+  for (int ms = 0; ms < 20000; ms += 10) {
+    TimePoint now = Start + milliseconds(ms);
+    // One choice of each expert in a millisecond.
+    counted += 10;
+    if (!sampler.isDue(now))
+      continue;
+    ++reads;
+    std::fill(status.Counts.begin(), status.Counts.end(), counted);
+    std::vector<std::uint32_t> sample = sampler.take(status, now);
+    if (sample.empty())
+      continue;
+    ++told;
+    CHECK(milliseconds(sample[0]) <= limits.Window + milliseconds(10));
+    CHECK(milliseconds(sample[0]) >= limits.Window - milliseconds(10));
+  }
+  CHECK(told >= 20000 / 640 - 2);
+  CHECK(told <= 20000 / 630 + 1);
+  CHECK(reads <= 2 * told + 2);
+}
+
+TEST_CASE("members that start together take turns at telling") {
+  SampleLimits limits;
+  limits.BytesPerSecond = 200000;
+  constexpr std::size_t Counts = std::size_t(8) * 252;
+  std::vector<TimePoint> firsts;
+  for (unsigned rank = 0; rank < 63; ++rank) {
+    DemandSampler sampler(limits);
+    RankStatus status = makeStatus(std::vector<std::uint64_t>(Counts, 0));
+    status.Size = 63;
+    status.Rank = rank;
+    TimePoint now = Start;
+    while (!sampler.isDue(now) || sampler.take(status, now).empty())
+      now += milliseconds(1);
+    firsts.push_back(now);
+  }
+  CHECK(firsts.back() - firsts.front() >= milliseconds(600));
+  for (std::size_t i = 1; i < firsts.size(); ++i) {
+    // The first few sample at once, as their turn comes so soon.
+    CHECK(firsts[i] - firsts[i - 1] >= milliseconds(0));
+    CHECK(firsts[i] - firsts[i - 1] <= milliseconds(125));
+  }
+}
+
 TEST_CASE("a state in which only the step is new is told now and then") {
   StatusFilter filter;
   RankStatus status = makeStatus({});
