Let a change bring as much as its copies' time allows; tell maps by places

On recorded demand of the shifted deployment the greedy copies ended at a skew of 1.50 with some 60 copies a shift, not for want of a better map (packing all experts anew gives 1.01, a bound) but for the least gain of a copy, 0.03, which trials with experts of 0.15 s had found. These take 14 ms. A map then has some 220 places that differ: told by whole sets of a rank 2.4 KB to each agent, now some three bytes a place.

Ways: exchanges between ranks besides copies (trial without network, hottest rank first): 1.14 with 218 to 278 copies, 11 to 17 ms; no better, so not built. Steps of two copies a rank: 1.25 after the first change, 1.14 after the third.

--- a/include/ospreyspur/Experts/ChangeBudget.h
+++ b/include/ospreyspur/Experts/ChangeBudget.h
@@ -1,11 +1,12 @@
 //===- ChangeBudget.h - how much one change of a map may bring --*- C++ -*-===//
 //
 // A copy makes passes longer while it goes on, and a plan that follows every
-// chance of the last samples copies for nothing. But where experts are small
-// more of them are copied in the same time, and in a large group relieving one
-// of many equally hot ranks changes the measure of a set so little that one
-// least gain for all groups ends its plans early: with 96 ranks at a skew of
-// 1.8.
+// chance of the last samples copies for nothing. Both cost as much more the
+// longer a rank copies one expert, and nothing else does: so what a change may
+// bring and the least gain of a copy follow from that time, which the engine's
+// operators state. With one least gain for all, that of experts which take 0.15
+// s, the plans of a group of 63 ended at a skew of 1.5 with 60 copies, where
+// 1.12 can be had with 220; its experts take 14 ms.
 //
 //===----------------------------------------------------------------------===//
 
@@ -22,20 +23,19 @@
 class ChangeBudget {
 public:
   /// How long a rank may copy for a change, but for one expert that may take
-  /// longer; twice as long for an urgent one. On ranks of a group of 96 with
-  /// experts of 18 ms, single plays of 18 s: two experts and more samples
-  /// served best (mean worth 0.87 of 0.82 before), four without them no better
-  /// (0.80).
-  static constexpr Duration Copying = std::chrono::milliseconds(40);
-  /// The least gain that a copy is worth in groups of up to LargeFrom ranks, as
-  /// part of a set's mean load; in larger ones less by as much as they are
-  /// larger. Trials with groups of 8 to 32 found the first, with 96 half of it.
+  /// longer; twice as long for an urgent one. A shift raises the skew of a map
+  /// that fitted from 1.2 to 3.2 at once (recorded counts), and a change takes
+  /// some 0.3 s for all but the copying: several small ones cost more passes
+  /// than one large one.
+  static constexpr Duration Copying = std::chrono::milliseconds(60);
+  /// The least gain that a copy is worth, as part of a set's mean load, where
+  /// an expert takes DearCopy or longer: found by trials with groups of 8 ranks
+  /// and experts of 0.15 s. Of shorter copies as much less.
   static constexpr double MinGain = 0.04;
-  static constexpr std::size_t LargeFrom = 48;
+  static constexpr Duration DearCopy = std::chrono::milliseconds(150);
 
   /// \p copyTime: how long a rank copies one expert; zero if unknown.
-  ChangeBudget(Duration copyTime, std::size_t ranks)
-      : CopyTime(copyTime), Ranks(ranks) {}
+  explicit ChangeBudget(Duration copyTime) : CopyTime(copyTime) {}
 
   /// New experts that a change may bring to a rank in all its sets.
   std::size_t newPerRank(bool isUrgent) const;
@@ -43,7 +43,6 @@
 
 private:
   Duration CopyTime;
-  std::size_t Ranks;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Experts/MapOrder.h
+++ b/include/ospreyspur/Experts/MapOrder.h
@@ -44,6 +44,15 @@
   std::vector<ExpertNumber> Experts;
 };
 
+/// One place of a rank and set that another expert takes.
+struct ReplacedExpert {
+  std::uint32_t Rank = 0;
+  std::uint32_t Set = 0;
+  /// The place's number in the rank's experts of the set.
+  std::uint32_t Place = 0;
+  ExpertNumber Expert = 0;
+};
+
 /// The map that a group is formed with: the experts of each set are dealt to
 /// the ranks in turn.
 struct DealtShape {
@@ -52,12 +61,15 @@
   std::uint32_t Experts = 0;
 };
 
-/// A map told by the sets that differ from another one.
+/// A map told by what differs from another one.
 struct MapDelta {
   /// The map that was told before; not used if there is a Dealt one.
   MapVersion Base;
+  /// Sets of which a rank holds more or fewer experts.
   std::vector<RankSet> Sets;
   std::optional<DealtShape> Dealt = std::nullopt;
+  /// Places of all other sets, by rank, set and place.
+  std::vector<ReplacedExpert> Replaced = {};
 };
 
 struct MapOrder {
--- a/lib/Experts/ChangeBudget.cpp
+++ b/lib/Experts/ChangeBudget.cpp
@@ -20,7 +20,8 @@
 }
 
 double ChangeBudget::minGain() const {
-  if (Ranks <= LargeFrom)
+  if (CopyTime <= Duration::zero())
     return MinGain;
-  return MinGain * static_cast<double>(LargeFrom) / static_cast<double>(Ranks);
+  double part = double(CopyTime.count()) / double(DearCopy.count());
+  return MinGain * std::min(part, 1.0);
 }
--- a/lib/Experts/MapDelta.cpp
+++ b/lib/Experts/MapDelta.cpp
@@ -16,19 +16,31 @@
 /// order, so the map before has come unless it was dropped.
 static constexpr unsigned MaxShortTries = 1;
 
-/// The sets of \p map that differ from \p base; nothing if they are not of one
-/// shape.
-static std::optional<std::vector<RankSet>>
-differingSets(const GroupPlacement &base, const GroupPlacement &map) {
+/// Adds to \p out what differs between \p base and \p set.
+static void addDifference(std::uint32_t rank, std::uint32_t setNumber,
+                          const std::vector<ExpertNumber> &base,
+                          const std::vector<ExpertNumber> &set, MapDelta &out) {
+  if (base.size() != set.size()) {
+    out.Sets.push_back({rank, setNumber, set});
+    return;
+  }
+  for (std::uint32_t place = 0; place < set.size(); ++place)
+    if (base[place] != set[place])
+      out.Replaced.push_back({rank, setNumber, place, set[place]});
+}
+
+/// What differs between \p base and \p map; nothing if they are not of one
+/// shape. The base's version is left to the caller.
+static std::optional<MapDelta> difference(const GroupPlacement &base,
+                                          const GroupPlacement &map) {
   if (base.size() != map.size())
     return std::nullopt;
-  std::vector<RankSet> out;
+  MapDelta out;
   for (std::uint32_t rank = 0; rank < map.size(); ++rank) {
     if (base[rank].size() != map[rank].size())
       return std::nullopt;
     for (std::uint32_t set = 0; set < map[rank].size(); ++set)
-      if (base[rank][set] != map[rank][set])
-        out.push_back({rank, set, map[rank][set]});
+      addDifference(rank, set, base[rank][set], map[rank][set], out);
   }
   return out;
 }
@@ -56,10 +68,11 @@
 }
 
 /// Numbers on the wire.
-static std::size_t lengthOf(const std::vector<RankSet> &sets) {
+static std::size_t lengthOf(const MapDelta &delta) {
   constexpr std::size_t Head = 3;
-  std::size_t out = 0;
-  for (const RankSet &it : sets)
+  constexpr std::size_t OfReplaced = 2;
+  std::size_t out = OfReplaced * delta.Replaced.size();
+  for (const RankSet &it : delta.Sets)
     out += Head + it.Experts.size();
   return out;
 }
@@ -78,10 +91,11 @@
   DealtShape shape = shapeOf(map);
   if (shape.Ranks == 0)
     return std::nullopt;
-  auto sets = differingSets(deal(shape), map);
-  if (!sets || lengthOf(*sets) >= lengthOf(map))
+  std::optional<MapDelta> out = difference(deal(shape), map);
+  if (!out || lengthOf(*out) >= lengthOf(map))
     return std::nullopt;
-  return MapDelta{MapVersion(), std::move(*sets), shape};
+  out->Dealt = shape;
+  return out;
 }
 
 MapOrder SentMaps::shorten(unsigned rank, LinkId link, const MapOrder &order,
@@ -93,8 +107,9 @@
   auto it = LastSent.find(rank);
   bool isKnown = it != LastSent.end() && it->second.Link == link;
   if (isKnown && tries <= MaxShortTries) {
-    if (auto sets = differingSets(*it->second.Map, *order.Map))
-      out.Delta = MapDelta{it->second.Version, std::move(*sets)};
+    out.Delta = difference(*it->second.Map, *order.Map);
+    if (out.Delta)
+      out.Delta->Base = it->second.Version;
   } else if (tries <= MaxShortTries) {
     out.Delta = dealtDelta(order);
   }
@@ -113,17 +128,32 @@
   return Dealt;
 }
 
+/// Makes \p map differ by \p delta. False if it has no such places.
+static bool change(GroupPlacement &map, const MapDelta &delta) {
+  auto hasSet = [&map](std::uint32_t rank, std::uint32_t set) {
+    return rank < map.size() && set < map[rank].size();
+  };
+  for (const RankSet &it : delta.Sets) {
+    if (!hasSet(it.Rank, it.Set))
+      return false;
+    map[it.Rank][it.Set] = it.Experts;
+  }
+  for (const ReplacedExpert &it : delta.Replaced) {
+    if (!hasSet(it.Rank, it.Set) || it.Place >= map[it.Rank][it.Set].size())
+      return false;
+    map[it.Rank][it.Set][it.Place] = it.Expert;
+  }
+  return true;
+}
+
 bool ToldMap::complete(MapOrder &order) {
   if (order.Delta) {
     bool isDealt = order.Delta->Dealt.has_value();
     if (!isDealt && (!Map || Version != order.Delta->Base))
       return false;
     GroupPlacement whole = isDealt ? deal(*order.Delta->Dealt) : *Map;
-    for (const RankSet &it : order.Delta->Sets) {
-      if (it.Rank >= whole.size() || it.Set >= whole[it.Rank].size())
-        return false;
-      whole[it.Rank][it.Set] = it.Experts;
-    }
+    if (!change(whole, *order.Delta))
+      return false;
     order.Map = std::make_shared<const GroupPlacement>(std::move(whole));
     order.Delta.reset();
   }
--- a/lib/Experts/SetPlacement.cpp
+++ b/lib/Experts/SetPlacement.cpp
@@ -109,14 +109,18 @@
   for (double it : Loads)
     Sum += eighthPower(it);
   Measure = eighthRoot(Sum);
-  if (copy.Evicted) {
+  std::vector<ExpertNumber> &held = Ranks[copy.Rank];
+  if (copy.Evicted)
     std::erase(Holders[*copy.Evicted], copy.Rank);
-    std::erase(Ranks[copy.Rank], *copy.Evicted);
-  }
-  if (!copy.Expert)
-    return;
-  Holders[*copy.Expert].push_back(copy.Rank);
-  Ranks[copy.Rank].push_back(*copy.Expert);
+  if (copy.Expert)
+    Holders[*copy.Expert].push_back(copy.Rank);
+  // The new expert takes the place of the old one: maps are told by places.
+  if (copy.Evicted && copy.Expert)
+    std::replace(held.begin(), held.end(), *copy.Evicted, *copy.Expert);
+  else if (copy.Evicted)
+    std::erase(held, *copy.Evicted);
+  else if (copy.Expert)
+    held.push_back(*copy.Expert);
 }
 
 std::vector<unsigned> SetPlacement::hottest() const {
--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -86,7 +86,7 @@
 }
 
 PlacementPlan RankAgent::makePlan(bool isUrgent) const {
-  ChangeBudget budget(Figures->CopyTime, Switch.ranks().size());
+  ChangeBudget budget(Figures->CopyTime);
   PlacementLimits limits{Figures->PlacesPerRank, Figures->SparePlaces,
                          budget.newPerRank(isUrgent), budget.minGain()};
   return PlacementPlanner(limits).plan(Switch.placement(), Demand.demand(),
--- a/lib/Rpc/MapCodec.cpp
+++ b/lib/Rpc/MapCodec.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 using namespace ospreyspur;
 
@@ -139,6 +140,58 @@
   return it == end ? out : nullptr;
 }
 
+/// Some three bytes a place, as most are near the one before.
+static void putReplaced(const std::vector<ReplacedExpert> &in,
+                        wire::MapOrder &out) {
+  if (in.empty())
+    return;
+  std::uint32_t sets = 0;
+  std::uint32_t places = 0;
+  for (const ReplacedExpert &it : in) {
+    sets = std::max(sets, it.Set + 1);
+    places = std::max(places, it.Place + 1);
+  }
+  out.add_replaced(sets);
+  out.add_replaced(places);
+  std::uint32_t last = 0;
+  for (const ReplacedExpert &it : in) {
+    std::uint32_t number = (it.Rank * sets + it.Set) * places + it.Place;
+    out.add_replaced(number - last);
+    out.add_replaced(it.Expert);
+    last = number;
+  }
+}
+
+/// Nothing if \p in is damaged.
+static std::optional<std::vector<ReplacedExpert>>
+getReplaced(const wire::MapOrder &in) {
+  constexpr int Head = 2;
+  std::vector<ReplacedExpert> out;
+  if (in.replaced_size() == 0)
+    return out;
+  bool isSound = in.replaced_size() % 2 == 0 && in.replaced(0) > 0 &&
+                 in.replaced(0) <= MaxMapDimension && in.replaced(1) > 0 &&
+                 in.replaced(1) <= MaxMapDimension;
+  if (!isSound)
+    return std::nullopt;
+  std::uint64_t sets = in.replaced(0);
+  std::uint64_t places = in.replaced(1);
+  std::uint64_t number = 0;
+  for (int i = Head; i < in.replaced_size(); i += 2) {
+    number += in.replaced(i);
+    std::uint64_t rank = number / places / sets;
+    std::uint32_t expert = in.replaced(i + 1);
+    if (rank > MaxMapDimension ||
+        expert > std::numeric_limits<ExpertNumber>::max())
+      return std::nullopt;
+    out.push_back({static_cast<std::uint32_t>(rank),
+                   static_cast<std::uint32_t>(number / places % sets),
+                   static_cast<std::uint32_t>(number % places),
+                   static_cast<ExpertNumber>(expert)});
+  }
+  return out;
+}
+
 /// A base of 0 stands for a dealt map, whose shape comes first.
 static void putDelta(const MapDelta &in, wire::MapOrder &out) {
   out.set_base(in.Dealt ? 0 : in.Base.get());
@@ -153,6 +206,7 @@
     out.add_map(static_cast<std::uint32_t>(it.Experts.size()));
     out.mutable_map()->Add(it.Experts.begin(), it.Experts.end());
   }
+  putReplaced(in.Replaced, out);
 }
 
 /// Nothing if no group has such a shape.
@@ -186,6 +240,10 @@
     out.Sets.push_back({it[0], it[1], {experts, experts + it[2]}});
     it = experts + it[2];
   }
+  auto replaced = getReplaced(in);
+  if (!replaced)
+    return std::nullopt;
+  out.Replaced = std::move(*replaced);
   return out;
 }
 
