Tell a group's first map by the places that it fills

Cause: a group is formed with free places, so its first map has one more expert in nearly every set of a rank, and such sets went whole: ten bytes a place to each of 62 agents.

--- a/include/ospreyspur/Experts/MapOrder.h
+++ b/include/ospreyspur/Experts/MapOrder.h
@@ -44,7 +44,7 @@
   std::vector<ExpertNumber> Experts;
 };
 
-/// One place of a rank and set that another expert takes.
+/// One place of a rank and set that another expert takes, or its next one.
 struct ReplacedExpert {
   std::uint32_t Rank = 0;
   std::uint32_t Set = 0;
@@ -65,10 +65,13 @@
 struct MapDelta {
   /// The map that was told before; not used if there is a Dealt one.
   MapVersion Base;
-  /// Sets of which a rank holds more or fewer experts.
+  /// Sets of which a rank holds fewer experts.
   std::vector<RankSet> Sets;
   std::optional<DealtShape> Dealt = std::nullopt;
-  /// Places of all other sets, by rank, set and place.
+  /// Places of all other sets, by rank, set and place. A place beyond those of
+  /// the other map is one more: a group's first map fills its free places, one
+  /// in each set of a rank, and told by whole sets it took 0.54 s to go out to
+  /// 63 ranks on a link of 8 Mbit/s.
   std::vector<ReplacedExpert> Replaced = {};
 };
 
--- a/lib/Experts/MapDelta.cpp
+++ b/lib/Experts/MapDelta.cpp
@@ -20,12 +20,12 @@
 static void addDifference(std::uint32_t rank, std::uint32_t setNumber,
                           const std::vector<ExpertNumber> &base,
                           const std::vector<ExpertNumber> &set, MapDelta &out) {
-  if (base.size() != set.size()) {
+  if (base.size() > set.size()) {
     out.Sets.push_back({rank, setNumber, set});
     return;
   }
   for (std::uint32_t place = 0; place < set.size(); ++place)
-    if (base[place] != set[place])
+    if (place >= base.size() || base[place] != set[place])
       out.Replaced.push_back({rank, setNumber, place, set[place]});
 }
 
@@ -139,9 +139,13 @@
     map[it.Rank][it.Set] = it.Experts;
   }
   for (const ReplacedExpert &it : delta.Replaced) {
-    if (!hasSet(it.Rank, it.Set) || it.Place >= map[it.Rank][it.Set].size())
+    if (!hasSet(it.Rank, it.Set) || it.Place > map[it.Rank][it.Set].size())
       return false;
-    map[it.Rank][it.Set][it.Place] = it.Expert;
+    std::vector<ExpertNumber> &experts = map[it.Rank][it.Set];
+    if (it.Place == experts.size())
+      experts.push_back(it.Expert);
+    else
+      experts[it.Place] = it.Expert;
   }
   return true;
 }
--- a/unittests/Experts/MapDeltaTest.cpp
+++ b/unittests/Experts/MapDeltaTest.cpp
@@ -76,6 +76,8 @@
     map[rank][rank % Sets].push_back((rank * 7) % AllExperts);
   SentMaps sent;
   MapOrder order = sent.shorten(3, Link, prepare(9, map), 0);
+  // Three bytes a place; by whole sets ten.
+  CHECK(bytesOf(order) < Size * 4 + 32);
   CHECK(bytesOf(order) < whole / 3);
   // Over the wire and back.
   wire::Message bytes;
@@ -196,7 +198,7 @@
   CHECK_FALSE(told.complete(beyond));
   for (ReplacedExpert it :
        {ReplacedExpert{Ranks, 0, 0, 1}, ReplacedExpert{0, Sets, 0, 1},
-        ReplacedExpert{0, 0, 5, 1}}) {
+        ReplacedExpert{0, 0, 6, 1}}) {
     MapOrder other = order;
     other.Delta.emplace(MapDelta{MapVersion(4), {}, std::nullopt, {it}});
     CHECK_FALSE(told.complete(other));
