--- a/include/ospreyspur/Experts/DemandMeter.h
+++ b/include/ospreyspur/Experts/DemandMeter.h
@@ -82,10 +82,10 @@
   DemandLimits Limits;
   std::vector<double> Demand;
   TimePoint FadedAt;
-  /// The last samples, which are not yet in Demand, and their sum.
+  /// The last samples, which Demand has too, and their sum.
   std::deque<Counts> Last;
   std::vector<double> LastSum;
-  /// How far the last samples are apart from Demand on average.
+  /// How far the last samples are apart from those before, on average.
   double Usual = 0;
   std::size_t Compared = 0;
   std::uint64_t Changes = 0;
--- a/include/ospreyspur/Experts/MapOrder.h
+++ b/include/ospreyspur/Experts/MapOrder.h
@@ -70,7 +70,7 @@
   std::optional<DealtShape> Dealt = std::nullopt;
   /// Places of all other sets, by rank, set and place. A place beyond those of
   /// the other map is one more: a group's first map fills its free places, one
-  /// in each set of a rank, and told by whole sets it took 0.54 s to go out to
+  /// in each set of a rank, and told by whole sets it took 0.48 s to go out to
   /// 63 ranks on a link of 8 Mbit/s.
   std::vector<ReplacedExpert> Replaced = {};
 };
