Say what a request is known by, and which attempt its endpoint cut

Cause: the log could not tell apart the hypotheses on the record: one request that ends whoever runs it comes again under another id, and an attempt that was cut by its endpoint looked like one that this process ended.

No decision changes.

--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -86,6 +86,8 @@
   Duration StopLimit{};
   Duration StopNotice{};
   RetryBounds Retries;
+  /// Under which requests are digested; the same at all entries.
+  std::string DigestKey;
 
   /// Load reports from the other entries: the first of the peer ports, on the
   /// host of the links.
--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -10,6 +10,7 @@
 
 #include "ospreyspur/Direct/EndpointRecord.h"
 #include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Support/Digest.h"
 #include "ospreyspur/Support/ResultCode.h"
 
 #include <memory>
@@ -40,6 +41,8 @@
   /// What the caller says is left; nothing if it says nothing.
   std::optional<Duration> TimeLeft;
   TokenCounts Tokens;
+  /// What it is known by when it comes again; 0: never.
+  RequestDigest Digest;
 };
 
 /// How an attempt at an endpoint ended.
@@ -60,6 +63,14 @@
   BrokeOff,
 };
 
+/// Who ended an attempt's connection.
+enum class ConnectionEnd : std::uint8_t {
+  /// It stands, or this process closed it.
+  Ours,
+  /// The endpoint closed or reset it before its answer was whole.
+  Endpoint,
+};
+
 /// Send the request to this endpoint.
 struct StartAttempt {
   CallId Call;
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -38,6 +38,8 @@
 
   /// Runs to the end.
   boost::asio::awaitable<AttemptEnd> run();
+  /// Who ended the connection, once it has run.
+  ConnectionEnd connectionEnd() const { return Ended; }
 
 private:
   using Parser =
@@ -52,6 +54,7 @@
   boost::asio::awaitable<bool> passOn(std::string events);
   boost::asio::awaitable<boost::system::error_code> readSome(std::string &data);
   AttemptEnd endOfBroken() const;
+  void noteError(const boost::system::error_code &ec);
   void watchSilence(Duration pause);
   void onSilenceTimer();
   void keepConnection();
@@ -70,6 +73,7 @@
   std::optional<TimePoint> ReadingSince;
   std::optional<Parser> Answer;
   EndpointAnswer Head;
+  ConnectionEnd Ended = ConnectionEnd::Ours;
   HttpResponse CallerHead;
 };
 
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -58,6 +58,8 @@
   }
   boost::asio::awaitable<void> askEndpoint(EndpointRecord endpoint);
   void logWaits();
+  static void logCut(const DirectCall &call, const StartAttempt &order,
+                     AttemptEnd end, Duration ran);
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
   void closeUnused();
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -198,6 +198,10 @@
   retries.Window = secondsToDuration(
       reader.readFraction("direct.retry_window_s", 10, 1, MaxGrace,
                           "the window in which repeated arrivals count"));
+  out.DigestKey = reader.readText(
+      "direct.digest_key", "",
+      "key of the digests by which requests that end endpoints are known; the "
+      "same at all entries");
   return out;
 }
 
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -82,6 +82,7 @@
   Connection->Stream.expires_at(toSteady(Order.Deadline));
   auto [ec, n] =
       co_await http::async_write(Connection->Stream, request, AsTuple);
+  noteError(ec);
   co_return !ec;
 }
 
@@ -97,6 +98,7 @@
     auto [ec, n] = co_await http::async_read_header(
         Connection->Stream, Connection->Buffer, *Answer, AsTuple);
     ReadingSince.reset();
+    noteError(ec);
     if (ec)
       co_return false;
     HttpResponse head;
@@ -150,6 +152,7 @@
   auto [ec, n] = co_await http::async_read_some(
       Connection->Stream, Connection->Buffer, *Answer, AsTuple);
   ReadingSince.reset();
+  noteError(ec);
   data.assign(bytes.data(), bytes.size() - body.size);
   if (ec == http::error::need_buffer)
     ec = {};
@@ -231,6 +234,15 @@
   co_return isSent && !Call.IsCallerGone;
 }
 
+/// Whether the endpoint closed or reset the connection; closing it here gives
+/// other errors.
+void DirectAttempt::noteError(const boost::system::error_code &ec) {
+  if (ec == asio::error::eof || ec == asio::error::connection_reset ||
+      ec == asio::error::broken_pipe || ec == http::error::end_of_stream ||
+      ec == http::error::partial_message)
+    Ended = ConnectionEnd::Endpoint;
+}
+
 /// A part of an event that came is dropped; another run sends it whole.
 AttemptEnd DirectAttempt::endOfBroken() const {
   Call.Events.dropRest();
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -160,6 +160,9 @@
   }
   out.TimeLeft = headers.TimeLeft;
   out.Tokens = headers.Tokens;
+  out.Digest = digestRequest(
+      Settings.DigestKey, {std::string(request.method_string()), headers.Host,
+                           target, out.Workspace.get(), request.body()});
   out.Id = CallId(++LastCall);
   return out;
 }
@@ -258,16 +261,31 @@
       apply(std::move(actions));
   };
   auto onSilence = [this, id] { apply(Node.onSilent(id, monotonicNow())); };
+  TimePoint began = monotonicNow();
   DirectAttempt running(Pool, exchange, call, order, {onData, onSilence});
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
   Measures.set("requests_waiting", double(Node.waitingCount()));
   if (call.IsCallerGone)
     co_return;
+  if (running.connectionEnd() == ConnectionEnd::Endpoint)
+    logCut(call, order, end, monotonicNow() - began);
   call.IsAnswered = end == AttemptEnd::Complete;
   apply(Node.onAttemptEnded(id, end, monotonicNow()));
 }
 
+/// One line for each attempt whose endpoint closed the connection before its
+/// answer was whole.
+void DirectTraffic::logCut(const DirectCall &call, const StartAttempt &order,
+                           AttemptEnd end, Duration ran) {
+  LOG(INFO) << LogEvent("attempt.cut")
+                   .with("id", call.Request.Label)
+                   .with("digest", toHex(call.Request.Digest))
+                   .with("endpoint", order.Endpoint.Id.get())
+                   .with("end", wordOf(end))
+                   .with("ran_ms", toMillis(ran));
+}
+
 void DirectTraffic::apply(DirectActions actions) {
   Loads.onChange();
   for (DirectAction &action : actions)
@@ -362,6 +380,7 @@
     Measures.observe("first_byte", *call.FirstByte - call.Arrived);
   LOG(INFO) << LogEvent("request.done")
                    .with("id", call.Request.Label)
+                   .with("digest", toHex(call.Request.Digest))
                    .with("route", call.Request.Route->Name)
                    .with("version", call.Request.Config->Version)
                    .with("code", static_cast<unsigned>(code))
