--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -15,6 +15,7 @@
 #include "ospreyspur/Direct/EndpointList.h"
 #include "ospreyspur/Direct/FleetConfig.h"
 #include "ospreyspur/Direct/NodeRegistry.h"
+#include "ospreyspur/Direct/QuarantineStore.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Process/PeerLinks.h"
 #include "ospreyspur/Rpc/PeerServer.h"
@@ -31,6 +32,8 @@
   std::shared_ptr<const FleetConfig> Config;
   std::vector<ListedEndpoint> Endpoints;
   std::vector<NodeRecord> Nodes;
+  /// Requests that were quarantined before this process began; once.
+  std::vector<RequestDigest> Restored;
 };
 
 /// How values spread on the direct path: up to eight entries of a data centre
@@ -52,6 +55,10 @@
   /// Closes the links.
   void stop() { Server.stop(); }
 
+  /// What the traffic side has quarantined, and what it has cleared since.
+  void setQuarantine(std::vector<RequestDigest> quarantined,
+                     const std::vector<RequestDigest> &cleared);
+
   /// Whether a snapshot has been published.
   bool isReady() const { return HasPublished; }
 
@@ -59,6 +66,7 @@
   void onTimer();
   void onRegistryTimer();
   void onListTimer();
+  void onQuarantineTimer();
   void apply(const GossipActions &actions);
   void perform(const SendDigestTo &action);
   void perform(const SendUpdateTo &action);
@@ -80,6 +88,8 @@
   ListReader Reader;
   GossipNode Node;
   NodeRegistry Registry;
+  QuarantineStore Quarantine;
+  std::vector<RequestDigest> Restored;
   EndpointList Endpoints;
   std::shared_ptr<const FleetConfig> Config;
   bool HasEndpoints = false;
@@ -87,6 +97,7 @@
   NodeTimer Timer;
   NodeTimer RegistryTimer;
   NodeTimer ListTimer;
+  NodeTimer QuarantineTimer;
   PeerServer Server;
   PeerLinks Peers;
 };
--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -71,6 +71,16 @@
   Endpoint,
 };
 
+/// What became of an endpoint that cut an answer.
+enum class EndpointFate : std::uint8_t {
+  /// It takes connections, in the same life.
+  Alive,
+  /// Nothing listens there, or a later life does.
+  Ended,
+  /// It could not be asked.
+  Unknown,
+};
+
 /// Send the request to this endpoint.
 struct StartAttempt {
   CallId Call;
@@ -101,6 +111,8 @@
   TooSlow,
   /// Nothing has come for longer than it may take.
   Silent,
+  /// The request ends endpoints; it goes nowhere else either.
+  Quarantined,
 };
 
 /// Break the attempt under way off; the call goes on elsewhere.
@@ -118,6 +130,11 @@
   EndpointRecord Endpoint;
 };
 
+/// Find out whether this endpoint has ended; onChecked() takes the answer.
+struct CheckEndpoint {
+  EndpointRecord Endpoint;
+};
+
 /// What an endpoint says of itself when asked.
 struct EndpointCondition {
   /// The group whose steps it takes part in; empty if there is none.
@@ -131,8 +148,8 @@
 };
 
 /// One output of the direct path's state machine.
-using DirectAction =
-    std::variant<StartAttempt, EndCall, PassOnAnswer, AskEndpoint, StopAttempt>;
+using DirectAction = std::variant<StartAttempt, EndCall, PassOnAnswer,
+                                  AskEndpoint, CheckEndpoint, StopAttempt>;
 using DirectActions = std::vector<DirectAction>;
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -10,6 +10,8 @@
 #ifndef OSPREYSPUR_DIRECT_DIRECTNODE_H
 #define OSPREYSPUR_DIRECT_DIRECTNODE_H
 
+#include "ospreyspur/Direct/CrashNote.h"
+#include "ospreyspur/Direct/CrashTracker.h"
 #include "ospreyspur/Direct/EndpointPicker.h"
 
 #include <map>
@@ -48,7 +50,19 @@
   /// is stopped if the call can go on elsewhere at once; else it may go on.
   DirectActions onSilent(CallId id, TimePoint now);
   /// The attempt under way has ended.
-  DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now);
+  DirectActions onAttemptEnded(CallId id, AttemptEnd end, TimePoint now,
+                               ConnectionEnd connection = ConnectionEnd::Ours);
+  /// The answer to CheckEndpoint.
+  DirectActions onChecked(const EndpointId &id, EndpointFate fate,
+                          TimePoint now);
+  /// What the entry \p peer knows of requests under which endpoints ended.
+  DirectActions onCrashReport(const std::string &peer,
+                              const CrashReport &report, TimePoint now);
+  /// Requests that had been quarantined before this process began.
+  DirectActions restoreQuarantine(const std::vector<RequestDigest> &requests,
+                                  TimePoint now);
+  /// What to tell the other entries of such requests now.
+  CrashReport takeCrashReport(TimePoint now);
   /// What an endpoint told that was asked; nothing if it did not answer.
   DirectActions onTold(const EndpointId &id,
                        const std::optional<EndpointCondition> &condition,
@@ -60,17 +74,43 @@
 
   /// The requests that began to wait since the last call, for the log.
   std::vector<WaitNote> takeWaitNotes() { return std::exchange(Notes, {}); }
+  /// The ends of endpoints that were put down to requests since the last call,
+  /// for the log.
+  std::vector<CrashNote> takeCrashNotes() {
+    return std::exchange(CrashNotes, {});
+  }
 
   // Queries.
 
   std::optional<TimePoint> nextTimer() const;
   const EndpointBook &book() const { return Book; }
+  const CrashTracker &crashes() const { return Crashes; }
   /// Whether the call still has no final answer.
   bool isKnown(CallId id) const { return Calls.contains(id); }
   std::size_t callCount() const { return Calls.size(); }
   std::size_t waitingCount() const { return Waiting.size(); }
 
 private:
+  /// A request that was cut, until its endpoint's fate is known.
+  struct CutRun {
+    RequestDigest Request;
+    std::string Label;
+    ServiceId Service;
+    Duration Ran{};
+  };
+
+  /// Suspects under way in a report: one a place of this entry's at most.
+  static constexpr std::size_t MaxToldRuns = 64;
+
+  void noteCut(const CallState &call, TimePoint now);
+  void noteCrash(const EndpointId &id, const CutRun &run, TimePoint now);
+  void judgeCrashes(TimePoint now);
+  void quarantine(RequestDigest request, bool isTold, TimePoint now);
+  bool isSuspect(const CallState &call) const;
+  bool mustStandBack(const CallState &call, TimePoint now) const;
+  std::set<EndpointId> endpointsOfSuspects(const CallState &call,
+                                           TimePoint now) const;
+  void endQuarantined(RequestDigest request, TimePoint now);
   void startOrWait(CallState &call, TimePoint now);
   void wait(const CallState &call, TimePoint now);
   void noteWait(const CallState &call, TimePoint now);
@@ -111,6 +151,10 @@
   /// Calls whose attempt under way is silent.
   std::set<CallId> Silent;
   std::vector<WaitNote> Notes;
+  CrashTracker Crashes;
+  /// What was cut at endpoints whose fate is being asked.
+  std::map<EndpointId, std::vector<CutRun>> Checks;
+  std::vector<CrashNote> CrashNotes;
   DirectActions Out;
 };
 
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -16,6 +16,7 @@
 
 #include <cstddef>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace ospreyspur {
@@ -32,6 +33,17 @@
 
   /// The endpoint for \p call; null if none has room for it.
   const EndpointState *pick(const CallState &call, TimePoint now) const;
+  /// The endpoint for a call whose request may end it: away from \p others,
+  /// where other such requests run, and in the group that has the least to
+  /// lose. Null if there is none; with \p mustBeApart also if others run at
+  /// each.
+  const EndpointState *pickApart(const CallState &call,
+                                 const std::set<EndpointId> &others,
+                                 bool mustBeApart, TimePoint now) const;
+  /// Endpoints of \p service.
+  std::size_t countEndpoints(const ServiceId &service) const {
+    return statesOf(service).size();
+  }
   /// Whether the rest of a usual answer to \p call would come from \p state's
   /// endpoint within its time. The service must have an engine.
   bool canFinish(const EndpointState &state, const CallState &call,
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -18,15 +18,23 @@
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Support/Metrics.h"
 
+#include <functional>
 #include <unordered_map>
+#include <vector>
 
 namespace ospreyspur {
 
 /// The traffic side; all functions run on its thread.
 class DirectTraffic {
 public:
+  /// The requests that are quarantined, and those that were cleared since.
+  using OnQuarantine = std::function<void(std::vector<RequestDigest>,
+                                          std::vector<RequestDigest>)>;
+
+  /// \p onQuarantine hears of each change of them.
   DirectTraffic(boost::asio::io_context &ioc, const DirectSettings &settings,
-                Metrics &metrics, std::uint64_t seed);
+                Metrics &metrics, std::uint64_t seed,
+                OnQuarantine onQuarantine = nullptr);
 
   /// Callers wait until the first snapshot is known, a short time at most.
   /// Errors: SettingInvalid.
@@ -49,6 +57,7 @@
                                        StartAttempt order);
   void apply(DirectActions actions);
   void perform(AskEndpoint &action);
+  void perform(CheckEndpoint &action);
   void perform(StopAttempt &action);
   /// Hands an action of a call to its coroutine.
   template <typename Action> void perform(Action &action) {
@@ -57,9 +66,13 @@
       it->second->Inbox.post(std::move(action));
   }
   boost::asio::awaitable<void> askEndpoint(EndpointRecord endpoint);
+  boost::asio::awaitable<void> checkEndpoint(EndpointRecord endpoint);
+  boost::asio::awaitable<EndpointFate> findFate(EndpointRecord endpoint);
+  void takeReport(const LoadReport &report);
   void logWaits();
   static void logCut(const DirectCall &call, const StartAttempt &order,
                      AttemptEnd end, Duration ran);
+  void logCrashes();
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
   void closeUnused();
@@ -68,6 +81,9 @@
   boost::asio::io_context &Context;
   const DirectSettings &Settings;
   Metrics &Measures;
+  OnQuarantine TellQuarantine;
+  /// The last change that it heard of.
+  std::uint64_t ToldChange = 0;
   DirectNode Node;
   NodeTimer Timer;
   EndpointPool Pool;
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -7,6 +7,7 @@
 #ifndef OSPREYSPUR_RPC_LOADCODEC_H
 #define OSPREYSPUR_RPC_LOADCODEC_H
 
+#include "ospreyspur/Direct/CrashReport.h"
 #include "ospreyspur/Direct/EndpointBook.h"
 
 #include <optional>
@@ -20,6 +21,8 @@
 struct LoadReport {
   std::string Node;
   std::vector<EndpointLoad> Loads;
+  /// Requests under which endpoints ended.
+  CrashReport Crashes;
 };
 
 std::string encodeLoad(const LoadReport &report);
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -16,6 +16,8 @@
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
+#include <utility>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
@@ -58,9 +60,10 @@
       Node(makeIdentity(settings), makeDirectGossipLimits(), seed),
       Registry({settings.Name, DataCentreId(settings.DataCentre),
                 settings.LinkListen, settings.loadListen()}),
-      Timer(ioc, [this] { onTimer(); }),
+      Quarantine(seed), Timer(ioc, [this] { onTimer(); }),
       RegistryTimer(ioc, [this] { onRegistryTimer(); }),
       ListTimer(ioc, [this] { onListTimer(); }),
+      QuarantineTimer(ioc, [this] { onQuarantineTimer(); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
                 asio::post(Context, [this, from, messages] {
                   for (const Message &it : messages)
@@ -82,6 +85,7 @@
   usePeers();
   onTimer();
   onRegistryTimer();
+  onQuarantineTimer();
   return boost::outcome_v2::success();
 }
 
@@ -115,6 +119,31 @@
   ListTimer.set(Endpoints.nextTimer());
 }
 
+void DirectControl::onQuarantineTimer() {
+  if (std::optional<KvCall> call = Quarantine.nextCall(monotonicNow()))
+    Platform.call(std::move(*call), CallTimeout, [this](const KvReply &reply) {
+      std::vector<RequestDigest> restored =
+          Quarantine.onReply(reply, monotonicNow());
+      LOG(INFO) << LogEvent("quarantine.synced")
+                       .with("code", static_cast<unsigned>(reply.Code))
+                       .with("revision", reply.At.get())
+                       .with("stored", Quarantine.stored().size())
+                       .with("restored", restored.size());
+      if (!restored.empty()) {
+        Restored = std::move(restored);
+        publish();
+      }
+      onQuarantineTimer();
+    });
+  QuarantineTimer.set(Quarantine.nextTimer());
+}
+
+void DirectControl::setQuarantine(std::vector<RequestDigest> quarantined,
+                                  const std::vector<RequestDigest> &cleared) {
+  Quarantine.setOwn(std::move(quarantined), cleared, monotonicNow());
+  QuarantineTimer.set(Quarantine.nextTimer());
+}
+
 void DirectControl::apply(const GossipActions &actions) {
   for (const GossipAction &action : actions)
     std::visit([this](const auto &it) { perform(it); }, action);
@@ -243,6 +272,7 @@
   snapshot->Config = Config;
   snapshot->Endpoints = Endpoints.endpoints();
   snapshot->Nodes = Registry.others();
+  snapshot->Restored = std::exchange(Restored, {});
   HasPublished = true;
   OnSnapshot(std::move(snapshot));
 }
--- /dev/null
+++ b/lib/Direct/CrashTracker.cpp
@@ -0,0 +1,412 @@
+//===- CrashTracker.cpp - requests under which endpoints ended ------------===//
+//
+// See CrashTracker.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/CrashTracker.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+using namespace ospreyspur;
+
+/// Ends around each that are taken for given beside those that were seen: ends
+/// come in waves, and the first ones of a wave look like a quiet time.
+static constexpr double UnseenEnds = 2;
+
+void CrashTracker::onCrash(RequestDigest request, LifeDigest life, Duration ran,
+                           std::size_t endpoints, TimePoint now) {
+  if (request == RequestDigest())
+    return;
+  addLife(life, now);
+  auto known = Rows.find(request);
+  bool isQuarantined = known != Rows.end() && known->second.QuarantinedAt;
+  if (isQuarantined) {
+    known->second.SeenAt = now;
+    Lives.at(life).IsExplained = true;
+    return;
+  }
+  if (Lives.at(life).IsExplained)
+    return;
+  Row &row = rowOf(request, now);
+  row.SeenAt = now;
+  row.Endpoints = std::max<std::size_t>(endpoints, 1);
+  if (!addCrash(row, {life, now, ran}))
+    return;
+  row.Tellings = Limits.Tellings;
+  row.JudgeAt = now + Limits.SettleTime;
+}
+
+void CrashTracker::onWhole(RequestDigest request, TimePoint now) {
+  auto it = Rows.find(request);
+  if (it == Rows.end())
+    return;
+  Row &row = it->second;
+  if (row.Crashes.empty() && !row.QuarantinedAt)
+    return;
+  clear(row, now);
+  row.Tellings = Limits.Tellings;
+}
+
+void CrashTracker::onSeen(RequestDigest request, TimePoint now) {
+  auto it = Rows.find(request);
+  if (it != Rows.end())
+    it->second.SeenAt = now;
+}
+
+std::vector<RequestDigest> CrashTracker::merge(const std::string &peer,
+                                               const CrashReport &report,
+                                               TimePoint now) {
+  std::erase_if(Peers, [&](const auto &it) {
+    return now - it.second.At >= Limits.PeerRunAge;
+  });
+  if (!report.Runs.empty())
+    Peers[peer] = {now, report.Runs};
+  else
+    Peers.erase(peer);
+  std::vector<RequestDigest> out;
+  for (const CrashRow &it : report.Rows)
+    if (mergeRow(it, now))
+      out.push_back(it.Request);
+  return out;
+}
+
+/// Returns whether the request is quarantined thereby.
+bool CrashTracker::mergeRow(const CrashRow &in, TimePoint now) {
+  if (in.Request == RequestDigest() || in.SeenAge >= Limits.KeepRows)
+    return false;
+  Row &row = rowOf(in.Request, now);
+  row.SeenAt = std::max(row.SeenAt, now - in.SeenAge);
+  row.Endpoints = std::max(row.Endpoints, in.Endpoints);
+  if (in.ClearedAge &&
+      now - *in.ClearedAge > row.ClearedAt.value_or(TimePoint()))
+    clear(row, now - *in.ClearedAge);
+  for (const CrashTold &it : in.Crashes) {
+    addLife(it.Life, now - it.Age);
+    if (Lives.at(it.Life).IsExplained)
+      continue;
+    if (addCrash(row, {it.Life, now - it.Age, it.Ran}) && !row.JudgeAt)
+      row.JudgeAt = now + Limits.SettleTime;
+  }
+  if (row.QuarantinedAt)
+    return false;
+  TimePoint cleared = row.ClearedAt.value_or(TimePoint());
+  if (in.QuarantinedAge && now - *in.QuarantinedAge > cleared) {
+    row.QuarantinedAt = now - *in.QuarantinedAge;
+    row.JudgeAt.reset();
+    ++Changes;
+    explain(in.Request, row);
+    return true;
+  }
+  if (row.Crashes.empty() && !row.ClearedAt)
+    Rows.erase(in.Request);
+  return false;
+}
+
+void CrashTracker::restore(const std::vector<RequestDigest> &requests,
+                           TimePoint now) {
+  for (RequestDigest it : requests) {
+    if (it == RequestDigest())
+      continue;
+    Row &row = rowOf(it, now);
+    if (row.QuarantinedAt || row.ClearedAt)
+      continue;
+    row.SeenAt = now;
+    row.QuarantinedAt = now;
+    ++Changes;
+  }
+}
+
+std::vector<CrashRow> CrashTracker::takeRows(TimePoint now) {
+  std::vector<CrashRow> out;
+  for (auto &[request, row] : Rows) {
+    if (row.Tellings == 0 || out.size() >= Limits.MaxReportRows)
+      continue;
+    --row.Tellings;
+    out.push_back(tell(request, row, now));
+  }
+  if (Rows.empty() || now < RefreshAt)
+    return out;
+  RefreshAt = now + Limits.RefreshEvery;
+  forget(now);
+  std::size_t n = std::min(Limits.RefreshRows, Rows.size());
+  for (std::size_t i = 0; i < n && out.size() < Limits.MaxReportRows; ++i) {
+    auto it = Rows.upper_bound(Refreshed);
+    if (it == Rows.end())
+      it = Rows.begin();
+    Refreshed = it->first;
+    out.push_back(tell(it->first, it->second, now));
+  }
+  return out;
+}
+
+CrashRow CrashTracker::tell(RequestDigest request, const Row &row,
+                            TimePoint now) const {
+  CrashRow out;
+  out.Request = request;
+  out.Endpoints = row.Endpoints;
+  out.SeenAge = now - row.SeenAt;
+  for (const Crash &it : row.Crashes)
+    out.Crashes.push_back({it.Life, now - it.At, it.Ran});
+  if (row.ClearedAt)
+    out.ClearedAge = now - *row.ClearedAt;
+  if (row.QuarantinedAt)
+    out.QuarantinedAge = now - *row.QuarantinedAt;
+  return out;
+}
+
+CrashStanding CrashTracker::standingOf(RequestDigest request) const {
+  auto it = Rows.find(request);
+  if (it == Rows.end())
+    return CrashStanding::Unknown;
+  if (it->second.QuarantinedAt)
+    return CrashStanding::Quarantined;
+  return it->second.Crashes.empty() ? CrashStanding::Unknown
+                                    : CrashStanding::Suspect;
+}
+
+unsigned CrashTracker::crashesOf(RequestDigest request) const {
+  auto it = Rows.find(request);
+  return it == Rows.end() ? 0
+                          : static_cast<unsigned>(it->second.Crashes.size());
+}
+
+double CrashTracker::chanceOf(RequestDigest request, TimePoint now) const {
+  auto it = Rows.find(request);
+  return it == Rows.end() ? 1 : chanceOf(it->second, now);
+}
+
+bool CrashTracker::runsElsewhere(RequestDigest request, TimePoint now) const {
+  return std::any_of(Peers.begin(), Peers.end(), [&](const auto &peer) {
+    const std::vector<SuspectRun> &runs = peer.second.Runs;
+    return now - peer.second.At < Limits.PeerRunAge &&
+           std::any_of(runs.begin(), runs.end(), [&](const SuspectRun &it) {
+             return it.Request == request;
+           });
+  });
+}
+
+bool CrashTracker::hasOtherSuspect(LifeDigest life, RequestDigest request,
+                                   TimePoint now) const {
+  return std::any_of(Peers.begin(), Peers.end(), [&](const auto &peer) {
+    const std::vector<SuspectRun> &runs = peer.second.Runs;
+    return now - peer.second.At < Limits.PeerRunAge &&
+           std::any_of(runs.begin(), runs.end(), [&](const SuspectRun &it) {
+             return it.Life == life && it.Request != request;
+           });
+  });
+}
+
+std::optional<TimePoint> CrashTracker::endOf(LifeDigest life) const {
+  auto it = Lives.find(life);
+  return it == Lives.end() ? std::nullopt : std::optional(it->second.At);
+}
+
+std::vector<RequestDigest> CrashTracker::quarantined() const {
+  std::vector<std::pair<TimePoint, RequestDigest>> found;
+  for (const auto &[request, row] : Rows)
+    if (row.QuarantinedAt)
+      found.emplace_back(row.SeenAt, request);
+  std::sort(found.rbegin(), found.rend());
+  std::vector<RequestDigest> out;
+  out.reserve(found.size());
+  for (const auto &[at, request] : found)
+    out.push_back(request);
+  return out;
+}
+
+std::vector<RequestDigest> CrashTracker::cleared() const {
+  std::vector<RequestDigest> out;
+  for (const auto &[request, row] : Rows)
+    if (row.ClearedAt && !row.QuarantinedAt)
+      out.push_back(request);
+  return out;
+}
+
+CrashTracker::Row &CrashTracker::rowOf(RequestDigest request, TimePoint now) {
+  auto it = Rows.find(request);
+  if (it != Rows.end())
+    return it->second;
+  makeRoom(now);
+  return Rows[request];
+}
+
+/// Callers choose the bodies, so any number of requests may be at a crash: what
+/// has the least against it goes first, then what came longest ago.
+void CrashTracker::makeRoom(TimePoint now) {
+  if (Rows.size() < Limits.MaxRows)
+    return;
+  forget(now);
+  if (Rows.size() < Limits.MaxRows)
+    return;
+  auto rank = [](const auto &it) {
+    const Row &row = it.second;
+    return std::tuple(row.QuarantinedAt.has_value(), row.Crashes.size(),
+                      row.SeenAt);
+  };
+  Rows.erase(std::min_element(
+      Rows.begin(), Rows.end(),
+      [&](const auto &a, const auto &b) { return rank(a) < rank(b); }));
+}
+
+/// Returns whether it is news.
+bool CrashTracker::addCrash(Row &row, const Crash &crash) {
+  bool isOver = row.ClearedAt && crash.At <= *row.ClearedAt;
+  bool isKnown =
+      std::any_of(row.Crashes.begin(), row.Crashes.end(),
+                  [&](const Crash &it) { return it.Life == crash.Life; });
+  if (isOver || isKnown || row.Crashes.size() >= Limits.MostCrashes)
+    return false;
+  row.Crashes.push_back(crash);
+  return true;
+}
+
+void CrashTracker::addLife(LifeDigest life, TimePoint at) {
+  auto [it, isNew] = Lives.try_emplace(life, Life{at});
+  it->second.At = std::min(it->second.At, at);
+  if (!isNew || Lives.size() <= Limits.MaxLives)
+    return;
+  auto oldest = Lives.end();
+  for (auto other = Lives.begin(); other != Lives.end(); ++other) {
+    bool isOwn = other->first == life;
+    if (!isOwn &&
+        (oldest == Lives.end() || other->second.At < oldest->second.At))
+      oldest = other;
+  }
+  Lives.erase(oldest);
+}
+
+std::vector<RequestDigest> CrashTracker::judge(TimePoint now) {
+  // Those with the most ends first: what they explain speaks against no other.
+  std::vector<std::pair<std::size_t, RequestDigest>> due;
+  for (auto &[request, row] : Rows) {
+    if (!row.JudgeAt || now < *row.JudgeAt)
+      continue;
+    row.JudgeAt.reset();
+    due.emplace_back(row.Crashes.size(), request);
+  }
+  std::sort(due.rbegin(), due.rend());
+  std::vector<RequestDigest> out;
+  for (const auto &[n, request] : due) {
+    auto it = Rows.find(request);
+    if (it == Rows.end() || !isProven(request, it->second, now))
+      continue;
+    it->second.QuarantinedAt = now;
+    it->second.Tellings = Limits.Tellings;
+    ++Changes;
+    explain(request, it->second);
+    out.push_back(request);
+  }
+  return out;
+}
+
+bool CrashTracker::isProven(RequestDigest request, const Row &row,
+                            TimePoint now) const {
+  std::size_t n = row.Crashes.size();
+  if (row.QuarantinedAt || n < 2)
+    return false;
+  return n >= Limits.MostCrashes ||
+         (!hasTwin(request, row) && chanceOf(row, now) <= Limits.Chance);
+}
+
+bool CrashTracker::isSettling(RequestDigest request) const {
+  auto it = Rows.find(request);
+  return it != Rows.end() && it->second.JudgeAt;
+}
+
+std::optional<TimePoint> CrashTracker::nextJudgement() const {
+  std::optional<TimePoint> next;
+  for (const auto &[request, row] : Rows)
+    if (row.JudgeAt && (!next || *row.JudgeAt < *next))
+      next = row.JudgeAt;
+  return next;
+}
+
+/// The lives that ended under \p row's request speak against no other one.
+void CrashTracker::explain(RequestDigest request, const Row &row) {
+  std::vector<LifeDigest> ended;
+  for (const Crash &it : row.Crashes) {
+    ended.push_back(it.Life);
+    if (auto life = Lives.find(it.Life); life != Lives.end())
+      life->second.IsExplained = true;
+  }
+  for (auto it = Rows.begin(); it != Rows.end();) {
+    Row &other = it->second;
+    bool isOther = it->first != request && !other.QuarantinedAt;
+    auto n =
+        !isOther ? 0 : std::erase_if(other.Crashes, [&](const Crash &crash) {
+          return std::find(ended.begin(), ended.end(), crash.Life) !=
+                 ended.end();
+        });
+    bool isDone = n > 0 && other.Crashes.empty() && !other.ClearedAt;
+    it = isDone ? Rows.erase(it) : std::next(it);
+  }
+}
+
+/// Whether another request was there at all the ends that \p row has: which of
+/// them it was only shows once they have run apart.
+bool CrashTracker::hasTwin(RequestDigest request, const Row &row) const {
+  auto wasAt = [](const Row &other, LifeDigest life) {
+    return std::any_of(other.Crashes.begin(), other.Crashes.end(),
+                       [&](const Crash &it) { return it.Life == life; });
+  };
+  return std::any_of(Rows.begin(), Rows.end(), [&](const auto &it) {
+    return it.first != request && !it.second.QuarantinedAt &&
+           std::all_of(
+               row.Crashes.begin(), row.Crashes.end(),
+               [&](const Crash &end) { return wasAt(it.second, end.Life); });
+  });
+}
+
+/// The product, over the ends under \p row's request, of the chance that an
+/// endpoint ends by itself during such a run. The rate is taken from all other
+/// unexplained ends around that one, so that a request raises its own not.
+double CrashTracker::chanceOf(const Row &row, TimePoint now) const {
+  using Seconds = std::chrono::duration<double>;
+  double chance = 1;
+  for (const Crash &crash : row.Crashes) {
+    TimePoint from = crash.At - Limits.RateSpan;
+    TimePoint until = std::min(crash.At + Limits.RateSpan, now);
+    auto others =
+        std::count_if(Lives.begin(), Lives.end(), [&](const auto &it) {
+          bool isOwn = std::any_of(
+              row.Crashes.begin(), row.Crashes.end(),
+              [&](const Crash &own) { return own.Life == it.first; });
+          return !isOwn && !it.second.IsExplained && it.second.At >= from &&
+                 it.second.At <= until;
+        });
+    double span = Seconds(until - from).count();
+    double rate =
+        (double(others) + UnseenEnds) / (double(row.Endpoints) * span);
+    double ran = Seconds(std::max(crash.Ran, Limits.ShortestRun)).count();
+    chance *= std::min(1.0, rate * ran);
+  }
+  return chance;
+}
+
+void CrashTracker::clear(Row &row, TimePoint at) {
+  row.ClearedAt = at;
+  row.JudgeAt.reset();
+  std::erase_if(row.Crashes, [at](const Crash &it) { return it.At <= at; });
+  if (!row.QuarantinedAt || *row.QuarantinedAt > at)
+    return;
+  row.QuarantinedAt.reset();
+  ++Changes;
+}
+
+void CrashTracker::forget(TimePoint now) {
+  std::erase_if(Rows, [&](const auto &it) {
+    const Row &row = it.second;
+    bool isOnlyCleared = row.Crashes.empty() && !row.QuarantinedAt;
+    TimePoint cleared = row.ClearedAt.value_or(TimePoint());
+    bool isOver = now - row.SeenAt >= Limits.KeepRows ||
+                  (isOnlyCleared && now - cleared >= Limits.KeepCleared);
+    Changes += isOver && row.QuarantinedAt ? 1 : 0;
+    return isOver;
+  });
+  std::erase_if(Lives, [&](const auto &it) {
+    return now - it.second.At >= Limits.KeepRows;
+  });
+}
--- a/lib/Direct/DirectMoves.cpp
+++ b/lib/Direct/DirectMoves.cpp
@@ -42,7 +42,7 @@
   const RouteRule &route = *call.Request.Route;
   std::size_t entries = Book.livePeers(now) + 1;
   bool mayMove = route.canResume() || (route.isRepeatable() && !call.HasBegun);
-  if (!mayMove || call.IsStopping || !mayTry(call, now) ||
+  if (!mayMove || call.IsStopping || isSuspect(call) || !mayTry(call, now) ||
       !Retries.canSpend(call.Service, entries, now))
     return false;
   const EndpointState *state = Picker.pick(call, now);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -43,6 +43,11 @@
       now + std::min(Limits.MaxWait, partOf(left, Limits.MaxWaitPart));
   call.Request = std::move(request);
   Retries.onRequest(call.Service, now);
+  Crashes.onSeen(call.Request.Digest, now);
+  if (Crashes.standingOf(call.Request.Digest) == CrashStanding::Quarantined) {
+    end(call, ResultCode::RequestQuarantined, Duration::zero());
+    return takeActions();
+  }
   Arrivals.onRequest(call.Service, now);
   startOrWait(call, now);
   return takeActions();
@@ -97,7 +102,8 @@
 }
 
 DirectActions DirectNode::onAttemptEnded(CallId id, AttemptEnd end,
-                                         TimePoint now) {
+                                         TimePoint now,
+                                         ConnectionEnd connection) {
   auto it = Calls.find(id);
   if (it == Calls.end() || !it->second.Current)
     return takeActions();
@@ -105,6 +111,10 @@
   const RouteRule &route = *call.Request.Route;
   bool isRepeatable = route.isRepeatable();
   noteEvidence(call, end, now);
+  if (connection == ConnectionEnd::Endpoint)
+    noteCut(call, now);
+  if (end == AttemptEnd::Complete || end == AttemptEnd::Failed)
+    Crashes.onWhole(call.Request.Digest, now);
   endAttempt(call);
   switch (end) {
   case AttemptEnd::Complete:
@@ -194,6 +204,7 @@
 
 DirectActions DirectNode::onTimer(TimePoint now) {
   Book.forgetFull(now);
+  judgeCrashes(now);
   ask(now);
   startWaiting(now);
   std::vector<CallId> late;
@@ -211,6 +222,7 @@
     if (due && (!next || *due < *next))
       next = due;
   };
+  include(Crashes.nextJudgement());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).waitLimit());
   if (!Waiting.empty())
@@ -245,7 +257,13 @@
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
-  const EndpointState *state = Picker.pick(call, now);
+  if (mustStandBack(call, now))
+    return false;
+  const EndpointState *state =
+      isSuspect(call)
+          ? Picker.pickApart(call, endpointsOfSuspects(call, now),
+                             Crashes.crashesOf(call.Request.Digest) > 1, now)
+          : Picker.pick(call, now);
   if (!state)
     return false;
   bool isRepeat = call.Arrivals > 0;
@@ -301,6 +319,10 @@
 /// once; cutting those would send their callers round again, and each may come
 /// back only once.
 void DirectNode::retry(CallState &call, ResultCode reason, TimePoint now) {
+  if (Crashes.standingOf(call.Request.Digest) == CrashStanding::Quarantined) {
+    end(call, ResultCode::RequestQuarantined, Duration::zero());
+    return;
+  }
   if (goOn(call, now))
     return;
   bool canTry = mayTry(call, now);
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -6,7 +6,9 @@
 
 #include "ospreyspur/Direct/EndpointPicker.h"
 
+#include <algorithm>
 #include <cmath>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -44,6 +46,36 @@
   return best;
 }
 
+const EndpointState *
+EndpointPicker::pickApart(const CallState &call,
+                          const std::set<EndpointId> &others, bool mustBeApart,
+                          TimePoint now) const {
+  std::vector<const EndpointState *> states = statesOf(call.Service);
+  std::shuffle(states.begin(), states.end(), Random);
+  // All ranks of a group stand still when one of them ends.
+  std::map<GroupId, unsigned> running;
+  for (const EndpointState *it : states)
+    if (!it->Group.get().empty())
+      running[it->Group] += Book.totalLoad(*it, now).Running;
+  const EndpointState *best = nullptr;
+  std::tuple<bool, bool, unsigned, unsigned> bestCost;
+  for (const EndpointState *it : states) {
+    bool isShared = others.contains(it->Record.Id);
+    if (obstacleAt(*it, call, now) != Obstacle::None ||
+        (isShared && mustBeApart))
+      continue;
+    auto group = running.find(it->Group);
+    std::tuple cost(isDoubtful(*it, now), isShared,
+                    group == running.end() ? 0 : group->second,
+                    Book.totalLoad(*it, now).Running);
+    if (best && cost >= bestCost)
+      continue;
+    best = it;
+    bestCost = cost;
+  }
+  return best;
+}
+
 std::vector<const EndpointState *>
 EndpointPicker::statesOf(const ServiceId &service) const {
   std::vector<const EndpointState *> out;
--- /dev/null
+++ b/lib/Direct/QuarantineStore.cpp
@@ -0,0 +1,137 @@
+//===- QuarantineStore.cpp - quarantined requests that last ---------------===//
+//
+// The value is the requests' digests in hex, with spaces between them.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/QuarantineStore.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+using namespace ospreyspur;
+
+static constexpr char QuarantineKey[] = "ospreyspur/quarantine";
+
+static std::string format(const std::vector<RequestDigest> &requests) {
+  std::string out;
+  for (RequestDigest it : requests)
+    out += (out.empty() ? "" : " ") + toHex(it);
+  return out;
+}
+
+/// What cannot be read is passed over.
+static std::vector<RequestDigest> parse(const std::string &text) {
+  std::vector<RequestDigest> out;
+  std::istringstream is(text);
+  for (std::string word; out.size() < QuarantineStore::MaxStored && is >> word;)
+    if (RequestDigest it = requestDigestOf(word); it != RequestDigest())
+      out.push_back(it);
+  return out;
+}
+
+static bool contains(const std::vector<RequestDigest> &requests,
+                     RequestDigest request) {
+  return std::find(requests.begin(), requests.end(), request) != requests.end();
+}
+
+void QuarantineStore::setOwn(std::vector<RequestDigest> quarantined,
+                             const std::vector<RequestDigest> &cleared,
+                             TimePoint now) {
+  Own = std::move(quarantined);
+  if (Own.size() > MaxStored)
+    Own.resize(MaxStored);
+  Cleared.clear();
+  for (RequestDigest it : cleared)
+    Cleared.insert(it);
+  if (!HasRead || IsCalling || !isBehind())
+    return;
+  std::uniform_int_distribution<Duration::rep> spread(0, WriteSpread.count());
+  TimePoint next = now + Duration(spread(Random));
+  if (DueAt && *DueAt <= next)
+    return;
+  DueAt = next;
+  IsFresh = false;
+}
+
+bool QuarantineStore::isBehind() const {
+  bool isMissing = std::any_of(Own.begin(), Own.end(), [&](RequestDigest it) {
+    return !contains(Stored, it);
+  });
+  return isMissing ||
+         std::any_of(Stored.begin(), Stored.end(),
+                     [&](RequestDigest it) { return Cleared.contains(it); });
+}
+
+std::vector<RequestDigest> QuarantineStore::merged() const {
+  std::vector<RequestDigest> out = Own;
+  for (RequestDigest it : Stored)
+    if (out.size() < MaxStored && !contains(out, it) && !Cleared.contains(it))
+      out.push_back(it);
+  return out;
+}
+
+std::optional<KvCall> QuarantineStore::nextCall(TimePoint now) {
+  if (IsCalling || !DueAt || now < *DueAt)
+    return std::nullopt;
+  DueAt.reset();
+  IsCalling = true;
+  if (!IsFresh)
+    return KvGet{QuarantineKey, false};
+  Writing = merged();
+  return KvPut{QuarantineKey, format(*Writing), At, LeaseSpan};
+}
+
+std::vector<RequestDigest> QuarantineStore::onReply(const KvReply &reply,
+                                                    TimePoint now) {
+  IsCalling = false;
+  std::optional<std::vector<RequestDigest>> written =
+      std::exchange(Writing, std::nullopt);
+  if (written && reply.Code == ResultCode::Ok) {
+    Stored = std::move(*written);
+    At = reply.At;
+    WrittenAt = now;
+    Pause = MinPause;
+    if (isBehind()) {
+      DueAt = now + MinPause;
+    } else if (!Own.empty()) {
+      DueAt = now + RewriteAfter;
+      IsFresh = false;
+    }
+    return {};
+  }
+  bool isRead = !written && (reply.Code == ResultCode::Ok ||
+                             reply.Code == ResultCode::NotFound);
+  bool isOverTaken = written && reply.Code == ResultCode::PlatformConflict;
+  if (!isRead && !isOverTaken) {
+    fail(now);
+    return {};
+  }
+  // Whoever wrote last renews the lease.
+  bool isOwn = isRead && reply.Code == ResultCode::Ok && reply.At == At &&
+               now - WrittenAt >= RewriteAfter;
+  take(reply);
+  bool isFirst = !std::exchange(HasRead, true);
+  IsFresh = true;
+  Pause = MinPause;
+  if (isBehind() || (isOwn && !Own.empty()))
+    DueAt = now;
+  return isFirst ? Stored : std::vector<RequestDigest>();
+}
+
+void QuarantineStore::take(const KvReply &reply) {
+  bool isAbsent = reply.Code == ResultCode::NotFound;
+  At = isAbsent ? Revision(0) : reply.At;
+  Stored = isAbsent ? std::vector<RequestDigest>() : parse(reply.Value);
+}
+
+void QuarantineStore::fail(TimePoint now) {
+  IsFresh = false;
+  DueAt = now + Pause;
+  Pause = std::min(Pause * 2, MaxPause);
+}
+
+std::optional<TimePoint> QuarantineStore::nextTimer() const {
+  return IsCalling ? std::nullopt : DueAt;
+}
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -48,7 +48,14 @@
 
 DirectProcess::DirectProcess(const DirectSettings &settings)
     : Settings(settings),
-      Traffic(Threads.traffic(), settings, Measures, std::random_device{}()),
+      Traffic(Threads.traffic(), settings, Measures, std::random_device{}(),
+              [this](std::vector<RequestDigest> quarantined,
+                     std::vector<RequestDigest> cleared) {
+                Threads.postToControl([this, own = std::move(quarantined),
+                                       cleared = std::move(cleared)]() mutable {
+                  Control.setQuarantine(std::move(own), cleared);
+                });
+              }),
       Control(Threads.control(), settings, std::random_device{}(),
               [this](std::shared_ptr<const DirectSnapshot> it) {
                 Threads.postToTraffic(
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -53,6 +53,19 @@
   return "";
 }
 
+/// The word for \p reason in the log.
+static const char *wordOf(MoveReason reason) {
+  switch (reason) {
+  case MoveReason::TooSlow:
+    return "too_slow";
+  case MoveReason::Silent:
+    return "silent";
+  case MoveReason::Quarantined:
+    return "quarantined";
+  }
+  return "";
+}
+
 static std::int64_t toMillis(Duration it) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
 }
@@ -75,20 +88,20 @@
 
 DirectTraffic::DirectTraffic(asio::io_context &ioc,
                              const DirectSettings &settings, Metrics &metrics,
-                             std::uint64_t seed)
+                             std::uint64_t seed, OnQuarantine onQuarantine)
     : Context(ioc), Settings(settings), Measures(metrics),
+      TellQuarantine(std::move(onQuarantine)),
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
       PoolTimer(ioc), StartTimer(ioc),
       Server(ioc, makeHttpLimits(CallerLimits()),
              [this](HttpExchange &it) { return handle(it); }),
       Loads(ioc, {[this] {
-                    return LoadReport{Settings.Name,
-                                      Node.book().ownLoads(monotonicNow())};
+                    TimePoint now = monotonicNow();
+                    return LoadReport{Settings.Name, Node.book().ownLoads(now),
+                                      Node.takeCrashReport(now)};
                   },
-                  [this](const LoadReport &it) {
-                    Node.setPeerLoad(it.Node, it.Loads, monotonicNow());
-                  }}) {}
+                  [this](const LoadReport &it) { takeReport(it); }}) {}
 
 Result<void> DirectTraffic::start() {
   closeUnused();
@@ -121,6 +134,7 @@
   Config = snapshot->Config;
   Server.setLimits(makeHttpLimits(Config->Limits));
   Node.setEndpoints(snapshot->Endpoints);
+  apply(Node.restoreQuarantine(snapshot->Restored, monotonicNow()));
   std::vector<std::string> peers;
   for (const NodeRecord &it : snapshot->Nodes)
     if (!it.LoadAddress.empty())
@@ -271,7 +285,7 @@
   if (running.connectionEnd() == ConnectionEnd::Endpoint)
     logCut(call, order, end, monotonicNow() - began);
   call.IsAnswered = end == AttemptEnd::Complete;
-  apply(Node.onAttemptEnded(id, end, monotonicNow()));
+  apply(Node.onAttemptEnded(id, end, monotonicNow(), running.connectionEnd()));
 }
 
 /// One line for each attempt whose endpoint closed the connection before its
@@ -291,6 +305,7 @@
   for (DirectAction &action : actions)
     std::visit([this](auto &it) { perform(it); }, action);
   logWaits();
+  logCrashes();
   Timer.set(Node.nextTimer());
 }
 
@@ -326,9 +341,7 @@
   LOG(INFO) << LogEvent("request.moved")
                    .with("id", it->second->Request.Label)
                    .with("endpoints", it->second->Endpoints)
-                   .with("reason", action.Reason == MoveReason::Silent
-                                       ? "silent"
-                                       : "too_slow")
+                   .with("reason", wordOf(action.Reason))
                    .with("gap_ms", toMillis(action.Gap))
                    .with("left_ms", toMillis(action.TimeLeft));
   it->second->Connection->Stream.close();
--- /dev/null
+++ b/unittests/Direct/MortalWorld.cpp
@@ -0,0 +1,390 @@
+//===- MortalWorld.cpp - entries before endpoints that end ----------------===//
+//
+// See MortalWorld.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Direct/MortalWorld.h"
+
+#include "Direct/NodeWorld.h"
+
+#include <algorithm>
+
+using namespace test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How long ranks of a group stand still before they cut what depends on one
+/// that has ended, how long a group is formed, and how long an endpoint is
+/// away.
+static constexpr milliseconds StallTime(1500);
+static constexpr milliseconds FormTime(600);
+static constexpr milliseconds LeastDownTime(3500);
+static constexpr milliseconds MostDownTime(6000);
+
+MortalWorld::MortalWorld(std::uint64_t seed, MortalSizes sizes)
+    : Time(seed, 0), Sizes(sizes) {
+  auto config = std::make_shared<FleetConfig>();
+  RouteRule route = makeRoute(RequestKind::Stream, 2, true);
+  route.Services = {{ServiceId("s"), 1}};
+  config->Routes.push_back(route);
+  EngineFigures engine;
+  engine.StepPerRequest = milliseconds(1);
+  engine.ReadTokensPerSecond = 70000;
+  config->Services.emplace(ServiceId("s"),
+                           ServiceRule{ServiceId("s"), 400, engine});
+  Config = std::move(config);
+  for (unsigned i = 0; i < sizes.Groups * sizes.Ranks; ++i) {
+    Endpoints.emplace_back();
+    Endpoints.back().Group = i / sizes.Ranks;
+  }
+  OpenAt.resize(sizes.Groups);
+  Entries.resize(sizes.Entries);
+  for (unsigned i = 0; i < sizes.Entries; ++i)
+    startEntry(i);
+  arriveInnocent();
+}
+
+EndpointRecord MortalWorld::recordOf(unsigned i) const {
+  EndpointRecord out;
+  out.Name = "e" + std::to_string(i);
+  out.Life = EndpointLife(Endpoints[i].Life);
+  out.Id = makeEndpointId(out.Name, out.Life);
+  out.Service = ServiceId("s");
+  out.DataCentre = DataCentreId("a");
+  out.Slots = Slots;
+  out.TellsState = true;
+  return out;
+}
+
+std::vector<ListedEndpoint> MortalWorld::list() const {
+  std::vector<ListedEndpoint> out;
+  for (unsigned i = 0; i < Endpoints.size(); ++i)
+    out.push_back({recordOf(i), false});
+  return out;
+}
+
+unsigned MortalWorld::indexOf(const EndpointId &id) const {
+  return unsigned(std::stoul(id.get().substr(1, id.get().find('@') - 1)));
+}
+
+void MortalWorld::startEntry(unsigned i) {
+  Entry &entry = Entries[i];
+  ++entry.Life;
+  entry.FrozenUntil = TimePoint();
+  entry.TimerAt = TimePoint();
+  entry.TroubleAt = Time.now();
+  entry.Node = std::make_unique<DirectNode>(DataCentreId("a"), DirectLimits(),
+                                            Time.below(1U << 30U));
+  entry.Node->setEndpoints(list());
+  deliver(i, entry.Life,
+          [this](DirectNode &it) { return it.onTimer(Time.now()); });
+  report(i, entry.Life);
+}
+
+void MortalWorld::publish() {
+  std::vector<ListedEndpoint> listed = list();
+  for (unsigned i = 0; i < Entries.size(); ++i)
+    toEntry(i, [this, listed](DirectNode &it) {
+      it.setEndpoints(listed);
+      return it.onTimer(Time.now());
+    });
+}
+
+/// After the way to an entry.
+void MortalWorld::toEntry(unsigned i,
+                          std::function<DirectActions(DirectNode &)> input) {
+  Time.at(Time.now() + between(milliseconds(1), milliseconds(3)),
+          [this, i, life = Entries[i].Life, input = std::move(input)] {
+            deliver(i, life, input);
+          });
+}
+
+void MortalWorld::deliver(
+    unsigned i, unsigned life,
+    const std::function<DirectActions(DirectNode &)> &input) {
+  Entry &entry = Entries[i];
+  if (entry.Life != life || !entry.Node)
+    return;
+  if (Time.now() < entry.FrozenUntil) {
+    Time.at(entry.FrozenUntil,
+            [this, i, life, input] { deliver(i, life, input); });
+    return;
+  }
+  for (const DirectAction &action : input(*entry.Node))
+    std::visit([&](const auto &it) { perform(i, it); }, action);
+  setTimer(i);
+}
+
+void MortalWorld::setTimer(unsigned i) {
+  Entry &entry = Entries[i];
+  std::optional<TimePoint> due = entry.Node->nextTimer();
+  if (!due || (entry.TimerAt > Time.now() && entry.TimerAt <= *due))
+    return;
+  // A node that asks for the past is called in the next moment.
+  entry.TimerAt = std::max(*due, Time.now() + milliseconds(1));
+  Time.at(entry.TimerAt, [this, i, life = entry.Life] {
+    deliver(i, life, [this](DirectNode &it) { return it.onTimer(Time.now()); });
+  });
+}
+
+void MortalWorld::report(unsigned i, unsigned life) {
+  Entry &entry = Entries[i];
+  if (entry.Life != life || !entry.Node)
+    return;
+  Time.at(Time.now() + milliseconds(50), [this, i, life] { report(i, life); });
+  if (Time.now() < entry.FrozenUntil)
+    return;
+  std::vector<EndpointLoad> loads = entry.Node->book().ownLoads(Time.now());
+  CrashReport crashes = entry.Node->takeCrashReport(Time.now());
+  std::string name = "n" + std::to_string(i);
+  for (unsigned k = 0; k < Entries.size(); ++k) {
+    if (k == i || Time.chance(Sizes.LostReports) ||
+        Time.now() < ReportsCutUntil)
+      continue;
+    toEntry(k, [this, name, loads, crashes](DirectNode &it) {
+      it.setPeerLoad(name, loads, Time.now());
+      return it.onCrashReport(name, crashes, Time.now());
+    });
+  }
+}
+
+void MortalWorld::arriveInnocent() {
+  auto pause = Duration(std::int64_t(1e6 / Sizes.InnocentPerSecond));
+  Time.at(Time.now() + between(Duration(0), 2 * pause), [this] {
+    call({RequestDigest(++LastInnocent), 0});
+    arriveInnocent();
+  });
+}
+
+void MortalWorld::addKiller(RequestDigest request, Duration meanPause) {
+  Killers.insert(request);
+  arriveKiller(request, meanPause);
+}
+
+void MortalWorld::arriveKiller(RequestDigest request, Duration meanPause) {
+  Time.at(Time.now() + between(Duration(0), 2 * meanPause),
+          [this, request, meanPause] {
+            call({request, 0});
+            arriveKiller(request, meanPause);
+          });
+}
+
+void MortalWorld::addWave(unsigned n, Duration span) {
+  for (unsigned i = 0; i < n; ++i)
+    Time.at(Time.now() + between(Duration(0), span),
+            [this] { end(unsigned(Time.below(Endpoints.size()))); });
+}
+
+void MortalWorld::call(Caller caller) {
+  auto i = unsigned(Time.below(Entries.size()));
+  CallId id(++LastCall);
+  ++caller.Tries;
+  Callers[id] = caller;
+  toEntry(i, [this, id, caller](DirectNode &it) {
+    DirectRequest request;
+    request.Id = id;
+    request.Config = Config;
+    request.Route = &Config->Routes.front();
+    request.TimeLeft = seconds(8);
+    request.Tokens.Prompt = 800;
+    request.Digest = caller.Request;
+    return it.onCall(std::move(request), Time.now());
+  });
+}
+
+/// Callers try once more, but for what they are told is of no use.
+void MortalWorld::onTold(CallId id, ResultCode code) {
+  auto it = Callers.find(id);
+  if (it == Callers.end())
+    return;
+  Caller caller = it->second;
+  Callers.erase(it);
+  ++(isKiller(caller.Request) ? KillerTold : InnocentTold)[code];
+  if (caller.Tries < 2)
+    Time.at(Time.now() + milliseconds(200), [this, caller] { call(caller); });
+}
+
+void MortalWorld::perform(unsigned i, const StartAttempt &it) {
+  Run run{i, Entries[i].Life, it.Call, Callers[it.Call].Request, false};
+  Time.at(
+      Time.now() + between(milliseconds(1), milliseconds(3)),
+      [this, run, id = it.Endpoint.Id] { onArrival(indexOf(id), run, id); });
+}
+
+void MortalWorld::onArrival(unsigned endpoint, const Run &run,
+                            const EndpointId &meant) {
+  Endpoint &it = Endpoints[endpoint];
+  if (!it.IsUp) {
+    endRun(run, AttemptEnd::NeverSent, ConnectionEnd::Ours);
+    return;
+  }
+  if (recordOf(endpoint).Id != meant) {
+    endRun(run, AttemptEnd::OtherEndpoint, ConnectionEnd::Ours);
+    return;
+  }
+  if (Time.now() - Entries[run.Entry].TroubleAt >= ContactTime)
+    Arrivals[run.Request].push_back(Time.now());
+  if (Time.now() < OpenAt[it.Group] || it.Runs.size() >= Slots) {
+    endRun(run, AttemptEnd::Full, ConnectionEnd::Ours);
+    return;
+  }
+  std::uint64_t number = ++LastRun;
+  it.Runs[number] = run;
+  unsigned life = it.Life;
+  Duration queued = between(milliseconds(30), milliseconds(250));
+  if (isKiller(run.Request)) {
+    Duration ran = queued + between(milliseconds(20), milliseconds(90));
+    Time.at(Time.now() + ran, [this, endpoint, number, life] {
+      Endpoint &there = Endpoints[endpoint];
+      auto found = there.Runs.find(number);
+      if (there.Life != life || found == there.Runs.end())
+        return;
+      Deaths[found->second.Request].push_back(Time.now());
+      end(endpoint);
+    });
+    return;
+  }
+  Time.at(Time.now() + queued, [this, endpoint, number, life] {
+    Endpoint &there = Endpoints[endpoint];
+    auto found = there.Runs.find(number);
+    if (there.Life != life || found == there.Runs.end() ||
+        Time.now() < OpenAt[there.Group])
+      return;
+    found->second.HasBegun = true;
+    CallId id = found->second.Call;
+    toEntry(found->second.Entry, [this, id](DirectNode &node) {
+      return node.onFirstByte(id, Time.now());
+    });
+  });
+  Duration ran = queued + between(milliseconds(400), milliseconds(1800));
+  Time.at(Time.now() + ran,
+          [this, endpoint, number, life] { finish(endpoint, number, life); });
+}
+
+void MortalWorld::finish(unsigned endpoint, std::uint64_t run, unsigned life) {
+  Endpoint &it = Endpoints[endpoint];
+  auto found = it.Runs.find(run);
+  // What stands still is cut by stall().
+  if (it.Life != life || found == it.Runs.end() ||
+      Time.now() < OpenAt[it.Group])
+    return;
+  Run done = found->second;
+  it.Runs.erase(found);
+  InnocentServed += Callers.erase(done.Call);
+  endRun(done, AttemptEnd::Complete, ConnectionEnd::Ours);
+}
+
+void MortalWorld::endRun(const Run &run, AttemptEnd end,
+                         ConnectionEnd connection) {
+  if (Entries[run.Entry].Life != run.EntryLife)
+    return;
+  toEntry(run.Entry, [this, run, end, connection](DirectNode &it) {
+    return it.onAttemptEnded(run.Call, end, Time.now(), connection);
+  });
+}
+
+/// The process at \p endpoint ends with all that it runs; its group stands
+/// still, and is formed anew when it is back.
+void MortalWorld::end(unsigned endpoint) {
+  Endpoint &it = Endpoints[endpoint];
+  if (!it.IsUp)
+    return;
+  it.IsUp = false;
+  for (const auto &[number, run] : std::exchange(it.Runs, {}))
+    endRun(run, run.HasBegun ? AttemptEnd::BrokeOff : AttemptEnd::Lost,
+           ConnectionEnd::Endpoint);
+  Duration down = between(LeastDownTime, MostDownTime);
+  TimePoint back = Time.now() + down;
+  OpenAt[it.Group] = std::max(OpenAt[it.Group], back + FormTime);
+  Time.at(Time.now() + StallTime, [this, group = it.Group] { stall(group); });
+  Time.at(back, [this, endpoint] {
+    Endpoints[endpoint].IsUp = true;
+    ++Endpoints[endpoint].Life;
+    publish();
+  });
+}
+
+void MortalWorld::stall(unsigned group) {
+  for (Endpoint &it : Endpoints) {
+    if (it.Group != group)
+      continue;
+    for (const auto &[number, run] : std::exchange(it.Runs, {}))
+      endRun(run, run.HasBegun ? AttemptEnd::BrokeOff : AttemptEnd::Full,
+             run.HasBegun ? ConnectionEnd::Endpoint : ConnectionEnd::Ours);
+  }
+}
+
+void MortalWorld::perform(unsigned /*i*/, const EndCall &it) {
+  onTold(it.Call, it.Code);
+}
+
+void MortalWorld::perform(unsigned i, const PassOnAnswer &it) {
+  onTold(it.Call, ResultCode::EndpointFailed);
+  toEntry(i, [this, id = it.Call](DirectNode &node) {
+    return node.onCallGone(id, Time.now());
+  });
+}
+
+void MortalWorld::perform(unsigned i, const AskEndpoint &it) {
+  Endpoint &there = Endpoints[indexOf(it.Endpoint.Id)];
+  std::optional<EndpointCondition> condition;
+  if (there.IsUp && recordOf(indexOf(it.Endpoint.Id)).Id == it.Endpoint.Id)
+    condition = EndpointCondition{GroupId("g" + std::to_string(there.Group)),
+                                  Time.now() >= OpenAt[there.Group],
+                                  unsigned(there.Runs.size()), 1};
+  toEntry(i, [this, id = it.Endpoint.Id, condition](DirectNode &node) {
+    return node.onTold(id, condition, Time.now());
+  });
+}
+
+void MortalWorld::perform(unsigned i, const CheckEndpoint &it) {
+  unsigned index = indexOf(it.Endpoint.Id);
+  bool isAlive = Endpoints[index].IsUp && recordOf(index).Id == it.Endpoint.Id;
+  EndpointFate fate = isAlive ? EndpointFate::Alive : EndpointFate::Ended;
+  toEntry(i, [this, id = it.Endpoint.Id, fate](DirectNode &node) {
+    return node.onChecked(id, fate, Time.now());
+  });
+}
+
+void MortalWorld::perform(unsigned i, const StopAttempt &it) {
+  for (Endpoint &endpoint : Endpoints)
+    for (auto run = endpoint.Runs.begin(); run != endpoint.Runs.end(); ++run) {
+      bool isIt = run->second.Call == it.Call && run->second.Entry == i &&
+                  run->second.EntryLife == Entries[i].Life;
+      if (!isIt)
+        continue;
+      Run stopped = run->second;
+      endpoint.Runs.erase(run);
+      endRun(stopped,
+             stopped.HasBegun ? AttemptEnd::BrokeOff : AttemptEnd::Lost,
+             ConnectionEnd::Ours);
+      return;
+    }
+}
+
+void MortalWorld::killEntry(unsigned i) {
+  Entry &entry = Entries[i];
+  ++entry.Life;
+  entry.Node.reset();
+  for (Endpoint &it : Endpoints)
+    std::erase_if(it.Runs,
+                  [&](const auto &run) { return run.second.Entry == i; });
+  Time.at(Time.now() + milliseconds(500), [this, i] {
+    if (!Entries[i].Node)
+      startEntry(i);
+  });
+}
+
+void MortalWorld::freezeEntry(unsigned i, Duration span) {
+  Entries[i].FrozenUntil = Time.now() + span;
+  Entries[i].TroubleAt = Time.now() + span;
+}
+
+std::size_t MortalWorld::mostInnocentArrivals() const {
+  std::size_t most = 0;
+  for (const auto &[request, times] : Arrivals)
+    if (!isKiller(request))
+      most = std::max(most, times.size());
+  return most;
+}
--- /dev/null
+++ b/unittests/Direct/MortalWorld.h
@@ -0,0 +1,153 @@
+//===- MortalWorld.h - entries before endpoints that end --------*- C++ -*-===//
+//
+// Whole DirectNodes on virtual time before groups of endpoints, each of which
+// ends when it runs a deadly request, or by itself. Entries hear of one another
+// late and not always; they are killed, replaced and frozen.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_UNITTESTS_DIRECT_MORTALWORLD_H
+#define OSPREYSPUR_UNITTESTS_DIRECT_MORTALWORLD_H
+
+#include "ospreyspur/Direct/DirectNode.h"
+
+#include "RandomScheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace test {
+
+using namespace ospreyspur;
+
+/// Sizes of a MortalWorld.
+struct MortalSizes {
+  unsigned Entries = 4;
+  unsigned Groups = 2;
+  unsigned Ranks = 8;
+  /// Reports between entries that are lost, of 100.
+  unsigned LostReports = 5;
+  double InnocentPerSecond = 50;
+};
+
+class MortalWorld {
+public:
+  MortalWorld(std::uint64_t seed, MortalSizes sizes);
+
+  /// From now on \p request comes again and again and ends what runs it.
+  void addKiller(RequestDigest request, Duration meanPause);
+  /// Endpoints end by themselves, \p n within \p span.
+  void addWave(unsigned n, Duration span);
+  void killEntry(unsigned i);
+  void freezeEntry(unsigned i, Duration span);
+  /// Entries hear nothing of each other until then.
+  void cutReports(Duration span) { ReportsCutUntil = Time.now() + span; }
+  void run(Duration span) { Time.runUntil(Time.now() + span); }
+
+  /// Times at which endpoints ended under \p request.
+  const std::vector<TimePoint> &deaths(RequestDigest request) {
+    return Deaths[request];
+  }
+  /// Times at which \p request reached an endpoint, sent by an entry that had
+  /// been at work for ContactTime.
+  const std::vector<TimePoint> &arrivals(RequestDigest request) {
+    return Arrivals[request];
+  }
+  /// How often innocent callers were told \p code.
+  unsigned innocentTold(ResultCode code) { return InnocentTold[code]; }
+  unsigned innocentServed() const { return InnocentServed; }
+  /// Most arrivals of one innocent request.
+  std::size_t mostInnocentArrivals() const;
+  /// Time between a killer's arrival at an entry and its final answer, at most,
+  /// after it was quarantined there.
+  unsigned killerTold(ResultCode code) { return KillerTold[code]; }
+  ospreyspur::test::RandomScheduler &time() { return Time; }
+  const DirectNode &node(unsigned i) const { return *Entries[i].Node; }
+
+private:
+  struct Entry {
+    std::unique_ptr<DirectNode> Node;
+    unsigned Life = 0;
+    TimePoint FrozenUntil;
+    TimePoint TimerAt;
+    /// It was started or woke then.
+    TimePoint TroubleAt;
+  };
+  struct Run {
+    unsigned Entry = 0;
+    unsigned EntryLife = 0;
+    CallId Call;
+    RequestDigest Request;
+    bool HasBegun = false;
+  };
+  struct Endpoint {
+    unsigned Group = 0;
+    unsigned Life = 1;
+    bool IsUp = true;
+    std::map<std::uint64_t, Run> Runs;
+  };
+  struct Caller {
+    RequestDigest Request;
+    unsigned Tries = 0;
+  };
+
+  static constexpr unsigned Slots = 12;
+  static constexpr Duration ContactTime = std::chrono::seconds(3);
+
+  bool isKiller(RequestDigest it) const { return Killers.contains(it); }
+  EndpointRecord recordOf(unsigned i) const;
+  std::vector<ListedEndpoint> list() const;
+  void publish();
+  void startEntry(unsigned i);
+  void toEntry(unsigned i, std::function<DirectActions(DirectNode &)> input);
+  void deliver(unsigned i, unsigned life,
+               const std::function<DirectActions(DirectNode &)> &input);
+  void setTimer(unsigned i);
+  void report(unsigned i, unsigned life);
+  void arriveInnocent();
+  void arriveKiller(RequestDigest request, Duration meanPause);
+  void call(Caller caller);
+  void onTold(CallId id, ResultCode code);
+  void perform(unsigned i, const StartAttempt &it);
+  void perform(unsigned i, const EndCall &it);
+  void perform(unsigned i, const PassOnAnswer &it);
+  void perform(unsigned i, const AskEndpoint &it);
+  void perform(unsigned i, const CheckEndpoint &it);
+  void perform(unsigned i, const StopAttempt &it);
+  void onArrival(unsigned endpoint, const Run &run, const EndpointId &meant);
+  void finish(unsigned endpoint, std::uint64_t run, unsigned life);
+  void end(unsigned endpoint);
+  void stall(unsigned group);
+  void endRun(const Run &run, AttemptEnd end, ConnectionEnd connection);
+  unsigned indexOf(const EndpointId &id) const;
+  Duration between(Duration least, Duration most) {
+    return least + Duration(Time.below(std::uint64_t((most - least).count())));
+  }
+
+  ospreyspur::test::RandomScheduler Time;
+  MortalSizes Sizes;
+  std::shared_ptr<const FleetConfig> Config;
+  std::vector<Entry> Entries;
+  std::vector<Endpoint> Endpoints;
+  /// When each group takes requests again.
+  std::vector<TimePoint> OpenAt;
+  std::set<RequestDigest> Killers;
+  std::map<CallId, Caller> Callers;
+  std::map<RequestDigest, std::vector<TimePoint>> Deaths;
+  std::map<RequestDigest, std::vector<TimePoint>> Arrivals;
+  std::map<ResultCode, unsigned> InnocentTold;
+  std::map<ResultCode, unsigned> KillerTold;
+  unsigned InnocentServed = 0;
+  TimePoint ReportsCutUntil;
+  std::uint64_t LastCall = 0;
+  std::uint64_t LastInnocent = 1000000;
+  std::uint64_t LastRun = 0;
+};
+
+} // namespace test
+
+#endif // OSPREYSPUR_UNITTESTS_DIRECT_MORTALWORLD_H
