Count the time that a host is suspended, in every decision and timer

What callers would see: after a host woke from a suspension its agent took a lease of three seconds for held that had run out long before, and gave orders beside its successor; entries took reports and loads for new; what had come due waited for as long again. Cause: the one clock was the standard library's steady one, which leaves the time of a suspension out, and the event loop's timers wait on it.

monotonicNow() reads CLOCK_BOOTTIME. NodeTimer and an attempt's timers are HostTimers: the event loop looks at that clock each 0.2 s at the latest, so that what passed meanwhile is noticed soon; handlers ask the clock again before they decide, as before. The deadline of an attempt was a time-out of its connection, on the steady clock; it has a timer of its own now.

Why it holds: all that is compared with now comes from one function, and no TimePoint goes to a timer of another clock any more. Time-outs of single calls to the store and of idle connections stay on the steady clock: they are spans from a start, end nothing that is right, and are late by a second or two at most.

Cost of the looks: not measured apart.

--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -11,8 +11,8 @@
 #include "ospreyspur/Direct/EndpointAnswer.h"
 #include "ospreyspur/Http/HttpExchange.h"
 #include "ospreyspur/Process/DirectCall.h"
+#include "ospreyspur/Process/HostTimer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -56,6 +56,7 @@
   AttemptEnd endOfBroken() const;
   void noteError(const boost::system::error_code &ec);
   void watchSilence(Duration pause);
+  void watchDeadline();
   void onSilenceTimer();
   void keepConnection();
 
@@ -65,7 +66,8 @@
   const StartAttempt &Order;
   AttemptHandlers Handlers;
   EndpointPool::Connection Connection;
-  std::optional<boost::asio::steady_timer> SilenceTimer;
+  std::optional<HostTimer> SilenceTimer;
+  std::optional<HostTimer> DeadlineTimer;
   /// Gone with this object, which a timer's handler may outlive.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   /// Since when the endpoint is waited for; nothing while a part of the answer
--- a/include/ospreyspur/Process/NodeTimer.h
+++ b/include/ospreyspur/Process/NodeTimer.h
@@ -7,9 +7,9 @@
 #ifndef OSPREYSPUR_PROCESS_NODETIMER_H
 #define OSPREYSPUR_PROCESS_NODETIMER_H
 
-#include "ospreyspur/Support/Time.h"
+#include "ospreyspur/Process/HostTimer.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <optional>
@@ -31,9 +31,7 @@
       Timer.cancel();
       return;
     }
-    Timer.expires_at(std::chrono::steady_clock::time_point(
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-            due->time_since_epoch())));
+    Timer.expires_at(*due);
     Timer.async_wait([this](boost::system::error_code ec) {
       if (ec)
         return;
@@ -43,7 +41,7 @@
   }
 
 private:
-  boost::asio::steady_timer Timer;
+  HostTimer Timer;
   std::function<void()> OnDue;
   std::optional<TimePoint> Due;
 };
--- a/include/ospreyspur/Support/Time.h
+++ b/include/ospreyspur/Support/Time.h
@@ -9,13 +9,14 @@
 #define OSPREYSPUR_SUPPORT_TIME_H
 
 #include <chrono>
+#include <ctime>
 
 namespace ospreyspur {
 
 /// All spans of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
-/// Tag of the process-local monotonic clock; deliberately without now().
+/// Tag of the host-local monotonic clock; deliberately without now().
 struct MonotonicClock {
   using rep = Duration::rep;
   using period = Duration::period;
@@ -26,13 +27,18 @@
   static constexpr bool is_steady = true;
 };
 
-/// A moment on this process's monotonic clock.
+/// A moment on this host's monotonic clock.
 using TimePoint = MonotonicClock::time_point;
 
-/// The present moment. For runtime shells only.
+/// The present moment. For runtime shells only. The clock also counts the time
+/// that its host was suspended, which the standard library's steady clock
+/// leaves out: leases, reports and deadlines run on meanwhile, and whoever
+/// wakes must find them as old as they are.
 inline TimePoint monotonicNow() {
-  auto n = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(n));
+  std::timespec it{};
+  ::clock_gettime(CLOCK_BOOTTIME, &it);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec)));
 }
 
 } // namespace ospreyspur
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -31,12 +31,6 @@
 static constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 static constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
 
-static std::chrono::steady_clock::time_point toSteady(TimePoint it) {
-  return std::chrono::steady_clock::time_point(
-      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-          it.time_since_epoch()));
-}
-
 DirectAttempt::DirectAttempt(EndpointPool &pool, HttpExchange &exchange,
                              DirectCall &call, const StartAttempt &order,
                              AttemptHandlers handlers)
@@ -54,6 +48,9 @@
   Call.Connection = Connection.get();
   if (Call.IsCallerGone)
     co_return AttemptEnd::NeverSent;
+  // Its time-outs are on a clock that leaves out suspensions.
+  Connection->Stream.expires_never();
+  watchDeadline();
   SilenceTimer.emplace(Connection->Stream.get_executor());
   watchSilence(Order.Silence);
   if (!co_await send() || !co_await readHead())
@@ -79,7 +76,6 @@
       Exchange.request(),
       {Order.Endpoint.Name, Call.Request.Workspace,
        Order.Deadline - monotonicNow(), Call.Events.lastId()});
-  Connection->Stream.expires_at(toSteady(Order.Deadline));
   auto [ec, n] =
       co_await http::async_write(Connection->Stream, request, AsTuple);
   noteError(ec);
@@ -93,7 +89,6 @@
     Answer->body_limit(MaxAnswerBytes);
     Answer->header_limit(MaxHeadBytes);
     Answer->skip(Exchange.request().method() == http::verb::head);
-    Connection->Stream.expires_at(toSteady(Order.Deadline));
     ReadingSince = monotonicNow();
     auto [ec, n] = co_await http::async_read_header(
         Connection->Stream, Connection->Buffer, *Answer, AsTuple);
@@ -115,6 +110,17 @@
   co_return false;
 }
 
+/// Closes the connection when the caller's time is over.
+void DirectAttempt::watchDeadline() {
+  DeadlineTimer.emplace(Connection->Stream.get_executor());
+  DeadlineTimer->expires_at(Order.Deadline);
+  DeadlineTimer->async_wait(
+      [this, alive = std::weak_ptr<bool>(Alive)](boost::system::error_code ec) {
+        if (!ec && !alive.expired() && Connection)
+          Connection->Stream.close();
+      });
+}
+
 /// Looks after \p pause how long the endpoint has said nothing. Silence alone
 /// ends no attempt: it may go on, and whether another can take its place is not
 /// known here.
@@ -147,7 +153,6 @@
   body.data = bytes.data();
   body.size = bytes.size();
   body.more = true;
-  Connection->Stream.expires_at(toSteady(Order.Deadline));
   ReadingSince = monotonicNow();
   auto [ec, n] = co_await http::async_read_some(
       Connection->Stream, Connection->Buffer, *Answer, AsTuple);
