Leave a group alone as soon as one of its endpoints is known to have ended

What callers saw: after an engine had ended, requests went on to the other ranks of its group, waited there for the second and a half that these stand still, and were refused; streams there waited as long to be cut. Cause: an entry closed a group only after a refusal with room.

The answer that an endpoint has ended, or another entry's row that says so, closes its group here until one of it tells that it takes requests, and its streams go on elsewhere as silent ones do, each with a place and a repeat taken first. It is asked again after half a second at the earliest, as reports are 0.2 s old.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -105,6 +105,8 @@
   void noteCut(const CallState &call, TimePoint now);
   void noteCrash(const EndpointId &id, const CutRun &run, TimePoint now);
   void judgeCrashes(TimePoint now);
+  void leaveGroupOf(const EndpointId &id, TimePoint now);
+  void noteToldEnds(const CrashReport &report, TimePoint now);
   void quarantine(RequestDigest request, bool isTold, TimePoint now);
   bool isSuspect(const CallState &call) const;
   bool mustStandBack(const CallState &call, TimePoint now) const;
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -95,6 +95,10 @@
   /// asked how fast they work: passes of a full group with a map that fits stay
   /// below it on the users' platform.
   static constexpr Duration SlowPass = std::chrono::milliseconds(180);
+  /// How long after the end of one of its endpoints a group is asked again at
+  /// the earliest: it has to be started and the group formed, which takes 600
+  /// ms on the users' platform, and reports are 200 ms old there.
+  static constexpr Duration BrokenPause = std::chrono::milliseconds(500);
   /// Between two such questions of all entries to an endpoint, at the mean;
   /// what it told holds for two. Each entry asks in its turn, which is drawn
   /// at random, and tells the others: 52 entries that each asked 192 endpoints
@@ -135,6 +139,9 @@
               const std::optional<EndpointCondition> &condition, TimePoint now);
   /// Forgets what has passed of nextFree().
   void forgetFull(TimePoint now);
+  /// The endpoint's process has ended: its group takes nothing before one of it
+  /// has told so. Returns the group's endpoints.
+  std::vector<EndpointId> onLifeEnded(const EndpointId &id, TimePoint now);
   /// Another incarnation has the endpoint's address.
   void onReplaced(const EndpointId &id, TimePoint now);
 
--- a/lib/Direct/DirectCrashes.cpp
+++ b/lib/Direct/DirectCrashes.cpp
@@ -40,9 +40,11 @@
     return takeActions();
   std::vector<CutRun> runs = std::move(it->second);
   Checks.erase(it);
-  if (fate == EndpointFate::Ended)
+  if (fate == EndpointFate::Ended) {
+    leaveGroupOf(id, now);
     for (const CutRun &run : runs)
       noteCrash(id, run, now);
+  }
   startWaiting(now);
   return takeActions();
 }
@@ -69,9 +71,40 @@
   endQuarantined(request, now);
 }
 
+/// All ranks of a group stand still when one of them has ended, and cut what
+/// they run after a second or two. What is sent there meanwhile would wait as
+/// long to be refused; what runs there can go on elsewhere now.
+void DirectNode::leaveGroupOf(const EndpointId &id, TimePoint now) {
+  for (const EndpointId &member : Book.onLifeEnded(id, now))
+    for (auto &[callId, call] : Calls) {
+      bool isThere = call.Current == member && member != id;
+      if (isThere && call.Request.Route->canResume() &&
+          !std::exchange(call.IsSilent, true))
+        Silent.insert(callId);
+    }
+}
+
+/// Ends that another entry saw a moment ago.
+void DirectNode::noteToldEnds(const CrashReport &report, TimePoint now) {
+  std::set<LifeDigest> fresh;
+  for (const CrashRow &row : report.Rows)
+    for (const CrashTold &it : row.Crashes)
+      if (it.Age < EndpointBook::BrokenPause && !Crashes.endOf(it.Life))
+        fresh.insert(it.Life);
+  if (fresh.empty())
+    return;
+  std::vector<EndpointId> ended;
+  for (const auto &[id, state] : Book.states())
+    if (fresh.contains(digestLife(id)))
+      ended.push_back(id);
+  for (const EndpointId &it : ended)
+    leaveGroupOf(it, now);
+}
+
 DirectActions DirectNode::onCrashReport(const std::string &peer,
                                         const CrashReport &report,
                                         TimePoint now) {
+  noteToldEnds(report, now);
   for (RequestDigest it : Crashes.merge(peer, report, now))
     quarantine(it, true, now);
   startWaiting(now);
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -169,6 +169,20 @@
   return next;
 }
 
+std::vector<EndpointId> EndpointBook::onLifeEnded(const EndpointId &id,
+                                                  TimePoint now) {
+  EndpointState *ended = findMutable(id);
+  if (!ended || !ended->Record.TellsState)
+    return {};
+  std::vector<EndpointId> out;
+  for (EndpointState *it : groupOf(*ended)) {
+    it->MustTell = true;
+    it->AskAt = now + BrokenPause;
+    out.push_back(it->Record.Id);
+  }
+  return out;
+}
+
 void EndpointBook::onReplaced(const EndpointId &id, TimePoint now) {
   if (EndpointState *it = findMutable(id))
     it->SuspectUntil = now + LongestSuspicion;
--- /dev/null
+++ b/unittests/Direct/EndedGroupTest.cpp
@@ -0,0 +1,101 @@
+//===- EndedGroupTest.cpp - a group of which an endpoint has ended --------===//
+//
+// All ranks of a group stand still when one of them ends: nothing more is sent
+// there, and what runs there goes on elsewhere at once.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Direct/TwoGroupWorld.h"
+
+using namespace test;
+
+namespace {
+/// Two streams, one in each group; both have digests.
+class EndedWorld : public TwoGroupWorld {
+public:
+  EndedWorld() {
+    for (std::uint64_t id : {1, 2}) {
+      Groups.push_back(startAt(id));
+      Node.onFirstByte(CallId(id), Now);
+    }
+    REQUIRE(Groups[0] != Groups[1]);
+  }
+
+  /// Starts call \p id. Returns its endpoint, or nothing if it has to wait.
+  std::string startAt(std::uint64_t id) {
+    DirectRequest request;
+    request.Id = CallId(id);
+    request.Digest = RequestDigest(id);
+    request.Config = Config;
+    request.Route = &Config->Routes.front();
+    request.TimeLeft = std::chrono::seconds(8);
+    DirectActions actions = Node.onCall(std::move(request), Now);
+    const auto *it = find<StartAttempt>(actions);
+    Endpoints[id] = it ? it->Endpoint.Id : EndpointId();
+    return Endpoints[id].get().substr(0, 1);
+  }
+
+  /// Call 1's endpoint ends.
+  DirectActions endFirst() {
+    DirectActions cut = Node.onAttemptEnded(CallId(1), AttemptEnd::BrokeOff,
+                                            Now, ConnectionEnd::Endpoint);
+    CHECK(find<CheckEndpoint>(cut));
+    CHECK_FALSE(find<StartAttempt>(cut));
+    return Node.onChecked(Endpoints[1], EndpointFate::Ended, Now);
+  }
+
+  std::vector<std::string> Groups;
+  std::map<std::uint64_t, EndpointId> Endpoints;
+};
+} // namespace
+
+TEST_CASE("nothing is sent to a group of which an endpoint has ended") {
+  EndedWorld world;
+  world.endFirst();
+  for (std::uint64_t id = 10; id < 16; ++id)
+    CHECK(world.startAt(id) != world.Groups[0]);
+}
+
+TEST_CASE("streams of a group of which an endpoint has ended go on elsewhere") {
+  EndedWorld world;
+  // A third stream, beside the first one's endpoint.
+  std::uint64_t beside = 0;
+  for (std::uint64_t id = 3; id < 9 && beside == 0; ++id) {
+    bool isThere = world.startAt(id) == world.Groups[0] &&
+                   world.Endpoints[id] != world.Endpoints[1];
+    beside = isThere ? id : 0;
+  }
+  REQUIRE(beside != 0);
+  world.Node.onFirstByte(CallId(beside), world.Now);
+  DirectActions actions = world.endFirst();
+  bool isMoved = false;
+  for (const DirectAction &it : actions)
+    if (const auto *stop = std::get_if<StopAttempt>(&it))
+      isMoved = isMoved || stop->Call == CallId(beside);
+  CHECK(isMoved);
+}
+
+TEST_CASE("an endpoint that only cut one answer keeps its group open") {
+  EndedWorld world;
+  world.Node.onAttemptEnded(CallId(1), AttemptEnd::BrokeOff, world.Now,
+                            ConnectionEnd::Endpoint);
+  DirectActions actions =
+      world.Node.onChecked(world.Endpoints[1], EndpointFate::Alive, world.Now);
+  CHECK(find<StartAttempt>(actions));
+  bool isUsed = false;
+  for (std::uint64_t id = 10; id < 16; ++id)
+    isUsed = world.startAt(id) == world.Groups[0] || isUsed;
+  CHECK(isUsed);
+}
+
+TEST_CASE("an end that another entry saw closes the group here, too") {
+  EndedWorld world;
+  CrashRow row;
+  row.Request = RequestDigest(99);
+  row.Crashes.push_back({digestLife(world.Endpoints[1]),
+                         std::chrono::milliseconds(10),
+                         std::chrono::milliseconds(100)});
+  world.Node.onCrashReport("other", {{row}, {}}, world.Now);
+  for (std::uint64_t id = 10; id < 16; ++id)
+    CHECK(world.startAt(id) != world.Groups[0]);
+}
