Let a request wait for its endpoint's fate however long it has waited before

It may wait half a second for the answer now, which takes 0.3 s at most, and the judgement 0.1 s. Test with the change.

--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -16,6 +16,11 @@
 static constexpr Duration MinRetryAfter = std::chrono::milliseconds(150);
 static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
 
+/// How long a request whose endpoint cut it may wait to hear what became of the
+/// endpoint, however long it has waited before: the question takes 0.3 s at
+/// most and the judgement 0.1 s.
+static constexpr Duration FateWait = std::chrono::milliseconds(500);
+
 /// Weight of the newest first byte in the running mean.
 static constexpr double FirstByteWeight = 0.1;
 
@@ -225,6 +230,8 @@
   include(Crashes.nextJudgement());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).waitLimit());
+  for (const auto &[priority, arrived, id] : Waiting)
+    include(Calls.at(id).TurnAt);
   if (!Waiting.empty())
     include(Book.nextFree());
   return next;
@@ -257,13 +264,12 @@
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
-  if (mustStandBack(call, now))
+  if (mustStandBack(call, now)) {
+    call.TurnAt.reset();
     return false;
+  }
   const EndpointState *state =
-      isSuspect(call)
-          ? Picker.pickApart(call, endpointsOfSuspects(call, now),
-                             Crashes.crashesOf(call.Request.Digest) > 1, now)
-          : Picker.pick(call, now);
+      isSuspect(call) ? pickForSuspect(call, now) : Picker.pick(call, now);
   if (!state)
     return false;
   bool isRepeat = call.Arrivals > 0;
@@ -326,6 +332,9 @@
   if (goOn(call, now))
     return;
   bool canTry = mayTry(call, now);
+  if (canTry && mustStandBack(call, now))
+    call.WaitUntil =
+        std::max(call.WaitUntil, std::min(now + FateWait, call.Deadline));
   if (canTry && tryStart(call, now))
     return;
   if (canTry && now < call.waitLimit())
--- a/unittests/Direct/EndedGroupTest.cpp
+++ b/unittests/Direct/EndedGroupTest.cpp
@@ -99,3 +99,16 @@
   for (std::uint64_t id = 10; id < 16; ++id)
     CHECK(world.startAt(id) != world.Groups[0]);
 }
+
+TEST_CASE(
+    "a request that was cut late goes on once its endpoint's fate is known") {
+  EndedWorld world;
+  world.startAt(5);
+  world.Now += std::chrono::seconds(3);
+  DirectActions cut = world.Node.onAttemptEnded(
+      CallId(5), AttemptEnd::Lost, world.Now, ConnectionEnd::Endpoint);
+  CHECK_FALSE(find<EndCall>(cut));
+  DirectActions known =
+      world.Node.onChecked(world.Endpoints[5], EndpointFate::Alive, world.Now);
+  CHECK(find<StartAttempt>(known));
+}
