Draw the turns of a suspect's copies at all entries apart

From the second end on a copy that could start draws a turn within 0.2 s and draws it anew if it could not start meanwhile; news of a start takes some 15 ms.

The model tells a start after 8 ms as the product does, not each 50 ms.

--- a/include/ospreyspur/Direct/CallState.h
+++ b/include/ospreyspur/Direct/CallState.h
@@ -48,6 +48,8 @@
   bool WasTurnedAway = false;
   /// Whether an attempt was sent whose fate is unknown.
   bool MayHaveRun = false;
+  /// From when on a suspect request may start, drawn once it could.
+  std::optional<TimePoint> TurnAt;
   std::set<EndpointId> Tried;
   std::optional<EndpointId> Current;
   /// Where it goes on once the attempt under way has stopped; a place there and
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -109,6 +109,7 @@
   void noteToldEnds(const CrashReport &report, TimePoint now);
   void quarantine(RequestDigest request, bool isTold, TimePoint now);
   bool isSuspect(const CallState &call) const;
+  const EndpointState *pickForSuspect(CallState &call, TimePoint now);
   bool mustStandBack(const CallState &call, TimePoint now) const;
   std::set<EndpointId> endpointsOfSuspects(const CallState &call,
                                            TimePoint now) const;
--- a/lib/Direct/DirectCrashes.cpp
+++ b/lib/Direct/DirectCrashes.cpp
@@ -12,6 +12,11 @@
 
 using namespace ospreyspur;
 
+/// Over which the turns of a suspect's copies are drawn: many times what the
+/// news of a start takes, some 15 ms; short beside the time that its caller
+/// has.
+static constexpr Duration TurnSpread = std::chrono::milliseconds(200);
+
 /// The endpoint cut the attempt under way. Whether it has ended is asked before
 /// the request goes anywhere else: an answer that was cut alone says nothing.
 void DirectNode::noteCut(const CallState &call, TimePoint now) {
@@ -137,6 +142,26 @@
   return Crashes.standingOf(call.Request.Digest) == CrashStanding::Suspect;
 }
 
+/// The endpoint for a suspect; null if there is none or it is not its turn. A
+/// group that opens wakes the copies of a request at all entries at the same
+/// moment; their turns are drawn apart, so that the first one's is heard of
+/// before the next begins.
+const EndpointState *DirectNode::pickForSuspect(CallState &call,
+                                                TimePoint now) {
+  bool isPressing = Crashes.crashesOf(call.Request.Digest) > 1;
+  const EndpointState *state =
+      Picker.pickApart(call, endpointsOfSuspects(call, now), isPressing, now);
+  if (!state)
+    call.TurnAt.reset();
+  if (!state || !isPressing)
+    return state;
+  if (!call.TurnAt) {
+    std::uniform_int_distribution<Duration::rep> turn(0, TurnSpread.count());
+    call.TurnAt = now + Duration(turn(Random));
+  }
+  return now < *call.TurnAt ? nullptr : state;
+}
+
 /// Whether the call has to wait though there may be room: what became of its
 /// last endpoint is being asked or judged, or it is a suspect that runs
 /// already. One at a time, so that no more endpoints end than it takes to know.
--- a/unittests/Direct/MortalWorld.cpp
+++ b/unittests/Direct/MortalWorld.cpp
@@ -133,7 +133,12 @@
   if (entry.Life != life || !entry.Node)
     return;
   Time.at(Time.now() + milliseconds(50), [this, i, life] { report(i, life); });
-  if (Time.now() < entry.FrozenUntil)
+  tell(i, life);
+}
+
+void MortalWorld::tell(unsigned i, unsigned life) {
+  Entry &entry = Entries[i];
+  if (entry.Life != life || !entry.Node || Time.now() < entry.FrozenUntil)
     return;
   std::vector<EndpointLoad> loads = entry.Node->book().ownLoads(Time.now());
   CrashReport crashes = entry.Node->takeCrashReport(Time.now());
@@ -207,6 +212,9 @@
 
 void MortalWorld::perform(unsigned i, const StartAttempt &it) {
   Run run{i, Entries[i].Life, it.Call, Callers[it.Call].Request, false};
+  // A change is told once changes have been gathered for a moment.
+  Time.at(Time.now() + milliseconds(8),
+          [this, i, life = run.EntryLife] { tell(i, life); });
   Time.at(
       Time.now() + between(milliseconds(1), milliseconds(3)),
       [this, run, id = it.Endpoint.Id] { onArrival(indexOf(id), run, id); });
--- a/unittests/Direct/MortalWorld.h
+++ b/unittests/Direct/MortalWorld.h
@@ -108,6 +108,7 @@
                const std::function<DirectActions(DirectNode &)> &input);
   void setTimer(unsigned i);
   void report(unsigned i, unsigned life);
+  void tell(unsigned i, unsigned life);
   void arriveInnocent();
   void arriveKiller(RequestDigest request, Duration meanPause);
   void call(Caller caller);
