--- /dev/null
+++ b/test/standin/Crowd.cpp
@@ -0,0 +1,157 @@
+//===- Crowd.cpp - callers who keep their connections ---------------------===//
+//
+// Each caller sends one request after the other on one connection, for as long
+// as the entry keeps it, also while that stops; only then does it connect
+// elsewhere, to an entry that says that it is ready. Every answer must be the
+// whole one to the caller's own request.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Standins.h"
+
+#include "ospreyspur/Support/Address.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <iostream>
+#include <map>
+#include <random>
+
+using namespace standin;
+using namespace ospreyspur;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+static constexpr std::chrono::seconds Patience(8);
+static constexpr std::int64_t RestMs = 60;
+static constexpr std::int64_t RetryMs = 100;
+static constexpr std::string_view Whole = "id: 6\n";
+
+namespace {
+class Crowd {
+public:
+  Crowd(asio::io_context &ioc, const CrowdPlan &plan)
+      : Context(ioc), Plan(plan), Random(plan.Seed),
+        End(std::chrono::steady_clock::now() +
+            std::chrono::seconds(plan.Seconds)) {
+    for (std::int64_t i = 0; i < plan.Callers; ++i)
+      asio::co_spawn(ioc, live(i), asio::detached);
+  }
+
+  /// Prints "outcome count" lines.
+  void print() const {
+    for (const auto &[outcome, n] : Outcomes)
+      std::cout << outcome << ' ' << n << '\n';
+  }
+
+private:
+  bool isOver() const { return std::chrono::steady_clock::now() >= End; }
+
+  /// One in sixteen callers sends nothing but the deadly body.
+  asio::awaitable<void> live(std::int64_t caller) {
+    constexpr std::int64_t DeadlyOneIn = 16;
+    bool isDeadly = Plan.HasDeadly && caller % DeadlyOneIn == 0;
+    while (!isOver()) {
+      std::size_t entry = Random() % Plan.Entries.size();
+      if (!co_await isReady(entry)) {
+        co_await pause(RetryMs);
+        continue;
+      }
+      beast::tcp_stream stream(Context);
+      stream.expires_after(Patience);
+      auto [ec] = co_await stream.async_connect(
+          parseAddress(Plan.Entries[entry]).value(), AsTuple);
+      if (ec) {
+        ++Outcomes["refused-connection"];
+        co_await pause(RetryMs);
+        continue;
+      }
+      beast::flat_buffer buf;
+      while (!isOver() && co_await ask(stream, buf, isDeadly))
+        co_await pause(isDeadly ? 4 * RestMs : RestMs);
+    }
+  }
+
+  asio::awaitable<bool> isReady(std::size_t entry) {
+    beast::tcp_stream stream(Context);
+    stream.expires_after(std::chrono::seconds(1));
+    auto [ec] = co_await stream.async_connect(
+        parseAddress(Plan.Readies[entry]).value(), AsTuple);
+    if (ec)
+      co_return false;
+    http::request<http::empty_body> request(http::verb::get,
+                                            "/ospreyspur/ready", 11);
+    co_await http::async_write(stream, request, AsTuple);
+    beast::flat_buffer buf;
+    http::response<http::string_body> response;
+    auto [readError, n] =
+        co_await http::async_read(stream, buf, response, AsTuple);
+    co_return !readError && response.result_int() == 200;
+  }
+
+  /// One request. Returns whether the connection can be used on.
+  asio::awaitable<bool> ask(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                            bool isDeadly) {
+    std::string id =
+        "c" + std::to_string(Plan.Seed) + "-" + std::to_string(++LastRequest);
+    http::request<http::string_body> request(http::verb::post, "/x", 11);
+    request.set(http::field::host, "h");
+    request.set("Request-Id", id);
+    request.set("Deadline-Ms", "6000");
+    request.body() = isDeadly ? "ends whoever runs it" : "innocent " + id;
+    request.prepare_payload();
+    stream.expires_after(Patience);
+    auto [writeError, sent] =
+        co_await http::async_write(stream, request, AsTuple);
+    if (writeError) {
+      // Closed while it rested.
+      ++Outcomes["closed-at-rest"];
+      co_return false;
+    }
+    http::response_parser<http::string_body> parser;
+    auto [ec, n] = co_await http::async_read(stream, buf, parser, AsTuple);
+    std::string kind = isDeadly ? "deadly-" : "";
+    if (ec) {
+      // A close without a byte may have crossed the request.
+      bool isCut = parser.got_some() || ec == beast::error::timeout;
+      ++Outcomes[kind + (isCut ? "cut" : "closed")];
+      co_return false;
+    }
+    const auto &answer = parser.get();
+    bool isOwn =
+        answer["Request-Id"] == beast::string_view(id.data(), id.size());
+    bool isOk = answer.result_int() == 200;
+    bool isWhole = answer.body().find(Whole) != std::string::npos &&
+                   answer.body().find(id) != std::string::npos;
+    if (!isOwn || (isOk && !isWhole))
+      ++Outcomes["wrong"];
+    else
+      ++Outcomes[kind + std::to_string(answer.result_int())];
+    co_return answer.keep_alive();
+  }
+
+  asio::io_context &Context;
+  const CrowdPlan &Plan;
+  std::mt19937_64 Random;
+  std::chrono::steady_clock::time_point End;
+  std::uint64_t LastRequest = 0;
+  std::map<std::string, unsigned> Outcomes;
+};
+} // namespace
+
+int standin::runCrowd(const CrowdPlan &plan) {
+  asio::io_context ioc(1);
+  Crowd crowd(ioc, plan);
+  ioc.run();
+  crowd.print();
+  return 0;
+}
--- /dev/null
+++ b/test/standin/Mortal.cpp
@@ -0,0 +1,144 @@
+//===- Mortal.cpp - stand-in for an endpoint of the users' platform -------===//
+//
+// Keeps its row in the platform's list, streams answers, and ends at once when
+// it is to run the deadly body. SIGTERM makes it say that it leaves, serve on
+// for a while and end.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Standins.h"
+
+#include "ospreyspur/Platform/PlatformClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+
+using namespace standin;
+using namespace ospreyspur;
+
+static constexpr std::string_view Deadly = "ends whoever runs it";
+static constexpr int DeadlyExit = 3;
+static constexpr std::int64_t WorkMs = 40;
+static constexpr std::int64_t EventMs = 25;
+static constexpr int Events = 6;
+static constexpr std::int64_t LeaveMs = 2500;
+static constexpr std::int64_t RenewMs = 500;
+static constexpr Duration RowSpan = std::chrono::milliseconds(1800);
+static constexpr Duration CallTimeout = std::chrono::milliseconds(400);
+
+namespace {
+class Mortal {
+public:
+  Mortal(asio::io_context &ioc, const MortalPlan &plan)
+      : Context(ioc), Plan(plan),
+        Platform(ioc, parseAddress(plan.Platform).value()),
+        Id("i-" + plan.Name + "-" + std::to_string(::getpid())),
+        Signals(ioc, SIGTERM) {
+    Signals.async_wait([this](boost::system::error_code ec, int) {
+      if (!ec)
+        asio::co_spawn(Context, leave(), asio::detached);
+    });
+    asio::co_spawn(Context, keepRow(), asio::detached);
+  }
+
+  asio::awaitable<void> handle(HttpExchange &exchange) {
+    std::string label = exchange.header("Request-Id");
+    bool isDeadly = exchange.request().body().find(Deadly) != std::string::npos;
+    if (exchange.header("Expect-Replica") != Id) {
+      co_await exchange.respond(421, "text/plain", "");
+      co_return;
+    }
+    note(isDeadly ? "deadly" : label);
+    co_await pause(WorkMs);
+    if (isDeadly)
+      ::_exit(DeadlyExit);
+    HttpResponse head;
+    head.set("Content-Type", "text/event-stream");
+    head.set("Request-Id", label);
+    head.set("Replica-Stamp", Id);
+    std::string last = exchange.header("Last-Event-Id");
+    int first = last.empty() ? 1 : std::stoi(last) + 1;
+    bool isOpen = co_await exchange.beginStream(head);
+    for (int i = first; isOpen && i <= Events; ++i) {
+      co_await pause(EventMs);
+      isOpen = co_await exchange.writeStream("id: " + std::to_string(i) +
+                                             "\ndata: " + label + "\n\n");
+    }
+    if (isOpen)
+      co_await exchange.endStream();
+  }
+
+private:
+  void note(const std::string &what) const {
+    std::ofstream(Plan.History, std::ios::app) << Id << ' ' << what << '\n';
+  }
+
+  std::string row() const {
+    return json::serialize(json::object{{"service", "s"},
+                                        {"address", Plan.Listen},
+                                        {"zone", "a"},
+                                        {"version", "v1"},
+                                        {"slots", 8},
+                                        {"state", State},
+                                        {"cold_left_ms", 0},
+                                        {"seq", 1}});
+  }
+
+  asio::awaitable<void> keepRow() {
+    std::string key = "servers/" + Id;
+    for (;;) {
+      KvReply reply;
+      if (At.get() > 0 && State == Written) {
+        KvCall renew = KvRenew{key, At};
+        reply = co_await Platform.ask(std::move(renew), CallTimeout);
+        if (reply.Code == ResultCode::NotFound)
+          At = Revision(0);
+      } else {
+        std::string state = State;
+        KvCall put = KvPut{key, row(), At, RowSpan};
+        reply = co_await Platform.ask(std::move(put), CallTimeout);
+        if (reply.Code == ResultCode::Ok) {
+          At = reply.At;
+          Written = state;
+        } else if (reply.Code == ResultCode::PlatformConflict) {
+          At = reply.At;
+        }
+      }
+      co_await pause(RenewMs);
+    }
+  }
+
+  asio::awaitable<void> leave() {
+    State = "draining";
+    while (Written != State)
+      co_await pause(RenewMs);
+    co_await pause(LeaveMs);
+    ::_exit(0);
+  }
+
+  asio::io_context &Context;
+  const MortalPlan &Plan;
+  PlatformClient Platform;
+  std::string Id;
+  asio::signal_set Signals;
+  std::string State = "ready";
+  std::string Written;
+  Revision At;
+};
+} // namespace
+
+int standin::runMortal(const MortalPlan &plan) {
+  asio::io_context ioc(1);
+  Mortal mortal(ioc, plan);
+  HttpServer server(ioc, HttpLimits(),
+                    [&](HttpExchange &it) { return mortal.handle(it); });
+  if (!server.listen(parseAddress(plan.Listen).value()))
+    return 1;
+  ioc.run();
+  return 0;
+}
--- a/test/standin/Standins.h
+++ b/test/standin/Standins.h
@@ -70,6 +70,33 @@
   std::vector<std::string> Admins;
 };
 
+/// An endpoint of the users' platform that ends on one body.
+struct MortalPlan {
+  std::string Listen;
+  std::string Platform;
+  std::string Name;
+  /// A line for each run: the endpoint's id and the request's.
+  std::string History;
+};
+
+/// Runs it until it ends.
+int runMortal(const MortalPlan &plan);
+
+/// Callers who keep their connections.
+struct CrowdPlan {
+  std::vector<std::string> Entries;
+  /// Where each entry says whether it is ready.
+  std::vector<std::string> Readies;
+  std::int64_t Callers = 32;
+  std::int64_t Seconds = 10;
+  std::uint64_t Seed = 1;
+  /// Whether some of them send nothing but the deadly body.
+  bool HasDeadly = false;
+};
+
+/// Prints how often each outcome was seen.
+int runCrowd(const CrowdPlan &plan);
+
 /// Joins a history with what the endpoints at \p runs ran; prints what broke
 /// and gives the number of broken promises.
 int verifyHistory(const std::string &historyFile,
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -47,8 +47,8 @@
   try {
     TCLAP::CmdLine cmd("Stand-ins for the systems around ospreyspur", ' ',
                        "0.1.0");
-    std::vector<std::string> names{"platform", "group", "service", "load",
-                                   "verify"};
+    std::vector<std::string> names{"platform", "group",  "service", "load",
+                                   "verify",   "mortal", "crowd"};
     TCLAP::ValuesConstraint<std::string> allowed(names);
     TCLAP::UnlabeledValueArg<std::string> name("stand-in", "which", true, "",
                                                &allowed, cmd);
@@ -75,6 +75,12 @@
     TCLAP::MultiArg<std::string> ready(
         "", "ready", "an entry's admin address: use it only while ready", false,
         "ip:port", cmd);
+    Text platform("", "platform", "the platform's service", false, "",
+                  "ip:port", cmd);
+    Text ownName("", "name", "the endpoint's name", false, "", "name", cmd);
+    Number callers("", "callers", "callers of a crowd", false, 32, "n", cmd);
+    TCLAP::SwitchArg deadly("", "deadly", "some callers send the deadly body",
+                            cmd);
     cmd.parse(argc, argv);
 
     const std::string &listen = address.getValue().front();
@@ -85,6 +91,14 @@
                       !noFences.getValue());
     if (name.getValue() == "service")
       return runService(listen, delayMs.getValue());
+    if (name.getValue() == "mortal")
+      return runMortal({listen, platform.getValue(), ownName.getValue(),
+                        history.getValue()});
+    if (name.getValue() == "crowd")
+      return runCrowd({address.getValue(), ready.getValue(), callers.getValue(),
+                       seconds.getValue(),
+                       static_cast<std::uint64_t>(seed.getValue()),
+                       deadly.getValue()});
     if (name.getValue() == "verify")
       return verifyHistory(history.getValue(), address.getValue());
     LoadPlan plan{
