Find an endpoint's end also while it still takes connections

A process that ends closes its sockets one by one; asked in that moment it took a connection, so the end counted as an answer that was cut alone (fate=alive), or the connection was reset (fate=unknown), and the request went on. A test with endpoints whose listening socket closes 5 ms after the others: 74 ends of 6 allowed on the code before, within the bound after.

A connection must stay open for 25 ms, or an engine must tell its life on it, to count as alive; else it is looked at again, three times in all.

--- a/lib/Process/DirectFates.cpp
+++ b/lib/Process/DirectFates.cpp
@@ -7,6 +7,7 @@
 
 #include "ospreyspur/Process/DirectTraffic.h"
 
+#include "ospreyspur/Process/HostTimer.h"
 #include "ospreyspur/Process/RankLink.h"
 #include "ospreyspur/Support/LogEvent.h"
 
@@ -27,6 +28,28 @@
 /// region that takes milliseconds.
 static constexpr Duration CheckTimeout = std::chrono::milliseconds(300);
 
+/// Looks at an endpoint that takes connections and drops them, and the pause
+/// between two. A connection that stays open for as long is one to a process
+/// that lives: a process that ends closes all that it has within a millisecond.
+static constexpr unsigned FateLooks = 3;
+static constexpr Duration FatePause = std::chrono::milliseconds(25);
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+static asio::awaitable<void> rest(asio::io_context &ioc, Duration span) {
+  HostTimer timer(ioc, span);
+  co_await timer.async_wait(AsTuple);
+}
+
+/// Whether the other side keeps the connection for FatePause.
+static asio::awaitable<bool> staysOpen(boost::beast::tcp_stream &stream) {
+  char byte = 0;
+  stream.expires_after(FatePause);
+  auto [ec, n] =
+      co_await stream.async_read_some(asio::buffer(&byte, 1), AsTuple);
+  co_return ec == boost::beast::error::timeout;
+}
+
 static std::int64_t toMillis(Duration it) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
 }
@@ -96,22 +119,34 @@
 }
 
 /// A process that has ended refuses connections until it is started again,
-/// which takes seconds; an engine then tells another life.
+/// which takes seconds; an engine then tells another life. While it ends, its
+/// sockets are closed one by one: the listening one may still take a connection
+/// that is reset a moment later.
 asio::awaitable<EndpointFate> DirectTraffic::findFate(EndpointRecord endpoint) {
-  boost::beast::tcp_stream stream(Context);
-  stream.expires_after(CheckTimeout);
-  auto [ec] = co_await stream.async_connect(
-      endpoint.Address, asio::as_tuple(asio::use_awaitable));
-  if (ec == asio::error::connection_refused)
-    co_return EndpointFate::Ended;
-  if (ec)
-    co_return EndpointFate::Unknown;
-  if (!endpoint.TellsState || endpoint.Life == EndpointLife(0))
-    co_return EndpointFate::Alive;
-  RankLink link(Context, endpoint.Address);
-  Result<RankStatus> status = co_await link.readReport();
-  if (!status)
-    co_return EndpointFate::Unknown;
-  bool isSame = status.value().Life.get() == endpoint.Life.get();
-  co_return isSame ? EndpointFate::Alive : EndpointFate::Ended;
+  for (unsigned i = 0; i < FateLooks; ++i) {
+    if (i > 0)
+      co_await rest(Context, FatePause);
+    boost::beast::tcp_stream stream(Context);
+    stream.expires_after(CheckTimeout);
+    auto [ec] = co_await stream.async_connect(endpoint.Address, AsTuple);
+    if (ec == asio::error::connection_refused)
+      co_return EndpointFate::Ended;
+    if (ec == boost::beast::error::timeout)
+      co_return EndpointFate::Unknown;
+    if (ec)
+      continue;
+    bool tellsLife = endpoint.TellsState && endpoint.Life != EndpointLife(0);
+    if (!tellsLife) {
+      if (co_await staysOpen(stream))
+        co_return EndpointFate::Alive;
+      continue;
+    }
+    RankLink link(Context, endpoint.Address);
+    Result<RankStatus> status = co_await link.readReport();
+    if (!status)
+      continue;
+    bool isSame = status.value().Life.get() == endpoint.Life.get();
+    co_return isSame ? EndpointFate::Alive : EndpointFate::Ended;
+  }
+  co_return EndpointFate::Unknown;
 }
--- a/unittests/Process/CrashingRequestTest.cpp
+++ b/unittests/Process/CrashingRequestTest.cpp
@@ -39,6 +39,8 @@
 static constexpr std::string_view Deadly = "ends whoever runs it";
 /// How long an endpoint takes to start again.
 static constexpr milliseconds DownTime(400);
+/// How long it may still take connections when it has cut its answers.
+static constexpr milliseconds ClosingTime(5);
 /// How long it works before it answers, or ends.
 static constexpr milliseconds RunTime(30);
 
@@ -70,10 +72,12 @@
     return out;
   }
 
-  /// Ends the process, whatever it runs.
+  /// Ends the process, whatever it runs. Its sockets close one by one, at times
+  /// the listening one last.
   void crash() {
     boost::system::error_code ec;
-    Acceptor.close(ec);
+    if (!ListensLast)
+      Acceptor.close(ec);
     for (const auto &it : std::exchange(Open, {})) {
       it->set_option(asio::socket_base::linger(true, 0), ec);
       it->close(ec);
@@ -81,6 +85,8 @@
     asio::co_spawn(Context, comeBack(), asio::detached);
   }
 
+  void listenLast() { ListensLast = true; }
+
   bool isUp() const { return Acceptor.is_open(); }
   /// Lives that ended under the deadly body.
   unsigned deaths() const { return Deaths; }
@@ -98,6 +104,11 @@
   }
 
   asio::awaitable<void> comeBack() {
+    co_await pause(ListensLast ? ClosingTime : milliseconds(0));
+    boost::system::error_code ec;
+    Acceptor.close(ec);
+    for (const auto &it : std::exchange(Open, {}))
+      it->close(ec);
     co_await pause(DownTime);
     start();
     OnChange();
@@ -157,6 +168,7 @@
   tcp::endpoint Address;
   unsigned Life = 0;
   unsigned Deaths = 0;
+  bool ListensLast = false;
   std::set<Socket> Open;
 };
 
@@ -207,6 +219,11 @@
         asio::detached);
   }
 
+  void listenLast() {
+    for (MortalEndpoint &it : Endpoints)
+      it.listenLast();
+  }
+
   void run(milliseconds span) {
     Context.restart();
     Context.run_for(span);
@@ -311,6 +328,19 @@
   CHECK(innocent[std::string(Served)] >= Innocent - 2);
 }
 
+TEST_CASE("an end is seen though the endpoint still takes connections") {
+  constexpr unsigned Entries = 3;
+  MortalWorld world(Entries, 8);
+  world.listenLast();
+  Told deadly;
+  for (unsigned i = 0; i < 40; ++i)
+    world.callAfter(milliseconds(100 * i), i % Entries, std::string(Deadly),
+                    deadly);
+  world.run(milliseconds(5500));
+  CHECK(world.deaths() >= 1);
+  CHECK(world.deaths() <= MostDeaths);
+}
+
 TEST_CASE("no request is refused because endpoints end by themselves") {
   constexpr unsigned Entries = 3;
   MortalWorld world(Entries, 8);
