Bound what an entry hears of old rows whatever the fleet's size

Each entry told four old rows each 0.1 s to every other one, which grew with the product of entries. Now two in 25 ms for each entry, and only rows with two ends or more; a test at 4, 52 and 370 entries holds it under 9 KB/s a host (it was worked out as 40 rows of 58 B a second from each entry to each other one before, 110 KB/s at 52).

--- a/include/ospreyspur/Direct/CrashTracker.h
+++ b/include/ospreyspur/Direct/CrashTracker.h
@@ -57,9 +57,12 @@
   Duration ShortestRun = std::chrono::milliseconds(250);
   /// Reports in a row in which a new row is told, as datagrams may be lost.
   unsigned Tellings = 3;
-  /// Every RefreshEvery so many other rows are told again, one after the other.
-  Duration RefreshEvery = std::chrono::milliseconds(100);
-  std::size_t RefreshRows = 4;
+  /// Rows with two ends or more are told again, so many at a time, one after
+  /// the other, in a pause of RefreshEvery for each entry: whatever the fleet's
+  /// size, an entry hears of 80 a second, some 5 KB, and of none while there
+  /// are none.
+  Duration RefreshEvery = std::chrono::milliseconds(25);
+  std::size_t RefreshRows = 2;
   /// Most rows in a report.
   std::size_t MaxReportRows = 32;
   /// After this time another entry's runs no longer count.
@@ -98,8 +101,8 @@
                                    const CrashReport &report, TimePoint now);
   /// Requests that an earlier entry had quarantined.
   void restore(const std::vector<RequestDigest> &requests, TimePoint now);
-  /// The rows to tell the other entries now.
-  std::vector<CrashRow> takeRows(TimePoint now);
+  /// The rows to tell the other entries now; all together are \p entries.
+  std::vector<CrashRow> takeRows(std::size_t entries, TimePoint now);
 
   // Queries.
 
@@ -166,6 +169,7 @@
   double chanceOf(const Row &row, TimePoint now) const;
   bool mergeRow(const CrashRow &in, TimePoint now);
   void clear(Row &row, TimePoint at);
+  void refresh(std::vector<CrashRow> &out, TimePoint now);
   void forget(TimePoint now);
   CrashRow tell(RequestDigest request, const Row &row, TimePoint now) const;
 
--- a/lib/Direct/CrashTracker.cpp
+++ b/lib/Direct/CrashTracker.cpp
@@ -119,7 +119,8 @@
   }
 }
 
-std::vector<CrashRow> CrashTracker::takeRows(TimePoint now) {
+std::vector<CrashRow> CrashTracker::takeRows(std::size_t entries,
+                                             TimePoint now) {
   std::vector<CrashRow> out;
   for (auto &[request, row] : Rows) {
     if (row.Tellings == 0 || out.size() >= Limits.MaxReportRows)
@@ -129,17 +130,29 @@
   }
   if (Rows.empty() || now < RefreshAt)
     return out;
-  RefreshAt = now + Limits.RefreshEvery;
+  RefreshAt = now + Limits.RefreshEvery * std::max<std::size_t>(entries, 1);
   forget(now);
-  std::size_t n = std::min(Limits.RefreshRows, Rows.size());
-  for (std::size_t i = 0; i < n && out.size() < Limits.MaxReportRows; ++i) {
-    auto it = Rows.upper_bound(Refreshed);
+  refresh(out, now);
+  return out;
+}
+
+/// Adds the next rows in their turn. What has a single end against it is told
+/// at first only: whoever missed that would not do anything else for it.
+void CrashTracker::refresh(std::vector<CrashRow> &out, TimePoint now) {
+  auto it = Rows.upper_bound(Refreshed);
+  std::size_t told = 0;
+  for (std::size_t i = 0; i < Rows.size() && told < Limits.RefreshRows; ++i) {
     if (it == Rows.end())
       it = Rows.begin();
-    Refreshed = it->first;
-    out.push_back(tell(it->first, it->second, now));
+    const Row &row = it->second;
+    if ((row.QuarantinedAt || row.Crashes.size() > 1) &&
+        out.size() < Limits.MaxReportRows) {
+      out.push_back(tell(it->first, row, now));
+      Refreshed = it->first;
+      ++told;
+    }
+    ++it;
   }
-  return out;
 }
 
 CrashRow CrashTracker::tell(RequestDigest request, const Row &row,
--- a/lib/Direct/DirectCrashes.cpp
+++ b/lib/Direct/DirectCrashes.cpp
@@ -128,7 +128,7 @@
 CrashReport DirectNode::takeCrashReport(TimePoint now) {
   if (Crashes.isEmpty())
     return {};
-  CrashReport out{Crashes.takeRows(now), {}};
+  CrashReport out{Crashes.takeRows(Book.livePeers(now) + 1, now), {}};
   for (const auto &[id, call] : Calls) {
     bool isSuspect = call.Current && Crashes.standingOf(call.Request.Digest) ==
                                          CrashStanding::Suspect;
--- a/unittests/Direct/CrashTrackerTest.cpp
+++ b/unittests/Direct/CrashTrackerTest.cpp
@@ -112,7 +112,7 @@
 static std::vector<CrashRow> tellAll(CrashTracker &from, TimePoint now) {
   std::vector<CrashRow> out;
   for (unsigned i = 0; i < 100; ++i, now += milliseconds(100))
-    for (CrashRow &it : from.takeRows(now))
+    for (CrashRow &it : from.takeRows(1, now))
       out.push_back(std::move(it));
   return out;
 }
@@ -156,7 +156,7 @@
     tracker.onCrash(RequestDigest(1000 + i), life(1000 + i / 12), Quick,
                     Endpoints, now);
     if (i % 20 == 0) {
-      LoadReport report{"n", {}, {tracker.takeRows(now), {}}};
+      LoadReport report{"n", {}, {tracker.takeRows(4, now), {}}};
       mostBytes = std::max(mostBytes, encodeLoad(report).size());
     }
   }
@@ -176,7 +176,7 @@
   TimePoint now = Start;
   for (unsigned i = 0; i < 24; ++i, now += minutes(1)) {
     tracker.onSeen(Killer, now);
-    tracker.takeRows(now);
+    tracker.takeRows(4, now);
   }
   CHECK(tracker.standingOf(Killer) == CrashStanding::Quarantined);
   CHECK(tracker.standingOf(Beside) == CrashStanding::Unknown);
@@ -206,3 +206,27 @@
   CHECK(got.QuarantinedAge == Duration(seconds(2)));
   CHECK(got.ClearedAge == Duration(seconds(4)));
 }
+
+TEST_CASE("what an entry hears of old rows does not grow with the fleet") {
+  for (std::size_t entries : {4, 52, 370}) {
+    CrashTracker tracker;
+    for (std::uint64_t i = 0; i < 200; ++i)
+      for (unsigned k = 0; k < 4; ++k)
+        tracker.onCrash(RequestDigest(100 + i), life(1000 + i * 4 + k), Quick,
+                        Endpoints, Start);
+    tracker.judge(Start + seconds(1));
+    TimePoint now = Start + seconds(60);
+    // What is new has been told by then.
+    for (unsigned i = 0; i < 100; ++i)
+      tracker.takeRows(entries, Start + seconds(1));
+    std::size_t bytes = 0;
+    for (unsigned i = 0; i < 6000; ++i, now += milliseconds(10)) {
+      LoadReport report{"n", {}, {tracker.takeRows(entries, now), {}}};
+      bytes += encodeLoad(report).size() - encodeLoad({"n", {}, {}}).size();
+    }
+    // A minute of one of them; all others tell as much.
+    std::size_t perSecond = bytes * entries / 60;
+    CHECK(perSecond <= 9000);
+    CHECK(perSecond > 0);
+  }
+}
