--- a/unittests/Direct/CrashTrackerTest.cpp
+++ b/unittests/Direct/CrashTrackerTest.cpp
@@ -22,7 +22,7 @@
 static constexpr RequestDigest Beside(2);
 static constexpr std::size_t Endpoints = 16;
 static constexpr milliseconds Quick(80);
-static const TimePoint Start{seconds(1000)};
+static constexpr TimePoint Start{seconds(1000)};
 
 static LifeDigest life(std::uint64_t n) { return LifeDigest(n); }
 
--- a/unittests/Process/SuspendedHostTest.cpp
+++ b/unittests/Process/SuspendedHostTest.cpp
@@ -26,19 +26,19 @@
 using std::chrono::seconds;
 
 /// For how long this host has been suspended, in seconds.
-static std::atomic<long> Suspended = 0;
+static std::atomic<long> suspended = 0;
 
 // Stands in for the C library's in this program.
 extern "C" int clock_gettime(clockid_t clock, timespec *out) noexcept {
   long rc = ::syscall(SYS_clock_gettime, clock, out);
   if (rc == 0 && clock == CLOCK_BOOTTIME)
-    out->tv_sec += Suspended;
+    out->tv_sec += suspended;
   return static_cast<int>(rc);
 }
 
 TEST_CASE("the time that a host is suspended counts") {
   TimePoint before = monotonicNow();
-  Suspended += 5;
+  suspended += 5;
   CHECK(monotonicNow() - before >= seconds(5));
 }
 
@@ -50,7 +50,7 @@
   REQUIRE(lease.nextCall(now));
   lease.onReply({ResultCode::Ok, Revision(7), {}}, now);
   REQUIRE(lease.isHeld(monotonicNow()));
-  Suspended += 6;
+  suspended += 6;
   CHECK_FALSE(lease.isHeld(monotonicNow()));
 }
 
@@ -61,7 +61,7 @@
   timer.set(monotonicNow() + seconds(5));
   ioc.run_for(milliseconds(50));
   REQUIRE_FALSE(isDue);
-  Suspended += 6;
+  suspended += 6;
   // Two looks at the clock.
   ioc.run_for(milliseconds(600));
   CHECK(isDue);
--- a/unittests/Routing/FailingRunTest.cpp
+++ b/unittests/Routing/FailingRunTest.cpp
@@ -24,8 +24,12 @@
     auto snapshot = std::make_shared<RoutingSnapshot>();
     for (unsigned i = 0; i < endpoints; ++i)
       snapshot->Services[ServiceId("s")].Endpoints.push_back(
-          {EndpointId("e" + std::to_string(i)), ServiceId("s"),
-           DataCentreId("d"), "", {}, false});
+          {EndpointId("e" + std::to_string(i)),
+           ServiceId("s"),
+           DataCentreId("d"),
+           "",
+           {},
+           false});
     Entry.setSnapshot(snapshot);
   }
 
@@ -64,11 +68,10 @@
       take(Entry.onMessage(sent.To, reply, Now));
     } else if (const auto *order = std::get_if<Dispatch>(&sent.Body)) {
       ++Runs;
-      take(Entry.onMessage(
-          sent.To,
-          Finish{order->Permit.Id, order->Attempt, 0,
-                 ResultCode::EndpointFailed},
-          Now));
+      take(Entry.onMessage(sent.To,
+                           Finish{order->Permit.Id, order->Attempt, 0,
+                                  ResultCode::EndpointFailed},
+                           Now));
     }
   }
 
