Look for a suspect's endpoint without a digest of each and all loads

The digest of a life is kept with the endpoint, nothing is summed while no endpoint can take the request, and lives at which others run suspects are gathered once. Restored requests that were cleared since end no call any more.

Not measured apart; tests of the direct path pass (103).

--- a/include/ospreyspur/Direct/CrashTracker.h
+++ b/include/ospreyspur/Direct/CrashTracker.h
@@ -24,6 +24,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -118,9 +119,9 @@
   double chanceOf(RequestDigest request, TimePoint now) const;
   /// Whether another entry runs \p request.
   bool runsElsewhere(RequestDigest request, TimePoint now) const;
-  /// Whether another entry runs a suspect at \p life other than \p request.
-  bool hasOtherSuspect(LifeDigest life, RequestDigest request,
-                       TimePoint now) const;
+  /// Where other entries run suspects other than \p request.
+  std::set<LifeDigest> livesOfOthers(RequestDigest request,
+                                     TimePoint now) const;
   /// When \p life ended, if that is known.
   std::optional<TimePoint> endOf(LifeDigest life) const;
   bool isEmpty() const { return Rows.empty(); }
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -111,8 +111,8 @@
   bool isSuspect(const CallState &call) const;
   const EndpointState *pickForSuspect(CallState &call, TimePoint now);
   bool mustStandBack(const CallState &call, TimePoint now) const;
-  std::set<EndpointId> endpointsOfSuspects(const CallState &call,
-                                           TimePoint now) const;
+  std::set<LifeDigest> livesOfSuspects(const CallState &call,
+                                       TimePoint now) const;
   void endQuarantined(RequestDigest request, TimePoint now);
   void startOrWait(CallState &call, TimePoint now);
   void wait(const CallState &call, TimePoint now);
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -9,6 +9,7 @@
 #ifndef OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
 #define OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
 
+#include "ospreyspur/Direct/CrashReport.h"
 #include "ospreyspur/Direct/DirectActions.h"
 #include "ospreyspur/Direct/EndpointList.h"
 #include "ospreyspur/Direct/GroupPaces.h"
@@ -37,6 +38,8 @@
 /// One endpoint as an entry sees it.
 struct EndpointState {
   EndpointRecord Record;
+  /// What its life is known by in crash reports.
+  LifeDigest Life;
   bool IsMissing = false;
   /// This entry's requests there.
   unsigned Own = 0;
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -38,7 +38,7 @@
   /// lose. Null if there is none; with \p mustBeApart also if others run at
   /// each.
   const EndpointState *pickApart(const CallState &call,
-                                 const std::set<EndpointId> &others,
+                                 const std::set<LifeDigest> &others,
                                  bool mustBeApart, TimePoint now) const;
   /// Endpoints of \p service.
   std::size_t countEndpoints(const ServiceId &service) const {
--- a/lib/Direct/CrashTracker.cpp
+++ b/lib/Direct/CrashTracker.cpp
@@ -201,15 +201,17 @@
   });
 }
 
-bool CrashTracker::hasOtherSuspect(LifeDigest life, RequestDigest request,
-                                   TimePoint now) const {
-  return std::any_of(Peers.begin(), Peers.end(), [&](const auto &peer) {
-    const std::vector<SuspectRun> &runs = peer.second.Runs;
-    return now - peer.second.At < Limits.PeerRunAge &&
-           std::any_of(runs.begin(), runs.end(), [&](const SuspectRun &it) {
-             return it.Life == life && it.Request != request;
-           });
-  });
+std::set<LifeDigest> CrashTracker::livesOfOthers(RequestDigest request,
+                                                 TimePoint now) const {
+  std::set<LifeDigest> out;
+  for (const auto &[name, peer] : Peers) {
+    if (now - peer.At >= Limits.PeerRunAge)
+      continue;
+    for (const SuspectRun &it : peer.Runs)
+      if (it.Request != request)
+        out.insert(it.Life);
+  }
+  return out;
 }
 
 std::optional<TimePoint> CrashTracker::endOf(LifeDigest life) const {
--- a/lib/Direct/DirectCrashes.cpp
+++ b/lib/Direct/DirectCrashes.cpp
@@ -100,7 +100,7 @@
     return;
   std::vector<EndpointId> ended;
   for (const auto &[id, state] : Book.states())
-    if (fresh.contains(digestLife(id)))
+    if (fresh.contains(state.Life))
       ended.push_back(id);
   for (const EndpointId &it : ended)
     leaveGroupOf(it, now);
@@ -121,7 +121,8 @@
                               TimePoint now) {
   Crashes.restore(requests, now);
   for (RequestDigest it : requests)
-    endQuarantined(it, now);
+    if (Crashes.standingOf(it) == CrashStanding::Quarantined)
+      endQuarantined(it, now);
   return takeActions();
 }
 
@@ -150,7 +151,7 @@
                                                 TimePoint now) {
   bool isPressing = Crashes.crashesOf(call.Request.Digest) > 1;
   const EndpointState *state =
-      Picker.pickApart(call, endpointsOfSuspects(call, now), isPressing, now);
+      Picker.pickApart(call, livesOfSuspects(call, now), isPressing, now);
   if (!state)
     call.TurnAt.reset();
   if (!state || !isPressing)
@@ -183,16 +184,16 @@
 
 /// The endpoints at which suspects other than \p call's request run: a second
 /// one there could not be told from the first if the endpoint ended.
-std::set<EndpointId> DirectNode::endpointsOfSuspects(const CallState &call,
-                                                     TimePoint now) const {
-  std::set<EndpointId> out;
-  for (const auto &[id, other] : Calls)
-    if (other.Current && isSuspect(other) &&
+std::set<LifeDigest> DirectNode::livesOfSuspects(const CallState &call,
+                                                 TimePoint now) const {
+  std::set<LifeDigest> out = Crashes.livesOfOthers(call.Request.Digest, now);
+  for (const auto &[id, other] : Calls) {
+    const EndpointState *state =
+        other.Current ? Book.find(*other.Current) : nullptr;
+    if (state && isSuspect(other) &&
         other.Request.Digest != call.Request.Digest)
-      out.insert(*other.Current);
-  for (const auto &[id, state] : Book.states())
-    if (Crashes.hasOtherSuspect(digestLife(id), call.Request.Digest, now))
-      out.insert(id);
+      out.insert(state->Life);
+  }
   return out;
 }
 
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -26,8 +26,10 @@
     EndpointState &state = at->second;
     // Requests to a group that is being formed would be turned away, and each
     // counts toward the bound on repeats.
-    if (isNew)
+    if (isNew) {
       state.MustTell = it.Record.TellsState;
+      state.Life = digestLife(it.Record.Id);
+    }
     state.Record = it.Record;
     state.IsMissing = it.IsMissing;
     present.insert(it.Record.Id);
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -48,32 +48,37 @@
 
 const EndpointState *
 EndpointPicker::pickApart(const CallState &call,
-                          const std::set<EndpointId> &others, bool mustBeApart,
+                          const std::set<LifeDigest> &others, bool mustBeApart,
                           TimePoint now) const {
   std::vector<const EndpointState *> states = statesOf(call.Service);
-  std::shuffle(states.begin(), states.end(), Random);
+  std::vector<const EndpointState *> usable;
   // All ranks of a group stand still when one of them ends.
   std::map<GroupId, unsigned> running;
-  for (const EndpointState *it : states)
-    if (!it->Group.get().empty())
-      running[it->Group] += Book.totalLoad(*it, now).Running;
-  const EndpointState *best = nullptr;
-  std::tuple<bool, bool, unsigned, unsigned> bestCost;
   for (const EndpointState *it : states) {
-    bool isShared = others.contains(it->Record.Id);
+    bool isShared = others.contains(it->Life);
     if (obstacleAt(*it, call, now) != Obstacle::None ||
         (isShared && mustBeApart))
       continue;
-    auto group = running.find(it->Group);
-    std::tuple cost(isDoubtful(*it, now), isShared,
-                    group == running.end() ? 0 : group->second,
-                    Book.totalLoad(*it, now).Running);
-    if (best && cost >= bestCost)
-      continue;
-    best = it;
-    bestCost = cost;
+    usable.push_back(it);
+    running[it->Group] = 0;
   }
-  return best;
+  // While all are closed this is asked with each event.
+  if (usable.empty())
+    return nullptr;
+  for (const EndpointState *it : states)
+    if (auto group = running.find(it->Group); group != running.end())
+      group->second += Book.totalLoad(*it, now).Running;
+  std::shuffle(usable.begin(), usable.end(), Random);
+  auto costOfIt = [&](const EndpointState *it) {
+    bool isGrouped = !it->Group.get().empty();
+    return std::tuple(isDoubtful(*it, now), others.contains(it->Life),
+                      isGrouped ? running.at(it->Group) : 0U,
+                      Book.totalLoad(*it, now).Running);
+  };
+  return *std::min_element(usable.begin(), usable.end(),
+                           [&](const EndpointState *a, const EndpointState *b) {
+                             return costOfIt(a) < costOfIt(b);
+                           });
 }
 
 std::vector<const EndpointState *>
