Move the table of crashing requests to where both paths reach it

Cause: CrashTracker, its rows, notes and store lay in Direct, which the path through agents does not include; the question whether an endpoint has ended, the log of what was found and the calls on the store were parts of the direct path's shells.

Now Quarantine holds the decisions; FateCheck, CrashLog and QuarantineSync are the shells around them, one copy each, used by the direct path as before.

No logic of the direct path is changed.

--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -12,10 +12,10 @@
 #include "ospreyspur/Config/GossipNode.h"
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Control/ListReader.h"
+#include "ospreyspur/Control/QuarantineSync.h"
 #include "ospreyspur/Direct/EndpointList.h"
 #include "ospreyspur/Direct/FleetConfig.h"
 #include "ospreyspur/Direct/NodeRegistry.h"
-#include "ospreyspur/Direct/QuarantineStore.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Process/PeerLinks.h"
 #include "ospreyspur/Rpc/PeerServer.h"
@@ -66,7 +66,6 @@
   void onTimer();
   void onRegistryTimer();
   void onListTimer();
-  void onQuarantineTimer();
   void apply(const GossipActions &actions);
   void perform(const SendDigestTo &action);
   void perform(const SendUpdateTo &action);
@@ -88,7 +87,7 @@
   ListReader Reader;
   GossipNode Node;
   NodeRegistry Registry;
-  QuarantineStore Quarantine;
+  QuarantineSync Quarantine;
   std::vector<RequestDigest> Restored;
   EndpointList Endpoints;
   std::shared_ptr<const FleetConfig> Config;
@@ -97,7 +96,6 @@
   NodeTimer Timer;
   NodeTimer RegistryTimer;
   NodeTimer ListTimer;
-  NodeTimer QuarantineTimer;
   PeerServer Server;
   PeerLinks Peers;
 };
--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -10,6 +10,7 @@
 
 #include "ospreyspur/Direct/EndpointRecord.h"
 #include "ospreyspur/Direct/FleetConfig.h"
+#include "ospreyspur/Quarantine/EndpointFate.h"
 #include "ospreyspur/Support/Digest.h"
 #include "ospreyspur/Support/ResultCode.h"
 
@@ -71,16 +72,6 @@
   Endpoint,
 };
 
-/// What became of an endpoint that cut an answer.
-enum class EndpointFate : std::uint8_t {
-  /// It takes connections, in the same life.
-  Alive,
-  /// Nothing listens there, or a later life does.
-  Ended,
-  /// It could not be asked.
-  Unknown,
-};
-
 /// Send the request to this endpoint.
 struct StartAttempt {
   CallId Call;
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -10,9 +10,9 @@
 #ifndef OSPREYSPUR_DIRECT_DIRECTNODE_H
 #define OSPREYSPUR_DIRECT_DIRECTNODE_H
 
-#include "ospreyspur/Direct/CrashNote.h"
-#include "ospreyspur/Direct/CrashTracker.h"
 #include "ospreyspur/Direct/EndpointPicker.h"
+#include "ospreyspur/Quarantine/CrashNote.h"
+#include "ospreyspur/Quarantine/CrashTracker.h"
 
 #include <map>
 #include <random>
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -9,10 +9,10 @@
 #ifndef OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
 #define OSPREYSPUR_DIRECT_ENDPOINTBOOK_H
 
-#include "ospreyspur/Direct/CrashReport.h"
 #include "ospreyspur/Direct/DirectActions.h"
 #include "ospreyspur/Direct/EndpointList.h"
 #include "ospreyspur/Direct/GroupPaces.h"
+#include "ospreyspur/Quarantine/CrashReport.h"
 #include "ospreyspur/Support/Time.h"
 
 #include <map>
--- a/include/ospreyspur/Direct/CrashNote.h
+++ b/include/ospreyspur/Quarantine/CrashNote.h
@@ -4,10 +4,10 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OSPREYSPUR_DIRECT_CRASHNOTE_H
-#define OSPREYSPUR_DIRECT_CRASHNOTE_H
+#ifndef OSPREYSPUR_QUARANTINE_CRASHNOTE_H
+#define OSPREYSPUR_QUARANTINE_CRASHNOTE_H
 
-#include "ospreyspur/Direct/CrashTracker.h"
+#include "ospreyspur/Quarantine/CrashTracker.h"
 
 #include <string>
 
@@ -31,4 +31,4 @@
 
 } // namespace ospreyspur
 
-#endif // OSPREYSPUR_DIRECT_CRASHNOTE_H
+#endif // OSPREYSPUR_QUARANTINE_CRASHNOTE_H
--- a/include/ospreyspur/Direct/CrashReport.h
+++ b/include/ospreyspur/Quarantine/CrashReport.h
@@ -5,8 +5,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OSPREYSPUR_DIRECT_CRASHREPORT_H
-#define OSPREYSPUR_DIRECT_CRASHREPORT_H
+#ifndef OSPREYSPUR_QUARANTINE_CRASHREPORT_H
+#define OSPREYSPUR_QUARANTINE_CRASHREPORT_H
 
 #include "ospreyspur/Support/Digest.h"
 #include "ospreyspur/Support/Time.h"
@@ -61,4 +61,4 @@
 
 } // namespace ospreyspur
 
-#endif // OSPREYSPUR_DIRECT_CRASHREPORT_H
+#endif // OSPREYSPUR_QUARANTINE_CRASHREPORT_H
--- a/include/ospreyspur/Direct/CrashTracker.h
+++ b/include/ospreyspur/Quarantine/CrashTracker.h
@@ -16,10 +16,10 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OSPREYSPUR_DIRECT_CRASHTRACKER_H
-#define OSPREYSPUR_DIRECT_CRASHTRACKER_H
+#ifndef OSPREYSPUR_QUARANTINE_CRASHTRACKER_H
+#define OSPREYSPUR_QUARANTINE_CRASHTRACKER_H
 
-#include "ospreyspur/Direct/CrashReport.h"
+#include "ospreyspur/Quarantine/CrashReport.h"
 
 #include <cstddef>
 #include <map>
@@ -96,6 +96,8 @@
   void onSeen(RequestDigest request, TimePoint now);
   /// Judges what is due. Returns the requests that are quarantined thereby.
   std::vector<RequestDigest> judge(TimePoint now);
+  /// Judges all that is open, for an entry that no other one tells anything.
+  std::vector<RequestDigest> judgeAll(TimePoint now);
   /// What the entry \p peer knows. Returns the requests that are quarantined
   /// thereby.
   std::vector<RequestDigest> merge(const std::string &peer,
@@ -104,6 +106,8 @@
   void restore(const std::vector<RequestDigest> &requests, TimePoint now);
   /// The rows to tell the other entries now; all together are \p entries.
   std::vector<CrashRow> takeRows(std::size_t entries, TimePoint now);
+  /// All rows, in reports of at most MaxReportRows; nothing counts as told.
+  std::vector<CrashReport> allRows(TimePoint now);
 
   // Queries.
 
@@ -165,6 +169,8 @@
   bool addCrash(Row &row, const Crash &crash);
   void addLife(LifeDigest life, TimePoint at);
   bool isProven(RequestDigest request, const Row &row, TimePoint now) const;
+  std::vector<RequestDigest> judgeBefore(std::optional<TimePoint> due,
+                                         TimePoint now);
   void explain(RequestDigest request, const Row &row);
   bool hasTwin(RequestDigest request, const Row &row) const;
   double chanceOf(const Row &row, TimePoint now) const;
@@ -186,4 +192,4 @@
 
 } // namespace ospreyspur
 
-#endif // OSPREYSPUR_DIRECT_CRASHTRACKER_H
+#endif // OSPREYSPUR_QUARANTINE_CRASHTRACKER_H
--- a/include/ospreyspur/Direct/QuarantineStore.h
+++ b/include/ospreyspur/Quarantine/QuarantineStore.h
@@ -8,8 +8,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OSPREYSPUR_DIRECT_QUARANTINESTORE_H
-#define OSPREYSPUR_DIRECT_QUARANTINESTORE_H
+#ifndef OSPREYSPUR_QUARANTINE_QUARANTINESTORE_H
+#define OSPREYSPUR_QUARANTINE_QUARANTINESTORE_H
 
 #include "ospreyspur/Platform/KeyValue.h"
 #include "ospreyspur/Support/Digest.h"
@@ -81,4 +81,4 @@
 
 } // namespace ospreyspur
 
-#endif // OSPREYSPUR_DIRECT_QUARANTINESTORE_H
+#endif // OSPREYSPUR_QUARANTINE_QUARANTINESTORE_H
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -7,8 +7,8 @@
 #ifndef OSPREYSPUR_RPC_LOADCODEC_H
 #define OSPREYSPUR_RPC_LOADCODEC_H
 
-#include "ospreyspur/Direct/CrashReport.h"
 #include "ospreyspur/Direct/EndpointBook.h"
+#include "ospreyspur/Quarantine/CrashReport.h"
 
 #include <optional>
 #include <string>
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -60,10 +60,14 @@
       Node(makeIdentity(settings), makeDirectGossipLimits(), seed),
       Registry({settings.Name, DataCentreId(settings.DataCentre),
                 settings.LinkListen, settings.loadListen()}),
-      Quarantine(seed), Timer(ioc, [this] { onTimer(); }),
+      Quarantine(ioc, Platform, seed,
+                 [this](std::vector<RequestDigest> restored) {
+                   Restored = std::move(restored);
+                   publish();
+                 }),
+      Timer(ioc, [this] { onTimer(); }),
       RegistryTimer(ioc, [this] { onRegistryTimer(); }),
       ListTimer(ioc, [this] { onListTimer(); }),
-      QuarantineTimer(ioc, [this] { onQuarantineTimer(); }),
       Server({[this](LinkId from, const std::vector<Message> &messages) {
                 asio::post(Context, [this, from, messages] {
                   for (const Message &it : messages)
@@ -85,7 +89,7 @@
   usePeers();
   onTimer();
   onRegistryTimer();
-  onQuarantineTimer();
+  Quarantine.start();
   return boost::outcome_v2::success();
 }
 
@@ -119,29 +123,9 @@
   ListTimer.set(Endpoints.nextTimer());
 }
 
-void DirectControl::onQuarantineTimer() {
-  if (std::optional<KvCall> call = Quarantine.nextCall(monotonicNow()))
-    Platform.call(std::move(*call), CallTimeout, [this](const KvReply &reply) {
-      std::vector<RequestDigest> restored =
-          Quarantine.onReply(reply, monotonicNow());
-      LOG(INFO) << LogEvent("quarantine.synced")
-                       .with("code", static_cast<unsigned>(reply.Code))
-                       .with("revision", reply.At.get())
-                       .with("stored", Quarantine.stored().size())
-                       .with("restored", restored.size());
-      if (!restored.empty()) {
-        Restored = std::move(restored);
-        publish();
-      }
-      onQuarantineTimer();
-    });
-  QuarantineTimer.set(Quarantine.nextTimer());
-}
-
 void DirectControl::setQuarantine(std::vector<RequestDigest> quarantined,
                                   const std::vector<RequestDigest> &cleared) {
-  Quarantine.setOwn(std::move(quarantined), cleared, monotonicNow());
-  QuarantineTimer.set(Quarantine.nextTimer());
+  Quarantine.setOwn(std::move(quarantined), cleared);
 }
 
 void DirectControl::apply(const GossipActions &actions) {
--- /dev/null
+++ b/lib/Process/FateCheck.cpp
@@ -0,0 +1,79 @@
+//===- FateCheck.cpp - asks whether an endpoint has ended -----------------===//
+//
+// A process that has ended refuses connections until it is started again,
+// which takes seconds; an engine then tells another life. While it ends, its
+// sockets are closed one by one: the listening one may still take a connection
+// that is reset a moment later.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Process/FateCheck.h"
+
+#include "ospreyspur/Process/HostTimer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <array>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+/// How long an endpoint that cut an answer has to take a connection; inside a
+/// region that takes milliseconds.
+static constexpr Duration CheckTimeout = std::chrono::milliseconds(300);
+
+/// Looks at an endpoint that takes connections and drops them, and the pause
+/// between two. A connection that stays open for as long is one to a process
+/// that lives: a process that ends closes all that it has within a millisecond.
+static constexpr unsigned FateLooks = 3;
+static constexpr Duration FatePause = std::chrono::milliseconds(25);
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+static asio::awaitable<void> rest(asio::io_context &ioc, Duration span) {
+  HostTimer timer(ioc, span);
+  co_await timer.async_wait(AsTuple);
+}
+
+/// Whether the other side keeps the connection for FatePause.
+static asio::awaitable<bool> staysOpen(boost::beast::tcp_stream &stream) {
+  char byte = 0;
+  stream.expires_after(FatePause);
+  auto [ec, n] =
+      co_await stream.async_read_some(asio::buffer(&byte, 1), AsTuple);
+  co_return ec == boost::beast::error::timeout;
+}
+
+asio::awaitable<EndpointFate> ospreyspur::checkFate(asio::io_context &ioc,
+                                                    TcpAddress address,
+                                                    LifeCheck isSameLife) {
+  for (unsigned i = 0; i < FateLooks; ++i) {
+    if (i > 0)
+      co_await rest(ioc, FatePause);
+    boost::beast::tcp_stream stream(ioc);
+    stream.expires_after(CheckTimeout);
+    auto [ec] = co_await stream.async_connect(address, AsTuple);
+    if (ec == asio::error::connection_refused)
+      co_return EndpointFate::Ended;
+    if (ec == boost::beast::error::timeout)
+      co_return EndpointFate::Unknown;
+    if (ec)
+      continue;
+    if (!isSameLife) {
+      if (co_await staysOpen(stream))
+        co_return EndpointFate::Alive;
+      continue;
+    }
+    std::optional<bool> isSame = co_await isSameLife();
+    if (isSame)
+      co_return *isSame ? EndpointFate::Alive : EndpointFate::Ended;
+  }
+  co_return EndpointFate::Unknown;
+}
+
+const char *ospreyspur::toString(EndpointFate fate) {
+  static constexpr std::array Words = {"alive", "ended", "unknown"};
+  return Words.at(static_cast<std::size_t>(fate));
+}
--- a/lib/Direct/CrashTracker.cpp
+++ b/lib/Quarantine/CrashTracker.cpp
@@ -4,7 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "ospreyspur/Direct/CrashTracker.h"
+#include "ospreyspur/Quarantine/CrashTracker.h"
 
 #include <algorithm>
 #include <tuple>
@@ -136,6 +136,17 @@
   return out;
 }
 
+std::vector<CrashReport> CrashTracker::allRows(TimePoint now) {
+  forget(now);
+  std::vector<CrashReport> out;
+  for (const auto &[request, row] : Rows) {
+    if (out.empty() || out.back().Rows.size() >= Limits.MaxReportRows)
+      out.emplace_back();
+    out.back().Rows.push_back(tell(request, row, now));
+  }
+  return out;
+}
+
 /// Adds the next rows in their turn. What has a single end against it is told
 /// at first only: whoever missed that would not do anything else for it.
 void CrashTracker::refresh(std::vector<CrashRow> &out, TimePoint now) {
@@ -294,17 +305,27 @@
 }
 
 std::vector<RequestDigest> CrashTracker::judge(TimePoint now) {
+  return judgeBefore(now, now);
+}
+
+std::vector<RequestDigest> CrashTracker::judgeAll(TimePoint now) {
+  return judgeBefore(std::nullopt, now);
+}
+
+/// Judges what is due at \p due, or all.
+std::vector<RequestDigest>
+CrashTracker::judgeBefore(std::optional<TimePoint> due, TimePoint now) {
   // Those with the most ends first: what they explain speaks against no other.
-  std::vector<std::pair<std::size_t, RequestDigest>> due;
+  std::vector<std::pair<std::size_t, RequestDigest>> open;
   for (auto &[request, row] : Rows) {
-    if (!row.JudgeAt || now < *row.JudgeAt)
+    if (!row.JudgeAt || (due && *due < *row.JudgeAt))
       continue;
     row.JudgeAt.reset();
-    due.emplace_back(row.Crashes.size(), request);
+    open.emplace_back(row.Crashes.size(), request);
   }
-  std::sort(due.rbegin(), due.rend());
+  std::sort(open.rbegin(), open.rend());
   std::vector<RequestDigest> out;
-  for (const auto &[n, request] : due) {
+  for (const auto &[n, request] : open) {
     auto it = Rows.find(request);
     if (it == Rows.end() || !isProven(request, it->second, now))
       continue;
--- a/lib/Direct/QuarantineStore.cpp
+++ b/lib/Quarantine/QuarantineStore.cpp
@@ -4,7 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "ospreyspur/Direct/QuarantineStore.h"
+#include "ospreyspur/Quarantine/QuarantineStore.h"
 
 #include <algorithm>
 #include <sstream>
--- a/unittests/Direct/CrashTrackerTest.cpp
+++ b/unittests/Quarantine/CrashTrackerTest.cpp
@@ -5,7 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 
-#include "ospreyspur/Direct/CrashTracker.h"
+#include "ospreyspur/Quarantine/CrashTracker.h"
 #include "ospreyspur/Rpc/LoadCodec.h"
 
 #include <doctest/doctest.h>
--- a/unittests/Direct/QuarantineStoreTest.cpp
+++ b/unittests/Quarantine/QuarantineStoreTest.cpp
@@ -7,7 +7,7 @@
 
 #include "FakeKeyValue.h"
 
-#include "ospreyspur/Direct/QuarantineStore.h"
+#include "ospreyspur/Quarantine/QuarantineStore.h"
 
 #include <doctest/doctest.h>
 
