--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -43,6 +43,8 @@
   std::string Listen;
   Duration DefaultDeadline{};
   EntryLimits Limits;
+  /// Under which requests are digested; the same at all entries.
+  std::string DigestKey;
 };
 
 /// Settings of `ospreyspur agent`.
--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -61,7 +61,8 @@
 
   /// Sends \p request on a connection of its own and streams the answer into
   /// \p sink. Ok if the answer came whole; EndpointUnreachable if the
-  /// connection was never made; EndpointFailed otherwise. \p idle bounds each
+  /// connection was never made; EndpointFailed if the server closed or reset it
+  /// before the answer was whole; AnswerBroken otherwise. \p idle bounds each
   /// wait.
   boost::asio::awaitable<ResultCode> run(HttpRequest request, HttpSink sink,
                                          std::shared_ptr<HttpRunHandle> handle,
--- a/include/ospreyspur/Ledger/StoredAnswer.h
+++ b/include/ospreyspur/Ledger/StoredAnswer.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_LEDGER_STOREDANSWER_H
 #define OSPREYSPUR_LEDGER_STOREDANSWER_H
 
+#include "ospreyspur/Support/Ids.h"
 #include "ospreyspur/Support/ResultCode.h"
 
 #include <cstdint>
@@ -27,6 +28,8 @@
   /// Whether the body was dropped to save memory.
   bool Dropped = false;
   ResultCode Code = ResultCode::Ok;
+  /// Which of the endpoint's lives ran it.
+  EngineLife Life;
 
   /// The offset just after the last byte.
   std::uint64_t end() const { return BaseOffset + Body.size(); }
--- a/include/ospreyspur/Process/AgentTraffic.h
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -64,11 +64,13 @@
   void perform(const StopRun &action);
   boost::asio::awaitable<void> run(StartRun order,
                                    std::shared_ptr<HttpRunHandle> handle);
+  boost::asio::awaitable<ResultCode> findEnd(RequestId id);
 
   boost::asio::io_context &Context;
   const AgentSettings &Settings;
   Metrics &Measures;
   AgentNode Node;
+  TcpAddress EndpointAddress;
   HttpClient Endpoint;
   NodeTimer Timer;
   ControlHandlers Control;
--- a/include/ospreyspur/Process/EntryTraffic.h
+++ b/include/ospreyspur/Process/EntryTraffic.h
@@ -9,6 +9,7 @@
 #define OSPREYSPUR_PROCESS_ENTRYTRAFFIC_H
 
 #include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Control/QuarantineSync.h"
 #include "ospreyspur/Http/HttpServer.h"
 #include "ospreyspur/Http/Mailbox.h"
 #include "ospreyspur/Platform/PlatformClient.h"
@@ -54,6 +55,7 @@
   void perform(CallPlatform action);
   template <typename Answer> void perform(Answer action);
   void finishCall(CallId id, ResultCode code, TimePoint began);
+  void reportCrashes();
 
   boost::asio::io_context &Context;
   const EntrySettings &Settings;
@@ -61,6 +63,9 @@
   EntryNode Node;
   HttpServer Server;
   PlatformClient Platform;
+  QuarantineSync Quarantine;
+  /// The last change of the quarantine that the store heard of.
+  std::uint64_t ToldChange = 0;
   NodeTimer Timer;
   std::shared_ptr<const RoutingSnapshot> Snapshot;
   PeerLinks Peers;
--- a/include/ospreyspur/Routing/AgentNode.h
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -13,6 +13,7 @@
 
 #include "ospreyspur/Ledger/Ledger.h"
 #include "ospreyspur/Ledger/TicketOffice.h"
+#include "ospreyspur/Quarantine/CrashRelay.h"
 #include "ospreyspur/Routing/AgentActions.h"
 #include "ospreyspur/Routing/DrainEstimator.h"
 #include "ospreyspur/Routing/FairQueue.h"
@@ -59,7 +60,8 @@
   /// The endpoint's answer goes on.
   AgentActions onRunData(RequestId id, std::string_view data, TimePoint now);
   /// The run ended: Ok (whole answer), EndpointUnreachable (no byte of the
-  /// request left this host) or EndpointFailed (anything else).
+  /// request left this host), EndpointFailed (the endpoint's process has ended)
+  /// or AnswerBroken (anything else).
   AgentActions onRunEnd(RequestId id, ResultCode code, TimePoint now);
   /// Opens or closes the gate for new work and tells the entries. Until the
   /// first call the gate is closed, as the endpoint may be leaving.
@@ -81,6 +83,8 @@
   std::size_t runningCount() const { return Running.size(); }
   std::size_t queuedCount() const { return Queue.size(); }
   const Ledger &ledger() const { return Book; }
+  /// What this agent relays between entries.
+  const CrashRelay &relay() const { return Relay; }
 
 private:
   /// An entry that wants a request's answer.
@@ -95,6 +99,8 @@
     TimePoint Deadline;
     std::optional<TimePoint> Started;
     std::vector<Subscriber> Subscribers;
+    /// The endpoint's life when it started.
+    EngineLife Life;
   };
 
   void handle(LinkId from, const Probe &probe, TimePoint now);
@@ -102,6 +108,7 @@
   void handle(LinkId from, const Resolve &resolve, TimePoint now);
   void handle(LinkId from, const Cancel &cancel, TimePoint now);
   void handle(LinkId from, const LeavingSeen &seen, TimePoint now);
+  void handle(LinkId from, const CrashUpdate &update, TimePoint now);
   template <typename T> void handle(LinkId from, const T &other, TimePoint now);
 
   ResultCode whyNotAccepting(Duration wait, Duration timeLeft) const;
@@ -120,6 +127,7 @@
   void startWaiting(TimePoint now);
   void withdrawQueued(RequestId id, ResultCode reason, TimePoint now);
   void endRun(RequestId id, ResultCode code, TimePoint now);
+  ResultCode noteEngineEnd(EngineLife life);
   void stopIfUnwanted(RequestId id, TimePoint now);
   void send(LinkId to, Message message);
   AgentActions takeActions();
@@ -142,6 +150,9 @@
   std::set<RequestId> Running;
   std::set<std::pair<TimePoint, RequestId>> Deadlines;
   std::optional<TimePoint> NextExpiry;
+  /// Lives of the endpoint that have ended under a run.
+  EngineLife Life;
+  CrashRelay Relay;
   /// Time of the latest input; while requests wait there is one every
   /// PauseCheckInterval, unless the process is paused.
   TimePoint LastInput;
--- a/include/ospreyspur/Routing/Call.h
+++ b/include/ospreyspur/Routing/Call.h
@@ -19,6 +19,8 @@
 
 /// Where a call stands.
 enum class CallStage : std::uint8_t {
+  /// Another run of the same suspect goes first; nothing was sent to run.
+  StandingBack,
   /// Asks endpoints for offers; nothing was sent to run.
   Probing,
   /// Reads the claim of its idempotency key.
@@ -65,6 +67,12 @@
   /// run; the call can no longer end as "not run".
   bool MayHaveRun = false;
 
+  /// When the present dispatch was first sent.
+  TimePoint SentAt;
+  /// How long a suspect may stand back, and when its turn comes.
+  std::optional<TimePoint> StandsBackUntil;
+  std::optional<TimePoint> TurnAt;
+
   /// When the claim of the key was first asked for.
   std::optional<TimePoint> ClaimReadAt;
   /// The claim's revision as last seen; 0 if there is none.
--- a/include/ospreyspur/Routing/EntryActions.h
+++ b/include/ospreyspur/Routing/EntryActions.h
@@ -9,6 +9,7 @@
 
 #include "ospreyspur/Platform/KeyValue.h"
 #include "ospreyspur/Rpc/Messages.h"
+#include "ospreyspur/Support/Digest.h"
 
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
   std::optional<Ticket> CallerTicket;
   /// Only a ticket is wanted; nothing is run.
   bool WantsTicket = false;
+  /// What the request is known by when it comes again; the entry works it out.
+  RequestDigest Digest;
 };
 
 /// Send \c Body to the agent of \c To.
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -10,6 +10,9 @@
 #ifndef OSPREYSPUR_ROUTING_ENTRYNODE_H
 #define OSPREYSPUR_ROUTING_ENTRYNODE_H
 
+#include "ospreyspur/Quarantine/CrashNote.h"
+#include "ospreyspur/Quarantine/CrashReporter.h"
+#include "ospreyspur/Quarantine/CrashTracker.h"
 #include "ospreyspur/Routing/Call.h"
 #include "ospreyspur/Routing/EntryActions.h"
 #include "ospreyspur/Routing/ProbePicker.h"
@@ -21,7 +24,10 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -52,13 +58,28 @@
   Duration SuspectTime = std::chrono::seconds(1);
   double RetryRatio = 0.2;
   double RetryReserve = 10.0;
+  /// How long a suspect may wait for its other runs, and between two looks.
+  Duration MaxStandBack = std::chrono::milliseconds(1500);
+  Duration StandBackLook = std::chrono::milliseconds(20);
+  CrashLimits Crashes = makeRelayedCrashLimits();
+
+  /// Relays are reliable and keep all rows: each is told once, and repeated
+  /// rarely.
+  static CrashLimits makeRelayedCrashLimits() {
+    CrashLimits limits;
+    limits.Tellings = 1;
+    limits.RefreshEvery = std::chrono::seconds(1);
+    return limits;
+  }
 };
 
 /// The traffic side of an entry.
 class EntryNode {
 public:
-  /// \p seed feeds the choice of candidates.
-  EntryNode(DataCentreId dataCentre, EntryLimits limits, std::uint64_t seed);
+  /// \p seed feeds the choice of candidates; requests are digested under
+  /// \p digestKey, the same at all entries.
+  EntryNode(DataCentreId dataCentre, EntryLimits limits, std::uint64_t seed,
+            std::string digestKey = "");
 
   // Commands: each takes one input and gives the actions that follow.
 
@@ -74,15 +95,28 @@
   EntryActions onLinkDown(const EndpointId &to, TimePoint now);
   /// The platform's answer to CallPlatform.
   EntryActions onKvReply(KvCallId id, const KvReply &reply, TimePoint now);
-  /// A newer view of the fleet.
+  /// Requests that had been quarantined before this process began.
+  EntryActions restoreQuarantine(const std::vector<RequestDigest> &requests,
+                                 TimePoint now);
+  /// A newer view of the fleet; call onTimer() next.
   void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
   /// Does what is due at \p now.
   EntryActions onTimer(TimePoint now);
+  /// The ends of endpoints that were put down to requests since the last call,
+  /// for the log.
+  std::vector<CrashNote> takeCrashNotes() {
+    return std::exchange(CrashNotes, {});
+  }
 
   // Queries.
 
   /// When onTimer() is next needed, if at all.
   std::optional<TimePoint> nextTimer() const;
+  const CrashTracker &crashes() const { return Crashes; }
+  /// Entries as far as is known, this one included.
+  std::size_t entryCount(TimePoint now) const {
+    return Reporter.entryCount(now);
+  }
   /// Number of calls without a final answer.
   std::size_t callCount() const { return Calls.size(); }
 
@@ -101,10 +135,22 @@
   void startResolving(Call &call, TimePoint now);
   void moveElsewhere(Call &call, ResultCode reason, TimePoint now);
   void loseContact(Call &call, TimePoint now);
-  void onRunFailed(Call &call, ResultCode code, TimePoint now);
+  void onRunFailed(Call &call, const Finish &msg, TimePoint now);
+  void noteCrash(const Call &call, const Finish &msg, TimePoint now);
+  void judgeCrashes(TimePoint now);
+  void quarantine(RequestDigest request, bool isTold, TimePoint now);
+  void endQuarantined(RequestDigest request);
+  bool isSuspect(const Call &call) const;
+  bool isQuarantined(const Call &call) const;
+  bool mustStandBack(Call &call, TimePoint now);
+  void standBack(Call &call, TimePoint now);
+  void goOn(Call &call, TimePoint now);
+  std::set<LifeDigest> placesOfSuspects(const Call &call, TimePoint now) const;
+  std::vector<SuspectRun> suspectRuns() const;
+  void tellRelays(TimePoint now);
   void onStageTimer(Call &call, TimePoint now);
   void onDeadline(Call &call);
-  void passOn(Call &call);
+  void passOn(Call &call, TimePoint now);
 
   template <typename T>
   void handle(const EndpointId &from, const T &other, TimePoint now);
@@ -116,6 +162,7 @@
   void handle(const EndpointId &from, const Finish &msg, TimePoint now);
   void handle(const EndpointId &from, const ResolveReply &msg, TimePoint now);
   void handle(const EndpointId &from, const Leaving &msg, TimePoint now);
+  void handle(const EndpointId &from, const CrashUpdate &msg, TimePoint now);
 
   Call *findCurrent(RequestId id, AttemptNumber attempt);
   Call *findByRequest(RequestId id);
@@ -124,7 +171,7 @@
   void touch(Call &call, Duration wait, TimePoint now);
   void bind(Call &call, const Ticket &ticket);
   void unbind(Call &call);
-  void finishWhole(Call &call);
+  void finishWhole(Call &call, TimePoint now);
   void finishWith(Call &call, ResultCode code);
   void erase(Call &call);
   void callPlatform(Call &call, KvCall body);
@@ -148,6 +195,12 @@
   std::set<std::pair<TimePoint, CallId>> Timers;
   std::unordered_map<EndpointId, TimePoint> SuspectUntil;
   std::set<EndpointId> KnownLeaving;
+  std::string DigestKey;
+  /// This entry's name to the others, drawn at random.
+  std::string Name;
+  CrashTracker Crashes;
+  CrashReporter Reporter;
+  std::vector<CrashNote> CrashNotes;
   EntryActions Out;
 };
 
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -12,6 +12,7 @@
 #include "ospreyspur/Experts/GroupMessages.h"
 #include "ospreyspur/Experts/MapOrder.h"
 #include "ospreyspur/Ledger/Ticket.h"
+#include "ospreyspur/Quarantine/CrashReport.h"
 #include "ospreyspur/Support/Ids.h"
 #include "ospreyspur/Support/ResultCode.h"
 #include "ospreyspur/Support/Time.h"
@@ -112,6 +113,8 @@
   AttemptNumber Attempt;
   std::uint64_t Length = 0;
   ResultCode Code = ResultCode::Ok;
+  /// Which of the endpoint's lives that the agent has seen ran it.
+  EngineLife Life{};
 };
 
 /// What an agent knows of a request.
@@ -139,12 +142,23 @@
 /// request; what it sent before has arrived, as links keep the order.
 struct LeavingSeen {};
 
+/// Entry to agent: what the entry knows of requests under which endpoints
+/// ended, and that it wants to hear the same of the others. Agent to entry:
+/// another entry's update, or the agent's own rows to an entry that is new.
+struct CrashUpdate {
+  /// The entry that knows it; empty for an agent's rows.
+  std::string Sender;
+  /// Entries that the agent hands updates to; 0 from an entry.
+  std::uint32_t Entries = 0;
+  CrashReport Report;
+};
+
 /// Any message between two of our processes.
 using Message = std::variant<Probe, ProbeReply, Dispatch, Resolve, Cancel,
                              Accepted, Refused, Head, Chunk, Finish,
                              ResolveReply, Leaving, LeavingSeen, GroupOrder,
                              GroupReply, GossipDigest, GossipUpdate, RankStatus,
-                             MapOrder, MapOrderReply, LeaderCheck>;
+                             MapOrder, MapOrderReply, LeaderCheck, CrashUpdate>;
 
 } // namespace ospreyspur
 
--- a/include/ospreyspur/Support/Ids.h
+++ b/include/ospreyspur/Support/Ids.h
@@ -26,6 +26,9 @@
 using GroupId = StrongType<struct GroupIdTag, std::string>;
 /// One life of a process; drawn at random when the process starts.
 using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
+/// Numbers the lives of an endpoint's process that one agent incarnation has
+/// seen end.
+using EngineLife = StrongType<struct EngineLifeTag, std::uint64_t>;
 /// Numbers the tickets of one agent incarnation, from 1 up.
 using TicketSequence = StrongType<struct TicketSequenceTag, std::uint64_t>;
 /// Numbers a caller's request within one entry process.
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -81,6 +81,10 @@
   limits.ClaimLease = reader.readMillis(
       "entry.claim_lease_ms", limits.ClaimLease, minutes(6), hours(24),
       "how long an idempotency key stays bound; not above agent.retention_ms");
+  out.DigestKey = reader.readText(
+      "entry.digest_key", "",
+      "key of the digests by which requests that end endpoints are known; the "
+      "same at all entries");
   return out;
 }
 
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -94,6 +94,16 @@
   co_return response;
 }
 
+/// Why a run ended without a whole answer. A connection that ends by itself
+/// says that the server may have ended; silence and damage do not.
+static ResultCode failureOf(const boost::system::error_code &ec) {
+  bool isCut = ec == asio::error::connection_reset ||
+               ec == asio::error::broken_pipe || ec == asio::error::eof ||
+               ec == http::error::end_of_stream ||
+               ec == http::error::partial_message;
+  return isCut ? ResultCode::EndpointFailed : ResultCode::AnswerBroken;
+}
+
 asio::awaitable<ResultCode>
 HttpClient::run(HttpRequest request, HttpSink sink,
                 std::shared_ptr<HttpRunHandle> handle, Duration idle) {
@@ -115,7 +125,7 @@
   auto [writeError, written] =
       co_await http::async_write(stream, request, AsTuple);
   if (writeError)
-    co_return ResultCode::EndpointFailed;
+    co_return failureOf(writeError);
 
   beast::flat_buffer buf;
   http::response_parser<http::buffer_body> parser;
@@ -125,7 +135,8 @@
   auto [headError, headBytes] =
       co_await http::async_read_header(stream, buf, parser, AsTuple);
   if (headError || handle->IsStopped)
-    co_return ResultCode::EndpointFailed;
+    co_return handle->IsStopped ? ResultCode::AnswerBroken
+                                : failureOf(headError);
   sink.OnHead(parser.get().result_int(),
               std::string(parser.get()[http::field::content_type]));
   std::array<char, ReadBytes> data{};
@@ -135,12 +146,12 @@
     stream.expires_after(idle);
     auto [ec, n] = co_await http::async_read_some(stream, buf, parser, AsTuple);
     if (handle->IsStopped)
-      co_return ResultCode::EndpointFailed;
+      co_return ResultCode::AnswerBroken;
     std::size_t filled = data.size() - parser.get().body().size;
     if (filled > 0)
       sink.OnData(std::string_view(data.data(), filled));
     if (ec && ec != http::error::need_buffer)
-      co_return ResultCode::EndpointFailed;
+      co_return failureOf(ec);
   }
   co_return ResultCode::Ok;
 }
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -6,10 +6,14 @@
 
 #include "ospreyspur/Process/AgentTraffic.h"
 
+#include "ospreyspur/Process/FateCheck.h"
+#include "ospreyspur/Support/LogEvent.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <glog/logging.h>
 
 #include <sstream>
 
@@ -28,7 +32,7 @@
     : Context(ioc), Settings(settings), Measures(metrics),
       Node(EndpointId(settings.EndpointName), incarnation, std::move(key),
            settings.Limits, seed),
-      Endpoint(ioc, std::move(endpoint)),
+      EndpointAddress(endpoint), Endpoint(ioc, std::move(endpoint)),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
       Server({[this](LinkId link, std::vector<Message> messages) {
                 asio::post(Context,
@@ -135,8 +139,23 @@
   };
   ResultCode code = co_await Endpoint.run(std::move(request), sink, handle,
                                           Settings.EndpointIdle);
+  if (code == ResultCode::EndpointFailed && Runs.contains(id))
+    code = co_await findEnd(id);
   // A run that was stopped has been erased and ended already.
   if (Runs.erase(id) == 0)
     co_return;
   apply(Node.onRunEnd(id, code, monotonicNow()));
 }
+
+/// Whether the endpoint has ended, or only cut the answer to \p id.
+asio::awaitable<ResultCode> AgentTraffic::findEnd(RequestId id) {
+  EndpointFate fate = co_await checkFate(Context, EndpointAddress);
+  const char *word = toString(fate);
+  Measures.count("endpoint_checks_total{fate=\"" + std::string(word) + "\"}");
+  LOG(INFO) << LogEvent("endpoint.checked")
+                   .with("endpoint", Settings.EndpointName)
+                   .with("request", toHeader(id))
+                   .with("fate", word);
+  co_return fate == EndpointFate::Ended ? ResultCode::EndpointFailed
+                                        : ResultCode::AnswerBroken;
+}
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -7,6 +7,7 @@
 #include "ospreyspur/Process/EntryTraffic.h"
 
 #include "ospreyspur/Http/CallerApi.h"
+#include "ospreyspur/Process/CrashLog.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <boost/asio/post.hpp>
@@ -24,10 +25,15 @@
                            TcpAddress platform, Metrics &metrics,
                            std::uint64_t seed)
     : Context(ioc), Settings(settings), Measures(metrics),
-      Node(DataCentreId(settings.Common.DataCentre), settings.Limits, seed),
+      Node(DataCentreId(settings.Common.DataCentre), settings.Limits, seed,
+           settings.DigestKey),
       Server(ioc, HttpLimits(),
              [this](HttpExchange &exchange) { return handle(exchange); }),
       Platform(ioc, std::move(platform)),
+      Quarantine(ioc, Platform, seed,
+                 [this](const std::vector<RequestDigest> &restored) {
+                   apply(Node.restoreQuarantine(restored, monotonicNow()));
+                 }),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
       Snapshot(std::make_shared<RoutingSnapshot>()),
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
@@ -41,6 +47,7 @@
   Result<TcpAddress> address = parseAddress(Settings.Listen);
   if (!address)
     return address.error();
+  Quarantine.start();
   return Server.bind(address.value());
 }
 
@@ -52,6 +59,7 @@
       addresses.emplace(it.Id, it.Address);
   Peers.setAddresses(std::move(addresses));
   Node.setSnapshot(Snapshot);
+  apply(Node.onTimer(monotonicNow()));
   // Before the first snapshot every caller's key would be unknown.
   if (std::exchange(IsAccepting, true))
     return;
@@ -125,9 +133,21 @@
 void EntryTraffic::apply(EntryActions actions) {
   for (EntryAction &action : actions)
     std::visit([this](auto &it) { perform(std::move(it)); }, action);
+  reportCrashes();
   Timer.set(Node.nextTimer());
 }
 
+/// Logs what was put down to requests, and keeps the store's quarantine equal
+/// to the node's.
+void EntryTraffic::reportCrashes() {
+  std::vector<CrashNote> notes = Node.takeCrashNotes();
+  if (!notes.empty())
+    logCrashes(notes, Node.crashes(), Measures);
+  std::uint64_t change = Node.crashes().quarantineChanges();
+  if (std::exchange(ToldChange, change) != change)
+    Quarantine.setOwn(Node.crashes().quarantined(), Node.crashes().cleared());
+}
+
 void EntryTraffic::perform(const SendToAgent &action) {
   if (Peers.send(action.To, action.Body, monotonicNow()))
     return;
--- /dev/null
+++ b/lib/Quarantine/CrashRelay.cpp
@@ -0,0 +1,37 @@
+//===- CrashRelay.cpp - hands on what entries know of crashes -------------===//
+//
+// See CrashRelay.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Quarantine/CrashRelay.h"
+
+using namespace ospreyspur;
+
+std::vector<CrashRelay::Delivery>
+CrashRelay::onUpdate(LinkId from, const CrashUpdate &update, TimePoint now) {
+  std::vector<Delivery> out;
+  bool isNew = Entries.insert(from).second;
+  auto count = static_cast<std::uint32_t>(Entries.size());
+  if (isNew)
+    for (CrashReport &it : Crashes.allRows(now))
+      out.push_back({from, {"", count, std::move(it)}});
+  bool hadRuns = Running.erase(from) > 0;
+  if (!update.Report.Runs.empty())
+    Running.insert(from);
+  if (update.Report.isEmpty() && !hadRuns) {
+    // Tells the entry that the relay is there, and how many hear of it.
+    out.push_back({from, {"", count, {}}});
+    return out;
+  }
+  Crashes.merge(update.Sender, update.Report, now);
+  for (LinkId it : Entries)
+    if (it != from)
+      out.push_back({it, {update.Sender, count, update.Report}});
+  return out;
+}
+
+void CrashRelay::onLinkDown(LinkId link) {
+  Entries.erase(link);
+  Running.erase(link);
+}
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -66,6 +66,11 @@
   Unaware.erase(from);
 }
 
+void AgentNode::handle(LinkId from, const CrashUpdate &update, TimePoint now) {
+  for (CrashRelay::Delivery &it : Relay.onUpdate(from, update, now))
+    send(it.To, std::move(it.Update));
+}
+
 void AgentNode::handle(LinkId from, const Probe &probe, TimePoint now) {
   meetEntry(from);
   ProbeReply reply;
@@ -178,7 +183,7 @@
   request.Weight = weightOf(request.Workspace);
   Queue.push(std::move(request));
 
-  Job job{dispatch, now + dispatch.Deadline, std::nullopt, {}};
+  Job job{dispatch, now + dispatch.Deadline, std::nullopt, {}, {}};
   job.Subscribers.push_back({from, dispatch.Attempt});
   Deadlines.emplace(job.Deadline, id);
   Jobs.emplace(id, std::move(job));
@@ -194,6 +199,7 @@
   noticeTime(now);
   Entries.erase(link);
   Unaware.erase(link);
+  Relay.onLinkDown(link);
   std::vector<RequestId> touched;
   for (auto &[id, job] : Jobs) {
     auto n = std::erase_if(job.Subscribers, [link](const Subscriber &sub) {
--- a/lib/Routing/AgentRuns.cpp
+++ b/lib/Routing/AgentRuns.cpp
@@ -49,7 +49,7 @@
          Chunk{id, attempt, dispatch.ResumeFrom, answer.Body.substr(skip)});
   }
   if (answer.Finished)
-    send(from, Finish{id, attempt, answer.end(), answer.Code});
+    send(from, Finish{id, attempt, answer.end(), answer.Code, answer.Life});
 }
 
 void AgentNode::startWaiting(TimePoint now) {
@@ -59,6 +59,7 @@
       return;
     Job &job = Jobs.at(next->Id);
     job.Started = now;
+    job.Life = Life;
     Running.insert(next->Id);
     Dispatch &order = job.Order;
     Out.push_back(StartRun{next->Id, order.Method, order.Target,
@@ -116,17 +117,31 @@
 
 void AgentNode::endRun(RequestId id, ResultCode code, TimePoint now) {
   auto it = Jobs.find(id);
+  EngineLife life = it->second.Life;
   Drain.record(now - *it->second.Started);
-  std::uint64_t length = Book.findAnswer(id)->end();
+  if (code == ResultCode::EndpointFailed)
+    code = noteEngineEnd(life);
+  StoredAnswer *answer = Book.findAnswer(id);
+  answer->Life = life;
+  std::uint64_t length = answer->end();
   Book.finish(id, code, now);
   for (const Subscriber &sub : it->second.Subscribers)
-    send(sub.Link, Finish{id, sub.Attempt, length, code});
+    send(sub.Link, Finish{id, sub.Attempt, length, code, life});
   Deadlines.erase({it->second.Deadline, id});
   Running.erase(id);
   Jobs.erase(it);
   startWaiting(now);
 }
 
+/// The process that had the life \p life has ended; runs that started before
+/// end with it. An endpoint that leaves is stopped on purpose, which says
+/// nothing of what it ran. Returns the code to tell.
+ResultCode AgentNode::noteEngineEnd(EngineLife life) {
+  if (life == Life)
+    Life = EngineLife(life.get() + 1);
+  return IsLeaving ? ResultCode::AnswerBroken : ResultCode::EndpointFailed;
+}
+
 void AgentNode::withdrawQueued(RequestId id, ResultCode reason, TimePoint now) {
   auto it = Jobs.find(id);
   Book.withdraw(id, reason, now);
--- a/lib/Routing/EntryMessages.cpp
+++ b/lib/Routing/EntryMessages.cpp
@@ -49,13 +49,19 @@
 }
 
 /// The present dispatch ran or may have run, and gives no whole answer.
-void EntryNode::onRunFailed(Call &call, ResultCode code, TimePoint now) {
+void EntryNode::onRunFailed(Call &call, const Finish &msg, TimePoint now) {
+  CallId id = call.Request.Id;
+  if (msg.Code == ResultCode::EndpointFailed)
+    noteCrash(call, msg, now);
+  // The end may have been the one that quarantines the request.
+  if (!Calls.contains(id))
+    return;
   if (!mayRunElsewhere(call)) {
-    finishWith(call, code);
+    finishWith(call, msg.Code);
     return;
   }
   call.MayHaveRun = true;
-  moveElsewhere(call, code, now);
+  moveElsewhere(call, msg.Code, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const Refused &msg,
@@ -68,7 +74,7 @@
     moveElsewhere(*call, msg.Code, now);
     return;
   }
-  onRunFailed(*call, msg.Code, now);
+  onRunFailed(*call, Finish{msg.Id, msg.Attempt, 0, msg.Code, {}}, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const Head &msg,
@@ -81,7 +87,7 @@
     return;
   call->HasHead = true;
   Out.push_back(AnswerHead{call->Request.Id, msg.Status, msg.ContentType});
-  passOn(*call);
+  passOn(*call, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const Chunk &msg,
@@ -95,17 +101,17 @@
     loseContact(*call, now);
     return;
   }
-  passOn(*call);
+  passOn(*call, now);
 }
 
 /// Gives the caller what is in order, and the end if that was reached.
-void EntryNode::passOn(Call &call) {
+void EntryNode::passOn(Call &call, TimePoint now) {
   if (!call.HasHead)
     return;
   if (!call.Unsent.empty())
     Out.push_back(AnswerData{call.Request.Id, std::exchange(call.Unsent, {})});
   if (call.Answer.isComplete())
-    finishWhole(call);
+    finishWhole(call, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const Finish &msg,
@@ -115,10 +121,10 @@
     return;
   if (msg.Code == ResultCode::Ok) {
     call->Answer.setLength(msg.Attempt, msg.Length);
-    passOn(*call);
+    passOn(*call, now);
     return;
   }
-  onRunFailed(*call, msg.Code, now);
+  onRunFailed(*call, msg, now);
 }
 
 void EntryNode::handle(const EndpointId & /*from*/, const ResolveReply &msg,
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -18,11 +18,13 @@
 static constexpr unsigned MaxResolveBackoff = 8;
 
 EntryNode::EntryNode(DataCentreId dataCentre, EntryLimits limits,
-                     std::uint64_t seed)
+                     std::uint64_t seed, std::string digestKey)
     : DataCentre(std::move(dataCentre)), Limits(limits),
       Picker(limits.Probes, limits.Weights, DataCentre),
       Retries(limits.RetryRatio, limits.RetryReserve), Random(seed),
-      Snapshot(std::make_shared<RoutingSnapshot>()) {}
+      Snapshot(std::make_shared<RoutingSnapshot>()),
+      DigestKey(std::move(digestKey)), Name(std::to_string(Random())),
+      Crashes(limits.Crashes) {}
 
 EntryActions EntryNode::onCall(CallerRequest request, TimePoint now) {
   CallId id = request.Id;
@@ -36,13 +38,23 @@
     finishWith(call, ResultCode::TooManyCalls);
     return takeActions();
   }
+  judgeCrashes(now);
+  const CallerRequest &told = call.Request;
+  call.Request.Digest =
+      digestRequest(DigestKey, {told.Method, told.Service.get(), told.Target,
+                                told.Workspace.get(), told.Body});
+  Crashes.onSeen(call.Request.Digest, now);
+  if (isQuarantined(call)) {
+    finishWith(call, ResultCode::RequestQuarantined);
+    return takeActions();
+  }
   Retries.earn(call.Request.Workspace);
   if (call.Request.CallerTicket) {
     bind(call, *call.Request.CallerTicket);
     if (!Snapshot->findEndpoint(call.Permit->Endpoint))
       finishWith(call, ResultCode::IncarnationGone);
     else
-      dispatch(call, now);
+      goOn(call, now);
     return takeActions();
   }
   if (!findService(call))
@@ -55,21 +67,31 @@
 }
 
 void EntryNode::startProbing(Call &call, TimePoint now) {
+  if (mustStandBack(call, now)) {
+    standBack(call, now);
+    return;
+  }
   call.Stage = CallStage::Probing;
   call.Offers.clear();
   call.ProbesOut = 0;
   const ServiceView *service = findService(call);
   std::vector<EndpointId> candidates;
+  std::set<LifeDigest> taken = placesOfSuspects(call, now);
   if (service) {
     auto isExcluded = [&](const EndpointId &id) {
       auto suspect = SuspectUntil.find(id);
-      bool isSuspect = !call.IgnoresSilence && suspect != SuspectUntil.end() &&
-                       suspect->second > now;
-      return isSuspect || KnownLeaving.contains(id) || call.Tried.contains(id);
+      bool isSilent = !call.IgnoresSilence && suspect != SuspectUntil.end() &&
+                      suspect->second > now;
+      return isSilent || KnownLeaving.contains(id) || call.Tried.contains(id) ||
+             (!taken.empty() && taken.contains(digestLife(id)));
     };
     candidates = Picker.pickCandidates(*service, call.Request.Prefix,
                                        isExcluded, Random);
   }
+  if (candidates.empty() && !taken.empty()) {
+    standBack(call, now);
+    return;
+  }
   if (candidates.empty()) {
     finishWith(call, call.LastRefusal);
     return;
@@ -115,6 +137,10 @@
   // The others stay usable for another try.
   for (const ProbeOffer &it : call.Offers)
     call.Tried.erase(it.Endpoint);
+  if (mustStandBack(call, now)) {
+    standBack(call, now);
+    return;
+  }
   const ProbeOffer offer = call.Offers[*best];
   call.Tried.insert(offer.Endpoint);
   if (call.Request.WantsTicket) {
@@ -131,13 +157,20 @@
 }
 
 void EntryNode::dispatch(Call &call, TimePoint now) {
+  if (isQuarantined(call)) {
+    finishWith(call, ResultCode::RequestQuarantined);
+    return;
+  }
   ++call.Dispatches;
+  call.SentAt = now;
   call.Tries = 0;
   LastAttempt = AttemptNumber(LastAttempt.get() + 1);
   call.Attempt = LastAttempt;
   call.Answer.beginAttempt(call.Attempt);
   call.Stage = CallStage::Dispatched;
   sendDispatch(call, now);
+  if (isSuspect(call))
+    Reporter.onChange(now);
 }
 
 void EntryNode::sendDispatch(Call &call, TimePoint now) {
@@ -192,6 +225,7 @@
   }
   unbind(call);
   call.Tries = 0;
+  call.StandsBackUntil.reset();
   startProbing(call, now);
 }
 
@@ -211,6 +245,7 @@
   // Another agent may stand there next; one that is still leaving says so on
   // the new link.
   KnownLeaving.erase(to);
+  Reporter.onLinkDown(to, now);
   SuspectUntil[to] = now + Limits.SuspectTime;
   std::vector<CallId> touched;
   for (auto &[id, call] : Calls)
@@ -240,9 +275,12 @@
 void EntryNode::setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   assert(snapshot && "a snapshot must not be null");
   Snapshot = std::move(snapshot);
+  Reporter.setRelays(chooseRelays(*Snapshot));
 }
 
 EntryActions EntryNode::onTimer(TimePoint now) {
+  judgeCrashes(now);
+  tellRelays(now);
   while (!Timers.empty() && Timers.begin()->first <= now) {
     Call &call = Calls.at(Timers.begin()->second);
     if (call.Deadline <= now)
@@ -255,6 +293,9 @@
 
 void EntryNode::onStageTimer(Call &call, TimePoint now) {
   switch (call.Stage) {
+  case CallStage::StandingBack:
+    goOn(call, now);
+    return;
   case CallStage::Probing: {
     for (const EndpointId &it : call.Tried) {
       auto isFrom = [&](const ProbeOffer &o) { return o.Endpoint == it; };
@@ -290,7 +331,9 @@
 /// The caller's wait ends. Only a call that never had a ticket out, or whose
 /// ticket no other entry can know of, is sure not to have run.
 void EntryNode::onDeadline(Call &call) {
-  if (call.Stage == CallStage::Probing) {
+  bool isUnsent =
+      call.Stage == CallStage::Probing || call.Stage == CallStage::StandingBack;
+  if (isUnsent && !call.Request.CallerTicket) {
     finishWith(call, ResultCode::DeadlineBeforeStart);
     return;
   }
@@ -300,9 +343,15 @@
 }
 
 std::optional<TimePoint> EntryNode::nextTimer() const {
-  if (Timers.empty())
-    return std::nullopt;
-  return Timers.begin()->first;
+  std::optional<TimePoint> next = Reporter.nextTimer();
+  auto include = [&next](std::optional<TimePoint> due) {
+    if (due && (!next || *due < *next))
+      next = due;
+  };
+  include(Crashes.nextJudgement());
+  if (!Timers.empty())
+    include(Timers.begin()->first);
+  return next;
 }
 
 const ServiceView *EntryNode::findService(const Call &call) const {
@@ -335,7 +384,11 @@
   call.Permit.reset();
 }
 
-void EntryNode::finishWhole(Call &call) {
+void EntryNode::finishWhole(Call &call, TimePoint now) {
+  if (isSuspect(call) || isQuarantined(call)) {
+    Crashes.onWhole(call.Request.Digest, now);
+    Reporter.onChange(now);
+  }
   Out.push_back(AnswerEnd{call.Request.Id});
   erase(call);
 }
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -6,6 +6,7 @@
 
 #include "ospreyspur/Rpc/Codec.h"
 
+#include "CrashCodec.h"
 #include "MapCodec.h"
 
 #include "generated/peer.pb.h"
@@ -177,11 +178,12 @@
   out->set_attempt(in.Attempt.get());
   out->set_length(in.Length);
   out->set_code(putCode(in.Code));
+  out->set_life(in.Life.get());
 }
 
 static Finish get(const wire::Finish &in) {
   return {get(in.id()), AttemptNumber(in.attempt()), in.length(),
-          getCode(in.code())};
+          getCode(in.code()), EngineLife(in.life())};
 }
 
 static void put(const ResolveReply &in, wire::Message &message) {
@@ -322,6 +324,17 @@
   encodeMap(in, message);
 }
 
+static void put(const CrashUpdate &in, wire::Message &message) {
+  auto *out = message.mutable_crash_update();
+  out->set_sender(in.Sender);
+  out->set_entries(in.Entries);
+  encodeCrashes(in.Report, *out);
+}
+
+static CrashUpdate get(const wire::CrashUpdate &in) {
+  return {in.sender(), in.entries(), decodeCrashes(in)};
+}
+
 void ospreyspur::encode(const Message &message, wire::Message &out) {
   std::visit([&out](const auto &it) { put(it, out); }, message);
 }
@@ -377,6 +390,8 @@
     return decodeMap(in.leader_check());
   case wire::Message::kGossipUpdate:
     return get(in.gossip_update());
+  case wire::Message::kCrashUpdate:
+    return get(in.crash_update());
   case wire::Message::BODY_NOT_SET:
     return std::nullopt;
   }
--- /dev/null
+++ b/lib/Rpc/CrashCodec.h
@@ -0,0 +1,28 @@
+//===- CrashCodec.h - what is told of ended endpoints -----------*- C++ -*-===//
+//
+// The same fields stand in load reports and in messages on links.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_LIB_RPC_CRASHCODEC_H
+#define OSPREYSPUR_LIB_RPC_CRASHCODEC_H
+
+#include "ospreyspur/Quarantine/CrashReport.h"
+
+namespace ospreyspur {
+
+namespace wire {
+class CrashUpdate;
+class LoadReport;
+} // namespace wire
+
+void encodeCrashes(const CrashReport &report, wire::LoadReport &out);
+void encodeCrashes(const CrashReport &report, wire::CrashUpdate &out);
+
+/// What exceeds the bounds of a report is left out.
+CrashReport decodeCrashes(const wire::LoadReport &in);
+CrashReport decodeCrashes(const wire::CrashUpdate &in);
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_LIB_RPC_CRASHCODEC_H
--- a/test/standin/Crowd.cpp
+++ b/test/standin/Crowd.cpp
@@ -35,6 +35,7 @@
 static constexpr std::int64_t RestMs = 60;
 static constexpr std::int64_t RetryMs = 100;
 static constexpr std::string_view Whole = "id: 6\n";
+static constexpr std::string_view WholeJson = "\"path\":\"/x\"}";
 
 namespace {
 class Crowd {
@@ -88,8 +89,8 @@
         parseAddress(Plan.Readies[entry]).value(), AsTuple);
     if (ec)
       co_return false;
-    http::request<http::empty_body> request(http::verb::get,
-                                            "/ospreyspur/ready", 11);
+    http::request<http::empty_body> request(
+        http::verb::get, Plan.Key.empty() ? "/ospreyspur/ready" : "/ready", 11);
     co_await http::async_write(stream, request, AsTuple);
     beast::flat_buffer buf;
     http::response<http::string_body> response;
@@ -103,12 +104,7 @@
                             bool isDeadly) {
     std::string id =
         "c" + std::to_string(Plan.Seed) + "-" + std::to_string(++LastRequest);
-    http::request<http::string_body> request(http::verb::post, "/x", 11);
-    request.set(http::field::host, "h");
-    request.set("Request-Id", id);
-    request.set("Deadline-Ms", "6000");
-    request.body() = isDeadly ? "ends whoever runs it" : "innocent " + id;
-    request.prepare_payload();
+    auto request = makeRequest(id, isDeadly);
     stream.expires_after(Patience);
     auto [writeError, sent] =
         co_await http::async_write(stream, request, AsTuple);
@@ -128,9 +124,11 @@
     }
     const auto &answer = parser.get();
     bool isOwn =
+        !Plan.Key.empty() ||
         answer["Request-Id"] == beast::string_view(id.data(), id.size());
     bool isOk = answer.result_int() == 200;
-    bool isWhole = answer.body().find(Whole) != std::string::npos &&
+    std::string_view end = Plan.Key.empty() ? Whole : WholeJson;
+    bool isWhole = answer.body().find(end) != std::string::npos &&
                    answer.body().find(id) != std::string::npos;
     if (!isOwn || (isOk && !isWhole))
       ++Outcomes["wrong"];
@@ -139,6 +137,25 @@
     co_return answer.keep_alive();
   }
 
+  http::request<http::string_body> makeRequest(const std::string &id,
+                                               bool isDeadly) const {
+    http::request<http::string_body> request(http::verb::post, "/x", 11);
+    request.set(http::field::host, "h");
+    if (Plan.Key.empty()) {
+      request.set("Request-Id", id);
+      request.set("Deadline-Ms", "6000");
+      request.body() = isDeadly ? std::string(DeadlyBody) : "innocent " + id;
+    } else {
+      request.target("/services/" + Plan.Service + "/x");
+      request.set(http::field::authorization, "Bearer " + Plan.Key);
+      request.set("Ospreyspur-Deadline-Ms", "6000");
+      json::object body{{"id", isDeadly ? std::string(DeadlyBody) : id}};
+      request.body() = json::serialize(body);
+    }
+    request.prepare_payload();
+    return request;
+  }
+
   asio::io_context &Context;
   const CrowdPlan &Plan;
   std::mt19937_64 Random;
--- a/test/standin/Mortal.cpp
+++ b/test/standin/Mortal.cpp
@@ -21,8 +21,6 @@
 using namespace standin;
 using namespace ospreyspur;
 
-static constexpr std::string_view Deadly = "ends whoever runs it";
-static constexpr int DeadlyExit = 3;
 static constexpr std::int64_t WorkMs = 40;
 static constexpr std::int64_t EventMs = 25;
 static constexpr int Events = 6;
@@ -48,7 +46,8 @@
 
   asio::awaitable<void> handle(HttpExchange &exchange) {
     std::string label = exchange.header("Request-Id");
-    bool isDeadly = exchange.request().body().find(Deadly) != std::string::npos;
+    bool isDeadly =
+        exchange.request().body().find(DeadlyBody) != std::string::npos;
     if (exchange.header("Expect-Replica") != Id) {
       co_await exchange.respond(421, "text/plain", "");
       co_return;
--- a/test/standin/Service.cpp
+++ b/test/standin/Service.cpp
@@ -6,12 +6,15 @@
 
 #include "Standins.h"
 
+#include <fstream>
 #include <map>
+#include <unistd.h>
 
 using namespace standin;
 using namespace ospreyspur;
 
-int standin::runService(const std::string &listen, std::int64_t delayMs) {
+int standin::runService(const std::string &listen, std::int64_t delayMs,
+                        const std::string &history) {
   asio::io_context ioc(1);
   std::map<std::string, std::int64_t> runs;
   auto handle = [&](HttpExchange &exchange) -> asio::awaitable<void> {
@@ -25,8 +28,14 @@
     }
     std::string id = textOf(bodyOf(exchange), "id");
     std::int64_t n = ++runs[id];
+    bool isDeadly = !history.empty() && id == DeadlyBody;
+    if (!history.empty())
+      std::ofstream(history, std::ios::app)
+          << (isDeadly ? "deadly" : id) << '\n';
     if (delayMs > 0)
       co_await pause(delayMs);
+    if (isDeadly)
+      ::_exit(DeadlyExit);
     out = {{"id", id}, {"run", n}, {"path", target}};
     co_await reply(exchange, 200, out);
   };
--- a/test/standin/Standins.h
+++ b/test/standin/Standins.h
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace standin {
@@ -51,8 +52,15 @@
 int runGroup(const std::vector<std::string> &listens, std::int64_t stepMs,
              bool checksFences);
 
-/// Runs a plain service that counts each run by the request's id.
-int runService(const std::string &listen, std::int64_t delayMs);
+/// What ends whoever runs it, and the exit status of its process.
+constexpr std::string_view DeadlyBody = "ends whoever runs it";
+constexpr int DeadlyExit = 3;
+
+/// Runs a plain service that counts each run by the request's id. With \p
+/// history it ends when it runs the deadly body; the file gets a line for each
+/// run, "deadly" or the request's id.
+int runService(const std::string &listen, std::int64_t delayMs,
+               const std::string &history);
 
 /// What a load run sends.
 struct LoadPlan {
@@ -92,6 +100,9 @@
   std::uint64_t Seed = 1;
   /// Whether some of them send nothing but the deadly body.
   bool HasDeadly = false;
+  /// With a bearer key they speak our own interface, and ask for Service.
+  std::string Key;
+  std::string Service;
 };
 
 /// Prints how often each outcome was seen.
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -90,7 +90,7 @@
       return runGroup(address.getValue(), stepMs.getValue(),
                       !noFences.getValue());
     if (name.getValue() == "service")
-      return runService(listen, delayMs.getValue());
+      return runService(listen, delayMs.getValue(), history.getValue());
     if (name.getValue() == "mortal")
       return runMortal({listen, platform.getValue(), ownName.getValue(),
                         history.getValue()});
@@ -98,7 +98,7 @@
       return runCrowd({address.getValue(), ready.getValue(), callers.getValue(),
                        seconds.getValue(),
                        static_cast<std::uint64_t>(seed.getValue()),
-                       deadly.getValue()});
+                       deadly.getValue(), key.getValue(), service.getValue()});
     if (name.getValue() == "verify")
       return verifyHistory(history.getValue(), address.getValue());
     LoadPlan plan{
--- /dev/null
+++ b/unittests/Routing/EndedEngineTest.cpp
@@ -0,0 +1,171 @@
+//===- EndedEngineTest.cpp - engines that end, through agents -------------===//
+//
+// Several entries and agents on virtual time. Seen: on the path through agents
+// one request that ends whoever runs it ended an engine each time it was sent.
+// Cause: an entry kept nothing of a failed run, an agent could not tell the end
+// of its engine from a cut answer, and entries told each other nothing.
+//
+//===----------------------------------------------------------------------===//
+
+#include "RequestWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using namespace ospreyspur::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+constexpr unsigned Seeds = 20;
+/// Three before it can be known, three more while the news travels.
+constexpr unsigned MostEnds = 6;
+constexpr std::size_t EntryCount = 3;
+constexpr std::size_t AgentCount = 12;
+
+/// A world whose messages arrive, with requests that may be repeated.
+class EngineWorld : public RequestWorld {
+public:
+  explicit EngineWorld(std::uint64_t seed, FaultRates rates = {0, 0, 0, 0})
+      : RequestWorld(seed, rates, EntryCount, AgentCount,
+                     EntryLimits().ClaimLease, 10000) {
+    setDeadly("deadly");
+  }
+
+  /// Callers ask for \p name every \p pause until \p end, at entry after entry.
+  void askOften(const std::string &name, Duration pause, TimePoint end) {
+    std::size_t n = 0;
+    for (TimePoint at = Scheduler.now(); at < end; at += pause, ++n)
+      Scheduler.at(at, [this, name, n] {
+        bool isDeadly = name == "deadly";
+        ask(n % EntryCount, isDeadly ? name : name + std::to_string(n),
+            [](CallerRequest &it) { it.IsRepeatable = true; });
+      });
+  }
+
+  unsigned countCode(ResultCode code, bool ofDeadly) const {
+    unsigned n = 0;
+    for (const auto &it : Calls)
+      n += it->Ended && !it->IsCut && it->Code == code &&
+                   (it->Name == "deadly") == ofDeadly
+               ? 1
+               : 0;
+    return n;
+  }
+
+  unsigned countOthers() const {
+    unsigned n = 0;
+    for (const auto &it : Calls)
+      n += it->Name != "deadly" ? 1 : 0;
+    return n;
+  }
+};
+} // namespace
+
+TEST_CASE("through agents, copies at several entries end a few engines only") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineWorld world(seed);
+    TimePoint begin = world.Scheduler.now();
+    world.Scheduler.runUntil(begin + milliseconds(200));
+    world.askOften("deadly", milliseconds(70), begin + seconds(8));
+    world.askOften("innocent", milliseconds(30), begin + seconds(8));
+    world.Scheduler.runUntil(begin + seconds(14));
+    CHECK(world.deadlyEnds() >= 1);
+    CHECK(world.deadlyEnds() <= MostEnds);
+    CHECK(world.countCode(ResultCode::Ok, true) == 0);
+    CHECK(world.countCode(ResultCode::RequestQuarantined, true) > 0);
+    CHECK(world.countCode(ResultCode::RequestQuarantined, false) == 0);
+    CHECK(world.countCode(ResultCode::Ok, false) * 100 >=
+          world.countOthers() * 98);
+  }
+}
+
+TEST_CASE("through agents, what ends engines is known when entries begin anew "
+          "without the store") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineWorld world(seed);
+    TimePoint begin = world.Scheduler.now();
+    world.setOutage(seconds(60));
+    world.Scheduler.runUntil(begin + milliseconds(200));
+    world.askOften("deadly", milliseconds(70), begin + seconds(12));
+    world.Scheduler.runUntil(begin + seconds(3));
+    unsigned before = world.deadlyEnds();
+    CHECK(before >= 1);
+    CHECK(before <= MostEnds);
+    // One by one, all at once, and two relays beside them.
+    for (std::size_t i = 0; i < EntryCount; ++i) {
+      world.killEntry(i);
+      world.Scheduler.runUntil(world.Scheduler.now() + milliseconds(400));
+    }
+    for (std::size_t i = 0; i < EntryCount; ++i)
+      world.killEntry(i);
+    world.Scheduler.runUntil(begin + seconds(7));
+    world.killAgent(world.Scheduler.below(AgentCount));
+    world.killAgent(world.Scheduler.below(AgentCount));
+    world.killEntry(0);
+    world.Scheduler.runUntil(begin + seconds(15));
+    CHECK(world.deadlyEnds() == before);
+  }
+}
+
+TEST_CASE("through agents, a few engines end while entries are killed and cut "
+          "off") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineWorld world(seed, {0, 15, 0, 2});
+    TimePoint begin = world.Scheduler.now();
+    world.Scheduler.runUntil(begin + milliseconds(200));
+    world.askOften("deadly", milliseconds(110), begin + seconds(10));
+    world.askOften("innocent", milliseconds(40), begin + seconds(10));
+    for (unsigned k = 0; k < 12; ++k) {
+      TimePoint at = begin + milliseconds(300 + 700 * k);
+      world.Scheduler.at(at, [&world, k] {
+        std::size_t i = world.Scheduler.below(EntryCount);
+        std::size_t n = world.Scheduler.below(AgentCount);
+        switch (k % 4) {
+        case 0:
+          world.killEntry(i);
+          break;
+        case 1:
+          world.freezeEntry(i, milliseconds(900));
+          break;
+        case 2:
+          world.killAgent(n);
+          break;
+        default:
+          world.cutLink(i, n);
+        }
+      });
+    }
+    world.Scheduler.runUntil(begin + seconds(16));
+    CHECK(world.deadlyEnds() <= MostEnds);
+    CHECK(world.countCode(ResultCode::RequestQuarantined, false) == 0);
+  }
+}
+
+TEST_CASE("through agents, no request is refused because engines end in "
+          "waves") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineWorld world(seed);
+    TimePoint begin = world.Scheduler.now();
+    world.Scheduler.runUntil(begin + milliseconds(200));
+    world.askOften("innocent", milliseconds(15), begin + seconds(8));
+    // The same request again and again, as from a caller who polls.
+    for (unsigned k = 0; k < 300; ++k)
+      world.Scheduler.at(begin + milliseconds(200 + 25 * k), [&world, k] {
+        world.ask(k % EntryCount, "poll",
+                  [](CallerRequest &it) { it.IsRepeatable = true; });
+      });
+    for (unsigned k = 0; k < 24; ++k)
+      world.Scheduler.at(begin + milliseconds(400 + 300 * k), [&world] {
+        world.endEngine(world.Scheduler.below(AgentCount));
+      });
+    world.Scheduler.runUntil(begin + seconds(14));
+    CHECK(world.countCode(ResultCode::RequestQuarantined, false) == 0);
+    CHECK(world.countCode(ResultCode::Ok, false) * 100 >=
+          world.countOthers() * 97);
+  }
+}
--- a/unittests/Routing/RequestWorld.cpp
+++ b/unittests/Routing/RequestWorld.cpp
@@ -13,13 +13,16 @@
 
 static constexpr Duration KvTimeout = milliseconds(400);
 static constexpr std::uint64_t EntriesPerLife = 64;
+/// How long an engine takes to start again.
+static constexpr Duration DownTime = milliseconds(600);
 /// "A few seconds" after which a leaving endpoint must get no new work.
 static constexpr Duration LeavingGrace = seconds(5);
 
 RequestWorld::RequestWorld(std::uint64_t seed, FaultRates rates,
                            std::size_t entries, std::size_t agents,
-                           Duration claimLease)
+                           Duration claimLease, std::size_t ledgerRecords)
     : Scheduler(seed, rates.Late), Rates(rates), ClaimLease(claimLease),
+      LedgerRecords(ledgerRecords),
       Snapshot(std::make_shared<RoutingSnapshot>()), Entries(entries),
       Agents(agents) {
   ServiceView &service = Snapshot->Services[ServiceId("pay")];
@@ -52,6 +55,8 @@
                                            Scheduler.below(1U << 30U));
   entry.Node->setSnapshot(Snapshot);
   entry.Life = ++LastLife;
+  toEntry(i, entry.Life,
+          [this](EntryNode &node) { return node.onTimer(Scheduler.now()); });
 }
 
 void RequestWorld::startAgent(std::size_t i) {
@@ -59,7 +64,7 @@
   AgentLimits limits;
   limits.Slots = 2;
   limits.MaxQueue = 3;
-  limits.Ledger.MaxRecords = 6;
+  limits.Ledger.MaxRecords = LedgerRecords;
   agent.Life = ++LastLife;
   agent.Node =
       std::make_unique<AgentNode>(agent.Id, Incarnation(agent.Life), "secret",
@@ -314,7 +319,8 @@
     ++LateStarts;
   std::uint64_t life = Agents[i].Life;
   RequestId id = action.Id;
-  if (Scheduler.chance(Rates.Endpoint)) {
+  bool isDown = Scheduler.now() < Agents[i].DownUntil;
+  if (isDown || Scheduler.chance(Rates.Endpoint)) {
     toAgent(i, life, [this, id](AgentNode &node) {
       return node.onRunEnd(id, ResultCode::EndpointUnreachable,
                            Scheduler.now());
@@ -323,26 +329,50 @@
   }
   // The request reaches the endpoint whether or not the agent lives on.
   std::uint64_t from = action.ResumeFrom;
-  Scheduler.soon([this, i, life, id, from, name = action.Body] {
+  std::uint64_t engine = Agents[i].Engine;
+  Agents[i].Runs.insert(id);
+  Scheduler.soon([this, i, life, engine, id, from, name = action.Body] {
+    if (Agents[i].Engine != engine)
+      return;
     Runs.push_back({name, Scheduler.now()});
-    toAgent(i, life, [this, i, life, id, from, name](AgentNode &node) {
+    if (!Deadly.empty() && name == Deadly) {
+      ++DeadlyEnds;
+      endEngine(i);
+      return;
+    }
+    toAgent(i, life, [this, i, life, engine, id, from, name](AgentNode &node) {
       AgentActions out = node.onRunHead(id, 200, "text/plain", Scheduler.now());
-      stepRun(i, life, id, expectedBody(name).substr(from));
+      stepRun(i, life, engine, id, expectedBody(name).substr(from));
       return out;
     });
   });
 }
 
-void RequestWorld::stepRun(std::size_t i, std::uint64_t life, RequestId id,
+void RequestWorld::endEngine(std::size_t i) {
+  Agent &agent = Agents[i];
+  ++agent.Engine;
+  agent.DownUntil = Scheduler.now() + DownTime;
+  for (RequestId id : std::exchange(agent.Runs, {}))
+    toAgent(i, agent.Life, [this, id](AgentNode &node) {
+      return node.onRunEnd(id, ResultCode::EndpointFailed, Scheduler.now());
+    });
+}
+
+void RequestWorld::stepRun(std::size_t i, std::uint64_t life,
+                           std::uint64_t engine, RequestId id,
                            const std::string &rest) {
-  toAgent(i, life, [this, i, life, id, rest](AgentNode &node) {
-    if (rest.empty())
+  toAgent(i, life, [this, i, life, engine, id, rest](AgentNode &node) {
+    if (Agents[i].Engine != engine)
+      return AgentActions();
+    if (rest.empty()) {
+      Agents[i].Runs.erase(id);
       return node.onRunEnd(id, ResultCode::Ok, Scheduler.now());
+    }
     if (Scheduler.chance(Rates.Endpoint))
       return node.onRunEnd(id, ResultCode::EndpointFailed, Scheduler.now());
     std::size_t n = 1 + Scheduler.below(rest.size());
     AgentActions out = node.onRunData(id, rest.substr(0, n), Scheduler.now());
-    stepRun(i, life, id, rest.substr(n));
+    stepRun(i, life, engine, id, rest.substr(n));
     return out;
   });
 }
--- a/unittests/Routing/RequestWorld.h
+++ b/unittests/Routing/RequestWorld.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,8 @@
 public:
   RequestWorld(std::uint64_t seed, FaultRates rates, std::size_t entries,
                std::size_t agents,
-               Duration claimLease = EntryLimits().ClaimLease);
+               Duration claimLease = EntryLimits().ClaimLease,
+               std::size_t ledgerRecords = 6);
 
   RandomScheduler Scheduler;
   /// Stable addresses: records are added only.
@@ -77,6 +79,13 @@
   /// when it can, entries only from the agent.
   void setLeaving(std::size_t i, bool leaving);
   void cutLink(std::size_t entry, std::size_t agent);
+  /// From now on each engine that runs \p name ends.
+  void setDeadly(const std::string &name) { Deadly = name; }
+  /// The engine of endpoint \p i ends with all that it runs; it is back after
+  /// DownTime. Its agent lives on and finds out.
+  void endEngine(std::size_t i);
+  /// Engines that ended under the deadly request.
+  unsigned deadlyEnds() const { return DeadlyEnds; }
   void setOutage(Duration span) { OutageUntil = Scheduler.now() + span; }
 
   /// The whole answer to \p name.
@@ -96,6 +105,10 @@
     std::uint64_t Life = 0;
     TimePoint FrozenUntil;
     std::optional<TimePoint> LeavingSince;
+    /// The engine's life, what it runs, and until when it is down.
+    std::uint64_t Engine = 0;
+    std::set<RequestId> Runs;
+    TimePoint DownUntil;
   };
   void startEntry(std::size_t i);
   void startAgent(std::size_t i);
@@ -120,18 +133,21 @@
   void perform(std::size_t i, const StartRun &action);
   void perform(std::size_t i, const StopRun &action);
   void end(std::size_t i, CallId id, ResultCode code);
-  void stepRun(std::size_t agent, std::uint64_t life, RequestId id,
-               const std::string &rest);
+  void stepRun(std::size_t agent, std::uint64_t life, std::uint64_t engine,
+               RequestId id, const std::string &rest);
   KvReply callKv(const KvCall &call);
 
   FaultRates Rates;
   Duration ClaimLease;
+  std::size_t LedgerRecords;
   std::shared_ptr<RoutingSnapshot> Snapshot;
   std::vector<Entry> Entries;
   std::vector<Agent> Agents;
   FakeKeyValue Kv;
   std::uint64_t LastLife = 0;
   TimePoint OutageUntil;
+  std::string Deadly;
+  unsigned DeadlyEnds = 0;
 };
 
 } // namespace ospreyspur::test
