Keep the fleet's bound on repeats through deaths, outages and cuts

Callers saw nothing of it by itself: the bound protects endpoints.

Cause: what an entry has spent dies with it, and the next life takes a full share; the allowance is divided by who is heard at this moment, nobody for an entry that begins, fewer for those that outlive others. That each entry found replaced endpoints for itself made repeats more, not the bound wider.

Fix: for its first window a life keeps to a quarter of the ratio for its own requests and of its share by its age, as the life before kept to 0.7; whoever was heard or listed within a window counts, and nothing is taken of the allowance before the store has listed the entries once. An endpoint found replaced is told to the other entries and left out for a minute. attempt.refused and entries= in request.waits say what could not be told apart.

Ruled out: no repeats in the first window (callers pay at every restart); a record in the store (away when it matters); peers that keep what a dead one told (nobody is left when all lose power).

--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -32,6 +32,8 @@
   std::shared_ptr<const FleetConfig> Config;
   std::vector<ListedEndpoint> Endpoints;
   std::vector<NodeRecord> Nodes;
+  /// Whether the store has listed them.
+  bool AreNodesListed = false;
   /// Requests that were quarantined before this process began; once.
   std::vector<RequestDigest> Restored;
 };
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -11,6 +11,7 @@
 #define OSPREYSPUR_DIRECT_DIRECTNODE_H
 
 #include "ospreyspur/Direct/EndpointPicker.h"
+#include "ospreyspur/Direct/FleetSize.h"
 #include "ospreyspur/Quarantine/CrashNote.h"
 #include "ospreyspur/Quarantine/CrashTracker.h"
 
@@ -37,8 +38,26 @@
   }
   void setPeerLoad(const std::string &peer,
                    const std::vector<EndpointLoad> &loads, TimePoint now) {
+    Fleet.onHeard(peer, now);
     Book.setPeerLoad(peer, loads, now);
   }
+  /// The process begins at \p now. From then on the bounds on repeats are kept
+  /// together with processes that ended before, and with entries that are
+  /// listed but not heard of.
+  void beginLife(TimePoint now) {
+    MustKnowFleet = true;
+    Retries.setBegin(now);
+  }
+  /// What to tell the other entries of endpoints whose address another
+  /// incarnation has now, and what one of them told.
+  std::vector<LifeDigest> takeReplaced() { return Book.takeReplaced(); }
+  void onToldReplaced(const std::vector<LifeDigest> &lives, TimePoint now) {
+    Book.onToldReplaced(lives, now);
+  }
+  /// The store lists the entries \p names, apart from this one.
+  void setListedEntries(std::set<std::string> names, TimePoint now) {
+    Fleet.setListed(std::move(names), now);
+  }
   void setRetries(const RetryBounds &bounds) { Retries.setBounds(bounds); }
   /// A new request. Its id must be new.
   DirectActions onCall(DirectRequest request, TimePoint now);
@@ -114,6 +133,7 @@
   std::set<LifeDigest> livesOfSuspects(const CallState &call,
                                        TimePoint now) const;
   void endQuarantined(RequestDigest request, TimePoint now);
+  std::size_t entriesToShare(TimePoint now) const;
   void startOrWait(CallState &call, TimePoint now);
   void wait(const CallState &call, TimePoint now);
   void noteWait(const CallState &call, TimePoint now);
@@ -146,6 +166,10 @@
   ArrivalRate Arrivals;
   EndpointPicker Picker;
   RetryWindow Retries;
+  FleetSize Fleet;
+  /// Whether nothing is taken of the allowance before the store has listed the
+  /// entries once.
+  bool MustKnowFleet = false;
   /// What endpoints of a service take to their first byte, as a running mean.
   std::map<ServiceId, Duration> FirstByteTimes;
   std::map<CallId, CallState> Calls;
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -57,6 +57,10 @@
   TimePoint ProvenAt;
   /// Its group, once it has told it.
   GroupId Group;
+  /// Another incarnation has its address: it gets nothing until then. Reports
+  /// in which that is still to be told.
+  TimePoint ReplacedUntil;
+  unsigned ReplacedTellings = 0;
   /// It gets nothing before it has told that it takes requests.
   bool MustTell = false;
   TimePoint AskAt;
@@ -76,6 +80,12 @@
 public:
   static constexpr Duration FirstSuspicion = std::chrono::milliseconds(500);
   static constexpr Duration LongestSuspicion = std::chrono::seconds(8);
+  /// How long an endpoint gets nothing whose address another incarnation has.
+  static constexpr Duration ReplacedTime = std::chrono::minutes(1);
+  /// Reports in which a replaced endpoint is told, as datagrams may be lost,
+  /// and most of them in one report.
+  static constexpr unsigned ReplacedReports = 3;
+  static constexpr std::size_t MaxToldReplaced = 32;
   /// From this number of failed answers in a row on an endpoint is suspect: one
   /// may be the request's own fault. An endpoint that fails at once is always
   /// the least loaded; unsuspected, a fifth of them got two thirds of all
@@ -147,6 +157,10 @@
   std::vector<EndpointId> onLifeEnded(const EndpointId &id, TimePoint now);
   /// Another incarnation has the endpoint's address.
   void onReplaced(const EndpointId &id, TimePoint now);
+  /// Another entry found the lives \p lives replaced.
+  void onToldReplaced(const std::vector<LifeDigest> &lives, TimePoint now);
+  /// What to tell the other entries of replaced endpoints now.
+  std::vector<LifeDigest> takeReplaced();
 
   // Queries.
 
--- /dev/null
+++ b/include/ospreyspur/Direct/FleetSize.h
@@ -0,0 +1,57 @@
+//===- FleetSize.h - how many entries share an allowance --------*- C++ -*-===//
+//
+// Counts the entries that may have spent of a shared allowance within its
+// window. Whoever was heard of or listed in that time counts, also after its
+// end; an entry that is cut off goes on to count for as long as it is listed.
+// The count so never lags behind the spending that it divides.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OSPREYSPUR_DIRECT_FLEETSIZE_H
+#define OSPREYSPUR_DIRECT_FLEETSIZE_H
+
+#include "ospreyspur/Support/Time.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace ospreyspur {
+
+/// The other entries as one entry knows them.
+class FleetSize {
+public:
+  // Commands.
+
+  /// The entry \p name has reported.
+  void onHeard(const std::string &name, TimePoint now);
+  /// The store lists the entries \p names, apart from this one.
+  void setListed(std::set<std::string> names, TimePoint now);
+
+  // Queries.
+
+  /// Entries within the last \p window, this one included.
+  std::size_t count(Duration window, TimePoint now) const;
+  /// Whether the list was ever read. Before that the count is too small if
+  /// others are cut off.
+  bool isListed() const { return HasList; }
+
+private:
+  /// Entries that are neither heard of nor listed are dropped after this time,
+  /// longer than any window.
+  static constexpr Duration KeepFor = std::chrono::hours(1);
+  /// Between a report's sending and its arrival.
+  static constexpr Duration ReportDelay = std::chrono::seconds(1);
+
+  std::set<std::string> Listed;
+  /// When each entry was last heard of or listed.
+  std::map<std::string, TimePoint> SeenAt;
+  TimePoint PrunedAt;
+  bool HasList = false;
+};
+
+} // namespace ospreyspur
+
+#endif // OSPREYSPUR_DIRECT_FLEETSIZE_H
--- a/include/ospreyspur/Direct/NodeRegistry.h
+++ b/include/ospreyspur/Direct/NodeRegistry.h
@@ -55,7 +55,7 @@
   void onWritten(const KvReply &reply, TimePoint now);
   /// The call that reads all rows, if it is time for one.
   std::optional<KvCall> nextRead(TimePoint now);
-  /// True if the known nodes have changed.
+  /// True if the known nodes have changed, or are known for the first time.
   bool onRead(const KvReply &reply, TimePoint now);
 
   // Queries.
@@ -63,6 +63,8 @@
   TimePoint nextTimer() const { return std::min(WriteAt, ReadAt); }
   /// The other nodes.
   std::vector<NodeRecord> others() const;
+  /// Whether the rows were ever read.
+  bool hasRead() const { return HasRead; }
 
 private:
   std::string ownKey() const;
@@ -73,6 +75,7 @@
   Revision Expected;
   bool IsWriting = false;
   bool IsReading = false;
+  bool HasRead = false;
   Duration Pause = MinPause;
   unsigned Reads = 0;
   TimePoint WriteAt;
--- a/include/ospreyspur/Direct/RetryWindow.h
+++ b/include/ospreyspur/Direct/RetryWindow.h
@@ -4,6 +4,12 @@
 // beyond the first of each request in any window of time. Each entry keeps to
 // its share: a part of the fixed allowance, and a ratio of its own requests.
 //
+// A process that begins anew does not know what the one before it, in the same
+// place, spent in the same window. It keeps to what that one left in any case:
+// the rest of the ratio for the requests of its own life, and of the allowance
+// as much as its age is of the window. Summed over any number of lives in one
+// window that is never more than the share.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef OSPREYSPUR_DIRECT_RETRYWINDOW_H
@@ -13,6 +19,7 @@
 #include "ospreyspur/Support/Time.h"
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 
 namespace ospreyspur {
@@ -34,19 +41,29 @@
   // Commands.
 
   void setBounds(const RetryBounds &bounds) { Bounds = bounds; }
+  /// The process began at \p now, perhaps in place of another one.
+  void setBegin(TimePoint now) { Begin = now; }
   /// Notes a new request for \p service.
   void onRequest(const ServiceId &service, TimePoint now);
-  /// Takes one repeat from the share of one of \p entries entries; false if
-  /// there is none.
+  /// Takes one repeat from the share of one of \p entries entries, or from the
+  /// ratio alone if that is 0: their number is not known. False if there is
+  /// none.
   bool spend(const ServiceId &service, std::size_t entries, TimePoint now);
   /// The latest repeat has not been sent after all.
   void giveBack(const ServiceId &service);
   /// Whether spend() would take one now.
   bool canSpend(const ServiceId &service, std::size_t entries, TimePoint now);
 
+  // Queries.
+
+  const RetryBounds &bounds() const { return Bounds; }
+
 private:
   /// Kept below the bound, as the entries' windows are not the observer's.
   static constexpr double SafePart = 0.7;
+  /// The part that a process keeps to for its first window; with SafePart it
+  /// stays below the bound.
+  static constexpr double FirstPart = 0.25;
 
   struct Counts {
     std::deque<TimePoint> Requests;
@@ -54,8 +71,11 @@
   };
 
   void forget(Counts &counts, TimePoint now) const;
+  double allowed(const Counts &counts, std::size_t entries,
+                 TimePoint now) const;
 
   RetryBounds Bounds;
+  std::optional<TimePoint> Begin;
   std::unordered_map<ServiceId, Counts> Services;
 };
 
--- a/include/ospreyspur/Direct/WaitNote.h
+++ b/include/ospreyspur/Direct/WaitNote.h
@@ -51,6 +51,8 @@
   bool IsSilent = false;
   /// Whether the entry may send one more repeat to the service now.
   bool HasRepeat = true;
+  /// Entries that share the allowance of repeats; 0 if that is not known.
+  std::size_t Entries = 0;
   ObstacleCounts Endpoints{};
 };
 
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -40,6 +40,9 @@
   /// Errors: SettingInvalid.
   Result<void> start();
   void setSnapshot(const std::shared_ptr<const DirectSnapshot> &snapshot);
+  /// Keeps the bounds on repeats together with what ran here before; call once,
+  /// when the process begins.
+  void beginLife() { Node.beginLife(monotonicNow()); }
   void setRetries(const RetryBounds &bounds) { Node.setRetries(bounds); }
   /// From now on answers ask their callers to use another entry.
   void announceStop() { Server.closeAfterAnswers(); }
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -23,6 +23,8 @@
   std::vector<EndpointLoad> Loads;
   /// Requests under which endpoints ended.
   CrashReport Crashes;
+  /// Lives of endpoints that have ended: their addresses have another one.
+  std::vector<LifeDigest> Replaced{};
 };
 
 std::string encodeLoad(const LoadReport &report);
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -256,6 +256,7 @@
   snapshot->Config = Config;
   snapshot->Endpoints = Endpoints.endpoints();
   snapshot->Nodes = Registry.others();
+  snapshot->AreNodesListed = Registry.hasRead();
   snapshot->Restored = std::exchange(Restored, {});
   HasPublished = true;
   OnSnapshot(std::move(snapshot));
--- a/lib/Direct/DirectMoves.cpp
+++ b/lib/Direct/DirectMoves.cpp
@@ -40,7 +40,7 @@
 /// came too late were cut.
 bool DirectNode::tryMove(CallState &call, MoveReason reason, TimePoint now) {
   const RouteRule &route = *call.Request.Route;
-  std::size_t entries = Book.livePeers(now) + 1;
+  std::size_t entries = entriesToShare(now);
   bool mayMove = route.canResume() || (route.isRepeatable() && !call.HasBegun);
   if (!mayMove || call.IsStopping || isSuspect(call) || !mayTry(call, now) ||
       !Retries.canSpend(call.Service, entries, now))
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -256,11 +256,12 @@
 
 void DirectNode::noteWait(const CallState &call, TimePoint now) {
   bool hasRepeat = call.Arrivals == 0 ||
-                   Retries.canSpend(call.Service, Book.livePeers(now) + 1, now);
+                   Retries.canSpend(call.Service, entriesToShare(now), now);
   unsigned attempts = call.Request.Route->Attempts;
   unsigned left = attempts - std::min(attempts, call.Attempts);
   Notes.push_back({call.Request.Id, call.Arrivals, left, call.IsSilent,
-                   hasRepeat, Picker.countObstacles(call, now)});
+                   hasRepeat, entriesToShare(now),
+                   Picker.countObstacles(call, now)});
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
@@ -273,13 +274,21 @@
   if (!state)
     return false;
   bool isRepeat = call.Arrivals > 0;
-  if (isRepeat && !Retries.spend(call.Service, Book.livePeers(now) + 1, now))
+  if (isRepeat && !Retries.spend(call.Service, entriesToShare(now), now))
     return false;
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
   begin(call, state->Record, now);
   return true;
 }
 
+/// Entries that share the allowance of repeats; 0 as long as it is not known
+/// how many there may be.
+std::size_t DirectNode::entriesToShare(TimePoint now) const {
+  if (MustKnowFleet && !Fleet.isListed())
+    return 0;
+  return Fleet.count(Retries.bounds().Window, now);
+}
+
 /// Sends the request to \p endpoint, where its place is taken.
 void DirectNode::begin(CallState &call, const EndpointRecord &endpoint,
                        TimePoint now) {
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -186,8 +186,32 @@
 }
 
 void EndpointBook::onReplaced(const EndpointId &id, TimePoint now) {
-  if (EndpointState *it = findMutable(id))
-    it->SuspectUntil = now + LongestSuspicion;
+  EndpointState *it = findMutable(id);
+  if (!it)
+    return;
+  if (now >= it->ReplacedUntil)
+    it->ReplacedTellings = ReplacedReports;
+  it->ReplacedUntil = now + ReplacedTime;
+}
+
+void EndpointBook::onToldReplaced(const std::vector<LifeDigest> &lives,
+                                  TimePoint now) {
+  if (lives.empty())
+    return;
+  for (auto &[id, state] : States)
+    if (std::find(lives.begin(), lives.end(), state.Life) != lives.end())
+      state.ReplacedUntil = now + ReplacedTime;
+}
+
+std::vector<LifeDigest> EndpointBook::takeReplaced() {
+  std::vector<LifeDigest> out;
+  for (auto &[id, state] : States) {
+    if (state.ReplacedTellings == 0 || out.size() >= MaxToldReplaced)
+      continue;
+    --state.ReplacedTellings;
+    out.push_back(state.Life);
+  }
+  return out;
 }
 
 std::vector<EndpointRecord> EndpointBook::takeQuestions(TimePoint now) {
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -118,7 +118,7 @@
     return Obstacle::Leaving;
   if (call.Tried.contains(state.Record.Id))
     return Obstacle::Tried;
-  if (now < state.FullUntil || state.MustTell)
+  if (now < state.FullUntil || now < state.ReplacedUntil || state.MustTell)
     return Obstacle::Closed;
   // A refusal costs a stream that has begun no attempt.
   if (call.WasTurnedAway && !call.HasBegun &&
--- /dev/null
+++ b/lib/Direct/FleetSize.cpp
@@ -0,0 +1,35 @@
+//===- FleetSize.cpp - how many entries share an allowance ----------------===//
+//
+// See FleetSize.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Direct/FleetSize.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace ospreyspur;
+
+void FleetSize::onHeard(const std::string &name, TimePoint now) {
+  SeenAt[name] = now;
+  if (now - PrunedAt < KeepFor)
+    return;
+  PrunedAt = now;
+  std::erase_if(SeenAt,
+                [&](const auto &it) { return now - it.second >= KeepFor; });
+}
+
+void FleetSize::setListed(std::set<std::string> names, TimePoint now) {
+  for (const std::string &it : Listed)
+    SeenAt[it] = now;
+  Listed = std::move(names);
+  HasList = true;
+}
+
+std::size_t FleetSize::count(Duration window, TimePoint now) const {
+  auto heard = std::count_if(SeenAt.begin(), SeenAt.end(), [&](const auto &it) {
+    return !Listed.contains(it.first) && now - it.second < window + ReportDelay;
+  });
+  return Listed.size() + static_cast<std::size_t>(heard) + 1;
+}
--- a/lib/Direct/NodeRegistry.cpp
+++ b/lib/Direct/NodeRegistry.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace ospreyspur;
 namespace json = boost::json;
@@ -80,7 +81,7 @@
   IsReading = false;
   if (reply.Code != ResultCode::Ok)
     return false;
-  bool hasChanged = false;
+  bool hasChanged = !std::exchange(HasRead, true);
   for (const KvItem &item : reply.Items) {
     std::optional<NodeRecord> node = parseNode(item);
     if (!node || node->Name == Self.Name)
--- a/lib/Direct/RetryWindow.cpp
+++ b/lib/Direct/RetryWindow.cpp
@@ -20,9 +20,18 @@
                            TimePoint now) {
   Counts &counts = Services[service];
   forget(counts, now);
-  double share = Bounds.Allowance / double(std::max<std::size_t>(entries, 1));
-  double allowed = Bounds.Ratio * double(counts.Requests.size()) + share;
-  return double(counts.Repeats.size()) + 1 <= SafePart * allowed;
+  return double(counts.Repeats.size()) + 1 <= allowed(counts, entries, now);
+}
+
+double RetryWindow::allowed(const Counts &counts, std::size_t entries,
+                            TimePoint now) const {
+  double share = entries > 0 ? Bounds.Allowance / double(entries) : 0;
+  double fromRatio = Bounds.Ratio * double(counts.Requests.size());
+  if (!Begin || now - *Begin >= Bounds.Window)
+    return SafePart * (fromRatio + share);
+  using Seconds = std::chrono::duration<double>;
+  double age = Seconds(now - *Begin) / Seconds(Bounds.Window);
+  return FirstPart * (fromRatio + share * age);
 }
 
 bool RetryWindow::spend(const ServiceId &service, std::size_t entries,
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -120,6 +120,7 @@
     if (!listening)
       return listening;
   }
+  Traffic.beginLife();
   Stop.start();
   Watch.start();
   LOG(INFO) << LogEvent("direct.start")
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -16,6 +16,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
@@ -99,7 +100,8 @@
       Loads(ioc, {[this] {
                     TimePoint now = monotonicNow();
                     return LoadReport{Settings.Name, Node.book().ownLoads(now),
-                                      Node.takeCrashReport(now)};
+                                      Node.takeCrashReport(now),
+                                      Node.takeReplaced()};
                   },
                   [this](const LoadReport &it) { takeReport(it); }}) {}
 
@@ -136,10 +138,16 @@
   Node.setEndpoints(snapshot->Endpoints);
   apply(Node.restoreQuarantine(snapshot->Restored, monotonicNow()));
   std::vector<std::string> peers;
-  for (const NodeRecord &it : snapshot->Nodes)
-    if (!it.LoadAddress.empty())
-      peers.push_back(it.LoadAddress);
+  std::set<std::string> entries;
+  for (const NodeRecord &it : snapshot->Nodes) {
+    if (it.LoadAddress.empty())
+      continue;
+    peers.push_back(it.LoadAddress);
+    entries.insert(it.Name);
+  }
   Loads.setPeers(peers);
+  if (snapshot->AreNodesListed)
+    Node.setListedEntries(std::move(entries), monotonicNow());
   apply(Node.onTimer(monotonicNow()));
   beginAccepting();
 }
@@ -282,6 +290,12 @@
   Measures.set("requests_waiting", double(Node.waitingCount()));
   if (call.IsCallerGone)
     co_return;
+  if (end == AttemptEnd::Full || end == AttemptEnd::OtherEndpoint)
+    LOG(INFO) << LogEvent("attempt.refused")
+                     .with("id", call.Request.Label)
+                     .with("endpoint", order.Endpoint.Id.get())
+                     .with("end", wordOf(end))
+                     .with("number", order.Number);
   if (running.connectionEnd() == ConnectionEnd::Endpoint)
     logCut(call, order, end, monotonicNow() - began);
   call.IsAnswered = end == AttemptEnd::Complete;
@@ -321,7 +335,8 @@
         .with("sent", note.Arrivals)
         .with("attempts_left", note.AttemptsLeft)
         .with("silent", note.IsSilent)
-        .with("may_repeat", note.HasRepeat);
+        .with("may_repeat", note.HasRepeat)
+        .with("entries", note.Entries);
     for (std::size_t i = 0; i < ObstacleWords.size(); ++i)
       line.with(ObstacleWords[i], note.Endpoints[i]);
     LOG(INFO) << line;
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -26,9 +26,13 @@
     row->set_pace(static_cast<float>(it.Pace));
   }
   encodeCrashes(report.Crashes, out);
+  for (LifeDigest it : report.Replaced)
+    out.add_replaced(it.get());
   return out.SerializeAsString();
 }
 
+/// Replaced endpoints that are taken of a report at most.
+static constexpr int MaxReplaced = 64;
 /// Slower endpoints serve nobody.
 static constexpr double MaxPace = 100;
 
@@ -47,5 +51,7 @@
     out.Loads.push_back({EndpointId(it.endpoint()), it.running(), it.unread(),
                          soundPace(it.pace())});
   out.Crashes = decodeCrashes(in);
+  for (int i = 0; i < std::min(in.replaced_size(), MaxReplaced); ++i)
+    out.Replaced.emplace_back(in.replaced(i));
   return out;
 }
--- /dev/null
+++ b/unittests/Direct/ReplacedEndpointTest.cpp
@@ -0,0 +1,63 @@
+//===- ReplacedEndpointTest.cpp - lives that have ended -------------------===//
+//
+// Seen: while the store could not be read, each entry found out for itself that
+// an endpoint had begun a new life, by a request that it then had to repeat.
+// Cause: what one entry learned of it was told to no other one.
+//
+//===----------------------------------------------------------------------===//
+
+#include "Direct/NodeWorld.h"
+
+#include "ospreyspur/Rpc/LoadCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace ospreyspur;
+using namespace test;
+using std::chrono::seconds;
+
+/// Has \p world find out that one of its endpoints was replaced. Returns it.
+static EndpointId findReplaced(NodeWorld &world) {
+  DirectActions first = world.call(1);
+  REQUIRE(only<StartAttempt>(first));
+  EndpointId id = only<StartAttempt>(first)->Endpoint.Id;
+  world.end(1, AttemptEnd::OtherEndpoint);
+  return id;
+}
+
+/// Requests of 200 that \p world sends to \p id, one after the other.
+static unsigned countSent(NodeWorld &world, const EndpointId &id) {
+  unsigned n = 0;
+  for (std::uint64_t call = 1000; call < 1200; ++call) {
+    DirectActions actions = world.call(call);
+    const auto *started = find<StartAttempt>(actions);
+    REQUIRE(started);
+    n += started->Endpoint.Id == id ? 1 : 0;
+    world.end(call, AttemptEnd::Complete);
+  }
+  return n;
+}
+
+TEST_CASE("an endpoint that was found replaced is tried by no other entry") {
+  NodeWorld finder(3, makeRoute(RequestKind::Repeatable, 2));
+  NodeWorld other(3, makeRoute(RequestKind::Repeatable, 2), 2);
+  EndpointId id = findReplaced(finder);
+  LoadReport told{"n", {}, {}, finder.Node.takeReplaced()};
+  std::optional<LoadReport> heard = decodeLoad(encodeLoad(told));
+  REQUIRE(heard);
+  other.Node.onToldReplaced(heard->Replaced, other.Now);
+  CHECK(countSent(other, id) == 0);
+  CHECK(countSent(finder, id) == 0);
+  // Nor after a while, as the life has ended for good.
+  other.Now += seconds(20);
+  CHECK(countSent(other, id) == 0);
+}
+
+TEST_CASE("a replaced endpoint is told a few times only") {
+  NodeWorld finder(3, makeRoute(RequestKind::Repeatable, 2));
+  findReplaced(finder);
+  unsigned told = 0;
+  for (unsigned i = 0; i < 10; ++i)
+    told += finder.Node.takeReplaced().size();
+  CHECK(told == EndpointBook::ReplacedReports);
+}
