--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -48,11 +48,13 @@
     MustKnowFleet = true;
     Retries.setBegin(now);
   }
-  /// What to tell the other entries of endpoints whose address another
-  /// incarnation has now, and what one of them told.
-  std::vector<LifeDigest> takeReplaced() { return Book.takeReplaced(); }
-  void onToldReplaced(const std::vector<LifeDigest> &lives, TimePoint now) {
-    Book.onToldReplaced(lives, now);
+  /// The replaced endpoints to report to the other entries now.
+  std::vector<LifeDigest> takeReplacedReport() {
+    return Book.takeReplacedReport();
+  }
+  /// Endpoints that another entry reported as replaced.
+  void mergeReplaced(const std::vector<LifeDigest> &lives, TimePoint now) {
+    Book.mergeReplaced(lives, now);
   }
   /// The store lists the entries \p names, apart from this one.
   void setListedEntries(std::set<std::string> names, TimePoint now) {
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -57,8 +57,8 @@
   TimePoint ProvenAt;
   /// Its group, once it has told it.
   GroupId Group;
-  /// Another incarnation has its address: it gets nothing until then. Reports
-  /// in which that is still to be told.
+  /// Another incarnation has its address: it is excluded until then. The number
+  /// of reports that still have to say so.
   TimePoint ReplacedUntil;
   unsigned ReplacedTellings = 0;
   /// It gets nothing before it has told that it takes requests.
@@ -80,11 +80,11 @@
 public:
   static constexpr Duration FirstSuspicion = std::chrono::milliseconds(500);
   static constexpr Duration LongestSuspicion = std::chrono::seconds(8);
-  /// How long an endpoint gets nothing whose address another incarnation has.
+  /// How long a replaced endpoint is excluded.
   static constexpr Duration ReplacedTime = std::chrono::minutes(1);
   /// Reports in which a replaced endpoint is told, as datagrams may be lost,
   /// and most of them in one report.
-  static constexpr unsigned ReplacedReports = 3;
+  static constexpr unsigned ReplacedRepeats = 3;
   static constexpr std::size_t MaxToldReplaced = 32;
   /// From this number of failed answers in a row on an endpoint is suspect: one
   /// may be the request's own fault. An endpoint that fails at once is always
@@ -157,10 +157,10 @@
   std::vector<EndpointId> onLifeEnded(const EndpointId &id, TimePoint now);
   /// Another incarnation has the endpoint's address.
   void onReplaced(const EndpointId &id, TimePoint now);
-  /// Another entry found the lives \p lives replaced.
-  void onToldReplaced(const std::vector<LifeDigest> &lives, TimePoint now);
-  /// What to tell the other entries of replaced endpoints now.
-  std::vector<LifeDigest> takeReplaced();
+  /// Another entry reported the lives \p lives as replaced.
+  void mergeReplaced(const std::vector<LifeDigest> &lives, TimePoint now);
+  /// The replaced endpoints to report to the other entries now.
+  std::vector<LifeDigest> takeReplacedReport();
 
   // Queries.
 
--- a/include/ospreyspur/Direct/FleetSize.h
+++ b/include/ospreyspur/Direct/FleetSize.h
@@ -1,9 +1,9 @@
 //===- FleetSize.h - how many entries share an allowance --------*- C++ -*-===//
 //
-// Counts the entries that may have spent of a shared allowance within its
-// window. Whoever was heard of or listed in that time counts, also after its
-// end; an entry that is cut off goes on to count for as long as it is listed.
-// The count so never lags behind the spending that it divides.
+// Counts the entries that may have spent a shared allowance within its window:
+// those that reported or were listed in that time, including dead and
+// partitioned ones, so that no entry's share grows before the spending of the
+// others has left the window.
 //
 //===----------------------------------------------------------------------===//
 
@@ -34,8 +34,7 @@
 
   /// Entries within the last \p window, this one included.
   std::size_t count(Duration window, TimePoint now) const;
-  /// Whether the list was ever read. Before that the count is too small if
-  /// others are cut off.
+  /// Whether the list was ever read. Before that the count may be too small.
   bool isListed() const { return HasList; }
 
 private:
--- a/include/ospreyspur/Direct/RetryWindow.h
+++ b/include/ospreyspur/Direct/RetryWindow.h
@@ -4,11 +4,11 @@
 // beyond the first of each request in any window of time. Each entry keeps to
 // its share: a part of the fixed allowance, and a ratio of its own requests.
 //
-// A process that begins anew does not know what the one before it, in the same
-// place, spent in the same window. It keeps to what that one left in any case:
-// the rest of the ratio for the requests of its own life, and of the allowance
-// as much as its age is of the window. Summed over any number of lives in one
-// window that is never more than the share.
+// A restarted process does not know what its predecessor spent in the same
+// window. For its first window it is limited to a part that the predecessor
+// cannot have used: a fraction of the ratio for its own requests, and of the
+// allowance in proportion to its age. The sum over any number of restarts in
+// one window stays within the entry's share.
 //
 //===----------------------------------------------------------------------===//
 
@@ -41,7 +41,7 @@
   // Commands.
 
   void setBounds(const RetryBounds &bounds) { Bounds = bounds; }
-  /// The process began at \p now, perhaps in place of another one.
+  /// The process started at \p now, perhaps as the successor of another one.
   void setBegin(TimePoint now) { Begin = now; }
   /// Notes a new request for \p service.
   void onRequest(const ServiceId &service, TimePoint now);
@@ -61,9 +61,8 @@
 private:
   /// Kept below the bound, as the entries' windows are not the observer's.
   static constexpr double SafePart = 0.7;
-  /// The part that a process keeps to for its first window; with SafePart it
-  /// stays below the bound.
-  static constexpr double FirstPart = 0.25;
+  /// The same for a process's first window; the sum of both is below 1.
+  static constexpr double FirstWindowPart = 0.25;
 
   struct Counts {
     std::deque<TimePoint> Requests;
--- a/include/ospreyspur/Quarantine/CrashRelay.h
+++ b/include/ospreyspur/Quarantine/CrashRelay.h
@@ -1,9 +1,8 @@
-//===- CrashRelay.h - hands on what entries know of crashes -----*- C++ -*-===//
+//===- CrashRelay.h - relays crash reports between entries ------*- C++ -*-===//
 //
-// The part of an agent that connects entries, which do not dial one another:
-// what one entry knows of requests under which endpoints ended goes on to all
-// others with a link, and is kept for those that come later. It outlives the
-// entries and needs no store.
+// The part of an agent that connects entries, which do not dial one another.
+// Forwards each entry's crash reports to all other subscribers and keeps their
+// rows for later ones, so that they outlive the entries without the store.
 //
 //===----------------------------------------------------------------------===//
 
@@ -21,7 +20,7 @@
 /// The relay in one agent. It does no I/O.
 class CrashRelay {
 public:
-  /// An update to hand on.
+  /// An update to forward.
   struct Delivery {
     LinkId To;
     CrashUpdate Update;
@@ -29,8 +28,8 @@
 
   // Commands.
 
-  /// An update from the entry behind \p from, which hears of the others' ones
-  /// from now on. Returns what to send.
+  /// An update from the entry behind \p from, which is subscribed from now on.
+  /// Returns what to send.
   std::vector<Delivery> onUpdate(LinkId from, const CrashUpdate &update,
                                  TimePoint now);
   /// The link is gone.
@@ -44,7 +43,7 @@
 private:
   CrashTracker Crashes;
   std::set<LinkId> Entries;
-  /// Those that said last that they run suspects.
+  /// Subscribers whose last report had runs of suspects.
   std::set<LinkId> Running;
 };
 
--- a/include/ospreyspur/Quarantine/CrashReporter.h
+++ b/include/ospreyspur/Quarantine/CrashReporter.h
@@ -1,7 +1,7 @@
-//===- CrashReporter.h - when an entry tells what it knows ------*- C++ -*-===//
+//===- CrashReporter.h - schedules crash reports to relays ------*- C++ -*-===//
 //
-// Keeps an entry subscribed to the agents that relay between entries, and says
-// when the next report is due to them.
+// Keeps an entry subscribed to the agents that relay crash reports between
+// entries, and schedules its own reports.
 //
 //===----------------------------------------------------------------------===//
 
@@ -19,7 +19,7 @@
 
 struct RoutingSnapshot;
 
-/// Agents that relay between entries; each of them reaches all entries.
+/// Number of relays; each of them serves all entries.
 constexpr std::size_t RelayCount = 3;
 
 /// The relays that all entries with \p snapshot choose: spread over data
@@ -29,30 +29,31 @@
 /// The subscriptions of one entry.
 class CrashReporter {
 public:
-  /// How long news are gathered before they are told.
-  static constexpr Duration Gather = std::chrono::milliseconds(8);
-  /// Between two reports while suspects run; their runs count for a second.
-  static constexpr Duration RepeatEvery = std::chrono::milliseconds(200);
-  /// Between two greetings to a relay, which may have begun anew or lost the
-  /// link without a word.
-  static constexpr Duration GreetEvery = std::chrono::seconds(5);
-  /// Before a relay whose link broke is dialled again.
-  static constexpr Duration RedialPause = std::chrono::seconds(1);
-  /// What a relay said of the number of entries holds for as long.
-  static constexpr Duration CountAge = 2 * GreetEvery + RedialPause;
+  /// Delay in which changes are batched into one report.
+  static constexpr Duration BatchDelay = std::chrono::milliseconds(8);
+  /// Between two reports while suspects run, as receivers expire their runs.
+  static constexpr Duration RefreshInterval = std::chrono::milliseconds(200);
+  /// Between two heartbeats to a relay, which may have restarted or lost the
+  /// link silently.
+  static constexpr Duration HeartbeatInterval = std::chrono::seconds(5);
+  /// Delay before a relay is subscribed to again after its link broke.
+  static constexpr Duration ReconnectDelay = std::chrono::seconds(1);
+  /// How long a relay's count of entries is valid.
+  static constexpr Duration CountValidity =
+      2 * HeartbeatInterval + ReconnectDelay;
 
   // Commands.
 
   void setRelays(const std::vector<EndpointId> &relays);
-  /// There is something to tell.
+  /// There is something to report.
   void onChange(TimePoint now);
   void onLinkDown(const EndpointId &relay, TimePoint now);
-  /// \p relay hands updates to \p entries entries.
+  /// \p relay serves \p entries entries.
   void onCount(const EndpointId &relay, std::size_t entries, TimePoint now);
   /// The relays to subscribe to now, with all that is known.
   std::vector<EndpointId> takeSubscriptions(TimePoint now);
-  /// The relays to greet now.
-  std::vector<EndpointId> takeGreetings(TimePoint now);
+  /// The relays to send a heartbeat to now.
+  std::vector<EndpointId> takeHeartbeats(TimePoint now);
   /// Whether a report is due; \p isRepeated: another follows by itself.
   bool takeReport(bool isRepeated, TimePoint now);
 
@@ -61,13 +62,13 @@
   std::optional<TimePoint> nextTimer() const;
   /// The relays that are subscribed to.
   std::vector<EndpointId> relays() const;
-  /// Entries as far as the relays have told lately, this one included.
+  /// Entries by the latest counts of the relays, this one included.
   std::size_t entryCount(TimePoint now) const;
 
 private:
   struct Relay {
     bool IsSubscribed = false;
-    /// When to subscribe, or to greet.
+    /// When to subscribe, or to send the next heartbeat.
     TimePoint DueAt;
     std::size_t Entries = 0;
     TimePoint CountedAt;
--- a/include/ospreyspur/Quarantine/CrashTracker.h
+++ b/include/ospreyspur/Quarantine/CrashTracker.h
@@ -96,7 +96,7 @@
   void onSeen(RequestDigest request, TimePoint now);
   /// Judges what is due. Returns the requests that are quarantined thereby.
   std::vector<RequestDigest> judge(TimePoint now);
-  /// Judges all that is open, for an entry that no other one tells anything.
+  /// Judges all open rows without waiting, for a lone entry.
   std::vector<RequestDigest> judgeAll(TimePoint now);
   /// What the entry \p peer knows. Returns the requests that are quarantined
   /// thereby.
--- a/include/ospreyspur/Routing/Call.h
+++ b/include/ospreyspur/Routing/Call.h
@@ -19,8 +19,8 @@
 
 /// Where a call stands.
 enum class CallStage : std::uint8_t {
-  /// Another run of the same suspect goes first; nothing was sent to run.
-  StandingBack,
+  /// Waits for another run of the same suspect; nothing was sent to run.
+  Deferred,
   /// Asks endpoints for offers; nothing was sent to run.
   Probing,
   /// Reads the claim of its idempotency key.
@@ -69,9 +69,9 @@
 
   /// When the present dispatch was first sent.
   TimePoint SentAt;
-  /// How long a suspect may stand back, and when its turn comes.
-  std::optional<TimePoint> StandsBackUntil;
-  std::optional<TimePoint> TurnAt;
+  /// How long a suspect may be deferred, and its random backoff.
+  std::optional<TimePoint> DeferUntil;
+  std::optional<TimePoint> NotBefore;
 
   /// When the claim of the key was first asked for.
   std::optional<TimePoint> ClaimReadAt;
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -58,13 +58,12 @@
   Duration SuspectTime = std::chrono::seconds(1);
   double RetryRatio = 0.2;
   double RetryReserve = 10.0;
-  /// How long a suspect may wait for its other runs, and between two looks.
-  Duration MaxStandBack = std::chrono::milliseconds(1500);
-  Duration StandBackLook = std::chrono::milliseconds(20);
+  /// How long a suspect may be deferred, and the interval of its polls.
+  Duration MaxDefer = std::chrono::milliseconds(1500);
+  Duration DeferPollInterval = std::chrono::milliseconds(20);
   CrashLimits Crashes = makeRelayedCrashLimits();
 
-  /// Relays are reliable and keep all rows: each is told once, and repeated
-  /// rarely.
+  /// Links are reliable and relays keep all rows, so few repeats are needed.
   static CrashLimits makeRelayedCrashLimits() {
     CrashLimits limits;
     limits.Tellings = 1;
@@ -142,12 +141,13 @@
   void endQuarantined(RequestDigest request);
   bool isSuspect(const Call &call) const;
   bool isQuarantined(const Call &call) const;
-  bool mustStandBack(Call &call, TimePoint now);
-  void standBack(Call &call, TimePoint now);
-  void goOn(Call &call, TimePoint now);
-  std::set<LifeDigest> placesOfSuspects(const Call &call, TimePoint now) const;
+  bool mustDefer(Call &call, TimePoint now);
+  void defer(Call &call, TimePoint now);
+  void resume(Call &call, TimePoint now);
+  std::set<LifeDigest> endpointsOfSuspects(const Call &call,
+                                           TimePoint now) const;
   std::vector<SuspectRun> suspectRuns() const;
-  void tellRelays(TimePoint now);
+  void sendReports(TimePoint now);
   void onStageTimer(Call &call, TimePoint now);
   void onDeadline(Call &call);
   void passOn(Call &call, TimePoint now);
--- a/include/ospreyspur/Rpc/Messages.h
+++ b/include/ospreyspur/Rpc/Messages.h
@@ -142,13 +142,13 @@
 /// request; what it sent before has arrived, as links keep the order.
 struct LeavingSeen {};
 
-/// Entry to agent: what the entry knows of requests under which endpoints
-/// ended, and that it wants to hear the same of the others. Agent to entry:
-/// another entry's update, or the agent's own rows to an entry that is new.
+/// Entry to agent: a crash report, which also subscribes the entry to those of
+/// the others. Agent to entry: another entry's report, or the agent's own rows
+/// to a new subscriber.
 struct CrashUpdate {
-  /// The entry that knows it; empty for an agent's rows.
+  /// The reporting entry; empty for an agent's rows.
   std::string Sender;
-  /// Entries that the agent hands updates to; 0 from an entry.
+  /// The agent's subscribers; 0 from an entry.
   std::uint32_t Entries = 0;
   CrashReport Report;
 };
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -190,12 +190,12 @@
   if (!it)
     return;
   if (now >= it->ReplacedUntil)
-    it->ReplacedTellings = ReplacedReports;
+    it->ReplacedTellings = ReplacedRepeats;
   it->ReplacedUntil = now + ReplacedTime;
 }
 
-void EndpointBook::onToldReplaced(const std::vector<LifeDigest> &lives,
-                                  TimePoint now) {
+void EndpointBook::mergeReplaced(const std::vector<LifeDigest> &lives,
+                                 TimePoint now) {
   if (lives.empty())
     return;
   for (auto &[id, state] : States)
@@ -203,7 +203,7 @@
       state.ReplacedUntil = now + ReplacedTime;
 }
 
-std::vector<LifeDigest> EndpointBook::takeReplaced() {
+std::vector<LifeDigest> EndpointBook::takeReplacedReport() {
   std::vector<LifeDigest> out;
   for (auto &[id, state] : States) {
     if (state.ReplacedTellings == 0 || out.size() >= MaxToldReplaced)
--- a/lib/Direct/RetryWindow.cpp
+++ b/lib/Direct/RetryWindow.cpp
@@ -31,7 +31,7 @@
     return SafePart * (fromRatio + share);
   using Seconds = std::chrono::duration<double>;
   double age = Seconds(now - *Begin) / Seconds(Bounds.Window);
-  return FirstPart * (fromRatio + share * age);
+  return FirstWindowPart * (fromRatio + share * age);
 }
 
 bool RetryWindow::spend(const ServiceId &service, std::size_t entries,
--- a/lib/Process/DirectFates.cpp
+++ b/lib/Process/DirectFates.cpp
@@ -35,7 +35,7 @@
 void DirectTraffic::takeReport(const LoadReport &report) {
   TimePoint now = monotonicNow();
   Node.setPeerLoad(report.Node, report.Loads, now);
-  Node.onToldReplaced(report.Replaced, now);
+  Node.mergeReplaced(report.Replaced, now);
   if (report.Crashes.isEmpty() && Node.crashes().isEmpty())
     return;
   DirectActions actions = Node.onCrashReport(report.Node, report.Crashes, now);
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -101,7 +101,7 @@
                     TimePoint now = monotonicNow();
                     return LoadReport{Settings.Name, Node.book().ownLoads(now),
                                       Node.takeCrashReport(now),
-                                      Node.takeReplaced()};
+                                      Node.takeReplacedReport()};
                   },
                   [this](const LoadReport &it) { takeReport(it); }}) {}
 
--- a/lib/Quarantine/CrashRelay.cpp
+++ b/lib/Quarantine/CrashRelay.cpp
@@ -1,4 +1,4 @@
-//===- CrashRelay.cpp - hands on what entries know of crashes -------------===//
+//===- CrashRelay.cpp - relays crash reports between entries --------------===//
 //
 // See CrashRelay.h.
 //
@@ -20,7 +20,7 @@
   if (!update.Report.Runs.empty())
     Running.insert(from);
   if (update.Report.isEmpty() && !hadRuns) {
-    // Tells the entry that the relay is there, and how many hear of it.
+    // A heartbeat.
     out.push_back({from, {"", count, {}}});
     return out;
   }
--- a/lib/Quarantine/CrashReporter.cpp
+++ b/lib/Quarantine/CrashReporter.cpp
@@ -1,4 +1,4 @@
-//===- CrashReporter.cpp - when an entry tells what it knows --------------===//
+//===- CrashReporter.cpp - schedules crash reports to relays --------------===//
 //
 // See CrashReporter.h.
 //
@@ -49,7 +49,7 @@
 }
 
 void CrashReporter::onChange(TimePoint now) {
-  TimePoint due = now + Gather;
+  TimePoint due = now + BatchDelay;
   if (!ReportAt || due < *ReportAt)
     ReportAt = due;
 }
@@ -59,7 +59,7 @@
   if (it == Relays.end())
     return;
   it->second = Relay();
-  it->second.DueAt = now + RedialPause;
+  it->second.DueAt = now + ReconnectDelay;
 }
 
 void CrashReporter::onCount(const EndpointId &relay, std::size_t entries,
@@ -77,18 +77,18 @@
     if (relay.IsSubscribed || now < relay.DueAt)
       continue;
     relay.IsSubscribed = true;
-    relay.DueAt = now + GreetEvery;
+    relay.DueAt = now + HeartbeatInterval;
     out.push_back(id);
   }
   return out;
 }
 
-std::vector<EndpointId> CrashReporter::takeGreetings(TimePoint now) {
+std::vector<EndpointId> CrashReporter::takeHeartbeats(TimePoint now) {
   std::vector<EndpointId> out;
   for (auto &[id, relay] : Relays) {
     if (!relay.IsSubscribed || now < relay.DueAt)
       continue;
-    relay.DueAt = now + GreetEvery;
+    relay.DueAt = now + HeartbeatInterval;
     out.push_back(id);
   }
   return out;
@@ -99,7 +99,7 @@
     return false;
   ReportAt.reset();
   if (isRepeated)
-    ReportAt = now + RepeatEvery;
+    ReportAt = now + RefreshInterval;
   return true;
 }
 
@@ -122,7 +122,7 @@
 std::size_t CrashReporter::entryCount(TimePoint now) const {
   std::size_t n = 1;
   for (const auto &[id, relay] : Relays)
-    if (now - relay.CountedAt < CountAge)
+    if (now - relay.CountedAt < CountValidity)
       n = std::max(n, relay.Entries);
   return n;
 }
--- a/lib/Routing/EntryCrashes.cpp
+++ b/lib/Routing/EntryCrashes.cpp
@@ -1,8 +1,7 @@
 //===- EntryCrashes.cpp - requests that end endpoints, at an entry --------===//
 //
-// The part of EntryNode that puts ended endpoints down to requests, keeps
-// suspects apart, and exchanges what is known with the other entries through
-// relaying agents.
+// The part of EntryNode that attributes ended endpoints to requests, isolates
+// suspects, and replicates both to the other entries through relays.
 //
 //===----------------------------------------------------------------------===//
 
@@ -13,13 +12,13 @@
 
 using namespace ospreyspur;
 
-/// Over which the turns of a suspect's copies at all entries are drawn: many
-/// times what the news of a start takes through a relay.
-static constexpr Duration TurnSpread = std::chrono::milliseconds(200);
-/// Suspects under way in one report.
+/// Upper bound of the random backoff before a suspect with several crashes is
+/// sent; many times a relay's latency.
+static constexpr Duration BackoffSpread = std::chrono::milliseconds(200);
+/// Most runs in one report.
 static constexpr std::size_t MaxToldRuns = 64;
 
-/// A life as all entries name it.
+/// Identifies an endpoint's life across entries.
 static LifeDigest lifeOf(const EndpointId &endpoint, const Finish &msg) {
   return digestLife(EndpointId(endpoint.get() + '/' +
                                std::to_string(msg.Id.Issuer.get()) + '/' +
@@ -41,8 +40,8 @@
   judgeCrashes(now);
 }
 
-/// Ends wait until the other entries have told what else ran there; without
-/// others there is nothing to wait for.
+/// Judgement waits for the reports of the other entries; a lone entry has none
+/// to wait for.
 void EntryNode::judgeCrashes(TimePoint now) {
   bool isAlone = Reporter.entryCount(now) == 1;
   for (RequestDigest it :
@@ -59,9 +58,8 @@
   endQuarantined(request);
 }
 
-/// Gives every call of \p request its final answer at once. What is under way
-/// may still wait at its agent; it is withdrawn unless that would leave its
-/// caller in doubt.
+/// Fails every call of \p request at once. A dispatched one may still be queued
+/// at its agent; it is cancelled if the request may be repeated.
 void EntryNode::endQuarantined(RequestDigest request) {
   std::vector<CallId> ended;
   for (const auto &[id, call] : Calls) {
@@ -69,8 +67,8 @@
       continue;
     bool isOut = call.Stage == CallStage::Dispatched ||
                  call.Stage == CallStage::Accepted;
-    bool isUnsent = call.Stage == CallStage::Probing ||
-                    call.Stage == CallStage::StandingBack;
+    bool isUnsent =
+        call.Stage == CallStage::Probing || call.Stage == CallStage::Deferred;
     if (isUnsent || (isOut && mayRunElsewhere(call)))
       ended.push_back(id);
   }
@@ -100,11 +98,10 @@
   return Crashes.standingOf(call.Request.Digest) == CrashStanding::Quarantined;
 }
 
-/// Whether another run of the same suspect goes first. One at a time, so that
-/// no more endpoints end than it takes to know. What ended two endpoints waits
-/// for a turn that is drawn at each entry, so that the first one's start is
-/// heard of before the next.
-bool EntryNode::mustStandBack(Call &call, TimePoint now) {
+/// Whether another run of the same suspect goes first: running them one at a
+/// time bounds the endpoints that are lost before it is quarantined. From the
+/// second crash on a random backoff keeps entries from starting at once.
+bool EntryNode::mustDefer(Call &call, TimePoint now) {
   if (!isSuspect(call) || call.Request.WantsTicket)
     return false;
   RequestDigest request = call.Request.Digest;
@@ -117,44 +114,44 @@
   });
   if (runsHere || Crashes.isSettling(request) ||
       Crashes.runsElsewhere(request, now)) {
-    call.TurnAt.reset();
+    call.NotBefore.reset();
     return true;
   }
   if (Crashes.crashesOf(request) < 2 || Reporter.entryCount(now) == 1)
     return false;
-  if (!call.TurnAt) {
-    std::uniform_int_distribution<Duration::rep> turn(0, TurnSpread.count());
-    call.TurnAt = now + Duration(turn(Random));
+  if (!call.NotBefore) {
+    std::uniform_int_distribution<Duration::rep> turn(0, BackoffSpread.count());
+    call.NotBefore = now + Duration(turn(Random));
   }
-  return now < *call.TurnAt;
+  return now < *call.NotBefore;
 }
 
-void EntryNode::standBack(Call &call, TimePoint now) {
-  if (!call.StandsBackUntil)
-    call.StandsBackUntil = now + Limits.MaxStandBack;
-  if (now >= *call.StandsBackUntil) {
+void EntryNode::defer(Call &call, TimePoint now) {
+  if (!call.DeferUntil)
+    call.DeferUntil = now + Limits.MaxDefer;
+  if (now >= *call.DeferUntil) {
     finishWith(call, call.LastRefusal);
     return;
   }
-  call.Stage = CallStage::StandingBack;
+  call.Stage = CallStage::Deferred;
   call.Offers.clear();
-  touch(call, Limits.StandBackLook, now);
+  touch(call, Limits.DeferPollInterval, now);
 }
 
-/// Goes on from where the call stood back. A caller's ticket names its agent.
-void EntryNode::goOn(Call &call, TimePoint now) {
+/// Resumes a deferred call. A caller's ticket names its agent.
+void EntryNode::resume(Call &call, TimePoint now) {
   if (!call.Request.CallerTicket)
     startProbing(call, now);
-  else if (mustStandBack(call, now))
-    standBack(call, now);
+  else if (mustDefer(call, now))
+    defer(call, now);
   else
     dispatch(call, now);
 }
 
-/// The endpoints at which suspects other than \p call's request run: a second
-/// one there could not be told from the first if the endpoint ended.
-std::set<LifeDigest> EntryNode::placesOfSuspects(const Call &call,
-                                                 TimePoint now) const {
+/// The endpoints that run other suspects: if one of them ended, its crash could
+/// not be attributed.
+std::set<LifeDigest> EntryNode::endpointsOfSuspects(const Call &call,
+                                                    TimePoint now) const {
   if (!isSuspect(call))
     return {};
   std::set<LifeDigest> out = Crashes.livesOfOthers(call.Request.Digest, now);
@@ -164,8 +161,8 @@
   return out;
 }
 
-/// The suspects that this entry has at agents. An endpoint's present life is
-/// known to its agent only, so its id stands for it.
+/// The suspects in flight. Only an agent knows its endpoint's current life, so
+/// the endpoint's id stands in for it.
 std::vector<SuspectRun> EntryNode::suspectRuns() const {
   std::vector<SuspectRun> out;
   if (Crashes.isEmpty())
@@ -180,13 +177,13 @@
   return out;
 }
 
-void EntryNode::tellRelays(TimePoint now) {
+void EntryNode::sendReports(TimePoint now) {
   for (const EndpointId &relay : Reporter.takeSubscriptions(now)) {
     send(relay, CrashUpdate{Name, 0, {}});
     for (CrashReport &it : Crashes.allRows(now))
       send(relay, CrashUpdate{Name, 0, std::move(it)});
   }
-  for (const EndpointId &relay : Reporter.takeGreetings(now))
+  for (const EndpointId &relay : Reporter.takeHeartbeats(now))
     send(relay, CrashUpdate{Name, 0, {}});
   std::vector<SuspectRun> runs = suspectRuns();
   if (!Reporter.takeReport(!runs.empty(), now))
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -54,7 +54,7 @@
     if (!Snapshot->findEndpoint(call.Permit->Endpoint))
       finishWith(call, ResultCode::IncarnationGone);
     else
-      goOn(call, now);
+      resume(call, now);
     return takeActions();
   }
   if (!findService(call))
@@ -67,8 +67,8 @@
 }
 
 void EntryNode::startProbing(Call &call, TimePoint now) {
-  if (mustStandBack(call, now)) {
-    standBack(call, now);
+  if (mustDefer(call, now)) {
+    defer(call, now);
     return;
   }
   call.Stage = CallStage::Probing;
@@ -76,7 +76,7 @@
   call.ProbesOut = 0;
   const ServiceView *service = findService(call);
   std::vector<EndpointId> candidates;
-  std::set<LifeDigest> taken = placesOfSuspects(call, now);
+  std::set<LifeDigest> taken = endpointsOfSuspects(call, now);
   if (service) {
     auto isExcluded = [&](const EndpointId &id) {
       auto suspect = SuspectUntil.find(id);
@@ -89,7 +89,7 @@
                                        isExcluded, Random);
   }
   if (candidates.empty() && !taken.empty()) {
-    standBack(call, now);
+    defer(call, now);
     return;
   }
   if (candidates.empty()) {
@@ -137,8 +137,8 @@
   // The others stay usable for another try.
   for (const ProbeOffer &it : call.Offers)
     call.Tried.erase(it.Endpoint);
-  if (mustStandBack(call, now)) {
-    standBack(call, now);
+  if (mustDefer(call, now)) {
+    defer(call, now);
     return;
   }
   const ProbeOffer offer = call.Offers[*best];
@@ -225,7 +225,7 @@
   }
   unbind(call);
   call.Tries = 0;
-  call.StandsBackUntil.reset();
+  call.DeferUntil.reset();
   startProbing(call, now);
 }
 
@@ -280,7 +280,7 @@
 
 EntryActions EntryNode::onTimer(TimePoint now) {
   judgeCrashes(now);
-  tellRelays(now);
+  sendReports(now);
   while (!Timers.empty() && Timers.begin()->first <= now) {
     Call &call = Calls.at(Timers.begin()->second);
     if (call.Deadline <= now)
@@ -293,8 +293,8 @@
 
 void EntryNode::onStageTimer(Call &call, TimePoint now) {
   switch (call.Stage) {
-  case CallStage::StandingBack:
-    goOn(call, now);
+  case CallStage::Deferred:
+    resume(call, now);
     return;
   case CallStage::Probing: {
     for (const EndpointId &it : call.Tried) {
@@ -332,7 +332,7 @@
 /// ticket no other entry can know of, is sure not to have run.
 void EntryNode::onDeadline(Call &call) {
   bool isUnsent =
-      call.Stage == CallStage::Probing || call.Stage == CallStage::StandingBack;
+      call.Stage == CallStage::Probing || call.Stage == CallStage::Deferred;
   if (isUnsent && !call.Request.CallerTicket) {
     finishWith(call, ResultCode::DeadlineBeforeStart);
     return;
--- a/unittests/Direct/ReplacedEndpointTest.cpp
+++ b/unittests/Direct/ReplacedEndpointTest.cpp
@@ -42,10 +42,10 @@
   NodeWorld finder(3, makeRoute(RequestKind::Repeatable, 2));
   NodeWorld other(3, makeRoute(RequestKind::Repeatable, 2), 2);
   EndpointId id = findReplaced(finder);
-  LoadReport told{"n", {}, {}, finder.Node.takeReplaced()};
+  LoadReport told{"n", {}, {}, finder.Node.takeReplacedReport()};
   std::optional<LoadReport> heard = decodeLoad(encodeLoad(told));
   REQUIRE(heard);
-  other.Node.onToldReplaced(heard->Replaced, other.Now);
+  other.Node.mergeReplaced(heard->Replaced, other.Now);
   CHECK(countSent(other, id) == 0);
   CHECK(countSent(finder, id) == 0);
   // Nor after a while, as the life has ended for good.
@@ -58,6 +58,6 @@
   findReplaced(finder);
   unsigned told = 0;
   for (unsigned i = 0; i < 10; ++i)
-    told += finder.Node.takeReplaced().size();
-  CHECK(told == EndpointBook::ReplacedReports);
+    told += finder.Node.takeReplacedReport().size();
+  CHECK(told == EndpointBook::ReplacedRepeats);
 }
