Offer nothing for an endpoint that was found down

Cause, from the codes and times in the entries' logs: the agent of an endpoint that is down goes on to offer. Its queue is the shortest, as each request fails at once, so it draws all of them, and each uses up dispatches and retries.

Fix: for 0.15 s after a refused connection or an end of its endpoint an agent answers probes with 2008; entries take another offer and no retry.

Ruled out: entries, which cannot know; a longer pause, as an endpoint that is back would idle.

The new case fails on the code before (the offer is Ok) and passes; the other 30 of Routing pass unchanged.

--- a/include/ospreyspur/Routing/AgentNode.h
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -152,6 +152,8 @@
   std::optional<TimePoint> NextExpiry;
   /// Lives of the endpoint that have ended under a run.
   EngineLife Life;
+  /// The endpoint was found down: nothing is accepted until then.
+  TimePoint DownUntil;
   CrashRelay Relay;
   /// Time of the latest input; while requests wait there is one every
   /// PauseCheckInterval, unless the process is paused.
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -136,6 +136,8 @@
     return ResultCode::EndpointStarting;
   if (IsLeaving)
     return ResultCode::EndpointLeaving;
+  if (LastInput < DownUntil)
+    return ResultCode::EndpointUnreachable;
   if (Queue.size() >= Limits.MaxQueue || wait > Limits.MaxWait)
     return ResultCode::QueueFull;
   // An answer that would be cut at its deadline only takes others' time.
--- a/lib/Routing/AgentRuns.cpp
+++ b/lib/Routing/AgentRuns.cpp
@@ -12,6 +12,10 @@
 
 using namespace ospreyspur;
 
+/// How long an endpoint that was found down gets nothing new. Without it an
+/// endpoint that fails at once is the least loaded one and draws all requests.
+static constexpr Duration DownPause = std::chrono::milliseconds(150);
+
 void AgentNode::attach(LinkId from, const Dispatch &dispatch, TimePoint now) {
   RequestId id = dispatch.Permit.Id;
   const StoredAnswer *answer = Book.findAnswer(id);
@@ -107,6 +111,7 @@
   if (!Running.contains(id))
     return takeActions();
   if (code == ResultCode::EndpointUnreachable) {
+    DownUntil = now + DownPause;
     withdrawQueued(id, code, now);
     startWaiting(now);
     return takeActions();
@@ -119,8 +124,10 @@
   auto it = Jobs.find(id);
   EngineLife life = it->second.Life;
   Drain.record(now - *it->second.Started);
-  if (code == ResultCode::EndpointFailed)
+  if (code == ResultCode::EndpointFailed) {
+    DownUntil = now + DownPause;
     code = noteEngineEnd(life);
+  }
   StoredAnswer *answer = Book.findAnswer(id);
   answer->Life = life;
   std::uint64_t length = answer->end();
--- a/unittests/Routing/EngineLifeTest.cpp
+++ b/unittests/Routing/EngineLifeTest.cpp
@@ -38,6 +38,15 @@
     return id;
   }
 
+  /// What the agent answers to a probe.
+  ResultCode probe() {
+    for (const AgentAction &it : Node.onMessage(Link, Probe{}, Now))
+      if (const auto *sent = std::get_if<SendToLink>(&it))
+        if (const auto *reply = std::get_if<ProbeReply>(&sent->Body))
+          return reply->Code;
+    return ResultCode::Ok;
+  }
+
   Finish end(RequestId id, ResultCode code) {
     return findFinish(Node.onRunEnd(id, code, Now));
   }
@@ -82,6 +91,7 @@
 TEST_CASE("each end of an engine has a number of its own") {
   LoneAgent agent;
   Finish one = agent.end(agent.start(), ResultCode::EndpointFailed);
+  agent.Now += seconds(1);
   Finish two = agent.end(agent.start(), ResultCode::EndpointFailed);
   CHECK(one.Life != two.Life);
 }
@@ -102,3 +112,16 @@
   CHECK(agent.end(id, ResultCode::EndpointFailed).Code ==
         ResultCode::AnswerBroken);
 }
+
+/// Guards against an endpoint that is down and draws requests, as it always has
+/// the shortest queue.
+TEST_CASE("an agent makes no offers while its endpoint is found down") {
+  LoneAgent agent;
+  CHECK(agent.probe() == ResultCode::Ok);
+  agent.end(agent.start(), ResultCode::EndpointUnreachable);
+  CHECK(agent.probe() == ResultCode::EndpointUnreachable);
+  agent.Now += seconds(1);
+  CHECK(agent.probe() == ResultCode::Ok);
+  agent.end(agent.start(), ResultCode::EndpointFailed);
+  CHECK(agent.probe() == ResultCode::EndpointUnreachable);
+}
