Read the rate that an endpoint names in its answers, and log it

Pushback is what an answer's head asks for, decoded in platform/: the rate as a decimal number of zero or more, at most a million. A value that is no number, a negative one, "nan", "inf" and two values at once have no effect and are kept, shortened, for the log. An answer of another endpoint at the address (421) speaks for that one only. request.done names the rate of the last answer (asked_rate, -1 for none). Nothing acts on it.

Test: "a rate that an answer names is read; what is no number has no effect", written with the reader; it has no earlier code to fail on.

--- a/include/ospreyspur/Direct/EndpointAnswer.h
+++ b/include/ospreyspur/Direct/EndpointAnswer.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_DIRECT_ENDPOINTANSWER_H
 #define OSPREYSPUR_DIRECT_ENDPOINTANSWER_H
 
+#include "ospreyspur/Pushback/Pushback.h"
 #include "ospreyspur/Support/Time.h"
 
 #include <cstdint>
@@ -40,6 +41,7 @@
   bool IsEvents = false;
   /// How long the endpoint keeps the connection; nothing if it does not say.
   std::optional<Duration> KeepAlive;
+  Pushback Asked;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/DirectCall.h
+++ b/include/ospreyspur/Process/DirectCall.h
@@ -47,6 +47,8 @@
   /// For the log.
   std::string Endpoints;
   unsigned Status = 0;
+  /// The rate that the last answer's endpoint named.
+  std::optional<double> AskedRate;
   std::optional<TimePoint> FirstByte;
 };
 
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -99,6 +99,7 @@
     HttpResponse head;
     head.base() = Answer->get().base();
     Head = platform::readAnswer(head, Call.Request.Label);
+    Call.AskedRate = Head.Asked.RequestsPerSecond;
     if (Head.Verdict != AnswerVerdict::Foreign) {
       CallerHead = platform::makeCallerHead(head);
       co_return true;
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -415,6 +415,7 @@
                    .with("outcome", toString(info.Kind))
                    .with("status", call.Status)
                    .with("endpoints", call.Endpoints)
+                   .with("asked_rate", call.AskedRate.value_or(-1))
                    .with("first_ms", call.FirstByte ? toMillis(*call.FirstByte -
                                                                call.Arrived)
                                                     : -1)
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -255,3 +255,33 @@
   CHECK(std::string(refusal["Request-Id"]) == "abc");
   CHECK(refusal.find("Replica-Stamp") == refusal.end());
 }
+
+TEST_CASE("a rate that an answer names is read; what is no number has no "
+          "effect") {
+  auto askedBy = [](const std::string &rate, unsigned status = 200) {
+    HttpResponse answer;
+    answer.result(status);
+    answer.set("Server-Limit", rate);
+    return platform::readAnswer(answer, "r").Asked;
+  };
+  CHECK(askedBy("2").RequestsPerSecond == 2.0);
+  CHECK(askedBy("0.25").RequestsPerSecond == 0.25);
+  CHECK(askedBy("0").RequestsPerSecond == 0.0);
+  CHECK(askedBy("2", 503).RequestsPerSecond == 2.0);
+  CHECK(askedBy("1e300").RequestsPerSecond <= 1e6);
+  for (const char *it : {"", "-1", "-0.5", "nan", "inf", "-inf", "1,2", "one",
+                         "1 2", "1e999", "0x", "--1"}) {
+    INFO(it);
+    CHECK_FALSE(askedBy(it).RequestsPerSecond);
+  }
+  CHECK(askedBy("one").Malformed == "\"one\"");
+  CHECK(askedBy(std::string(9000, 'x')).Malformed.size() < 64);
+  HttpResponse twice;
+  twice.insert("Server-Limit", "1");
+  twice.insert("Server-Limit", "2");
+  CHECK_FALSE(platform::readAnswer(twice, "r").Asked.RequestsPerSecond);
+  // Another endpoint has the address.
+  CHECK_FALSE(askedBy("2", 421).RequestsPerSecond);
+  CHECK(askedBy("one", 421).Malformed.empty());
+  CHECK_FALSE(platform::readAnswer(HttpResponse(), "r").Asked.RequestsPerSecond);
+}
