Failing test: an endpoint that names a rate gets its share of all requests

Four real entries before three endpoints, 200 requests a second, one endpoint names one request a second in each answer. Within four seconds it gets 271 requests; five or six keep the rate.

--- /dev/null
+++ b/unittests/Process/RateLimitedEndpointTest.cpp
@@ -0,0 +1,51 @@
+//===- RateLimitedEndpointTest.cpp - endpoints that name a rate -----------===//
+//
+// Endpoints that name in their answers how many requests a second they take
+// from all entries together, over real sockets.
+//
+//===----------------------------------------------------------------------===//
+
+#include "NeedyWorld.h"
+
+using namespace ospreyspur;
+using ospreyspur::test::Arrival;
+using ospreyspur::test::NeedyWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr unsigned Entries = 4;
+
+static unsigned namesOne(HttpResponse &answer) {
+  answer.set("Server-Limit", "1");
+  return 200;
+}
+
+static unsigned namesNothing(HttpResponse & /*answer*/) { return 200; }
+
+/// Most arrivals within \p span after \p from.
+static std::size_t mostWithin(const std::vector<Arrival> &arrivals,
+                              Duration span, TimePoint from) {
+  std::size_t most = 0;
+  for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+    if (first->At < from)
+      continue;
+    auto n = std::count_if(first, arrivals.end(), [&](const Arrival &it) {
+      return it.At < first->At + span;
+    });
+    most = std::max(most, std::size_t(n));
+  }
+  return most;
+}
+
+// An endpoint that named a rate got its share of all requests as before.
+TEST_CASE("an endpoint gets no more requests than the rate it names") {
+  NeedyWorld world({namesOne, namesNothing, namesNothing});
+  world.addEntries(Entries);
+  world.load(350, milliseconds(20));
+  TimePoint from = monotonicNow() + milliseconds(1000);
+  world.run(seconds(7) + milliseconds(500));
+  // Two entries' worth beyond what passes in four seconds.
+  CHECK(mostWithin(world.endpoint(0).arrivals(), seconds(4), from) <= 6);
+  CHECK(world.endpoint(0).arrivals().size() >= 4);
+  CHECK(world.told().at("HTTP/1.1 200") == Entries * 350);
+}
