Keep to the rates that endpoints name, as a fleet

Callers saw nothing; endpoints in need got their share of all requests as before (13 and 12 within four seconds where one a second was named).

Class: an answer's head was read for the request's sake only, never for what the endpoint asks of its senders.

RateLimits divides a named rate among few holders, found by rendezvous hashing over the entries that are listed or were heard of in the last window, each with a bucket of one token that is empty at first. Dividing by the number of entries alone was ruled out: twenty buckets that hold one token each are twenty requests at once. Of two statements the later one stands, of two whose order is not known the stricter; a rate is raised or lifted only by an answer to a request that was sent after it was heard. Changes are told in load reports (16 rows each at most, 3 times, renewed every 3 s by one holder; lifts for 20 s); an entry that begins asks for them. What was not heard of for 10 s is tried by one entry more each 2 s, as its holders may be idle or cut off. The rate is checked where an endpoint is picked (new requests, repeats, moved streams, suspects alike), again where the request is written, and for questions. When all that is left is limited and spoken for, callers hear 2016 at once, with a return drawn from half to one and a half times the time in which this entry's part takes those who come.

Also one toMillis instead of three.

--- a/include/ospreyspur/Direct/CallState.h
+++ b/include/ospreyspur/Direct/CallState.h
@@ -52,6 +52,10 @@
   std::optional<TimePoint> TurnAt;
   std::set<EndpointId> Tried;
   std::optional<EndpointId> Current;
+  /// Whether the request under way, or the one to come at Next, was taken from
+  /// the rate that its endpoint named.
+  bool IsCounted = false;
+  bool IsNextCounted = false;
   /// Where it goes on once the attempt under way has stopped; a place there and
   /// a repeat are taken already.
   std::optional<EndpointRecord> Next;
--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -56,6 +56,8 @@
   OtherEndpoint,
   /// Nothing was sent: no connection.
   NeverSent,
+  /// Nothing was sent: by then the endpoint took no more requests.
+  Withheld,
   /// A whole answer that says the run failed.
   Failed,
   /// Sent; no answer, a broken one, or one that is not its own.
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -12,6 +12,7 @@
 
 #include "ospreyspur/Direct/EndpointPicker.h"
 #include "ospreyspur/Direct/FleetSize.h"
+#include "ospreyspur/Pushback/Pushback.h"
 #include "ospreyspur/Quarantine/CrashNote.h"
 #include "ospreyspur/Quarantine/CrashTracker.h"
 
@@ -26,8 +27,10 @@
 /// Decides for the requests of one entry.
 class DirectNode {
 public:
-  /// \p seed feeds ties and splits between services.
-  DirectNode(DataCentreId dataCentre, DirectLimits limits, std::uint64_t seed);
+  /// \p seed feeds ties and splits between services; \p name is this entry's
+  /// among the others.
+  DirectNode(DataCentreId dataCentre, DirectLimits limits, std::uint64_t seed,
+             std::string name = "");
   DirectNode(const DirectNode &) = delete;
   DirectNode &operator=(const DirectNode &) = delete;
 
@@ -46,6 +49,7 @@
   /// listed but not heard of.
   void beginLife(TimePoint now) {
     MustKnowFleet = true;
+    Begin = now;
     Retries.setBegin(now);
   }
   /// The replaced endpoints to report to the other entries now.
@@ -84,6 +88,31 @@
                                   TimePoint now);
   /// What to tell the other entries of such requests now.
   CrashReport takeCrashReport(TimePoint now);
+  /// The head of an answer of the endpoint \p id came. \p sentAt is when its
+  /// request was sent; nothing if that is not known or the answer may not be
+  /// the endpoint's own: it then lifts nothing.
+  DirectActions onPushback(const EndpointId &id, const Pushback &asked,
+                           std::optional<TimePoint> sentAt, TimePoint now);
+  /// Another entry told of rates that endpoints named.
+  DirectActions onRateLimits(const std::vector<RateLimitRow> &rows,
+                             TimePoint now);
+  /// Another entry has begun and asks for what is known.
+  void onPeerBegun(TimePoint now) { Rates.tellAgain(now); }
+  /// Whether this entry asks the others so.
+  bool isNew(TimePoint now) const;
+  /// The rates to tell the other entries now.
+  std::vector<RateLimitRow> takeRateReport(TimePoint now) {
+    return Rates.takeReport(now);
+  }
+  /// Whether the request of the attempt under way may be written now. Time has
+  /// passed since its endpoint was picked, and the endpoint may have asked for
+  /// less meanwhile.
+  bool maySend(CallId id, TimePoint now);
+  /// Whether the endpoint \p id may be asked beside its requests.
+  bool takesQuestions(const EndpointId &id) const {
+    const EndpointState *state = Book.find(id);
+    return !state || !Rates.isLimited(state->Life);
+  }
   /// What an endpoint told that was asked; nothing if it did not answer.
   DirectActions onTold(const EndpointId &id,
                        const std::optional<EndpointCondition> &condition,
@@ -100,12 +129,16 @@
   std::vector<CrashNote> takeCrashNotes() {
     return std::exchange(CrashNotes, {});
   }
+  /// The changes of rates that endpoints named since the last call, for the
+  /// log.
+  std::vector<RateLimitNote> takeRateNotes() { return Rates.takeNotes(); }
 
   // Queries.
 
   std::optional<TimePoint> nextTimer() const;
   const EndpointBook &book() const { return Book; }
   const CrashTracker &crashes() const { return Crashes; }
+  const RateLimits &rates() const { return Rates; }
   /// Whether the call still has no final answer.
   bool isKnown(CallId id) const { return Calls.contains(id); }
   std::size_t callCount() const { return Calls.size(); }
@@ -136,6 +169,14 @@
                                        TimePoint now) const;
   void endQuarantined(RequestDigest request, TimePoint now);
   std::size_t entriesToShare(TimePoint now) const;
+  void refreshMembers(TimePoint now);
+  void onRatesChanged(TimePoint now);
+  bool mayAsk(const EndpointState &state, TimePoint now);
+  bool isRateLimited(const CallState &call, TimePoint now) const;
+  bool isHopeless(const CallState &call, TimePoint now) const;
+  std::size_t waitingFor(const ServiceId &service) const;
+  void endHopeless(TimePoint now);
+  Duration expectedRoom(const CallState &call, TimePoint now);
   void startOrWait(CallState &call, TimePoint now);
   void wait(const CallState &call, TimePoint now);
   void noteWait(const CallState &call, TimePoint now);
@@ -166,12 +207,19 @@
   std::mt19937_64 Random;
   EndpointBook Book;
   ArrivalRate Arrivals;
+  RateLimits Rates;
+  /// This entry's name in the fleet, and when the members were last counted.
+  std::string Name;
+  std::optional<TimePoint> MembersAt;
+  /// When onTimer() ran last: what was due by then has been done.
+  TimePoint LastTimer;
   EndpointPicker Picker;
   RetryWindow Retries;
   FleetSize Fleet;
   /// Whether nothing is taken of the allowance before the store has listed the
   /// entries once.
   bool MustKnowFleet = false;
+  std::optional<TimePoint> Begin;
   /// What endpoints of a service take to their first byte, as a running mean.
   std::map<ServiceId, Duration> FirstByteTimes;
   std::map<CallId, CallState> Calls;
--- a/include/ospreyspur/Direct/EndpointBook.h
+++ b/include/ospreyspur/Direct/EndpointBook.h
@@ -15,6 +15,7 @@
 #include "ospreyspur/Quarantine/CrashReport.h"
 #include "ospreyspur/Support/Time.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -142,10 +143,16 @@
   /// It answered that the run had failed.
   void onFailedAnswer(const EndpointId &id, TimePoint now);
   void onFull(const EndpointId &id, TimePoint now);
+  /// Says whether an endpoint may be sent a question now; one that is sent
+  /// counts as a request.
+  using MayAsk = std::function<bool(const EndpointState &)>;
+
   /// The endpoints to ask for their condition now, one of each known group.
-  std::vector<EndpointRecord> takeQuestions(TimePoint now);
+  std::vector<EndpointRecord> takeQuestions(const MayAsk &mayAsk,
+                                            TimePoint now);
   /// The endpoints of slow groups to ask how fast they work.
-  std::vector<EndpointRecord> takePaceQuestions(TimePoint now,
+  std::vector<EndpointRecord> takePaceQuestions(const MayAsk &mayAsk,
+                                                TimePoint now,
                                                 std::mt19937_64 &random);
   /// What an endpoint told; nothing if it did not answer.
   void onTold(const EndpointId &id,
@@ -166,6 +173,8 @@
 
   const std::map<EndpointId, EndpointState> &states() const { return States; }
   const EndpointState *find(const EndpointId &id) const;
+  /// The endpoint with the life \p life; null if it is not known.
+  const EndpointState *findLife(LifeDigest life) const;
   /// When an endpoint that said that it was full may next be tried again.
   std::optional<TimePoint> nextFree() const;
   /// When takeQuestions() is next needed.
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Direct/DirectLimits.h"
 #include "ospreyspur/Direct/EndpointBook.h"
 #include "ospreyspur/Direct/WaitNote.h"
+#include "ospreyspur/Pushback/RateLimits.h"
 
 #include <cstddef>
 #include <random>
@@ -27,9 +28,9 @@
   /// Everything is kept by reference; \p random breaks ties.
   EndpointPicker(const EndpointBook &book, const DirectLimits &limits,
                  const DataCentreId &dataCentre, const ArrivalRate &arrivals,
-                 std::mt19937_64 &random)
+                 const RateLimits &rates, std::mt19937_64 &random)
       : Book(book), Limits(limits), DataCentre(dataCentre), Arrivals(arrivals),
-        Random(random) {}
+        Rates(rates), Random(random) {}
 
   /// The endpoint for \p call; null if none has room for it.
   const EndpointState *pick(const CallState &call, TimePoint now) const;
@@ -53,9 +54,10 @@
   bool isDoubtful(const EndpointState &state, TimePoint now) const;
   /// How many endpoints of \p call's service have which obstacle for it.
   ObstacleCounts countObstacles(const CallState &call, TimePoint now) const;
+  /// Endpoints of \p service.
+  std::vector<const EndpointState *> statesOf(const ServiceId &service) const;
 
 private:
-  std::vector<const EndpointState *> statesOf(const ServiceId &service) const;
   std::size_t sampleSize(const ServiceId &service, std::size_t endpoints,
                          TimePoint now) const;
   Obstacle obstacleAt(const EndpointState &state, const CallState &call,
@@ -67,6 +69,7 @@
   const DirectLimits &Limits;
   const DataCentreId &DataCentre;
   const ArrivalRate &Arrivals;
+  const RateLimits &Rates;
   std::mt19937_64 &Random;
 };
 
--- a/include/ospreyspur/Direct/FleetSize.h
+++ b/include/ospreyspur/Direct/FleetSize.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -34,6 +35,8 @@
 
   /// Entries within the last \p window, this one included.
   std::size_t count(Duration window, TimePoint now) const;
+  /// The names of these entries, without this one's.
+  std::vector<std::string> others(Duration window, TimePoint now) const;
   /// Whether the list was ever read. Before that the count may be too small.
   bool isListed() const { return HasList; }
 
@@ -44,6 +47,10 @@
   /// Between a report's sending and its arrival.
   static constexpr Duration ReportDelay = std::chrono::seconds(1);
 
+  static bool isRecent(TimePoint seenAt, Duration window, TimePoint now) {
+    return now - seenAt < window + ReportDelay;
+  }
+
   std::set<std::string> Listed;
   /// When each entry was last heard of or listed.
   std::map<std::string, TimePoint> SeenAt;
--- a/include/ospreyspur/Direct/WaitNote.h
+++ b/include/ospreyspur/Direct/WaitNote.h
@@ -31,11 +31,14 @@
   TooSlow,
   /// All its places are taken.
   Full,
+  /// It named a rate, of which this entry has nothing left at present.
+  RateLimited,
 };
 
 /// The words for obstacles in the log, in their order.
-inline constexpr std::array<std::string_view, 7> ObstacleWords = {
-    "usable", "leaving", "tried", "closed", "unproven", "too_slow", "full"};
+inline constexpr std::array<std::string_view, 8> ObstacleWords = {
+    "usable",   "leaving",  "tried", "closed",
+    "unproven", "too_slow", "full",  "rate_limited"};
 
 /// Numbers of endpoints by their obstacle.
 using ObstacleCounts = std::array<unsigned, ObstacleWords.size()>;
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -23,6 +23,12 @@
 
 /// What an attempt tells while it runs.
 struct AttemptHandlers {
+  /// Whether the request may be written now.
+  std::function<bool()> MaySend;
+  /// The head of an answer came on the connection. \p sentAt is when the
+  /// request that it answers was sent, if it is the endpoint's answer to this
+  /// one.
+  std::function<void(const Pushback &, std::optional<TimePoint> sentAt)> OnHead;
   /// A part of the answer came.
   std::function<void()> OnData;
   /// Nothing has come for the order's silence, and once more each time it
@@ -58,6 +64,8 @@
   void watchSilence(Duration pause);
   void watchDeadline();
   void onSilenceTimer();
+  bool isOwnAnswer() const;
+  void returnUnused();
   void keepConnection();
 
   EndpointPool &Pool;
@@ -73,6 +81,7 @@
   /// Since when the endpoint is waited for; nothing while a part of the answer
   /// is on its way to the caller.
   std::optional<TimePoint> ReadingSince;
+  TimePoint SentAt;
   std::optional<Parser> Answer;
   EndpointAnswer Head;
   ConnectionEnd Ended = ConnectionEnd::Ours;
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -72,7 +72,10 @@
   boost::asio::awaitable<void> checkEndpoint(EndpointRecord endpoint);
   boost::asio::awaitable<EndpointFate> findFate(EndpointRecord endpoint);
   void takeReport(const LoadReport &report);
+  void takePushback(const EndpointId &id, const Pushback &asked,
+                    std::optional<TimePoint> sentAt);
   void logWaits();
+  void logRates();
   static void logCut(const DirectCall &call, const StartAttempt &order,
                      AttemptEnd end, Duration ran);
   void logCrashes();
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -8,6 +8,7 @@
 #define OSPREYSPUR_RPC_LOADCODEC_H
 
 #include "ospreyspur/Direct/EndpointBook.h"
+#include "ospreyspur/Pushback/RateLimitRow.h"
 #include "ospreyspur/Quarantine/CrashReport.h"
 
 #include <optional>
@@ -25,6 +26,10 @@
   CrashReport Crashes;
   /// Lives of endpoints that have ended: their addresses have another one.
   std::vector<LifeDigest> Replaced{};
+  /// Rates that endpoints named.
+  std::vector<RateLimitRow> Rates{};
+  /// Whether the entry has just begun and asks for the others' rows.
+  bool IsNew = false;
 };
 
 std::string encodeLoad(const LoadReport &report);
--- a/include/ospreyspur/Support/Time.h
+++ b/include/ospreyspur/Support/Time.h
@@ -41,6 +41,11 @@
       std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec)));
 }
 
+/// Whole milliseconds, for logs.
+inline std::int64_t toMillis(Duration it) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+}
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_SUPPORT_TIME_H
--- a/lib/Direct/DirectMoves.cpp
+++ b/lib/Direct/DirectMoves.cpp
@@ -39,6 +39,8 @@
 /// looked at, many streams were broken off for the same one, and those that
 /// came too late were cut.
 bool DirectNode::tryMove(CallState &call, MoveReason reason, TimePoint now) {
+  if (!Rates.isEmpty())
+    refreshMembers(now);
   const RouteRule &route = *call.Request.Route;
   std::size_t entries = entriesToShare(now);
   bool mayMove = route.canResume() || (route.isRepeatable() && !call.HasBegun);
@@ -49,6 +51,8 @@
   if (!state || Picker.isDoubtful(*state, now))
     return false;
   Retries.spend(call.Service, entries, now);
+  call.IsNextCounted = Rates.isLimited(state->Life);
+  Rates.take(state->Life, now);
   call.Next = state->Record;
   call.IsStopping = true;
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
@@ -70,6 +74,7 @@
     return false;
   }
   EndpointRecord next = *std::exchange(call.Next, std::nullopt);
+  call.IsCounted = call.IsNextCounted;
   begin(call, next, now);
   return true;
 }
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -25,9 +25,10 @@
 static constexpr double FirstByteWeight = 0.1;
 
 DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
-                       std::uint64_t seed)
+                       std::uint64_t seed, std::string name)
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
-      Picker(Book, Limits, DataCentre, Arrivals, Random),
+      Name(std::move(name)),
+      Picker(Book, Limits, DataCentre, Arrivals, Rates, Random),
       Retries(limits.Retries) {}
 
 static Duration partOf(Duration whole, double part) {
@@ -141,8 +142,9 @@
     retry(call, ResultCode::EndpointLeaving, now);
     break;
   case AttemptEnd::NeverSent:
+  case AttemptEnd::Withheld:
     --call.Attempts;
-    // Without a connection nothing was repeated.
+    // What was not sent is no repeat.
     if (--call.Arrivals > 0)
       Retries.giveBack(call.Service);
     if (!goOn(call, now))
@@ -189,9 +191,12 @@
 }
 
 void DirectNode::ask(TimePoint now) {
-  for (EndpointRecord &it : Book.takeQuestions(now))
+  auto mayBeAsked = [this, now](const EndpointState &it) {
+    return mayAsk(it, now);
+  };
+  for (EndpointRecord &it : Book.takeQuestions(mayBeAsked, now))
     Out.emplace_back(AskEndpoint{std::move(it)});
-  for (EndpointRecord &it : Book.takePaceQuestions(now, Random))
+  for (EndpointRecord &it : Book.takePaceQuestions(mayBeAsked, now, Random))
     Out.emplace_back(AskEndpoint{std::move(it)});
 }
 
@@ -208,6 +213,7 @@
 }
 
 DirectActions DirectNode::onTimer(TimePoint now) {
+  LastTimer = now;
   Book.forgetFull(now);
   judgeCrashes(now);
   ask(now);
@@ -232,8 +238,10 @@
     include(Calls.at(id).waitLimit());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).TurnAt);
-  if (!Waiting.empty())
+  if (!Waiting.empty()) {
     include(Book.nextFree());
+    include(Rates.nextRoom(LastTimer));
+  }
   return next;
 }
 
@@ -246,6 +254,10 @@
     endNotRun(call, ResultCode::NoEndpoint, now);
     return;
   }
+  if (isHopeless(call, now)) {
+    endNotRun(call, ResultCode::NoEndpoint, now);
+    return;
+  }
   wait(call, now);
 }
 
@@ -265,6 +277,8 @@
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
+  if (!Rates.isEmpty())
+    refreshMembers(now);
   if (mustStandBack(call, now)) {
     call.TurnAt.reset();
     return false;
@@ -276,6 +290,8 @@
   bool isRepeat = call.Arrivals > 0;
   if (isRepeat && !Retries.spend(call.Service, entriesToShare(now), now))
     return false;
+  call.IsCounted = Rates.isLimited(state->Life);
+  Rates.take(state->Life, now);
   Book.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
   begin(call, state->Record, now);
   return true;
@@ -346,7 +362,7 @@
         std::max(call.WaitUntil, std::min(now + FateWait, call.Deadline));
   if (canTry && tryStart(call, now))
     return;
-  if (canTry && now < call.waitLimit())
+  if (canTry && now < call.waitLimit() && !isHopeless(call, now))
     wait(call, now);
   else if (describe(reason).Kind == Outcome::NotRun)
     endNotRun(call, reason, now);
@@ -358,6 +374,8 @@
 void DirectNode::endNotRun(CallState &call, ResultCode code, TimePoint now) {
   if (call.MayHaveRun)
     end(call, ResultCode::ContactLost, Duration::zero());
+  else if (isRateLimited(call, now))
+    end(call, ResultCode::RateLimited, expectedRoom(call, now));
   else
     end(call, code, expectedDrain(call, now));
 }
@@ -398,6 +416,8 @@
   case AttemptEnd::OtherEndpoint:
     Book.onReplaced(id, now);
     break;
+  case AttemptEnd::Withheld:
+    break;
   case AttemptEnd::NeverSent:
   case AttemptEnd::Lost:
   case AttemptEnd::BrokeOff:
--- a/lib/Direct/EndpointBook.cpp
+++ b/lib/Direct/EndpointBook.cpp
@@ -214,11 +214,16 @@
   return out;
 }
 
-std::vector<EndpointRecord> EndpointBook::takeQuestions(TimePoint now) {
+std::vector<EndpointRecord> EndpointBook::takeQuestions(const MayAsk &mayAsk,
+                                                        TimePoint now) {
   std::vector<EndpointRecord> out;
   for (auto &[id, state] : States) {
     if (!state.MustTell || now < state.AskAt)
       continue;
+    if (!mayAsk(state)) {
+      state.AskAt = now + askPause(now);
+      continue;
+    }
     out.push_back(state.Record);
     for (EndpointState *member : groupOf(state))
       member->AskAt = now + AskTimeout;
@@ -227,7 +232,8 @@
 }
 
 std::vector<EndpointRecord>
-EndpointBook::takePaceQuestions(TimePoint now, std::mt19937_64 &random) {
+EndpointBook::takePaceQuestions(const MayAsk &mayAsk, TimePoint now,
+                                std::mt19937_64 &random) {
   std::vector<EndpointRecord> out;
   std::size_t others = livePeers(now);
   // Two turns of all entries make PaceEvery the mean between two questions.
@@ -244,7 +250,7 @@
     if (now < *state.AskPaceAt)
       continue;
     bool isKnown = now - state.PaceAt < PaceEvery;
-    if (!isKnown)
+    if (!isKnown && mayAsk(state))
       out.push_back(state.Record);
     TimePoint from = isKnown ? state.PaceAt : now;
     state.AskPaceAt =
@@ -326,6 +332,14 @@
   return it == States.end() ? nullptr : &it->second;
 }
 
+const EndpointState *EndpointBook::findLife(LifeDigest life) const {
+  auto it =
+      std::find_if(States.begin(), States.end(), [life](const auto &state) {
+        return state.second.Life == life;
+      });
+  return it == States.end() ? nullptr : &it->second;
+}
+
 EndpointLoad EndpointBook::totalLoad(const EndpointState &state,
                                      TimePoint now) const {
   EndpointLoad out{state.Record.Id, state.Own, state.OwnUnread};
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -132,7 +132,10 @@
   // All ranks of a group wait for the slowest: it gets as much less.
   bool isFull = Book.totalLoad(state, now).Running >=
                 limit / EndpointBook::paceOf(state, now);
-  return isFull ? Obstacle::Full : Obstacle::None;
+  if (isFull)
+    return Obstacle::Full;
+  return Rates.hasRoom(state.Life, now) ? Obstacle::None
+                                        : Obstacle::RateLimited;
 }
 
 ObstacleCounts EndpointPicker::countObstacles(const CallState &call,
--- a/lib/Direct/FleetSize.cpp
+++ b/lib/Direct/FleetSize.cpp
@@ -29,7 +29,16 @@
 
 std::size_t FleetSize::count(Duration window, TimePoint now) const {
   auto heard = std::count_if(SeenAt.begin(), SeenAt.end(), [&](const auto &it) {
-    return !Listed.contains(it.first) && now - it.second < window + ReportDelay;
+    return !Listed.contains(it.first) && isRecent(it.second, window, now);
   });
   return Listed.size() + static_cast<std::size_t>(heard) + 1;
 }
+
+std::vector<std::string> FleetSize::others(Duration window,
+                                           TimePoint now) const {
+  std::vector<std::string> out(Listed.begin(), Listed.end());
+  for (const auto &[name, seenAt] : SeenAt)
+    if (!Listed.contains(name) && isRecent(seenAt, window, now))
+      out.push_back(name);
+  return out;
+}
--- a/lib/Process/CrashLog.cpp
+++ b/lib/Process/CrashLog.cpp
@@ -12,10 +12,6 @@
 
 using namespace ospreyspur;
 
-static std::int64_t toMillis(Duration it) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
-}
-
 /// The word for \p standing in the log.
 static const char *wordOf(CrashStanding standing) {
   switch (standing) {
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -48,6 +48,10 @@
   Call.Connection = Connection.get();
   if (Call.IsCallerGone)
     co_return AttemptEnd::NeverSent;
+  if (!Handlers.MaySend()) {
+    returnUnused();
+    co_return AttemptEnd::Withheld;
+  }
   // Its time-outs are on a clock that leaves out suspensions.
   Connection->Stream.expires_never();
   watchDeadline();
@@ -76,6 +80,7 @@
       Exchange.request(),
       {Order.Endpoint.Name, Call.Request.Workspace,
        Order.Deadline - monotonicNow(), Call.Events.lastId()});
+  SentAt = monotonicNow();
   auto [ec, n] =
       co_await http::async_write(Connection->Stream, request, AsTuple);
   noteError(ec);
@@ -100,6 +105,9 @@
     head.base() = Answer->get().base();
     Head = platform::readAnswer(head, Call.Request.Label);
     Call.AskedRate = Head.Asked.RequestsPerSecond;
+    if (Head.Verdict != AnswerVerdict::OtherEndpoint)
+      Handlers.OnHead(Head.Asked,
+                      isOwnAnswer() ? std::optional(SentAt) : std::nullopt);
     if (Head.Verdict != AnswerVerdict::Foreign) {
       CallerHead = platform::makeCallerHead(head);
       co_return true;
@@ -255,6 +263,20 @@
   return Exchange.hasBegun() ? AttemptEnd::BrokeOff : AttemptEnd::Lost;
 }
 
+bool DirectAttempt::isOwnAnswer() const {
+  return Head.Verdict == AnswerVerdict::Own ||
+         Head.Verdict == AnswerVerdict::Failed ||
+         Head.Verdict == AnswerVerdict::Full;
+}
+
+/// Keeps a connection on which nothing was sent.
+void DirectAttempt::returnUnused() {
+  Call.Connection = nullptr;
+  Connection->Stream.expires_never();
+  Pool.keep(Order.Endpoint.Id, std::move(Connection), std::nullopt,
+            monotonicNow());
+}
+
 void DirectAttempt::keepConnection() {
   bool isClean = Answer->is_done() && Answer->keep_alive() &&
                  Connection->Buffer.size() == 0;
--- a/lib/Process/DirectFates.cpp
+++ b/lib/Process/DirectFates.cpp
@@ -36,6 +36,10 @@
   TimePoint now = monotonicNow();
   Node.setPeerLoad(report.Node, report.Loads, now);
   Node.mergeReplaced(report.Replaced, now);
+  if (report.IsNew)
+    Node.onPeerBegun(now);
+  if (!report.Rates.empty())
+    apply(Node.onRateLimits(report.Rates, now));
   if (report.Crashes.isEmpty() && Node.crashes().isEmpty())
     return;
   DirectActions actions = Node.onCrashReport(report.Node, report.Crashes, now);
@@ -60,7 +64,9 @@
 }
 
 asio::awaitable<EndpointFate> DirectTraffic::findFate(EndpointRecord endpoint) {
-  bool tellsLife = endpoint.TellsState && endpoint.Life != EndpointLife(0);
+  // A connection says enough where a question would count as a request.
+  bool tellsLife = endpoint.TellsState && endpoint.Life != EndpointLife(0) &&
+                   Node.takesQuestions(endpoint.Id);
   if (!tellsLife)
     co_return co_await checkFate(Context, endpoint.Address);
   auto isSameLife = [this,
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -44,6 +44,8 @@
     return "replaced";
   case AttemptEnd::NeverSent:
     return "never_sent";
+  case AttemptEnd::Withheld:
+    return "withheld";
   case AttemptEnd::Failed:
     return "failed";
   case AttemptEnd::Lost:
@@ -67,10 +69,6 @@
   return "";
 }
 
-static std::int64_t toMillis(Duration it) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
-}
-
 static DirectLimits makeLimits(const DirectSettings &settings) {
   DirectLimits limits;
   limits.Retries = settings.Retries;
@@ -92,16 +90,20 @@
                              std::uint64_t seed, OnQuarantine onQuarantine)
     : Context(ioc), Settings(settings), Measures(metrics),
       TellQuarantine(std::move(onQuarantine)),
-      Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed),
+      Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed,
+           settings.Name),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
       PoolTimer(ioc), StartTimer(ioc),
       Server(ioc, makeHttpLimits(CallerLimits()),
              [this](HttpExchange &it) { return handle(it); }),
       Loads(ioc, {[this] {
                     TimePoint now = monotonicNow();
-                    return LoadReport{Settings.Name, Node.book().ownLoads(now),
+                    return LoadReport{Settings.Name,
+                                      Node.book().ownLoads(now),
                                       Node.takeCrashReport(now),
-                                      Node.takeReplacedReport()};
+                                      Node.takeReplacedReport(),
+                                      Node.takeRateReport(now),
+                                      Node.isNew(now)};
                   },
                   [this](const LoadReport &it) { takeReport(it); }}) {}
 
@@ -283,14 +285,21 @@
       apply(std::move(actions));
   };
   auto onSilence = [this, id] { apply(Node.onSilent(id, monotonicNow())); };
+  auto maySend = [this, id] { return Node.maySend(id, monotonicNow()); };
+  auto onHead = [this, &order](const Pushback &asked,
+                               std::optional<TimePoint> sentAt) {
+    takePushback(order.Endpoint.Id, asked, sentAt);
+  };
   TimePoint began = monotonicNow();
-  DirectAttempt running(Pool, exchange, call, order, {onData, onSilence});
+  DirectAttempt running(Pool, exchange, call, order,
+                        {maySend, onHead, onData, onSilence});
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
   Measures.set("requests_waiting", double(Node.waitingCount()));
   if (call.IsCallerGone)
     co_return;
-  if (end == AttemptEnd::Full || end == AttemptEnd::OtherEndpoint)
+  if (end == AttemptEnd::Full || end == AttemptEnd::OtherEndpoint ||
+      end == AttemptEnd::Withheld)
     LOG(INFO) << LogEvent("attempt.refused")
                      .with("id", call.Request.Label)
                      .with("endpoint", order.Endpoint.Id.get())
@@ -320,6 +329,7 @@
     std::visit([this](auto &it) { perform(it); }, action);
   logWaits();
   logCrashes();
+  logRates();
   Timer.set(Node.nextTimer());
 }
 
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -15,6 +15,43 @@
 
 using namespace ospreyspur;
 
+/// What a damaged or hostile report may make this entry hold.
+static constexpr int MaxRates = 64;
+static constexpr Duration MaxAge = std::chrono::hours(1);
+
+static std::uint64_t encodeAge(Duration age) {
+  return static_cast<std::uint64_t>(std::max(age, Duration::zero()).count());
+}
+
+static Duration decodeAge(std::uint64_t microseconds) {
+  auto most = static_cast<std::uint64_t>(MaxAge.count());
+  return Duration(static_cast<Duration::rep>(std::min(microseconds, most)));
+}
+
+static void encodeRate(const RateLimitRow &row, wire::RateLimit &out) {
+  out.set_life(row.Life.get());
+  if (row.PerSecond)
+    out.set_per_second(*row.PerSecond);
+  out.set_sent_age_us(encodeAge(row.SentAge));
+  out.set_heard_age_us(encodeAge(row.HeardAge));
+}
+
+static std::vector<RateLimitRow> decodeRates(const wire::LoadReport &in) {
+  std::vector<RateLimitRow> out;
+  for (int i = 0; i < std::min(in.rates_size(), MaxRates); ++i) {
+    const wire::RateLimit &it = in.rates(i);
+    RateLimitRow row{LifeDigest(it.life()), std::nullopt,
+                     decodeAge(it.sent_age_us()), decodeAge(it.heard_age_us())};
+    if (it.has_per_second())
+      row.PerSecond = it.per_second();
+    bool isSound = !row.PerSecond ||
+                   (std::isfinite(*row.PerSecond) && *row.PerSecond >= 0);
+    if (isSound)
+      out.push_back(row);
+  }
+  return out;
+}
+
 std::string ospreyspur::encodeLoad(const LoadReport &report) {
   wire::LoadReport out;
   out.set_node(report.Node);
@@ -28,6 +65,9 @@
   encodeCrashes(report.Crashes, out);
   for (LifeDigest it : report.Replaced)
     out.add_replaced(it.get());
+  for (const RateLimitRow &it : report.Rates)
+    encodeRate(it, *out.add_rates());
+  out.set_is_new(report.IsNew);
   return out.SerializeAsString();
 }
 
@@ -53,5 +93,7 @@
   out.Crashes = decodeCrashes(in);
   for (int i = 0; i < std::min(in.replaced_size(), MaxReplaced); ++i)
     out.Replaced.emplace_back(in.replaced(i));
+  out.Rates = decodeRates(in);
+  out.IsNew = in.is_new();
   return out;
 }
--- a/unittests/Direct/ManyEntriesTest.cpp
+++ b/unittests/Direct/ManyEntriesTest.cpp
@@ -157,7 +157,8 @@
   for (unsigned tick = 0; tick < 100; ++tick, now += milliseconds(100)) {
     for (EndpointBook &it : books) {
       it.onEvents(listed.front().Record.Id, milliseconds(500), now);
-      for (const EndpointRecord &question : it.takePaceQuestions(now, random)) {
+      for (const EndpointRecord &question : it.takePaceQuestions(
+               [](const EndpointState &) { return true; }, now, random)) {
         ++asked;
         it.onTold(question.Id, slow, now);
       }
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -283,5 +283,6 @@
   // Another endpoint has the address.
   CHECK_FALSE(askedBy("2", 421).RequestsPerSecond);
   CHECK(askedBy("one", 421).Malformed.empty());
-  CHECK_FALSE(platform::readAnswer(HttpResponse(), "r").Asked.RequestsPerSecond);
+  CHECK_FALSE(
+      platform::readAnswer(HttpResponse(), "r").Asked.RequestsPerSecond);
 }
