--- /dev/null
+++ b/unittests/Process/AgentPushbackTest.cpp
@@ -0,0 +1,121 @@
+//===- AgentPushbackTest.cpp - endpoints in need behind an agent ----------===//
+//
+// A real agent before an endpoint on sockets that asks for less in its answers,
+// and a link on which requests are offered as often as the agent takes them.
+//
+//===----------------------------------------------------------------------===//
+
+#include "NeedyWorld.h"
+
+#include "ospreyspur/Process/AgentTraffic.h"
+#include "ospreyspur/Rpc/PeerClient.h"
+
+using namespace ospreyspur;
+using ospreyspur::test::Arrival;
+using ospreyspur::test::NeedyEndpoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+/// An agent, its endpoint and an entry's link.
+class AgentWorld {
+public:
+  explicit AgentWorld(NeedyEndpoint::Answer answer)
+      : Endpoint(Context, "e", std::move(answer)),
+        Agent(Context, makeSettings(), Endpoint.record().Address,
+              Incarnation(7), "key", Measures, 1) {
+    REQUIRE(Agent.start());
+    Agent.setLeaving(false);
+    Link = std::make_unique<PeerClient>(
+        Settings.Listen,
+        PeerClientHandlers{[this](std::vector<Message> messages) {
+                             boost::asio::post(
+                                 Context, [this, messages] { take(messages); });
+                           },
+                           [] {}});
+  }
+  ~AgentWorld() { Link.reset(); }
+  AgentWorld(const AgentWorld &) = delete;
+  AgentWorld &operator=(const AgentWorld &) = delete;
+
+  /// Offers a request each 20 ms for \p span.
+  void load(Duration span) {
+    End = monotonicNow() + span;
+    offer();
+    Context.run_for(span + milliseconds(300));
+  }
+
+  const std::vector<Arrival> &arrivals() const { return Endpoint.arrivals(); }
+  /// What the agent said to those that it did not take.
+  const std::vector<ProbeReply> &refusals() const { return Refusals; }
+
+private:
+  const AgentSettings &makeSettings() {
+    auto address = test::findFreeAddress();
+    Settings.EndpointName = "e";
+    Settings.Listen = "127.0.0.1:" + std::to_string(address.port());
+    Settings.EndpointIdle = seconds(5);
+    return Settings;
+  }
+
+  void offer() {
+    if (monotonicNow() >= End)
+      return;
+    Probe probe;
+    probe.Call = CallId(++LastCall);
+    probe.Workspace = WorkspaceId("w");
+    probe.ValidFor = seconds(4);
+    probe.Deadline = seconds(5);
+    Link->send(probe);
+    Timer.expires_after(milliseconds(20));
+    Timer.async_wait([this](boost::system::error_code ec) {
+      if (!ec)
+        offer();
+    });
+  }
+
+  void take(const std::vector<Message> &messages) {
+    for (const Message &message : messages) {
+      const auto *reply = std::get_if<ProbeReply>(&message);
+      if (!reply)
+        continue;
+      if (reply->Code != ResultCode::Ok) {
+        Refusals.push_back(*reply);
+        continue;
+      }
+      Dispatch order;
+      order.Permit = reply->Permit;
+      order.Attempt = AttemptNumber(1);
+      order.Deadline = seconds(5);
+      order.Repeatable = true;
+      order.Method = "GET";
+      order.Target = "/x";
+      Link->send(order);
+    }
+  }
+
+  boost::asio::io_context Context;
+  Metrics Measures;
+  AgentSettings Settings;
+  NeedyEndpoint Endpoint;
+  AgentTraffic Agent;
+  std::unique_ptr<PeerClient> Link;
+  boost::asio::steady_timer Timer{Context};
+  TimePoint End;
+  std::uint64_t LastCall = 0;
+  std::vector<ProbeReply> Refusals;
+};
+} // namespace
+
+// An agent handed its endpoint all that it had places for.
+TEST_CASE("an agent gives its endpoint no more requests than the rate it "
+          "names") {
+  AgentWorld world([](HttpResponse &answer) {
+    answer.set("Ospreyspur-Rate-Limit", "2");
+    return 200U;
+  });
+  world.load(seconds(5));
+  // Two a second, and what came before the first answer.
+  CHECK(world.arrivals().size() <= 14);
+  CHECK(world.arrivals().size() >= 6);
+}
