Keep to the rate that an endpoint names behind its agent

Cause as on the direct path: the agent read status and content type of its endpoint's answers and nothing else. All work for an endpoint passes its one agent, so the rate is not divided: RateLimits with no other members, asked as a queued request would start. A probe is refused with 2016 once a request would wait longer than agent.max_wait_ms for its turn, with a Retry-After spread around that wait; a wait for the rate counts in offers, so that entries prefer others. Each life of the endpoint starts without a limit. What the agent knows goes with it; the next answer says it again.

Before: 248 requests within five seconds in "an agent gives its endpoint no more requests than the rate it names". After: passes (14 allowed). The lines and metrics are the same on both paths (PushbackLog).

--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <functional>
 #include <memory>
@@ -30,9 +31,15 @@
   AfterLostConnection,
 };
 
+/// The head of a streamed answer.
+struct HttpRunHead {
+  unsigned Status = 0;
+  const boost::beast::http::fields &Fields;
+};
+
 /// Receives a streamed answer.
 struct HttpSink {
-  std::function<void(unsigned status, std::string contentType)> OnHead;
+  std::function<void(const HttpRunHead &)> OnHead;
   std::function<void(std::string_view data)> OnData;
 };
 
--- a/include/ospreyspur/Process/AgentTraffic.h
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -64,6 +64,7 @@
   void perform(const StopRun &action);
   boost::asio::awaitable<void> run(StartRun order,
                                    std::shared_ptr<HttpRunHandle> handle);
+  void takePushback(RequestId id, const HttpRunHead &head);
   boost::asio::awaitable<ResultCode> findEnd(RequestId id);
 
   boost::asio::io_context &Context;
--- a/include/ospreyspur/Routing/AgentNode.h
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -13,6 +13,8 @@
 
 #include "ospreyspur/Ledger/Ledger.h"
 #include "ospreyspur/Ledger/TicketOffice.h"
+#include "ospreyspur/Pushback/Pushback.h"
+#include "ospreyspur/Pushback/RateLimits.h"
 #include "ospreyspur/Quarantine/CrashRelay.h"
 #include "ospreyspur/Routing/AgentActions.h"
 #include "ospreyspur/Routing/DrainEstimator.h"
@@ -57,6 +59,8 @@
   /// The endpoint's answer begins.
   AgentActions onRunHead(RequestId id, std::uint32_t status,
                          std::string contentType, TimePoint now);
+  /// What the endpoint asks for in the head of the answer to \p id.
+  AgentActions onPushback(RequestId id, const Pushback &asked, TimePoint now);
   /// The endpoint's answer goes on.
   AgentActions onRunData(RequestId id, std::string_view data, TimePoint now);
   /// The run ended: Ok (whole answer), EndpointUnreachable (no byte of the
@@ -71,6 +75,10 @@
   /// Does what is due at \p now.
   AgentActions onTimer(TimePoint now);
 
+  /// The changes of the rate that the endpoint named since the last call, for
+  /// the log.
+  std::vector<RateLimitNote> takeRateNotes() { return Rates.takeNotes(); }
+
   // Queries.
 
   /// When onTimer() is next needed, if at all.
@@ -78,6 +86,7 @@
   /// Whether nothing runs or waits.
   bool isIdle() const { return Running.empty() && Queue.size() == 0; }
   bool isLeaving() const { return IsLeaving; }
+  const RateLimits &rates() const { return Rates; }
   /// Whether every entry with a link has confirmed that this endpoint leaves.
   bool isLeavingSeen() const { return IsLeaving && Unaware.empty(); }
   std::size_t runningCount() const { return Running.size(); }
@@ -115,6 +124,8 @@
   void noticeTime(TimePoint now);
   Duration estimateWait(const WorkspaceId &workspace,
                         std::uint32_t priority) const;
+  LifeDigest currentLife() const { return LifeDigest(Life.get()); }
+  Duration rateWait() const;
   std::uint32_t weightOf(const WorkspaceId &workspace) const;
   Duration spreadRetryAfter();
   void meetEntry(LinkId link);
@@ -154,6 +165,9 @@
   EngineLife Life;
   /// The endpoint was found down: nothing is accepted until then.
   TimePoint DownUntil;
+  /// The rate that the endpoint named: all work passes here, so that this agent
+  /// is its only sender.
+  RateLimits Rates;
   CrashRelay Relay;
   /// Time of the latest input; while requests wait there is one every
   /// PauseCheckInterval, unless the process is paused.
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -137,8 +137,7 @@
   if (headError || handle->IsStopped)
     co_return handle->IsStopped ? ResultCode::AnswerBroken
                                 : failureOf(headError);
-  sink.OnHead(parser.get().result_int(),
-              std::string(parser.get()[http::field::content_type]));
+  sink.OnHead({parser.get().result_int(), parser.get()});
   std::array<char, ReadBytes> data{};
   while (!parser.is_done()) {
     parser.get().body().data = data.data();
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -6,7 +6,9 @@
 
 #include "ospreyspur/Process/AgentTraffic.h"
 
+#include "ospreyspur/Http/HeaderValues.h"
 #include "ospreyspur/Process/FateCheck.h"
+#include "ospreyspur/Process/PushbackLog.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,6 +26,7 @@
 static constexpr char ResumeHeader[] = "Ospreyspur-Resume-Offset";
 static constexpr char PriorityHeader[] = "Ospreyspur-Priority";
 static constexpr char RequestIdHeader[] = "Ospreyspur-Request-Id";
+static constexpr char RateHeader[] = "Ospreyspur-Rate-Limit";
 
 AgentTraffic::AgentTraffic(asio::io_context &ioc, const AgentSettings &settings,
                            TcpAddress endpoint, Incarnation incarnation,
@@ -131,8 +134,11 @@
   request.body() = std::move(order.Body);
 
   HttpSink sink;
-  sink.OnHead = [this, id](unsigned status, std::string contentType) {
-    apply(Node.onRunHead(id, status, std::move(contentType), monotonicNow()));
+  sink.OnHead = [this, id](const HttpRunHead &head) {
+    takePushback(id, head);
+    apply(Node.onRunHead(id, head.Status,
+                         std::string(head.Fields[http::field::content_type]),
+                         monotonicNow()));
   };
   sink.OnData = [this, id](std::string_view data) {
     apply(Node.onRunData(id, data, monotonicNow()));
@@ -148,6 +154,16 @@
 }
 
 /// Whether the endpoint has ended, or only cut the answer to \p id.
+void AgentTraffic::takePushback(RequestId id, const HttpRunHead &head) {
+  Pushback asked = readPushback({headerValues(head.Fields, RateHeader)});
+  EndpointId self(Settings.EndpointName);
+  logUnreadable(self, asked, Measures);
+  apply(Node.onPushback(id, asked, monotonicNow()));
+  logRates(
+      Node.takeRateNotes(), [&](LifeDigest) { return self; },
+      Node.rates().limitedCount(), Measures);
+}
+
 asio::awaitable<ResultCode> AgentTraffic::findEnd(RequestId id) {
   EndpointFate fate = co_await checkFate(Context, EndpointAddress);
   const char *word = toString(fate);
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -138,6 +138,8 @@
     return ResultCode::EndpointLeaving;
   if (LastInput < DownUntil)
     return ResultCode::EndpointUnreachable;
+  if (rateWait() > Limits.MaxWait)
+    return ResultCode::RateLimited;
   if (Queue.size() >= Limits.MaxQueue || wait > Limits.MaxWait)
     return ResultCode::QueueFull;
   // An answer that would be cut at its deadline only takes others' time.
@@ -156,7 +158,8 @@
                                  std::uint32_t priority) const {
   std::size_t ahead =
       Queue.countAhead(workspace, weightOf(workspace), priority);
-  return Drain.estimateWait(ahead, Running.size(), Limits.Slots);
+  Duration drained = Drain.estimateWait(ahead, Running.size(), Limits.Slots);
+  return std::max(drained, rateWait());
 }
 
 Duration AgentNode::spreadRetryAfter() {
@@ -164,7 +167,7 @@
   // were refused together do not return together.
   Duration toDrain =
       Drain.estimateWait(Queue.size(), Running.size(), Limits.Slots);
-  Duration base = std::max(toDrain, MinRetryAfter);
+  Duration base = std::max({toDrain, rateWait(), MinRetryAfter});
   std::uniform_int_distribution<Duration::rep> spread(base.count() / 2,
                                                       base.count() * 3 / 2);
   return Duration(spread(Random));
@@ -256,6 +259,7 @@
     Book.expire(now);
     NextExpiry = now + ExpiryInterval;
   }
+  startWaiting(now);
   return takeActions();
 }
 
@@ -266,6 +270,9 @@
   TimePoint check = LastInput + PauseCheckInterval;
   if (Queue.size() > 0 && (!next || check < *next))
     next = check;
+  std::optional<TimePoint> room = Rates.nextRoom(LastInput);
+  if (Queue.size() > 0 && room && *room < *next)
+    next = room;
   return next;
 }
 
--- a/lib/Routing/AgentRuns.cpp
+++ b/lib/Routing/AgentRuns.cpp
@@ -57,10 +57,9 @@
 }
 
 void AgentNode::startWaiting(TimePoint now) {
-  while (Running.size() < Limits.Slots) {
+  while (Running.size() < Limits.Slots && Queue.size() > 0 &&
+         Rates.take(currentLife(), now)) {
     std::optional<QueuedRequest> next = Queue.pop();
-    if (!next)
-      return;
     Job &job = Jobs.at(next->Id);
     job.Started = now;
     job.Life = Life;
