Read the pause that a refusal asks for, and log it

Other statuses ask for nothing; what is no number has no effect and is logged. attempt.refused names it (asked_rest_ms, -1 for none). Nothing acts on it. An agent reads it, too.

Test: "a pause that a refusal asks for is read, in seconds or as a date", written with the reader.

--- a/include/ospreyspur/Process/DirectCall.h
+++ b/include/ospreyspur/Process/DirectCall.h
@@ -11,6 +11,7 @@
 #include "ospreyspur/Direct/EventCutter.h"
 #include "ospreyspur/Http/EndpointPool.h"
 #include "ospreyspur/Http/Mailbox.h"
+#include "ospreyspur/Pushback/Pushback.h"
 
 #include <optional>
 #include <string>
@@ -47,8 +48,8 @@
   /// For the log.
   std::string Endpoints;
   unsigned Status = 0;
-  /// The rate that the last answer's endpoint named.
-  std::optional<double> AskedRate;
+  /// What the last answer's endpoint asked for.
+  Pushback Asked;
   std::optional<TimePoint> FirstByte;
 };
 
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -155,7 +155,10 @@
 
 /// Whether the endpoint has ended, or only cut the answer to \p id.
 void AgentTraffic::takePushback(RequestId id, const HttpRunHead &head) {
-  Pushback asked = readPushback({headerValues(head.Fields, RateHeader)});
+  Pushback asked =
+      readPushback({head.Status, headerValues(head.Fields, RateHeader),
+                    headerValues(head.Fields, "Retry-After"),
+                    std::string(head.Fields[http::field::date])});
   EndpointId self(Settings.EndpointName);
   logUnreadable(self, asked, Measures);
   apply(Node.onPushback(id, asked, monotonicNow()));
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -104,7 +104,7 @@
     HttpResponse head;
     head.base() = Answer->get().base();
     Head = platform::readAnswer(head, Call.Request.Label);
-    Call.AskedRate = Head.Asked.RequestsPerSecond;
+    Call.Asked = Head.Asked;
     if (Head.Verdict != AnswerVerdict::OtherEndpoint)
       Handlers.OnHead(Head.Asked,
                       isOwnAnswer() ? std::optional(SentAt) : std::nullopt);
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -304,6 +304,8 @@
                      .with("id", call.Request.Label)
                      .with("endpoint", order.Endpoint.Id.get())
                      .with("end", wordOf(end))
+                     .with("asked_rest_ms",
+                           call.Asked.Rest ? toMillis(*call.Asked.Rest) : -1)
                      .with("number", order.Number);
   if (running.connectionEnd() == ConnectionEnd::Endpoint)
     logCut(call, order, end, monotonicNow() - began);
@@ -425,7 +427,8 @@
                    .with("outcome", toString(info.Kind))
                    .with("status", call.Status)
                    .with("endpoints", call.Endpoints)
-                   .with("asked_rate", call.AskedRate.value_or(-1))
+                   .with("asked_rate",
+                         call.Asked.RequestsPerSecond.value_or(-1))
                    .with("first_ms", call.FirstByte ? toMillis(*call.FirstByte -
                                                                call.Arrived)
                                                     : -1)
--- a/lib/Pushback/Pushback.cpp
+++ b/lib/Pushback/Pushback.cpp
@@ -9,6 +9,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <ctime>
+#include <iomanip>
+#include <sstream>
 
 using namespace ospreyspur;
 
@@ -28,6 +31,36 @@
   return out;
 }
 
+/// Seconds since the epoch of a date as HTTP writes it.
+static std::optional<std::time_t> readDate(const std::string &text) {
+  std::tm fields{};
+  std::istringstream is(text);
+  is >> std::get_time(&fields, "%a, %d %b %Y %H:%M:%S GMT");
+  if (is.fail())
+    return std::nullopt;
+  return ::timegm(&fields);
+}
+
+static std::optional<Duration> readRest(const std::string &text,
+                                        const std::string &date) {
+  std::optional<double> seconds = readNumber(text);
+  if (!seconds) {
+    std::optional<std::time_t> from = readDate(date);
+    std::optional<std::time_t> until = readDate(text);
+    if (!from || !until)
+      return std::nullopt;
+    seconds = std::max(0.0, std::difftime(*until, *from));
+  }
+  using Seconds = std::chrono::duration<double>;
+  Seconds rest = std::min(Seconds(*seconds), Seconds(MaxRest));
+  return std::chrono::duration_cast<Duration>(rest);
+}
+
+/// Whether an answer with \p status turned its request away.
+static bool isRefusal(unsigned status) {
+  return status == 429 || status == 503;
+}
+
 static void note(const std::vector<std::string> &values, Pushback &out) {
   if (out.Malformed.empty())
     out.Malformed = '"' + values.front().substr(0, MaxQuotedBytes) + '"';
@@ -42,5 +75,11 @@
         std::min(*out.RequestsPerSecond, MaxRequestsPerSecond);
   else if (!text.Rates.empty())
     note(text.Rates, out);
+  if (!isRefusal(text.Status) || text.RetryAfters.empty())
+    return out;
+  if (text.RetryAfters.size() == 1)
+    out.Rest = readRest(text.RetryAfters.front(), text.Date);
+  if (!out.Rest)
+    note(text.RetryAfters, out);
   return out;
 }
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -286,3 +286,34 @@
   CHECK_FALSE(
       platform::readAnswer(HttpResponse(), "r").Asked.RequestsPerSecond);
 }
+
+TEST_CASE("a pause that a refusal asks for is read, in seconds or as a date") {
+  auto restOf = [](const std::string &value, unsigned status = 503,
+                   const std::string &date = "") {
+    HttpResponse answer;
+    answer.result(status);
+    answer.set("Not-Executed", "1");
+    answer.set("Retry-After", value);
+    if (!date.empty())
+      answer.set("Date", date);
+    return platform::readAnswer(answer, "r").Asked.Rest;
+  };
+  CHECK(restOf("3") == Duration(std::chrono::seconds(3)));
+  CHECK(restOf("0.25") == Duration(std::chrono::milliseconds(250)));
+  CHECK(restOf("3", 429) == Duration(std::chrono::seconds(3)));
+  CHECK(restOf("0") == Duration::zero());
+  CHECK(restOf("1e300") == MaxRest);
+  CHECK_FALSE(restOf("3", 200));
+  CHECK_FALSE(restOf("3", 421));
+  static constexpr char Now[] = "Wed, 21 Oct 2015 07:28:00 GMT";
+  CHECK(restOf("Wed, 21 Oct 2015 07:28:05 GMT", 503, Now) ==
+        Duration(std::chrono::seconds(5)));
+  CHECK(restOf("Wed, 21 Oct 2015 07:27:00 GMT", 503, Now) == Duration::zero());
+  // Clocks differ, so a date says nothing by itself.
+  CHECK_FALSE(restOf("Wed, 21 Oct 2015 07:28:05 GMT"));
+  for (const char *it :
+       {"", "-3", "nan", "inf", "soon", "1;2", "3 s", "Wed, 99 Foo 2015"}) {
+    INFO(it);
+    CHECK_FALSE(restOf(it, 503, Now));
+  }
+}
--- a/unittests/Pushback/NeedyFleet.cpp
+++ b/unittests/Pushback/NeedyFleet.cpp
@@ -210,8 +210,10 @@
     entry.HeardAt.try_emplace(it.Endpoint, Time.now());
   else
     entry.HeardAt.erase(it.Endpoint);
-  take(it.Entry, entry.Node->onPushback(Hosts[it.Endpoint].Record.Id,
-                                        {it.Named, ""}, it.SentAt, Time.now()));
+  Pushback asked;
+  asked.RequestsPerSecond = it.Named;
+  take(it.Entry, entry.Node->onPushback(Hosts[it.Endpoint].Record.Id, asked,
+                                        it.SentAt, Time.now()));
   ++Told.Served;
   take(it.Entry,
        entry.Node->onAttemptEnded(it.Call, AttemptEnd::Complete, Time.now()));
