Keep to the pauses that endpoints ask for

Callers heard 429 though most endpoints had room: an endpoint that turns everything away runs nothing, so it was the first choice again as soon as "full" had passed (100 to 400 ms), and a request that met two of them was refused. Endpoints got up to 15 requests from one entry in a pause of 3 s.

Cause: as with the named rates, nobody read what the refusal asked for (asked_rest_ms=2000 in attempt.refused, the same endpoint picked again 100 ms later). ClosedEndpoints keeps the end of a pause by the endpoint's life; only a later end replaces it, no success ends it. It is hard: such an endpoint is left out though there is no other, where an endpoint is picked, where a stream that moves goes on, again where the request is written, and for questions; what became of its process is found out by a connection alone. A refusal that asked for a pause closes no group any more and is not guessed to be "full". A pause holds for the process that was asked; it is not told on.

When all that is left rests, callers hear 2017 at once, with a return past the end of the first pause, spread by what those endpoints need for those who come until then. Agents do the same for their endpoint: offers are refused with 2017, what waits is handed back if the pause is longer than agent.max_wait_ms.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -109,9 +109,10 @@
   /// less meanwhile.
   bool maySend(CallId id, TimePoint now);
   /// Whether the endpoint \p id may be asked beside its requests.
-  bool takesQuestions(const EndpointId &id) const {
+  bool takesQuestions(const EndpointId &id, TimePoint now) const {
     const EndpointState *state = Book.find(id);
-    return !state || !Rates.isLimited(state->Life);
+    return !state || (!Rates.isLimited(state->Life) &&
+                      !Closed.isResting(state->Life, now));
   }
   /// What an endpoint told that was asked; nothing if it did not answer.
   DirectActions onTold(const EndpointId &id,
@@ -132,6 +133,8 @@
   /// The changes of rates that endpoints named since the last call, for the
   /// log.
   std::vector<RateLimitNote> takeRateNotes() { return Rates.takeNotes(); }
+  /// The pauses that endpoints asked for since the last call, for the log.
+  std::vector<RestNote> takeRestNotes() { return Closed.takeNotes(); }
 
   // Queries.
 
@@ -139,6 +142,7 @@
   const EndpointBook &book() const { return Book; }
   const CrashTracker &crashes() const { return Crashes; }
   const RateLimits &rates() const { return Rates; }
+  const ClosedEndpoints &closed() const { return Closed; }
   /// Whether the call still has no final answer.
   bool isKnown(CallId id) const { return Calls.contains(id); }
   std::size_t callCount() const { return Calls.size(); }
@@ -170,13 +174,16 @@
   void endQuarantined(RequestDigest request, TimePoint now);
   std::size_t entriesToShare(TimePoint now) const;
   void refreshMembers(TimePoint now);
-  void onRatesChanged(TimePoint now);
+  void onLessRoom(TimePoint now);
+  bool isResting(const EndpointId &id, TimePoint now) const;
   bool mayAsk(const EndpointState &state, TimePoint now);
-  bool isRateLimited(const CallState &call, TimePoint now) const;
+  ResultCode heldBackBy(const CallState &call, TimePoint now) const;
   bool isHopeless(const CallState &call, TimePoint now) const;
   std::size_t waitingFor(const ServiceId &service) const;
   void endHopeless(TimePoint now);
   Duration expectedRoom(const CallState &call, TimePoint now);
+  Duration expectedRestEnd(const CallState &call, TimePoint now);
+  Duration draw(Duration least, Duration most);
   void startOrWait(CallState &call, TimePoint now);
   void wait(const CallState &call, TimePoint now);
   void noteWait(const CallState &call, TimePoint now);
@@ -208,6 +215,7 @@
   EndpointBook Book;
   ArrivalRate Arrivals;
   RateLimits Rates;
+  ClosedEndpoints Closed;
   /// This entry's name in the fleet, and when the members were last counted.
   std::string Name;
   std::optional<TimePoint> MembersAt;
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Direct/DirectLimits.h"
 #include "ospreyspur/Direct/EndpointBook.h"
 #include "ospreyspur/Direct/WaitNote.h"
+#include "ospreyspur/Pushback/ClosedEndpoints.h"
 #include "ospreyspur/Pushback/RateLimits.h"
 
 #include <cstddef>
@@ -28,9 +29,10 @@
   /// Everything is kept by reference; \p random breaks ties.
   EndpointPicker(const EndpointBook &book, const DirectLimits &limits,
                  const DataCentreId &dataCentre, const ArrivalRate &arrivals,
-                 const RateLimits &rates, std::mt19937_64 &random)
+                 const RateLimits &rates, const ClosedEndpoints &closed,
+                 std::mt19937_64 &random)
       : Book(book), Limits(limits), DataCentre(dataCentre), Arrivals(arrivals),
-        Rates(rates), Random(random) {}
+        Rates(rates), Closed(closed), Random(random) {}
 
   /// The endpoint for \p call; null if none has room for it.
   const EndpointState *pick(const CallState &call, TimePoint now) const;
@@ -70,6 +72,7 @@
   const DataCentreId &DataCentre;
   const ArrivalRate &Arrivals;
   const RateLimits &Rates;
+  const ClosedEndpoints &Closed;
   std::mt19937_64 &Random;
 };
 
--- a/include/ospreyspur/Direct/WaitNote.h
+++ b/include/ospreyspur/Direct/WaitNote.h
@@ -33,12 +33,14 @@
   Full,
   /// It named a rate, of which this entry has nothing left at present.
   RateLimited,
+  /// It asked for a pause that has not ended.
+  Resting,
 };
 
 /// The words for obstacles in the log, in their order.
-inline constexpr std::array<std::string_view, 8> ObstacleWords = {
-    "usable",   "leaving",  "tried", "closed",
-    "unproven", "too_slow", "full",  "rate_limited"};
+inline constexpr std::array<std::string_view, 9> ObstacleWords = {
+    "usable",   "leaving", "tried",        "closed", "unproven",
+    "too_slow", "full",    "rate_limited", "resting"};
 
 /// Numbers of endpoints by their obstacle.
 using ObstacleCounts = std::array<unsigned, ObstacleWords.size()>;
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -75,7 +75,7 @@
   void takePushback(const EndpointId &id, const Pushback &asked,
                     std::optional<TimePoint> sentAt);
   void logWaits();
-  void logRates();
+  void logPushback();
   static void logCut(const DirectCall &call, const StartAttempt &order,
                      AttemptEnd end, Duration ran);
   void logCrashes();
--- a/include/ospreyspur/Process/PushbackLog.h
+++ b/include/ospreyspur/Process/PushbackLog.h
@@ -7,6 +7,7 @@
 #ifndef OSPREYSPUR_PROCESS_PUSHBACKLOG_H
 #define OSPREYSPUR_PROCESS_PUSHBACKLOG_H
 
+#include "ospreyspur/Pushback/ClosedEndpoints.h"
 #include "ospreyspur/Pushback/Pushback.h"
 #include "ospreyspur/Pushback/RateLimitNote.h"
 #include "ospreyspur/Support/Ids.h"
@@ -28,6 +29,11 @@
               const std::function<EndpointId(LifeDigest)> &nameOf,
               std::size_t limited, Metrics &metrics);
 
+/// Logs pauses; \p resting endpoints have one now.
+void logRests(const std::vector<RestNote> &notes,
+              const std::function<EndpointId(LifeDigest)> &nameOf,
+              std::size_t resting, Metrics &metrics);
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_PROCESS_PUSHBACKLOG_H
--- a/include/ospreyspur/Routing/AgentNode.h
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -13,6 +13,7 @@
 
 #include "ospreyspur/Ledger/Ledger.h"
 #include "ospreyspur/Ledger/TicketOffice.h"
+#include "ospreyspur/Pushback/ClosedEndpoints.h"
 #include "ospreyspur/Pushback/Pushback.h"
 #include "ospreyspur/Pushback/RateLimits.h"
 #include "ospreyspur/Quarantine/CrashRelay.h"
@@ -78,6 +79,8 @@
   /// The changes of the rate that the endpoint named since the last call, for
   /// the log.
   std::vector<RateLimitNote> takeRateNotes() { return Rates.takeNotes(); }
+  /// The pauses that it asked for since the last call, for the log.
+  std::vector<RestNote> takeRestNotes() { return Closed.takeNotes(); }
 
   // Queries.
 
@@ -87,6 +90,7 @@
   bool isIdle() const { return Running.empty() && Queue.size() == 0; }
   bool isLeaving() const { return IsLeaving; }
   const RateLimits &rates() const { return Rates; }
+  const ClosedEndpoints &closed() const { return Closed; }
   /// Whether every entry with a link has confirmed that this endpoint leaves.
   bool isLeavingSeen() const { return IsLeaving && Unaware.empty(); }
   std::size_t runningCount() const { return Running.size(); }
@@ -126,8 +130,10 @@
                         std::uint32_t priority) const;
   LifeDigest currentLife() const { return LifeDigest(Life.get()); }
   Duration rateWait() const;
+  Duration restLeft() const;
   std::uint32_t weightOf(const WorkspaceId &workspace) const;
   Duration spreadRetryAfter();
+  Duration draw(Duration least, Duration most);
   void meetEntry(LinkId link);
   void enqueue(LinkId from, const Dispatch &dispatch, TimePoint now);
   void attach(LinkId from, const Dispatch &dispatch, TimePoint now);
@@ -168,6 +174,7 @@
   /// The rate that the endpoint named: all work passes here, so that this agent
   /// is its only sender.
   RateLimits Rates;
+  ClosedEndpoints Closed;
   CrashRelay Relay;
   /// Time of the latest input; while requests wait there is one every
   /// PauseCheckInterval, unless the process is paused.
--- a/lib/Direct/DirectMoves.cpp
+++ b/lib/Direct/DirectMoves.cpp
@@ -69,7 +69,9 @@
   if (!call.Next)
     return false;
   const EndpointState *state = Book.find(call.Next->Id);
-  if (!state || state->Record.IsLeaving || now >= call.Deadline) {
+  bool isClosed =
+      !state || state->Record.IsLeaving || Closed.isResting(state->Life, now);
+  if (isClosed || now >= call.Deadline) {
     releaseNext(call);
     return false;
   }
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -28,7 +28,7 @@
                        std::uint64_t seed, std::string name)
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
       Name(std::move(name)),
-      Picker(Book, Limits, DataCentre, Arrivals, Rates, Random),
+      Picker(Book, Limits, DataCentre, Arrivals, Rates, Closed, Random),
       Retries(limits.Retries) {}
 
 static Duration partOf(Duration whole, double part) {
@@ -241,6 +241,7 @@
   if (!Waiting.empty()) {
     include(Book.nextFree());
     include(Rates.nextRoom(LastTimer));
+    include(Closed.nextEnd(LastTimer));
   }
   return next;
 }
@@ -374,8 +375,8 @@
 void DirectNode::endNotRun(CallState &call, ResultCode code, TimePoint now) {
   if (call.MayHaveRun)
     end(call, ResultCode::ContactLost, Duration::zero());
-  else if (isRateLimited(call, now))
-    end(call, ResultCode::RateLimited, expectedRoom(call, now));
+  else if (ResultCode cause = heldBackBy(call, now); cause != ResultCode::Ok)
+    end(call, cause, expectedRoom(call, now));
   else
     end(call, code, expectedDrain(call, now));
 }
@@ -408,7 +409,9 @@
     Book.onSuccess(id, now);
     break;
   case AttemptEnd::Full:
-    Book.onFull(id, now);
+    // An endpoint that said for how long needs no guess.
+    if (!isResting(id, now))
+      Book.onFull(id, now);
     break;
   case AttemptEnd::Failed:
     Book.onFailedAnswer(id, now);
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -42,17 +42,19 @@
                                      std::optional<TimePoint> sentAt,
                                      TimePoint now) {
   const EndpointState *state = Book.find(id);
-  bool mayLift = sentAt && asked.Malformed.empty();
-  bool hasNews = state && (asked.RequestsPerSecond ||
-                           (mayLift && Rates.isKnown(state->Life)));
-  if (!hasNews)
+  if (!state)
     return takeActions();
-  refreshMembers(now);
-  // Without a time it can make a limit stricter only.
-  Rates.onAnswer(state->Life, asked.RequestsPerSecond,
-                 sentAt.value_or(TimePoint()), now);
-  if (Rates.hasNotes())
-    onRatesChanged(now);
+  if (asked.Rest)
+    Closed.onRest(state->Life, *asked.Rest, now);
+  bool mayLift = sentAt && asked.Malformed.empty();
+  if (asked.RequestsPerSecond || (mayLift && Rates.isKnown(state->Life))) {
+    refreshMembers(now);
+    // Without a time it can make a limit stricter only.
+    Rates.onAnswer(state->Life, asked.RequestsPerSecond,
+                   sentAt.value_or(TimePoint()), now);
+  }
+  if (asked.Rest || Rates.hasNotes())
+    onLessRoom(now);
   return takeActions();
 }
 
@@ -66,11 +68,12 @@
   };
   Rates.merge(rows, isKnown, now);
   if (Rates.hasNotes())
-    onRatesChanged(now);
+    onLessRoom(now);
   return takeActions();
 }
 
-void DirectNode::onRatesChanged(TimePoint now) {
+/// What endpoints take has changed, mostly to less.
+void DirectNode::onLessRoom(TimePoint now) {
   if (Waiting.empty())
     return;
   startWaiting(now);
@@ -83,6 +86,8 @@
     return false;
   CallState &call = it->second;
   const EndpointState *state = Book.find(*call.Current);
+  if (state && Closed.isResting(state->Life, now))
+    return false;
   if (!state || call.IsCounted)
     return true;
   call.IsCounted = Rates.isLimited(state->Life);
@@ -91,6 +96,8 @@
 
 /// A question reaches an endpoint as a request does.
 bool DirectNode::mayAsk(const EndpointState &state, TimePoint now) {
+  if (Closed.isResting(state.Life, now))
+    return false;
   if (!Rates.isEmpty())
     refreshMembers(now);
   return Rates.take(state.Life, now);
@@ -102,11 +109,17 @@
   });
 }
 
-/// Whether each endpoint that the call may go to has named a rate of which this
-/// entry has nothing left at present.
-bool DirectNode::isRateLimited(const CallState &call, TimePoint now) const {
-  if (Rates.limitedCount() == 0 || call.HasBegun)
-    return false;
+bool DirectNode::isResting(const EndpointId &id, TimePoint now) const {
+  const EndpointState *state = Book.find(id);
+  return state && Closed.isResting(state->Life, now);
+}
+
+/// What keeps the call from each endpoint that it may go to, if that is what
+/// the endpoints asked for; else Ok.
+ResultCode DirectNode::heldBackBy(const CallState &call, TimePoint now) const {
+  bool isNoneAsked = Rates.limitedCount() == 0 && Closed.isEmpty();
+  if (isNoneAsked || call.HasBegun)
+    return ResultCode::Ok;
   ObstacleCounts counts = Picker.countObstacles(call, now);
   auto countOf = [&](Obstacle it) {
     return counts.at(static_cast<std::size_t>(it));
@@ -114,18 +127,28 @@
   unsigned others = countOf(Obstacle::None) + countOf(Obstacle::Full) +
                     countOf(Obstacle::Closed) + countOf(Obstacle::TooSlow) +
                     countOf(Obstacle::Unproven);
-  return others == 0 && countOf(Obstacle::RateLimited) > 0;
+  if (others > 0)
+    return ResultCode::Ok;
+  if (countOf(Obstacle::RateLimited) > 0)
+    return ResultCode::RateLimited;
+  return countOf(Obstacle::Resting) > 0 ? ResultCode::EndpointsResting
+                                        : ResultCode::Ok;
 }
 
-/// Whether such a call cannot be started before its wait ends: what this entry
-/// may send by then is spoken for.
+/// Whether such a call cannot be started before its wait ends: the pauses last
+/// longer, and what this entry may send by then is spoken for.
 bool DirectNode::isHopeless(const CallState &call, TimePoint now) const {
-  if (!isRateLimited(call, now))
+  if (heldBackBy(call, now) == ResultCode::Ok)
     return false;
+  TimePoint until = call.waitLimit();
   double room = 0;
-  for (const EndpointState *it : Picker.statesOf(call.Service))
-    if (!it->Record.IsLeaving && !call.Tried.contains(it->Record.Id))
-      room += Rates.roomUntil(it->Life, now, call.waitLimit());
+  for (const EndpointState *it : Picker.statesOf(call.Service)) {
+    bool isClosed = it->Record.IsLeaving || Closed.restUntil(it->Life) >= until;
+    if (isClosed || call.Tried.contains(it->Record.Id))
+      continue;
+    room += Rates.isLimited(it->Life) ? Rates.roomUntil(it->Life, now, until)
+                                      : it->Record.Slots;
+  }
   bool waits =
       Waiting.contains({call.Request.Priority, call.Arrived, call.Request.Id});
   return double(waitingFor(call.Service) + (waits ? 0 : 1)) > room;
@@ -133,7 +156,7 @@
 
 /// Of those who wait the last ones go first.
 void DirectNode::endHopeless(TimePoint now) {
-  if (Rates.limitedCount() == 0)
+  if (Rates.limitedCount() == 0 && Closed.isEmpty())
     return;
   std::vector<CallId> waiting;
   for (const auto &[priority, arrived, id] : Waiting)
@@ -143,20 +166,56 @@
       endNotRun(call, ResultCode::NoEndpoint, now);
 }
 
-/// When a caller who finds all endpoints limited should return: drawn around
-/// the time in which this entry's part of the named rates takes those who wait,
-/// so that callers who were turned away together do not return together.
+/// When a caller whom no endpoint can serve now should return, so that callers
+/// who were turned away together do not return together: around the time in
+/// which this entry's part of the named rates takes those who come, or past the
+/// end of the first pause.
 Duration DirectNode::expectedRoom(const CallState &call, TimePoint now) {
   double rate = 0;
   for (const EndpointState *it : Picker.statesOf(call.Service))
-    rate += std::max(Rates.namedRate(it->Life), RateLimits::MinPerSecond);
+    if (Rates.isLimited(it->Life) && !Closed.isResting(it->Life, now))
+      rate += std::max(Rates.namedRate(it->Life), RateLimits::MinPerSecond);
+  if (rate == 0)
+    return expectedRestEnd(call, now);
   double own = rate / double(Rates.memberCount());
   // Each of the others who were turned away lately wants a turn, too.
   double ahead = std::max(1.0, Arrivals.perSecond(call.Service, now));
   auto mean = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(ahead / own));
   mean = std::clamp(mean, 2 * MinReturn, MaxReturn);
-  std::uniform_int_distribution<Duration::rep> spread(mean.count() / 2,
-                                                      mean.count() * 3 / 2);
+  return draw(mean / 2, mean * 3 / 2);
+}
+
+/// Spread over what the endpoints whose pauses end first need for those who
+/// will have been turned away by then.
+Duration DirectNode::expectedRestEnd(const CallState &call, TimePoint now) {
+  std::optional<TimePoint> first;
+  unsigned slots = 0;
+  for (const EndpointState *it : Picker.statesOf(call.Service)) {
+    TimePoint end = Closed.restUntil(it->Life);
+    if (it->Record.IsLeaving || end <= now)
+      continue;
+    first = std::min(first.value_or(end), end);
+    slots += it->Record.Slots;
+  }
+  Duration left = first ? *first - now : Duration::zero();
+  double turnedAway = Arrivals.perSecond(call.Service, now) *
+                      std::chrono::duration<double>(left).count();
+  // A request takes a second or two at an engine; its target is the only figure
+  // at hand that scales with it.
+  double each =
+      std::chrono::duration<double>(call.Request.Route->Target).count();
+  double entries = double(Book.livePeers(now) + 1);
+  auto spread =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          turnedAway * 4 * each * entries / std::max(1U, slots)));
+  spread = std::clamp(spread, std::max<Duration>(2 * MinReturn, left / 4),
+                      MaxReturn);
+  return left + draw(Duration::zero(), spread);
+}
+
+Duration DirectNode::draw(Duration least, Duration most) {
+  std::uniform_int_distribution<Duration::rep> spread(least.count(),
+                                                      most.count());
   return Duration(spread(Random));
 }
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -118,6 +118,8 @@
     return Obstacle::Leaving;
   if (call.Tried.contains(state.Record.Id))
     return Obstacle::Tried;
+  if (Closed.isResting(state.Life, now))
+    return Obstacle::Resting;
   if (now < state.FullUntil || now < state.ReplacedUntil || state.MustTell)
     return Obstacle::Closed;
   // A refusal costs a stream that has begun no attempt.
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -162,9 +162,11 @@
   EndpointId self(Settings.EndpointName);
   logUnreadable(self, asked, Measures);
   apply(Node.onPushback(id, asked, monotonicNow()));
-  logRates(
-      Node.takeRateNotes(), [&](LifeDigest) { return self; },
-      Node.rates().limitedCount(), Measures);
+  auto nameOf = [&](LifeDigest) { return self; };
+  logRates(Node.takeRateNotes(), nameOf, Node.rates().limitedCount(), Measures);
+  if (!Node.closed().isEmpty())
+    logRests(Node.takeRestNotes(), nameOf,
+             Node.closed().restingCount(monotonicNow()), Measures);
 }
 
 asio::awaitable<ResultCode> AgentTraffic::findEnd(RequestId id) {
--- a/lib/Process/DirectFates.cpp
+++ b/lib/Process/DirectFates.cpp
@@ -66,7 +66,7 @@
 asio::awaitable<EndpointFate> DirectTraffic::findFate(EndpointRecord endpoint) {
   // A connection says enough where a question would count as a request.
   bool tellsLife = endpoint.TellsState && endpoint.Life != EndpointLife(0) &&
-                   Node.takesQuestions(endpoint.Id);
+                   Node.takesQuestions(endpoint.Id, monotonicNow());
   if (!tellsLife)
     co_return co_await checkFate(Context, endpoint.Address);
   auto isSameLife = [this,
--- a/lib/Process/DirectPushback.cpp
+++ b/lib/Process/DirectPushback.cpp
@@ -17,14 +17,16 @@
   if (!actions.empty())
     apply(std::move(actions));
   else
-    logRates();
+    logPushback();
 }
 
-void DirectTraffic::logRates() {
+void DirectTraffic::logPushback() {
   auto nameOf = [this](LifeDigest life) {
     const EndpointState *state = Node.book().findLife(life);
     return state ? state->Record.Id : EndpointId();
   };
-  ospreyspur::logRates(Node.takeRateNotes(), nameOf,
-                       Node.rates().limitedCount(), Measures);
+  logRates(Node.takeRateNotes(), nameOf, Node.rates().limitedCount(), Measures);
+  if (!Node.closed().isEmpty())
+    logRests(Node.takeRestNotes(), nameOf,
+             Node.closed().restingCount(monotonicNow()), Measures);
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -331,7 +331,7 @@
     std::visit([this](auto &it) { perform(it); }, action);
   logWaits();
   logCrashes();
-  logRates();
+  logPushback();
   Timer.set(Node.nextTimer());
 }
 
--- a/lib/Process/PushbackLog.cpp
+++ b/lib/Process/PushbackLog.cpp
@@ -54,3 +54,14 @@
   if (!notes.empty())
     metrics.set("endpoints_rate_limited", double(limited));
 }
+
+void ospreyspur::logRests(const std::vector<RestNote> &notes,
+                          const std::function<EndpointId(LifeDigest)> &nameOf,
+                          std::size_t resting, Metrics &metrics) {
+  for (const RestNote &note : notes)
+    LOG(INFO) << LogEvent("endpoint.rests")
+                     .with("endpoint", nameOf(note.Life).get())
+                     .with("rest_ms", toMillis(note.Rest));
+  metrics.count("endpoint_rests_total", notes.size());
+  metrics.set("endpoints_resting", double(resting));
+}
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -138,6 +138,8 @@
     return ResultCode::EndpointLeaving;
   if (LastInput < DownUntil)
     return ResultCode::EndpointUnreachable;
+  if (restLeft() > Limits.MaxWait)
+    return ResultCode::EndpointsResting;
   if (rateWait() > Limits.MaxWait)
     return ResultCode::RateLimited;
   if (Queue.size() >= Limits.MaxQueue || wait > Limits.MaxWait)
@@ -159,7 +161,7 @@
   std::size_t ahead =
       Queue.countAhead(workspace, weightOf(workspace), priority);
   Duration drained = Drain.estimateWait(ahead, Running.size(), Limits.Slots);
-  return std::max(drained, rateWait());
+  return std::max({drained, rateWait(), restLeft()});
 }
 
 Duration AgentNode::spreadRetryAfter() {
@@ -168,8 +170,14 @@
   Duration toDrain =
       Drain.estimateWait(Queue.size(), Running.size(), Limits.Slots);
   Duration base = std::max({toDrain, rateWait(), MinRetryAfter});
-  std::uniform_int_distribution<Duration::rep> spread(base.count() / 2,
-                                                      base.count() * 3 / 2);
+  if (Duration rest = restLeft(); rest > Duration::zero())
+    return rest + draw(Duration::zero(), std::max(base, rest / 4));
+  return draw(base / 2, base * 3 / 2);
+}
+
+Duration AgentNode::draw(Duration least, Duration most) {
+  std::uniform_int_distribution<Duration::rep> spread(least.count(),
+                                                      most.count());
   return Duration(spread(Random));
 }
 
@@ -270,9 +278,12 @@
   TimePoint check = LastInput + PauseCheckInterval;
   if (Queue.size() > 0 && (!next || check < *next))
     next = check;
-  std::optional<TimePoint> room = Rates.nextRoom(LastInput);
-  if (Queue.size() > 0 && room && *room < *next)
-    next = room;
+  if (Queue.size() == 0)
+    return next;
+  for (std::optional<TimePoint> it :
+       {Rates.nextRoom(LastInput), Closed.nextEnd(LastInput)})
+    if (it && *it < *next)
+      next = it;
   return next;
 }
 
--- a/lib/Routing/AgentPushback.cpp
+++ b/lib/Routing/AgentPushback.cpp
@@ -15,15 +15,25 @@
                                    TimePoint now) {
   noticeTime(now);
   auto it = Jobs.find(id);
-  bool isReadable = asked.RequestsPerSecond || asked.Malformed.empty();
-  if (it == Jobs.end() || !it->second.Started || !isReadable)
+  if (it == Jobs.end() || !it->second.Started)
     return takeActions();
   LifeDigest life(it->second.Life.get());
-  Rates.onAnswer(life, asked.RequestsPerSecond, *it->second.Started, now);
+  if (asked.RequestsPerSecond || asked.Malformed.empty())
+    Rates.onAnswer(life, asked.RequestsPerSecond, *it->second.Started, now);
+  if (asked.Rest)
+    Closed.onRest(life, *asked.Rest, now);
+  if (restLeft() > Limits.MaxWait)
+    for (const QueuedRequest &queued : Queue.drain())
+      withdrawQueued(queued.Id, ResultCode::EndpointsResting, now);
   startWaiting(now);
   return takeActions();
 }
 
+Duration AgentNode::restLeft() const {
+  TimePoint end = Closed.restUntil(currentLife());
+  return std::max(end - LastInput, Duration::zero());
+}
+
 /// How long a new request would wait for its turn under the named rate.
 Duration AgentNode::rateWait() const {
   LifeDigest life = currentLife();
--- a/lib/Routing/AgentRuns.cpp
+++ b/lib/Routing/AgentRuns.cpp
@@ -58,6 +58,7 @@
 
 void AgentNode::startWaiting(TimePoint now) {
   while (Running.size() < Limits.Slots && Queue.size() > 0 &&
+         !Closed.isResting(currentLife(), now) &&
          Rates.take(currentLife(), now)) {
     std::optional<QueuedRequest> next = Queue.pop();
     Job &job = Jobs.at(next->Id);
