--- a/unittests/Process/AgentPushbackTest.cpp
+++ b/unittests/Process/AgentPushbackTest.cpp
@@ -136,3 +136,19 @@
   // It is tried again afterwards.
   CHECK(arrivals.back().At >= first + seconds(2));
 }
+
+// An agent took requests for an endpoint that had said that it leaves, as long
+// as the host list did not say so.
+TEST_CASE("an agent takes nothing more for an endpoint that says in an answer "
+          "that it leaves") {
+  AgentWorld world([](HttpResponse &answer) {
+    answer.set("Ospreyspur-Leaving", "1");
+    return 200U;
+  });
+  world.load(seconds(2));
+  const std::vector<Arrival> &arrivals = world.arrivals();
+  REQUIRE_FALSE(arrivals.empty());
+  CHECK(arrivals.back().At - arrivals.front().At <= milliseconds(300));
+  REQUIRE_FALSE(world.refusals().empty());
+  CHECK(world.refusals().back().Code == ResultCode::EndpointLeaving);
+}
