Give nothing more to an endpoint that says in an answer that it leaves

Callers saw nothing while the endpoint served on; requests that reached it last could be lost with it. Cause as with the rates and pauses: nobody read the statement on either path, leaving was known from the store or the host list only, and some endpoints never say it there.

ClosedEndpoints keeps the lives that said so; they are told to the other entries in three load reports (32 each at most) and get nothing more, wherever an endpoint is picked, a stream goes on, a request is written or a question asked. An attempt that still connects when its endpoint is known to leave, by whatever source, is withheld now and goes elsewhere; it was sent before. An agent closes its gate as if the host list had said it, hands back what waits and tells its entries; as no request would show when the endpoint has started again, it keeps a connection to it and takes that one's end for a reason to look whether anybody listens, ten minutes at most.

Values other than "1" have no effect ("an answer says that its endpoint leaves with one word only", written with the reader).

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -104,6 +104,13 @@
   std::vector<RateLimitRow> takeRateReport(TimePoint now) {
     return Rates.takeReport(now);
   }
+  /// Lives of endpoints that said that they leave, to tell the other entries
+  /// now.
+  std::vector<LifeDigest> takeLeavingReport() {
+    return Closed.takeLeavingReport();
+  }
+  /// Another entry told of such lives.
+  DirectActions onLeaving(const std::vector<LifeDigest> &lives, TimePoint now);
   /// Whether the request of the attempt under way may be written now. Time has
   /// passed since its endpoint was picked, and the endpoint may have asked for
   /// less meanwhile.
@@ -111,8 +118,7 @@
   /// Whether the endpoint \p id may be asked beside its requests.
   bool takesQuestions(const EndpointId &id, TimePoint now) const {
     const EndpointState *state = Book.find(id);
-    return !state || (!Rates.isLimited(state->Life) &&
-                      !Closed.isResting(state->Life, now));
+    return !state || (!Rates.isLimited(state->Life) && !isClosed(*state, now));
   }
   /// What an endpoint told that was asked; nothing if it did not answer.
   DirectActions onTold(const EndpointId &id,
@@ -135,6 +141,10 @@
   std::vector<RateLimitNote> takeRateNotes() { return Rates.takeNotes(); }
   /// The pauses that endpoints asked for since the last call, for the log.
   std::vector<RestNote> takeRestNotes() { return Closed.takeNotes(); }
+  /// The lives that said that they leave since the last call, for the log.
+  std::vector<LifeDigest> takeLeavingNotes() {
+    return Closed.takeLeavingNotes();
+  }
 
   // Queries.
 
@@ -176,6 +186,10 @@
   void refreshMembers(TimePoint now);
   void onLessRoom(TimePoint now);
   bool isResting(const EndpointId &id, TimePoint now) const;
+  bool isClosed(const EndpointState &state, TimePoint now) const {
+    return state.Record.IsLeaving || Closed.isLeaving(state.Life) ||
+           Closed.isResting(state.Life, now);
+  }
   bool mayAsk(const EndpointState &state, TimePoint now);
   ResultCode heldBackBy(const CallState &call, TimePoint now) const;
   bool isHopeless(const CallState &call, TimePoint now) const;
--- a/include/ospreyspur/Process/AgentTraffic.h
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -64,6 +64,7 @@
   void perform(const StopRun &action);
   boost::asio::awaitable<void> run(StartRun order,
                                    std::shared_ptr<HttpRunHandle> handle);
+  boost::asio::awaitable<void> watchEnd();
   void takePushback(RequestId id, const HttpRunHead &head);
   boost::asio::awaitable<ResultCode> findEnd(RequestId id);
 
@@ -72,6 +73,7 @@
   Metrics &Measures;
   AgentNode Node;
   TcpAddress EndpointAddress;
+  bool IsWatchingEnd = false;
   HttpClient Endpoint;
   NodeTimer Timer;
   ControlHandlers Control;
--- a/include/ospreyspur/Process/FateCheck.h
+++ b/include/ospreyspur/Process/FateCheck.h
@@ -10,6 +10,7 @@
 
 #include "ospreyspur/Quarantine/EndpointFate.h"
 #include "ospreyspur/Support/Address.h"
+#include "ospreyspur/Support/Time.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -32,6 +33,11 @@
 /// The word for \p fate in logs and metrics.
 const char *toString(EndpointFate fate);
 
+/// Keeps a connection to \p address until the other side closes it, or for
+/// \p limit; returns a little later at the earliest.
+boost::asio::awaitable<void> waitForClose(boost::asio::io_context &ioc,
+                                          TcpAddress address, Duration limit);
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_PROCESS_FATECHECK_H
--- a/include/ospreyspur/Process/PushbackLog.h
+++ b/include/ospreyspur/Process/PushbackLog.h
@@ -34,6 +34,11 @@
               const std::function<EndpointId(LifeDigest)> &nameOf,
               std::size_t resting, Metrics &metrics);
 
+/// Logs lives that said that they leave.
+void logLeaving(const std::vector<LifeDigest> &lives,
+                const std::function<EndpointId(LifeDigest)> &nameOf,
+                Metrics &metrics);
+
 } // namespace ospreyspur
 
 #endif // OSPREYSPUR_PROCESS_PUSHBACKLOG_H
--- a/include/ospreyspur/Pushback/Pushback.h
+++ b/include/ospreyspur/Pushback/Pushback.h
@@ -27,6 +27,9 @@
   /// How long the endpoint wants no request of the process that it turned away;
   /// nothing if it does not say. At most MaxRest.
   std::optional<Duration> Rest;
+  /// Whether the endpoint is leaving: this life of it wants nothing new any
+  /// more, from anyone.
+  bool IsLeaving = false;
   /// The first value that cannot be read, shortened; empty if there is none.
   std::string Malformed;
 };
@@ -39,6 +42,8 @@
   std::vector<std::string> RetryAfters;
   /// The answer's own date, against which the other is read: clocks differ.
   std::string Date;
+  /// "1" if the endpoint is leaving.
+  std::vector<std::string> Leavings;
 };
 
 /// Reads \p text.
--- a/include/ospreyspur/Routing/AgentNode.h
+++ b/include/ospreyspur/Routing/AgentNode.h
@@ -68,9 +68,13 @@
   /// request left this host), EndpointFailed (the endpoint's process has ended)
   /// or AnswerBroken (anything else).
   AgentActions onRunEnd(RequestId id, ResultCode code, TimePoint now);
-  /// Opens or closes the gate for new work and tells the entries. Until the
-  /// first call the gate is closed, as the endpoint may be leaving.
+  /// The host list says whether the endpoint leaves: opens or closes the gate
+  /// for new work and tells the entries. Until the first call the gate is
+  /// closed, as the endpoint may be leaving.
   AgentActions setLeaving(bool leaving, TimePoint now);
+  /// The endpoint's process was found to have ended while nothing ran: what it
+  /// had asked for is over.
+  AgentActions onEndpointEnded(TimePoint now);
   /// Takes over shares from the configuration.
   void setWeights(std::shared_ptr<const WorkspaceWeights> weights);
   /// Does what is due at \p now.
@@ -79,6 +83,12 @@
   /// The changes of the rate that the endpoint named since the last call, for
   /// the log.
   std::vector<RateLimitNote> takeRateNotes() { return Rates.takeNotes(); }
+  /// Whether it said since the last call that it leaves, for the log.
+  std::vector<LifeDigest> takeLeavingNotes() {
+    return Closed.takeLeavingNotes();
+  }
+  /// Whether the endpoint itself said that it leaves.
+  bool saidLeaving() const { return Closed.isLeaving(currentLife()); }
   /// The pauses that it asked for since the last call, for the log.
   std::vector<RestNote> takeRestNotes() { return Closed.takeNotes(); }
 
@@ -125,6 +135,7 @@
   template <typename T> void handle(LinkId from, const T &other, TimePoint now);
 
   ResultCode whyNotAccepting(Duration wait, Duration timeLeft) const;
+  void updateLeaving(TimePoint now);
   void noticeTime(TimePoint now);
   Duration estimateWait(const WorkspaceId &workspace,
                         std::uint32_t priority) const;
@@ -144,7 +155,7 @@
   void startWaiting(TimePoint now);
   void withdrawQueued(RequestId id, ResultCode reason, TimePoint now);
   void endRun(RequestId id, ResultCode code, TimePoint now);
-  ResultCode noteEngineEnd(EngineLife life);
+  ResultCode noteEngineEnd(EngineLife life, TimePoint now);
   void stopIfUnwanted(RequestId id, TimePoint now);
   void send(LinkId to, Message message);
   AgentActions takeActions();
@@ -159,6 +170,8 @@
   std::mt19937_64 Random;
   bool HasGate = false;
   bool IsLeaving = false;
+  /// What the host list says.
+  bool IsListedLeaving = false;
   /// Links on which work has come; other agents' links are not among them.
   std::set<LinkId> Entries;
   /// Entries that have not confirmed yet that this endpoint leaves.
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -28,6 +28,8 @@
   std::vector<LifeDigest> Replaced{};
   /// Rates that endpoints named.
   std::vector<RateLimitRow> Rates{};
+  /// Lives of endpoints that said that they leave.
+  std::vector<LifeDigest> Leaving{};
   /// Whether the entry has just begun and asks for the others' rows.
   bool IsNew = false;
 };
--- a/lib/Direct/DirectMoves.cpp
+++ b/lib/Direct/DirectMoves.cpp
@@ -69,9 +69,7 @@
   if (!call.Next)
     return false;
   const EndpointState *state = Book.find(call.Next->Id);
-  bool isClosed =
-      !state || state->Record.IsLeaving || Closed.isResting(state->Life, now);
-  if (isClosed || now >= call.Deadline) {
+  if (!state || isClosed(*state, now) || now >= call.Deadline) {
     releaseNext(call);
     return false;
   }
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -46,6 +46,8 @@
     return takeActions();
   if (asked.Rest)
     Closed.onRest(state->Life, *asked.Rest, now);
+  if (asked.IsLeaving)
+    Closed.onLeaving(state->Life, false, now);
   bool mayLift = sentAt && asked.Malformed.empty();
   if (asked.RequestsPerSecond || (mayLift && Rates.isKnown(state->Life))) {
     refreshMembers(now);
@@ -53,7 +55,7 @@
     Rates.onAnswer(state->Life, asked.RequestsPerSecond,
                    sentAt.value_or(TimePoint()), now);
   }
-  if (asked.Rest || Rates.hasNotes())
+  if (asked.Rest || asked.IsLeaving || Rates.hasNotes())
     onLessRoom(now);
   return takeActions();
 }
@@ -72,6 +74,14 @@
   return takeActions();
 }
 
+DirectActions DirectNode::onLeaving(const std::vector<LifeDigest> &lives,
+                                    TimePoint now) {
+  for (LifeDigest it : lives)
+    if (Book.findLife(it))
+      Closed.onLeaving(it, true, now);
+  return takeActions();
+}
+
 /// What endpoints take has changed, mostly to less.
 void DirectNode::onLessRoom(TimePoint now) {
   if (Waiting.empty())
@@ -86,7 +96,7 @@
     return false;
   CallState &call = it->second;
   const EndpointState *state = Book.find(*call.Current);
-  if (state && Closed.isResting(state->Life, now))
+  if (state && isClosed(*state, now))
     return false;
   if (!state || call.IsCounted)
     return true;
@@ -96,7 +106,7 @@
 
 /// A question reaches an endpoint as a request does.
 bool DirectNode::mayAsk(const EndpointState &state, TimePoint now) {
-  if (Closed.isResting(state.Life, now))
+  if (isClosed(state, now))
     return false;
   if (!Rates.isEmpty())
     refreshMembers(now);
@@ -143,8 +153,9 @@
   TimePoint until = call.waitLimit();
   double room = 0;
   for (const EndpointState *it : Picker.statesOf(call.Service)) {
-    bool isClosed = it->Record.IsLeaving || Closed.restUntil(it->Life) >= until;
-    if (isClosed || call.Tried.contains(it->Record.Id))
+    bool isOut = it->Record.IsLeaving || Closed.isLeaving(it->Life) ||
+                 Closed.restUntil(it->Life) >= until;
+    if (isOut || call.Tried.contains(it->Record.Id))
       continue;
     room += Rates.isLimited(it->Life) ? Rates.roomUntil(it->Life, now, until)
                                       : it->Record.Slots;
@@ -173,7 +184,7 @@
 Duration DirectNode::expectedRoom(const CallState &call, TimePoint now) {
   double rate = 0;
   for (const EndpointState *it : Picker.statesOf(call.Service))
-    if (Rates.isLimited(it->Life) && !Closed.isResting(it->Life, now))
+    if (Rates.isLimited(it->Life) && !isClosed(*it, now))
       rate += std::max(Rates.namedRate(it->Life), RateLimits::MinPerSecond);
   if (rate == 0)
     return expectedRestEnd(call, now);
@@ -193,7 +204,7 @@
   unsigned slots = 0;
   for (const EndpointState *it : Picker.statesOf(call.Service)) {
     TimePoint end = Closed.restUntil(it->Life);
-    if (it->Record.IsLeaving || end <= now)
+    if (it->Record.IsLeaving || Closed.isLeaving(it->Life) || end <= now)
       continue;
     first = std::min(first.value_or(end), end);
     slots += it->Record.Slots;
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -114,7 +114,7 @@
 Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
                                     const CallState &call,
                                     TimePoint now) const {
-  if (state.Record.IsLeaving)
+  if (state.Record.IsLeaving || Closed.isLeaving(state.Life))
     return Obstacle::Leaving;
   if (call.Tried.contains(state.Record.Id))
     return Obstacle::Tried;
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -23,10 +23,15 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+/// An endpoint that said that it leaves and still stands after this time is
+/// tried again.
+static constexpr Duration MaxLeavingTime = std::chrono::minutes(10);
+
 static constexpr char ResumeHeader[] = "Ospreyspur-Resume-Offset";
 static constexpr char PriorityHeader[] = "Ospreyspur-Priority";
 static constexpr char RequestIdHeader[] = "Ospreyspur-Request-Id";
 static constexpr char RateHeader[] = "Ospreyspur-Rate-Limit";
+static constexpr char LeavingHeader[] = "Ospreyspur-Leaving";
 
 AgentTraffic::AgentTraffic(asio::io_context &ioc, const AgentSettings &settings,
                            TcpAddress endpoint, Incarnation incarnation,
@@ -158,15 +163,38 @@
   Pushback asked =
       readPushback({head.Status, headerValues(head.Fields, RateHeader),
                     headerValues(head.Fields, "Retry-After"),
-                    std::string(head.Fields[http::field::date])});
+                    std::string(head.Fields[http::field::date]),
+                    headerValues(head.Fields, LeavingHeader)});
   EndpointId self(Settings.EndpointName);
   logUnreadable(self, asked, Measures);
   apply(Node.onPushback(id, asked, monotonicNow()));
   auto nameOf = [&](LifeDigest) { return self; };
   logRates(Node.takeRateNotes(), nameOf, Node.rates().limitedCount(), Measures);
-  if (!Node.closed().isEmpty())
-    logRests(Node.takeRestNotes(), nameOf,
-             Node.closed().restingCount(monotonicNow()), Measures);
+  if (Node.closed().isEmpty())
+    return;
+  logLeaving(Node.takeLeavingNotes(), nameOf, Measures);
+  if (Node.saidLeaving() && !std::exchange(IsWatchingEnd, true))
+    asio::co_spawn(Context, watchEnd(), asio::detached);
+  logRests(Node.takeRestNotes(), nameOf,
+           Node.closed().restingCount(monotonicNow()), Measures);
+}
+
+/// An endpoint that leaves gets no request that would show its end: a
+/// connection to it does, which stays open without a word.
+asio::awaitable<void> AgentTraffic::watchEnd() {
+  TimePoint end = monotonicNow() + MaxLeavingTime;
+  EndpointFate fate = EndpointFate::Alive;
+  while (Node.saidLeaving() && monotonicNow() < end &&
+         fate != EndpointFate::Ended) {
+    co_await waitForClose(Context, EndpointAddress, end - monotonicNow());
+    fate = co_await checkFate(Context, EndpointAddress);
+  }
+  IsWatchingEnd = false;
+  LOG(INFO) << LogEvent("endpoint.left")
+                   .with("endpoint", Settings.EndpointName)
+                   .with("fate", toString(fate));
+  if (Node.saidLeaving())
+    apply(Node.onEndpointEnded(monotonicNow()));
 }
 
 asio::awaitable<ResultCode> AgentTraffic::findEnd(RequestId id) {
--- a/lib/Process/DirectFates.cpp
+++ b/lib/Process/DirectFates.cpp
@@ -38,6 +38,8 @@
   Node.mergeReplaced(report.Replaced, now);
   if (report.IsNew)
     Node.onPeerBegun(now);
+  if (!report.Leaving.empty())
+    apply(Node.onLeaving(report.Leaving, now));
   if (!report.Rates.empty())
     apply(Node.onRateLimits(report.Rates, now));
   if (report.Crashes.isEmpty() && Node.crashes().isEmpty())
--- a/lib/Process/DirectPushback.cpp
+++ b/lib/Process/DirectPushback.cpp
@@ -26,7 +26,9 @@
     return state ? state->Record.Id : EndpointId();
   };
   logRates(Node.takeRateNotes(), nameOf, Node.rates().limitedCount(), Measures);
-  if (!Node.closed().isEmpty())
-    logRests(Node.takeRestNotes(), nameOf,
-             Node.closed().restingCount(monotonicNow()), Measures);
+  if (Node.closed().isEmpty())
+    return;
+  logLeaving(Node.takeLeavingNotes(), nameOf, Measures);
+  logRests(Node.takeRestNotes(), nameOf,
+           Node.closed().restingCount(monotonicNow()), Measures);
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -103,6 +103,7 @@
                                       Node.takeCrashReport(now),
                                       Node.takeReplacedReport(),
                                       Node.takeRateReport(now),
+                                      Node.takeLeavingReport(),
                                       Node.isNew(now)};
                   },
                   [this](const LoadReport &it) { takeReport(it); }}) {}
--- a/lib/Process/FateCheck.cpp
+++ b/lib/Process/FateCheck.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <array>
 
 using namespace ospreyspur;
@@ -73,6 +74,20 @@
   co_return EndpointFate::Unknown;
 }
 
+asio::awaitable<void> ospreyspur::waitForClose(asio::io_context &ioc,
+                                               TcpAddress address,
+                                               Duration limit) {
+  boost::beast::tcp_stream stream(ioc);
+  stream.expires_after(CheckTimeout);
+  auto [connectError] = co_await stream.async_connect(address, AsTuple);
+  char byte = 0;
+  if (!connectError) {
+    stream.expires_after(std::max<Duration>(limit, Duration::zero()));
+    co_await stream.async_read_some(asio::buffer(&byte, 1), AsTuple);
+  }
+  co_await rest(ioc, FatePause);
+}
+
 const char *ospreyspur::toString(EndpointFate fate) {
   static constexpr std::array Words = {"alive", "ended", "unknown"};
   return Words.at(static_cast<std::size_t>(fate));
--- a/lib/Process/PushbackLog.cpp
+++ b/lib/Process/PushbackLog.cpp
@@ -65,3 +65,11 @@
   metrics.count("endpoint_rests_total", notes.size());
   metrics.set("endpoints_resting", double(resting));
 }
+
+void ospreyspur::logLeaving(const std::vector<LifeDigest> &lives,
+                            const std::function<EndpointId(LifeDigest)> &nameOf,
+                            Metrics &metrics) {
+  for (LifeDigest it : lives)
+    LOG(INFO) << LogEvent("endpoint.leaves").with("endpoint", nameOf(it).get());
+  metrics.count("endpoint_leaves_total", lives.size());
+}
--- a/lib/Pushback/ClosedEndpoints.cpp
+++ b/lib/Pushback/ClosedEndpoints.cpp
@@ -38,3 +38,27 @@
   return std::count_if(RestUntil.begin(), RestUntil.end(),
                        [now](const auto &it) { return it.second > now; });
 }
+
+void ClosedEndpoints::onLeaving(LifeDigest life, bool isTold, TimePoint now) {
+  if (isLeaving(life))
+    return;
+  std::erase_if(Leaving, [now](const auto &it) {
+    return now - it.second.SaidAt >= KeepLeavingFor;
+  });
+  if (Leaving.size() >= MaxEndpoints)
+    return;
+  Leaving[life] = {now, isTold ? 0 : LeavingTellings};
+  if (LeavingNotes.size() < MaxNotes)
+    LeavingNotes.push_back(life);
+}
+
+std::vector<LifeDigest> ClosedEndpoints::takeLeavingReport() {
+  std::vector<LifeDigest> out;
+  for (auto &[life, it] : Leaving) {
+    if (it.Tellings == 0 || out.size() >= MaxToldLeaving)
+      continue;
+    --it.Tellings;
+    out.push_back(life);
+  }
+  return out;
+}
--- a/lib/Pushback/Pushback.cpp
+++ b/lib/Pushback/Pushback.cpp
@@ -75,6 +75,9 @@
         std::min(*out.RequestsPerSecond, MaxRequestsPerSecond);
   else if (!text.Rates.empty())
     note(text.Rates, out);
+  out.IsLeaving = text.Leavings == std::vector<std::string>{"1"};
+  if (!out.IsLeaving && !text.Leavings.empty())
+    note(text.Leavings, out);
   if (!isRefusal(text.Status) || text.RetryAfters.empty())
     return out;
   if (text.RetryAfters.size() == 1)
--- a/lib/Routing/AgentNode.cpp
+++ b/lib/Routing/AgentNode.cpp
@@ -230,18 +230,24 @@
 AgentActions AgentNode::setLeaving(bool leaving, TimePoint now) {
   noticeTime(now);
   HasGate = true;
+  IsListedLeaving = leaving;
+  updateLeaving(now);
+  return takeActions();
+}
+
+void AgentNode::updateLeaving(TimePoint now) {
+  bool leaving = IsListedLeaving || saidLeaving();
   if (leaving == IsLeaving)
-    return takeActions();
+    return;
   IsLeaving = leaving;
   Unaware = leaving ? Entries : std::set<LinkId>();
   for (LinkId it : Entries)
     send(it, Leaving{leaving});
   if (!leaving)
-    return takeActions();
+    return;
   // What waits has not begun: hand it back, so that it runs elsewhere at once.
   for (const QueuedRequest &it : Queue.drain())
     withdrawQueued(it.Id, ResultCode::EndpointLeaving, now);
-  return takeActions();
 }
 
 void AgentNode::setWeights(std::shared_ptr<const WorkspaceWeights> weights) {
--- a/lib/Routing/AgentPushback.cpp
+++ b/lib/Routing/AgentPushback.cpp
@@ -22,6 +22,9 @@
     Rates.onAnswer(life, asked.RequestsPerSecond, *it->second.Started, now);
   if (asked.Rest)
     Closed.onRest(life, *asked.Rest, now);
+  if (asked.IsLeaving)
+    Closed.onLeaving(life, false, now);
+  updateLeaving(now);
   if (restLeft() > Limits.MaxWait)
     for (const QueuedRequest &queued : Queue.drain())
       withdrawQueued(queued.Id, ResultCode::EndpointsResting, now);
@@ -29,6 +32,14 @@
   return takeActions();
 }
 
+AgentActions AgentNode::onEndpointEnded(TimePoint now) {
+  noticeTime(now);
+  Life = EngineLife(Life.get() + 1);
+  updateLeaving(now);
+  startWaiting(now);
+  return takeActions();
+}
+
 Duration AgentNode::restLeft() const {
   TimePoint end = Closed.restUntil(currentLife());
   return std::max(end - LastInput, Duration::zero());
--- a/lib/Routing/AgentRuns.cpp
+++ b/lib/Routing/AgentRuns.cpp
@@ -126,7 +126,7 @@
   Drain.record(now - *it->second.Started);
   if (code == ResultCode::EndpointFailed) {
     DownUntil = now + DownPause;
-    code = noteEngineEnd(life);
+    code = noteEngineEnd(life, now);
   }
   StoredAnswer *answer = Book.findAnswer(id);
   answer->Life = life;
@@ -143,10 +143,12 @@
 /// The process that had the life \p life has ended; runs that started before
 /// end with it. An endpoint that leaves is stopped on purpose, which says
 /// nothing of what it ran. Returns the code to tell.
-ResultCode AgentNode::noteEngineEnd(EngineLife life) {
+ResultCode AgentNode::noteEngineEnd(EngineLife life, TimePoint now) {
+  bool wasLeaving = IsLeaving;
   if (life == Life)
     Life = EngineLife(life.get() + 1);
-  return IsLeaving ? ResultCode::AnswerBroken : ResultCode::EndpointFailed;
+  updateLeaving(now);
+  return wasLeaving ? ResultCode::AnswerBroken : ResultCode::EndpointFailed;
 }
 
 void AgentNode::withdrawQueued(RequestId id, ResultCode reason, TimePoint now) {
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -17,6 +17,7 @@
 
 /// What a damaged or hostile report may make this entry hold.
 static constexpr int MaxRates = 64;
+static constexpr int MaxLeaving = 64;
 static constexpr Duration MaxAge = std::chrono::hours(1);
 
 static std::uint64_t encodeAge(Duration age) {
@@ -67,6 +68,8 @@
     out.add_replaced(it.get());
   for (const RateLimitRow &it : report.Rates)
     encodeRate(it, *out.add_rates());
+  for (LifeDigest it : report.Leaving)
+    out.add_leaving(it.get());
   out.set_is_new(report.IsNew);
   return out.SerializeAsString();
 }
@@ -94,6 +97,8 @@
   for (int i = 0; i < std::min(in.replaced_size(), MaxReplaced); ++i)
     out.Replaced.emplace_back(in.replaced(i));
   out.Rates = decodeRates(in);
+  for (int i = 0; i < std::min(in.leaving_size(), MaxLeaving); ++i)
+    out.Leaving.emplace_back(in.leaving(i));
   out.IsNew = in.is_new();
   return out;
 }
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -317,3 +317,20 @@
     CHECK_FALSE(restOf(it, 503, Now));
   }
 }
+
+TEST_CASE("an answer says that its endpoint leaves with one word only") {
+  auto saysLeaving = [](const std::string &value, unsigned status = 200) {
+    HttpResponse answer;
+    answer.result(status);
+    answer.set("Server-Leaving", value);
+    return platform::readAnswer(answer, "r").Asked;
+  };
+  CHECK(saysLeaving("1").IsLeaving);
+  CHECK(saysLeaving("1", 503).IsLeaving);
+  CHECK_FALSE(saysLeaving("1", 421).IsLeaving);
+  for (const char *it : {"", "0", "-1", "nan", "yes", "11", "1,1"}) {
+    INFO(it);
+    CHECK_FALSE(saysLeaving(it).IsLeaving);
+    CHECK_FALSE(saysLeaving(it).Malformed.empty());
+  }
+}
--- a/unittests/Pushback/NeedyFleet.cpp
+++ b/unittests/Pushback/NeedyFleet.cpp
@@ -102,6 +102,7 @@
                  {},
                  {},
                  node.takeRateReport(Time.now()),
+                 node.takeLeavingReport(),
                  node.isNew(Time.now())};
   for (unsigned k = 0; k < Nodes.size(); ++k) {
     if (k == i || Time.now() < Nodes[i].CutUntil ||
@@ -116,6 +117,7 @@
       if (told.IsNew)
         to.onPeerBegun(Time.now());
       take(k, to.onRateLimits(told.Rates, Time.now()));
+      take(k, to.onLeaving(told.Leaving, Time.now()));
     });
   }
 }
