Soaks: endpoints that ask for less in their answers

The stand-ins of both take the three on order (POST /need), say them in each answer and keep a record of requests that come all the same: more within four seconds than one and a half times the rate allows and five, from seven seconds on after it was first named; any half a second into a pause; any a second after it said that it leaves. Allowed is one (two in pauses) for each entry that began meanwhile, four for each agent.

--- a/test/standin/Mortal.cpp
+++ b/test/standin/Mortal.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "Need.h"
 #include "Standins.h"
 
 #include "ospreyspur/Platform/PlatformClient.h"
@@ -36,6 +37,7 @@
       : Context(ioc), Plan(plan),
         Platform(ioc, parseAddress(plan.Platform).value()),
         Id("i-" + plan.Name + "-" + std::to_string(::getpid())),
+        Asked({"Server-Limit", "Server-Leaving"}, plan.History),
         Signals(ioc, SIGTERM) {
     Signals.async_wait([this](boost::system::error_code ec, int) {
       if (!ec)
@@ -45,6 +47,14 @@
   }
 
   asio::awaitable<void> handle(HttpExchange &exchange) {
+    if (exchange.request().target() == "/need") {
+      json::object in = bodyOf(exchange);
+      Asked.order(in, monotonicNow());
+      if (numberOf(in, "leaving") > 0)
+        asio::co_spawn(Context, endSoon(), asio::detached);
+      co_await reply(exchange, 200, json::object());
+      co_return;
+    }
     std::string label = exchange.header("Request-Id");
     bool isDeadly =
         exchange.request().body().find(DeadlyBody) != std::string::npos;
@@ -52,6 +62,15 @@
       co_await exchange.respond(421, "text/plain", "");
       co_return;
     }
+    if (Asked.onRequest(monotonicNow())) {
+      HttpResponse refusal;
+      refusal.result(503);
+      refusal.set("Not-Executed", "1");
+      refusal.set("Request-Id", label);
+      Asked.addTo(refusal, monotonicNow());
+      co_await exchange.respond(std::move(refusal));
+      co_return;
+    }
     note(isDeadly ? "deadly" : label);
     co_await pause(WorkMs);
     if (isDeadly)
@@ -60,6 +79,7 @@
     head.set("Content-Type", "text/event-stream");
     head.set("Request-Id", label);
     head.set("Replica-Stamp", Id);
+    Asked.addTo(head, monotonicNow());
     std::string last = exchange.header("Last-Event-Id");
     int first = last.empty() ? 1 : std::stoi(last) + 1;
     bool isOpen = co_await exchange.beginStream(head);
@@ -112,6 +132,12 @@
     }
   }
 
+  /// It leaves without a word to the platform.
+  static asio::awaitable<void> endSoon() {
+    co_await pause(LeaveMs);
+    ::_exit(0);
+  }
+
   asio::awaitable<void> leave() {
     State = "draining";
     while (Written != State)
@@ -124,6 +150,7 @@
   const MortalPlan &Plan;
   PlatformClient Platform;
   std::string Id;
+  Need Asked;
   asio::signal_set Signals;
   std::string State = "ready";
   std::string Written;
--- a/test/standin/Service.cpp
+++ b/test/standin/Service.cpp
@@ -4,6 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "Need.h"
 #include "Standins.h"
 
 #include <fstream>
@@ -13,19 +14,40 @@
 using namespace standin;
 using namespace ospreyspur;
 
+/// How long a service that says that it leaves serves on.
+static constexpr std::int64_t LeaveMs = 2500;
+
 int standin::runService(const std::string &listen, std::int64_t delayMs,
                         const std::string &history) {
   asio::io_context ioc(1);
   std::map<std::string, std::int64_t> runs;
+  Need asked({"Ospreyspur-Rate-Limit", "Ospreyspur-Leaving"}, history);
   auto handle = [&](HttpExchange &exchange) -> asio::awaitable<void> {
     std::string target(exchange.request().target());
     json::object out;
+    if (target == "/need") {
+      json::object in = bodyOf(exchange);
+      asked.order(in, monotonicNow());
+      co_await reply(exchange, 200, out);
+      if (numberOf(in, "leaving") > 0) {
+        co_await pause(LeaveMs);
+        ::_exit(0);
+      }
+      co_return;
+    }
     if (target == "/runs") {
       for (const auto &[id, n] : runs)
         out[id] = n;
       co_await reply(exchange, 200, out);
       co_return;
     }
+    HttpResponse answer;
+    if (asked.onRequest(monotonicNow())) {
+      answer.result(503);
+      asked.addTo(answer, monotonicNow());
+      co_await exchange.respond(std::move(answer));
+      co_return;
+    }
     std::string id = textOf(bodyOf(exchange), "id");
     std::int64_t n = ++runs[id];
     bool isDeadly = !history.empty() && id == DeadlyBody;
@@ -37,7 +59,11 @@
     if (isDeadly)
       ::_exit(DeadlyExit);
     out = {{"id", id}, {"run", n}, {"path", target}};
-    co_await reply(exchange, 200, out);
+    answer.result(200);
+    answer.set("Content-Type", "application/json");
+    asked.addTo(answer, monotonicNow());
+    answer.body() = json::serialize(out);
+    co_await exchange.respond(std::move(answer));
   };
   HttpServer server(ioc, HttpLimits(), handle);
   if (!server.listen(parseAddress(listen).value()))
