Test every way to an endpoint that asks for less; a withheld request may go back

RateLimitsTest: what stands of several statements, bounds of what is kept and told, reports with values that are no rates.

What the endpoint asked for says by itself when the request may go there.

--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -121,6 +121,9 @@
     noteCut(call, now);
   if (end == AttemptEnd::Complete || end == AttemptEnd::Failed)
     Crashes.onWhole(call.Request.Digest, now);
+  // What the endpoint asked for says by itself when it may be sent there.
+  if (end == AttemptEnd::Withheld)
+    call.Tried.erase(*call.Current);
   endAttempt(call);
   switch (end) {
   case AttemptEnd::Complete:
--- a/test/standin/Need.cpp
+++ b/test/standin/Need.cpp
@@ -47,9 +47,8 @@
   Arrivals.push_back(now);
   while (Arrivals.front() <= now - RateWindow)
     Arrivals.pop_front();
-  double allowed =
-      RatePart * Rate * double(seconds(RateWindow / seconds(1)).count()) +
-      RateSlack;
+  using Seconds = std::chrono::duration<double>;
+  double allowed = RatePart * Rate * Seconds(RateWindow).count() + RateSlack;
   bool isBound = now < RateUntil && now - RateFrom >= RateGrace + RateWindow;
   if (isBound && double(Arrivals.size()) > allowed)
     note("over-rate");
--- /dev/null
+++ b/unittests/Pushback/RateLimitsTest.cpp
@@ -0,0 +1,115 @@
+//===- RateLimitsTest.cpp - what stands of several statements -------------===//
+//
+// Answers of many connections overtake each other, and reports come late.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Pushback/RateLimits.h"
+#include "ospreyspur/Pushback/ClosedEndpoints.h"
+#include "ospreyspur/Pushback/Pushback.h"
+#include "ospreyspur/Rpc/LoadCodec.h"
+
+#include <doctest/doctest.h>
+
+#include <limits>
+
+using namespace ospreyspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr LifeDigest Life{5};
+static constexpr TimePoint Start{seconds(1000)};
+
+static const auto IsKnown = [](LifeDigest) { return true; };
+
+TEST_CASE("an answer to a request that was sent before lifts and raises "
+          "nothing") {
+  RateLimits limits;
+  limits.onAnswer(Life, 2.0, Start, Start + seconds(1));
+  limits.onAnswer(Life, std::nullopt, Start + milliseconds(900),
+                  Start + seconds(2));
+  CHECK(limits.namedRate(Life) == 2.0);
+  limits.onAnswer(Life, 9.0, Start + milliseconds(900), Start + seconds(2));
+  CHECK(limits.namedRate(Life) == 2.0);
+  // It may make it stricter.
+  limits.onAnswer(Life, 1.0, Start + milliseconds(900), Start + seconds(2));
+  CHECK(limits.namedRate(Life) == 1.0);
+  limits.onAnswer(Life, 9.0, Start + seconds(3), Start + seconds(4));
+  CHECK(limits.namedRate(Life) == 9.0);
+  limits.onAnswer(Life, std::nullopt, Start + seconds(5), Start + seconds(6));
+  CHECK_FALSE(limits.isLimited(Life));
+}
+
+TEST_CASE("a report that was sent before a lift sets nothing again") {
+  RateLimits limits;
+  limits.onAnswer(Life, 2.0, Start, Start + seconds(1));
+  limits.onAnswer(Life, std::nullopt, Start + seconds(2), Start + seconds(3));
+  limits.merge({{Life, 2.0, seconds(4), seconds(3)}}, IsKnown,
+               Start + seconds(4));
+  CHECK_FALSE(limits.isLimited(Life));
+  limits.merge({{Life, 2.0, milliseconds(200), milliseconds(100)}}, IsKnown,
+               Start + seconds(4));
+  CHECK(limits.isLimited(Life));
+}
+
+TEST_CASE("an endpoint that takes nothing is tried once in a while") {
+  RateLimits limits;
+  limits.onAnswer(Life, 0.0, Start, Start);
+  unsigned taken = 0;
+  for (unsigned i = 0; i < 600; ++i)
+    taken += limits.take(Life, Start + milliseconds(100) * i);
+  CHECK(taken >= 5);
+  CHECK(taken <= 6);
+}
+
+TEST_CASE("a sender that was idle sends no burst") {
+  RateLimits limits;
+  limits.onAnswer(Life, 5.0, Start, Start);
+  TimePoint later = Start + seconds(9);
+  CHECK(limits.take(Life, later));
+  CHECK_FALSE(limits.take(Life, later));
+}
+
+TEST_CASE("what is kept and told of rates is bounded") {
+  RateLimits limits;
+  TimePoint now = Start;
+  for (std::uint64_t i = 0; i < 3 * RateLimits::MaxEndpoints; ++i)
+    limits.onAnswer(LifeDigest(i), 1.0, now, now);
+  CHECK(limits.limitedCount() == RateLimits::MaxEndpoints);
+  CHECK(limits.takeReport(now).size() == RateLimits::MaxRowsPerReport);
+  limits.setMembers(FleetMembers(), now + RateLimits::KeepFor);
+  CHECK(limits.limitedCount() == 0);
+  ClosedEndpoints closed;
+  for (std::uint64_t i = 0; i < 3 * ClosedEndpoints::MaxEndpoints; ++i) {
+    closed.onRest(LifeDigest(i), MaxRest, now);
+    closed.onLeaving(LifeDigest(i), false, now);
+  }
+  CHECK(closed.restingCount(now) == ClosedEndpoints::MaxEndpoints);
+  CHECK(closed.leavingCount() == ClosedEndpoints::MaxEndpoints);
+  CHECK(closed.takeLeavingReport().size() <= 32);
+}
+
+TEST_CASE("a report carries rates, and what is no rate is dropped") {
+  constexpr double Nan = std::numeric_limits<double>::quiet_NaN();
+  constexpr double Inf = std::numeric_limits<double>::infinity();
+  LoadReport out{"n", {}, {}, {}, {}, {LifeDigest(8)}, true};
+  out.Rates = {{LifeDigest(1), 2.5, seconds(3), seconds(2)},
+               {LifeDigest(2), std::nullopt, seconds(1), seconds(1)},
+               {LifeDigest(3), Nan, seconds(1), seconds(1)},
+               {LifeDigest(4), -1.0, seconds(1), seconds(1)},
+               {LifeDigest(5), Inf, seconds(1), seconds(1)}};
+  std::optional<LoadReport> in = decodeLoad(encodeLoad(out));
+  REQUIRE(in);
+  REQUIRE(in->Rates.size() == 2);
+  CHECK(in->Rates[0].PerSecond == 2.5);
+  CHECK(in->Rates[0].SentAge == seconds(3));
+  CHECK_FALSE(in->Rates[1].PerSecond);
+  CHECK(in->Leaving == std::vector<LifeDigest>{LifeDigest(8)});
+  CHECK(in->IsNew);
+  out.Rates.assign(1000, {LifeDigest(1), 1.0, seconds(1), seconds(1)});
+  out.Leaving.assign(1000, LifeDigest(1));
+  in = decodeLoad(encodeLoad(out));
+  REQUIRE(in);
+  CHECK(in->Rates.size() <= 64);
+  CHECK(in->Leaving.size() <= 64);
+}
