--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -12,10 +12,6 @@
 
 using namespace ospreyspur;
 
-/// Bounds of the time after which a refused caller should come back.
-static constexpr Duration MinRetryAfter = std::chrono::milliseconds(150);
-static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
-
 /// How long a request whose endpoint cut it may wait to hear what became of the
 /// endpoint, however long it has waited before: the question takes 0.3 s at
 /// most and the judgement 0.1 s.
@@ -183,26 +179,6 @@
   return takeActions();
 }
 
-DirectActions
-DirectNode::onTold(const EndpointId &id,
-                   const std::optional<EndpointCondition> &condition,
-                   TimePoint now) {
-  Book.onTold(id, condition, now);
-  ask(now);
-  startWaiting(now);
-  return takeActions();
-}
-
-void DirectNode::ask(TimePoint now) {
-  auto mayBeAsked = [this, now](const EndpointState &it) {
-    return mayAsk(it, now);
-  };
-  for (EndpointRecord &it : Book.takeQuestions(mayBeAsked, now))
-    Out.emplace_back(AskEndpoint{std::move(it)});
-  for (EndpointRecord &it : Book.takePaceQuestions(mayBeAsked, now, Random))
-    Out.emplace_back(AskEndpoint{std::move(it)});
-}
-
 DirectActions DirectNode::onCallGone(CallId id, TimePoint now) {
   auto it = Calls.find(id);
   if (it == Calls.end())
@@ -453,20 +429,4 @@
   return route.Services.back().Service;
 }
 
-/// When a refused caller may find room: the calls that wait before it, at the
-/// rate at which a full fleet of that service gets free.
-Duration DirectNode::expectedDrain(const CallState &call, TimePoint now) const {
-  unsigned running = 0;
-  for (const auto &[id, state] : Book.states())
-    if (state.Record.Service == call.Service)
-      running += Book.totalLoad(state, now).Running;
-  if (running == 0)
-    return MinRetryAfter;
-  // A request takes a second or two at an engine; its target is the only
-  // figure at hand that scales with it.
-  Duration each = call.Request.Route->Target * 4 / running;
-  auto n = static_cast<std::int64_t>(Waiting.size() + 1);
-  return std::clamp(each * n, MinRetryAfter, MaxRetryAfter);
-}
-
 DirectActions DirectNode::takeActions() { return std::exchange(Out, {}); }
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -16,10 +16,11 @@
 static constexpr Duration MembersAge = std::chrono::milliseconds(200);
 /// How long an entry that begins asks the others for what they know.
 static constexpr Duration NewTime = std::chrono::seconds(1);
-/// Bounds of the time after which a caller who was turned away for a limit
-/// should return.
-static constexpr Duration MinReturn = std::chrono::milliseconds(150);
-static constexpr Duration MaxReturn = std::chrono::seconds(10);
+/// Bounds of the time after which a refused caller should come back, and the
+/// longest one where that is what endpoints asked for.
+static constexpr Duration MinRetryAfter = std::chrono::milliseconds(150);
+static constexpr Duration MaxRetryAfter = std::chrono::seconds(2);
+static constexpr Duration MaxAskedRetryAfter = std::chrono::seconds(10);
 
 void DirectNode::refreshMembers(TimePoint now) {
   if (MembersAt && now - *MembersAt < MembersAge)
@@ -104,15 +105,6 @@
   return Rates.take(state->Life, now);
 }
 
-/// A question reaches an endpoint as a request does.
-bool DirectNode::mayAsk(const EndpointState &state, TimePoint now) {
-  if (isClosed(state, now))
-    return false;
-  if (!Rates.isEmpty())
-    refreshMembers(now);
-  return Rates.take(state.Life, now);
-}
-
 std::size_t DirectNode::waitingFor(const ServiceId &service) const {
   return std::count_if(Waiting.begin(), Waiting.end(), [&](const auto &it) {
     return Calls.at(std::get<CallId>(it)).Service == service;
@@ -177,6 +169,22 @@
       endNotRun(call, ResultCode::NoEndpoint, now);
 }
 
+/// When a refused caller may find room: the calls that wait before it, at the
+/// rate at which a full fleet of that service gets free.
+Duration DirectNode::expectedDrain(const CallState &call, TimePoint now) const {
+  unsigned running = 0;
+  for (const auto &[id, state] : Book.states())
+    if (state.Record.Service == call.Service)
+      running += Book.totalLoad(state, now).Running;
+  if (running == 0)
+    return MinRetryAfter;
+  // A request takes a second or two at an engine; its target is the only
+  // figure at hand that scales with it.
+  Duration each = call.Request.Route->Target * 4 / running;
+  auto n = static_cast<std::int64_t>(Waiting.size() + 1);
+  return std::clamp(each * n, MinRetryAfter, MaxRetryAfter);
+}
+
 /// When a caller whom no endpoint can serve now should return, so that callers
 /// who were turned away together do not return together: around the time in
 /// which this entry's part of the named rates takes those who come, or past the
@@ -193,7 +201,7 @@
   double ahead = std::max(1.0, Arrivals.perSecond(call.Service, now));
   auto mean = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(ahead / own));
-  mean = std::clamp(mean, 2 * MinReturn, MaxReturn);
+  mean = std::clamp(mean, 2 * MinRetryAfter, MaxAskedRetryAfter);
   return draw(mean / 2, mean * 3 / 2);
 }
 
@@ -220,8 +228,8 @@
   auto spread =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
           turnedAway * 4 * each * entries / std::max(1U, slots)));
-  spread = std::clamp(spread, std::max<Duration>(2 * MinReturn, left / 4),
-                      MaxReturn);
+  spread = std::clamp(spread, std::max<Duration>(2 * MinRetryAfter, left / 4),
+                      MaxAskedRetryAfter);
   return left + draw(Duration::zero(), spread);
 }
 
