Soaks: count from the first answer that asked, not from the order

The record counts from the first answer that said so; a rate that changes is counted from the first answer that names the new one. Bounds and grace are as they were. Also two findings of the linter in tests.

--- a/test/standin/Need.cpp
+++ b/test/standin/Need.cpp
@@ -26,17 +26,18 @@
 
 void Need::order(const json::object &in, TimePoint now) {
   if (std::int64_t ms = numberOf(in, "rest_ms"); ms > 0) {
-    RestFrom = now;
+    if (now >= RestUntil)
+      RestSaidAt.reset();
     RestUntil = now + milliseconds(ms);
   }
   if (std::int64_t ms = numberOf(in, "for_ms"); ms > 0) {
-    bool isNew = now >= RateUntil;
+    // A lower rate has to be heard, too.
+    RateSaidAt.reset();
     Rate = double(numberOf(in, "rate", 1));
-    RateFrom = isNew ? now : RateFrom;
     RateUntil = now + milliseconds(ms);
   }
   if (numberOf(in, "leaving") > 0)
-    LeavingFrom = std::min(LeavingFrom, now);
+    IsLeaving = true;
 }
 
 void Need::note(const std::string &what) const {
@@ -49,24 +50,33 @@
     Arrivals.pop_front();
   using Seconds = std::chrono::duration<double>;
   double allowed = RatePart * Rate * Seconds(RateWindow).count() + RateSlack;
-  bool isBound = now < RateUntil && now - RateFrom >= RateGrace + RateWindow;
+  bool isBound =
+      now < RateUntil && isPast(RateSaidAt, RateGrace + RateWindow, now);
   if (isBound && double(Arrivals.size()) > allowed)
     note("over-rate");
-  if (now - LeavingFrom >= LeavingGrace && LeavingFrom != TimePoint::max())
+  if (isPast(LeavingSaidAt, LeavingGrace, now))
     note("after-leaving");
   bool isResting = now < RestUntil;
-  if (isResting && now - RestFrom >= RestGrace)
+  if (isResting && isPast(RestSaidAt, RestGrace, now))
     note("in-rest");
   return isResting;
 }
 
 void Need::addTo(HttpResponse &answer, TimePoint now) {
-  if (now < RateUntil)
+  auto isSaid = [now](std::optional<TimePoint> &saidAt) {
+    saidAt = saidAt.value_or(now);
+  };
+  if (now < RateUntil) {
     answer.set(Headers.Rate, std::to_string(Rate));
-  if (now >= LeavingFrom)
+    isSaid(RateSaidAt);
+  }
+  if (IsLeaving) {
     answer.set(Headers.Leaving, "1");
-  if (now < RestUntil)
-    answer.set(
-        "Retry-After",
-        std::to_string(std::chrono::duration<double>(RestUntil - now).count()));
+    isSaid(LeavingSaidAt);
+  }
+  if (now < RestUntil) {
+    using Seconds = std::chrono::duration<double>;
+    answer.set("Retry-After", std::to_string(Seconds(RestUntil - now).count()));
+    isSaid(RestSaidAt);
+  }
 }
--- a/test/standin/Need.h
+++ b/test/standin/Need.h
@@ -14,6 +14,7 @@
 #include <boost/json.hpp>
 
 #include <deque>
+#include <optional>
 #include <string>
 
 namespace standin {
@@ -41,16 +42,22 @@
   void addTo(ospreyspur::HttpResponse &answer, TimePoint now);
 
 private:
+  static bool isPast(const std::optional<TimePoint> &saidAt,
+                     ospreyspur::Duration grace, TimePoint now) {
+    return saidAt && now - *saidAt >= grace;
+  }
   void note(const std::string &what) const;
 
   NeedHeaders Headers;
   std::string History;
   double Rate = 0;
-  TimePoint RateFrom;
   TimePoint RateUntil;
-  TimePoint RestFrom;
   TimePoint RestUntil;
-  TimePoint LeavingFrom = TimePoint::max();
+  bool IsLeaving = false;
+  /// When an answer first said so: nobody could know before.
+  std::optional<TimePoint> RateSaidAt;
+  std::optional<TimePoint> RestSaidAt;
+  std::optional<TimePoint> LeavingSaidAt;
   std::deque<TimePoint> Arrivals;
 };
 
--- a/unittests/Process/AgentPushbackTest.cpp
+++ b/unittests/Process/AgentPushbackTest.cpp
@@ -28,7 +28,7 @@
     Agent.setLeaving(false);
     Link = std::make_unique<PeerClient>(
         Settings.Listen,
-        PeerClientHandlers{[this](std::vector<Message> messages) {
+        PeerClientHandlers{[this](const std::vector<Message> &messages) {
                              boost::asio::post(
                                  Context, [this, messages] { take(messages); });
                            },
--- a/unittests/Pushback/RateLimitsTest.cpp
+++ b/unittests/Pushback/RateLimitsTest.cpp
@@ -20,7 +20,7 @@
 static constexpr LifeDigest Life{5};
 static constexpr TimePoint Start{seconds(1000)};
 
-static const auto IsKnown = [](LifeDigest) { return true; };
+static bool isKnown(LifeDigest /*life*/) { return true; }
 
 TEST_CASE("an answer to a request that was sent before lifts and raises "
           "nothing") {
@@ -44,10 +44,10 @@
   RateLimits limits;
   limits.onAnswer(Life, 2.0, Start, Start + seconds(1));
   limits.onAnswer(Life, std::nullopt, Start + seconds(2), Start + seconds(3));
-  limits.merge({{Life, 2.0, seconds(4), seconds(3)}}, IsKnown,
+  limits.merge({{Life, 2.0, seconds(4), seconds(3)}}, isKnown,
                Start + seconds(4));
   CHECK_FALSE(limits.isLimited(Life));
-  limits.merge({{Life, 2.0, milliseconds(200), milliseconds(100)}}, IsKnown,
+  limits.merge({{Life, 2.0, milliseconds(200), milliseconds(100)}}, isKnown,
                Start + seconds(4));
   CHECK(limits.isLimited(Life));
 }
