--- a/unittests/Process/NeedyWorld.h
+++ b/unittests/Process/NeedyWorld.h
@@ -108,14 +108,6 @@
     publish();
   }
 
-  /// The entry ends; another life of it begins at the same address.
-  void restart(unsigned i) {
-    Entries[i].reset();
-    Entries[i] = makeEntry(i);
-    REQUIRE(Entries[i]->start());
-    publish();
-  }
-
   /// Sends \p n requests to each entry, one a \p pause.
   void load(unsigned n, Duration pause) {
     for (unsigned i = 0; i < Entries.size(); ++i)
