Test that a life that leaves is told on

The mutation leaving-not-told was not caught by the tests with real entries, as each of four entries hears an endpoint within milliseconds by itself. Two nodes and the reports between them catch it.

--- a/unittests/Direct/PushbackWaysTest.cpp
+++ b/unittests/Direct/PushbackWaysTest.cpp
@@ -248,3 +248,23 @@
   world.Node.setEndpoints(world.Listed);
   CHECK(startedAt(world.call(2)) == EndpointId("e0@2"));
 }
+
+// Each entry would find out for itself that an endpoint leaves, by a request.
+TEST_CASE("an entry leaves out what another one was told is leaving") {
+  NodeWorld teller(2);
+  NodeWorld hearer(2);
+  Pushback leaving;
+  leaving.IsLeaving = true;
+  hear(teller, 0, leaving);
+  // Datagrams may be lost; the third report still says it.
+  CHECK(teller.Node.takeLeavingReport().size() == 1);
+  CHECK(teller.Node.takeLeavingReport().size() == 1);
+  std::vector<LifeDigest> told = teller.Node.takeLeavingReport();
+  REQUIRE(told.size() == 1);
+  CHECK(teller.Node.takeLeavingReport().empty());
+  hearer.Node.onLeaving(told, hearer.Now);
+  for (std::uint64_t id = 1; id <= 2; ++id)
+    CHECK(startedAt(hearer.call(id)) == idOf(1));
+  CHECK(startedAt(hearer.call(3)) == EndpointId("none"));
+  CHECK(hearer.Node.takeLeavingReport().empty());
+}
