Entries without callers keep no part of a rate from the others

Callers saw: refusals with 2016 for seconds while endpoints were idle.

Ruled out: an outage (two endpoints were leaving, two had no limit any more), rates that were lost or invented (each endpoint.rate line has its order), the entries' starts.

Fix: a load report says whether its sender has callers, and named rates are divided among those that have. An entry that gets callers again counts all entries for a second, until all have heard of it; what a report said counts for a second. The sum of first requests stays bounded as buckets hold one request.

The test fleet keeps one timer a node: each action added another one, which made the new tests run for minutes. A line says when the number of entries that share rates changes.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -96,10 +96,17 @@
   /// Another entry told of rates that endpoints named.
   DirectActions onRateLimits(const std::vector<RateLimitRow> &rows,
                              TimePoint now);
+  /// The entry \p peer, whose load setPeerLoad() was told, has no callers.
+  void onIdlePeer(const std::string &peer, TimePoint now) {
+    Fleet.onIdle(peer, now);
+  }
   /// Another entry has begun and asks for what is known.
   void onPeerBegun(TimePoint now) { Rates.tellAgain(now); }
   /// Whether this entry asks the others so.
   bool isNew(TimePoint now) const;
+  /// Whether this entry has no callers: others may send its part of what
+  /// endpoints take.
+  bool isIdle(TimePoint now) const;
   /// The rates to tell the other entries now.
   std::vector<RateLimitRow> takeRateReport(TimePoint now) {
     return Rates.takeReport(now);
@@ -242,6 +249,9 @@
   /// entries once.
   bool MustKnowFleet = false;
   std::optional<TimePoint> Begin;
+  /// When the last call came, and the first one after a time without any.
+  std::optional<TimePoint> LastCallAt;
+  std::optional<TimePoint> ActiveSince;
   /// What endpoints of a service take to their first byte, as a running mean.
   std::map<ServiceId, Duration> FirstByteTimes;
   std::map<CallId, CallState> Calls;
--- a/include/ospreyspur/Direct/FleetSize.h
+++ b/include/ospreyspur/Direct/FleetSize.h
@@ -28,6 +28,8 @@
 
   /// The entry \p name has reported.
   void onHeard(const std::string &name, TimePoint now);
+  /// Its report, which onHeard() was told of, says that it has no callers.
+  void onIdle(const std::string &name, TimePoint now) { IdleAt[name] = now; }
   /// The store lists the entries \p names, apart from this one.
   void setListed(std::set<std::string> names, TimePoint now);
 
@@ -37,6 +39,9 @@
   std::size_t count(Duration window, TimePoint now) const;
   /// The names of these entries, without this one's.
   std::vector<std::string> others(Duration window, TimePoint now) const;
+  /// The same without those that have just reported that they have no callers.
+  std::vector<std::string> othersWithCallers(Duration window,
+                                             TimePoint now) const;
   /// Whether the list was ever read. Before that the count may be too small.
   bool isListed() const { return HasList; }
 
@@ -47,6 +52,7 @@
   /// Between a report's sending and its arrival.
   static constexpr Duration ReportDelay = std::chrono::seconds(1);
 
+  bool isIdle(const std::string &name, TimePoint now) const;
   static bool isRecent(TimePoint seenAt, Duration window, TimePoint now) {
     return now - seenAt < window + ReportDelay;
   }
@@ -54,6 +60,8 @@
   std::set<std::string> Listed;
   /// When each entry was last heard of or listed.
   std::map<std::string, TimePoint> SeenAt;
+  /// When each entry without callers last reported so.
+  std::map<std::string, TimePoint> IdleAt;
   TimePoint PrunedAt;
   bool HasList = false;
 };
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -76,6 +76,7 @@
                     std::optional<TimePoint> sentAt);
   void logWaits();
   void logPushback();
+  void logSharing();
   static void logCut(const DirectCall &call, const StartAttempt &order,
                      AttemptEnd end, Duration ran);
   void logCrashes();
@@ -90,6 +91,8 @@
   OnQuarantine TellQuarantine;
   /// The last change that it heard of.
   std::uint64_t ToldChange = 0;
+  /// Entries that share named rates, as last logged.
+  std::size_t LoggedSharing = 0;
   DirectNode Node;
   NodeTimer Timer;
   EndpointPool Pool;
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -32,6 +32,8 @@
   std::vector<LifeDigest> Leaving{};
   /// Whether the entry has just begun and asks for the others' rows.
   bool IsNew = false;
+  /// Whether the entry has no callers.
+  bool IsIdle = false;
 };
 
 std::string encodeLoad(const LoadReport &report);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -34,6 +34,9 @@
 DirectActions DirectNode::onCall(DirectRequest request, TimePoint now) {
   CallId id = request.Id;
   const RouteRule &route = *request.Route;
+  if (isIdle(now))
+    ActiveSince = now;
+  LastCallAt = now;
   CallState &call = Calls[id];
   call.Service = pickService(route);
   call.Arrived = now;
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -14,6 +14,11 @@
 
 /// How often the members of the fleet are counted anew while they matter.
 static constexpr Duration MembersAge = std::chrono::milliseconds(200);
+/// Without a call for this long an entry counts as one without callers.
+static constexpr Duration IdleAfter = std::chrono::seconds(3);
+/// Until all others have heard that an entry has callers again, and it has
+/// heard of those who got some at the same time.
+static constexpr Duration ActiveSettleTime = std::chrono::seconds(1);
 /// How long an entry that begins asks the others for what they know.
 static constexpr Duration NewTime = std::chrono::seconds(1);
 /// Bounds of the time after which a refused caller should come back, and the
@@ -29,11 +34,18 @@
   FleetMembers members;
   members.Self = digest64(Name);
   members.IsComplete = !MustKnowFleet || Fleet.isListed();
-  for (const std::string &it : Fleet.others(Retries.bounds().Window, now))
+  Duration window = Retries.bounds().Window;
+  bool isSettled = ActiveSince && now - *ActiveSince >= ActiveSettleTime;
+  for (const std::string &it : isSettled ? Fleet.othersWithCallers(window, now)
+                                         : Fleet.others(window, now))
     members.Others.push_back(digest64(it));
   Rates.setMembers(std::move(members), now);
 }
 
+bool DirectNode::isIdle(TimePoint now) const {
+  return Calls.empty() && (!LastCallAt || now - *LastCallAt >= IdleAfter);
+}
+
 bool DirectNode::isNew(TimePoint now) const {
   return Begin && now - *Begin < NewTime;
 }
--- a/lib/Direct/FleetSize.cpp
+++ b/lib/Direct/FleetSize.cpp
@@ -13,11 +13,18 @@
 
 void FleetSize::onHeard(const std::string &name, TimePoint now) {
   SeenAt[name] = now;
+  IdleAt.erase(name);
   if (now - PrunedAt < KeepFor)
     return;
   PrunedAt = now;
   std::erase_if(SeenAt,
                 [&](const auto &it) { return now - it.second >= KeepFor; });
+  std::erase_if(IdleAt, [&](const auto &it) { return !isIdle(it.first, now); });
+}
+
+bool FleetSize::isIdle(const std::string &name, TimePoint now) const {
+  auto it = IdleAt.find(name);
+  return it != IdleAt.end() && now - it->second < ReportDelay;
 }
 
 void FleetSize::setListed(std::set<std::string> names, TimePoint now) {
@@ -42,3 +49,11 @@
       out.push_back(name);
   return out;
 }
+
+std::vector<std::string> FleetSize::othersWithCallers(Duration window,
+                                                      TimePoint now) const {
+  std::vector<std::string> out = others(window, now);
+  std::erase_if(out,
+                [&](const std::string &name) { return isIdle(name, now); });
+  return out;
+}
--- a/lib/Process/DirectFates.cpp
+++ b/lib/Process/DirectFates.cpp
@@ -35,6 +35,8 @@
 void DirectTraffic::takeReport(const LoadReport &report) {
   TimePoint now = monotonicNow();
   Node.setPeerLoad(report.Node, report.Loads, now);
+  if (report.IsIdle)
+    Node.onIdlePeer(report.Node, now);
   Node.mergeReplaced(report.Replaced, now);
   if (report.IsNew)
     Node.onPeerBegun(now);
--- a/lib/Process/DirectPushback.cpp
+++ b/lib/Process/DirectPushback.cpp
@@ -7,6 +7,11 @@
 #include "ospreyspur/Process/DirectTraffic.h"
 
 #include "ospreyspur/Process/PushbackLog.h"
+#include "ospreyspur/Support/LogEvent.h"
+
+#include <glog/logging.h>
+
+#include <utility>
 
 using namespace ospreyspur;
 
@@ -32,3 +37,12 @@
   logRests(Node.takeRestNotes(), nameOf,
            Node.closed().restingCount(monotonicNow()), Measures);
 }
+
+void DirectTraffic::logSharing() {
+  std::size_t sharing =
+      Node.rates().limitedCount() > 0 ? Node.rates().memberCount() : 0;
+  if (std::exchange(LoggedSharing, sharing) == sharing)
+    return;
+  Measures.set("entries_sharing_rates", double(sharing));
+  LOG(INFO) << LogEvent("rates.shared").with("entries", sharing);
+}
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -98,13 +98,15 @@
              [this](HttpExchange &it) { return handle(it); }),
       Loads(ioc, {[this] {
                     TimePoint now = monotonicNow();
+                    logSharing();
                     return LoadReport{Settings.Name,
                                       Node.book().ownLoads(now),
                                       Node.takeCrashReport(now),
                                       Node.takeReplacedReport(),
                                       Node.takeRateReport(now),
                                       Node.takeLeavingReport(),
-                                      Node.isNew(now)};
+                                      Node.isNew(now),
+                                      Node.isIdle(now)};
                   },
                   [this](const LoadReport &it) { takeReport(it); }}) {}
 
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -71,6 +71,7 @@
   for (LifeDigest it : report.Leaving)
     out.add_leaving(it.get());
   out.set_is_new(report.IsNew);
+  out.set_is_idle(report.IsIdle);
   return out.SerializeAsString();
 }
 
@@ -100,5 +101,6 @@
   for (int i = 0; i < std::min(in.leaving_size(), MaxLeaving); ++i)
     out.Leaving.emplace_back(in.leaving(i));
   out.IsNew = in.is_new();
+  out.IsIdle = in.is_idle();
   return out;
 }
--- a/unittests/Pushback/NeedyFleet.cpp
+++ b/unittests/Pushback/NeedyFleet.cpp
@@ -103,7 +103,8 @@
                  {},
                  node.takeRateReport(Time.now()),
                  node.takeLeavingReport(),
-                 node.isNew(Time.now())};
+                 node.isNew(Time.now()),
+                 node.isIdle(Time.now())};
   for (unsigned k = 0; k < Nodes.size(); ++k) {
     if (k == i || Time.now() < Nodes[i].CutUntil ||
         Time.now() < Nodes[k].CutUntil)
@@ -114,6 +115,8 @@
       LoadReport told = *decodeLoad(bytes);
       DirectNode &to = *Nodes[k].Node;
       to.setPeerLoad(told.Node, told.Loads, Time.now());
+      if (told.IsIdle)
+        to.onIdlePeer(told.Node, Time.now());
       if (told.IsNew)
         to.onPeerBegun(Time.now());
       take(k, to.onRateLimits(told.Rates, Time.now()));
@@ -127,8 +130,12 @@
   if (!due)
     return;
   TimePoint at = std::max(*due, Time.now() + Duration(1));
-  Time.at(at, [this, i, life] {
-    if (isAwake(i, life))
+  std::optional<TimePoint> &wakeAt = Nodes[i].WakeAt;
+  if (wakeAt && *wakeAt > Time.now() && *wakeAt <= at)
+    return;
+  wakeAt = at;
+  Time.at(at, [this, i, life, at] {
+    if (Nodes[i].WakeAt == at && isAwake(i, life))
       take(i, Nodes[i].Node->onTimer(Time.now()));
   });
 }
@@ -137,7 +144,7 @@
   Duration pause = Duration(seconds(1)) / Shape.RequestsPerSecond;
   Time.at(Time.now() + Duration(Time.below(2 * pause.count())),
           [this] { arrive(); });
-  auto i = unsigned(Time.below(Used));
+  auto i = unsigned((FirstUsed + Time.below(Used)) % Nodes.size());
   if (!isAwake(i, Nodes[i].Life))
     return;
   DirectRequest request;
--- a/unittests/Pushback/NeedyFleet.h
+++ b/unittests/Pushback/NeedyFleet.h
@@ -67,8 +67,11 @@
   void kill(unsigned entry);
   /// The store lists nobody to entries that begin, until it is back.
   void setStoreOut(Duration span);
-  /// Only \p n entries get requests from now on.
-  void useEntries(unsigned n) { Used = n; }
+  /// Only \p n entries, from \p first on, get requests from now on.
+  void useEntries(unsigned n, unsigned first = 0) {
+    Used = n;
+    FirstUsed = first;
+  }
 
   const std::vector<FleetArrival> &arrivals(unsigned endpoint) const {
     return Hosts[endpoint].Arrivals;
@@ -92,6 +95,8 @@
     unsigned Life = 0;
     TimePoint FrozenUntil;
     TimePoint CutUntil;
+    /// When the node's timer runs next.
+    std::optional<TimePoint> WakeAt;
     std::map<unsigned, TimePoint> HeardAt;
   };
   struct Pending {
@@ -126,6 +131,7 @@
   TimePoint StoreOutUntil;
   std::uint64_t LastCall = 0;
   unsigned Used = 0;
+  unsigned FirstUsed = 0;
 };
 
 } // namespace ospreyspur::test
--- a/unittests/Pushback/RateLimitFleetTest.cpp
+++ b/unittests/Pushback/RateLimitFleetTest.cpp
@@ -172,3 +172,64 @@
     CHECK(span * 3 >= returns[returns.size() / 2]);
   }
 }
+
+// Callers keep their connections, so entries that restarted have none for a
+// while. What such entries may send was lost to the callers of the others.
+TEST_CASE("entries without callers keep no part of a rate from the others") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    FleetShape shape;
+    NeedyFleet fleet(seed, shape);
+    fleet.useEntries(1);
+    fleet.run(seconds(5));
+    for (unsigned i = 0; i < shape.Endpoints; ++i)
+      fleet.name(i, 5);
+    fleet.run(seconds(2));
+    TimePoint from = fleet.now();
+    unsigned before = fleet.outcomes().Served;
+    fleet.run(seconds(10));
+    // Thirty a second.
+    CHECK(fleet.outcomes().Served - before >= 240);
+    for (unsigned i = 0; i < shape.Endpoints; ++i)
+      CHECK(fleet.mostWithin(i, Window, from, true) <= planned(5));
+  }
+}
+
+TEST_CASE("a rate that is named no more is noticed though its holders have no "
+          "callers") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    FleetShape shape;
+    NeedyFleet fleet(seed, shape);
+    fleet.useEntries(1);
+    fleet.run(seconds(5));
+    for (unsigned i = 0; i < shape.Endpoints; ++i)
+      fleet.name(i, 1);
+    fleet.run(seconds(3));
+    for (unsigned i = 0; i < shape.Endpoints; ++i)
+      fleet.name(i, std::nullopt);
+    fleet.run(seconds(3));
+    unsigned before = fleet.outcomes().Served;
+    fleet.run(seconds(1));
+    CHECK(fleet.outcomes().Served - before >= 90);
+  }
+}
+
+TEST_CASE("a rate holds while callers move from some entries to others") {
+  constexpr double Rate = 2;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    FleetShape shape;
+    NeedyFleet fleet(seed, shape);
+    fleet.useEntries(2);
+    fleet.run(seconds(3));
+    fleet.name(0, Rate);
+    TimePoint from = fleet.now() + SettleTime;
+    for (unsigned i = 0; i < 12; ++i) {
+      bool isCrowd = i % 3 == 2;
+      fleet.useEntries(isCrowd ? shape.Entries : 1 + i % 3, i * 7);
+      fleet.run(milliseconds(i % 2 == 0 ? 4500 : 1200));
+    }
+    CHECK(fleet.mostWithin(0, Window, from, true) <= allowed(Rate));
+  }
+}
