--- a/unittests/Pushback/RateLimitFleetTest.cpp
+++ b/unittests/Pushback/RateLimitFleetTest.cpp
@@ -233,3 +233,21 @@
     CHECK(fleet.mostWithin(0, Window, from, true) <= allowed(Rate));
   }
 }
+
+TEST_CASE("entries that are cut off take no part that another one left") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    FleetShape shape;
+    NeedyFleet fleet(seed, shape);
+    fleet.useEntries(1);
+    fleet.run(seconds(3));
+    fleet.name(0, 1);
+    fleet.run(seconds(5));
+    TimePoint from = fleet.now();
+    for (unsigned i = 0; i < shape.Entries; ++i)
+      fleet.cut(i, seconds(30));
+    fleet.useEntries(shape.Entries);
+    fleet.run(seconds(30));
+    CHECK(fleet.mostWithin(0, Window, from, true) <= allowed(1));
+  }
+}
