Start platform roles with as few gRPC threads as they need

Cause: gRPC sizes its pools by the cores of the machine and has no setting for it.

Ruled out: gRPC instead of its pools (a few control messages a second are what it is for); an environment variable (this version of gRPC reads none for it).

Change: the roles direct and rank define the number of cores that gRPC assumes as one. The other roles keep the pools, as all of their traffic uses gRPC.

--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -10,6 +10,7 @@
 #include "ospreyspur/Process/LogWriter.h"
 #include "ospreyspur/Process/OperatorClient.h"
 #include "ospreyspur/Process/Roles.h"
+#include "ospreyspur/Rpc/GrpcThreads.h"
 
 #include <boost/algorithm/string/trim.hpp>
 #include <glog/logging.h>
@@ -102,6 +103,8 @@
 }
 
 static int runOnPlatform(const std::string &role, const std::string &path) {
+  // Only control messages use gRPC in these roles.
+  setGrpcCores(1);
   if (role == "direct") {
     auto settings = loadSettings(path, readDirectSettings);
     return settings ? exitStatus(runDirect(*settings)) : 1;
