A request whose run failed is not reported as not run

Cause: AttemptEnd::Failed did not set MayHaveRun. A failed response followed by a refusal as full on the last attempt ended the call with 2002 "not run", though it had run; a once-only stream that had begun and then failed could even be sent again.

Change: a failed response sets MayHaveRun, and where no other endpoint takes the request, its caller gets that response, which tells more than an error of ours.

Tests: DirectNodeTest, three cases. By reading the code before the change: the first ended with QueueFull, the second with NoEndpoint, the third waited for another endpoint.

--- a/include/ospreyspur/Direct/CallState.h
+++ b/include/ospreyspur/Direct/CallState.h
@@ -53,8 +53,11 @@
   /// Whether an endpoint rejected the request as full. The next attempt then
   /// only goes to an endpoint that is known to serve.
   bool WasRejected = false;
-  /// Whether the outcome of an attempt that was sent is unknown.
+  /// Whether an attempt ran, or was sent and has an unknown outcome.
   bool MayHaveRun = false;
+  /// Whether an endpoint responded that its run failed. The response is kept
+  /// for the caller.
+  bool HasFailedResponse = false;
   /// Earliest start time of a suspect request with more than one crash, drawn
   /// at random once an endpoint is available to it. It is reset when no
   /// endpoint is available or the call must be deferred.
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -156,6 +156,8 @@
     break;
   case AttemptEnd::Failed:
     if (startNext(call, now) ||
+    call.MayHaveRun = true;
+    call.HasFailedResponse = true;
         (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now)))
       break;
     if (call.HasBegun && mayAttempt(call, now)) {
@@ -359,9 +361,15 @@
     end(call, reason, Duration::zero());
 }
 
-/// Ends \p call. The result is "not run" only if no attempt may have run.
+/// Ends \p call. The result is "not run" only if no attempt may have run. A
+/// failed response that an endpoint gave tells the caller more than any other
+/// result.
 void DirectNode::endNotRun(CallState &call, ResultCode code, TimePoint now) {
-  if (call.MayHaveRun)
+  if (call.HasFailedResponse) {
+    releaseNext(call);
+    Waiting.erase({call.Request.Priority, call.Arrived, call.Request.Id});
+    Out.emplace_back(ForwardResponse{call.Request.Id});
+  } else if (call.MayHaveRun)
     end(call, ResultCode::ContactLost, Duration::zero());
   else if (ResultCode cause = pushbackReason(call, now);
            cause != ResultCode::Ok)
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -90,6 +90,36 @@
   CHECK((describe(codeOf(last)).Kind == Outcome::Unknown));
 }
 
+// Guards against refusals after a run that failed: the caller would take the
+// request for one that never ran.
+TEST_CASE("a request whose run failed gets the failed response if no other "
+          "endpoint takes it") {
+  NodeFixture fixture(3, makeRoute(RequestKind::Repeatable, 2));
+  REQUIRE(only<StartAttempt>(fixture.call(1)));
+  REQUIRE(only<StartAttempt>(fixture.end(1, AttemptEnd::Failed)));
+  DirectActions last = fixture.end(1, AttemptEnd::Full);
+  CHECK(only<ForwardResponse>(last));
+  CHECK(fixture.Node.waitingCount() == 0);
+}
+
+TEST_CASE("a request whose run failed and that waits for another endpoint gets "
+          "the failed response when its wait ends") {
+  NodeFixture fixture(3, makeRoute(RequestKind::Repeatable, 3));
+  REQUIRE(only<StartAttempt>(fixture.call(1)));
+  REQUIRE(only<StartAttempt>(fixture.end(1, AttemptEnd::Failed)));
+  REQUIRE(fixture.end(1, AttemptEnd::Full).empty());
+  fixture.Now += std::chrono::seconds(2);
+  CHECK(only<ForwardResponse>(fixture.Node.onTimer(fixture.Now)));
+  CHECK(fixture.Node.waitingCount() == 0);
+}
+
+TEST_CASE("a once-only stream whose run failed is not sent again") {
+  NodeFixture fixture(3, makeRoute(RequestKind::Stream, 2, false));
+  REQUIRE(only<StartAttempt>(fixture.call(1)));
+  fixture.Node.onFirstByte(CallId(1), fixture.Now);
+  CHECK(only<ForwardResponse>(fixture.end(1, AttemptEnd::Failed)));
+}
+
 TEST_CASE("a failed connection does not count as an attempt") {
   NodeFixture fixture(3, makeRoute(RequestKind::OnceOnly, 1));
   REQUIRE(only<StartAttempt>(fixture.call(1)));
