Stop sending to the data centres that operators drain

Cause: nothing read the operators' drains.

Change: one watch covers all keys that operators write. The configuration and the drained data centres are one shared value with one revision, so entries that the store turns away or that start during its outage get it from their peers, and an older one never replaces a newer one. Streams that run there end by themselves.

The log has drain.in_force and drain.ended with revision, age and source.

--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -12,6 +12,7 @@
 
 #include "ospreyspur/Config/GossipNode.h"
 #include "ospreyspur/Config/Settings.h"
+#include "ospreyspur/Control/ConfigReader.h"
 #include "ospreyspur/Control/ListReader.h"
 #include "ospreyspur/Control/QuarantineSync.h"
 #include "ospreyspur/Direct/EndpointList.h"
@@ -23,6 +24,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,6 +91,7 @@
 
   boost::asio::io_context &Context;
   const DirectSettings &Settings;
+  void setDrained(std::set<DataCentreId> drained);
   Handler OnSnapshot;
   PlatformClient Platform;
   ListReader Reader;
@@ -98,12 +102,18 @@
   EndpointList Endpoints;
   std::shared_ptr<const FleetConfig> Config;
   bool HasEndpoints = false;
+  ConfigReader ConfigSource;
   bool HasPublished = false;
   NodeTimer Timer;
   NodeTimer RegistryTimer;
   NodeTimer ListTimer;
   PeerServer Server;
   PeerLinks Peers;
+  std::set<DataCentreId> Drained;
+  /// Where the latest change of a shared value came from, for the log.
+  std::string ChangeSource;
+  /// The number of other entries in the last logged subset.
+  std::optional<std::size_t> LoggedSharing;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -217,7 +217,8 @@
   void onLimitsChanged(TimePoint now);
   bool isInBackoff(const EndpointId &id, TimePoint now) const;
   bool isExcluded(const EndpointState &state, TimePoint now) const {
-    return state.Record.IsLeaving || Excluded.isLeaving(state.Incarnation) ||
+    return state.Record.IsLeaving || state.IsDrained ||
+           Excluded.isLeaving(state.Incarnation) ||
            Excluded.isInBackoff(state.Incarnation, now);
   }
   bool mayQuery(const EndpointState &state, TimePoint now);
@@ -241,6 +242,10 @@
                     TimePoint now);
   void retry(CallState &call, ResultCode reason, TimePoint now);
   bool mayAttempt(const CallState &call, TimePoint now) const;
+  bool hasExclusions() const {
+    return Rates.limitedCount() > 0 || !Excluded.isEmpty() ||
+           Table.hasDrained();
+  }
   bool tryMigrate(CallState &call, StopReason reason, TimePoint now);
   bool startNext(CallState &call, TimePoint now);
   void releaseNext(CallState &call);
--- a/include/ospreyspur/Direct/EndpointList.h
+++ b/include/ospreyspur/Direct/EndpointList.h
@@ -24,6 +24,11 @@
   EndpointRecord Record;
   /// Whether the endpoint's record has vanished and may come back.
   bool IsMissing = false;
+  /// Whether operators drain the endpoint's data centre.
+  bool IsDrained = false;
+  /// Whether the endpoint is outside of this entry's subset; see
+  /// EndpointSubset.
+  bool IsOutside = false;
 };
 
 /// The set of known endpoints.
--- a/include/ospreyspur/Direct/EndpointTable.h
+++ b/include/ospreyspur/Direct/EndpointTable.h
@@ -43,6 +43,10 @@
   IncarnationDigest Incarnation;
   bool IsMissing = false;
   /// Number of this entry's requests at the endpoint.
+  /// Whether operators drain the endpoint's data centre.
+  bool IsDrained = false;
+  /// Whether the endpoint is outside of the entry's subset; see EndpointSubset.
+  bool IsOutside = false;
   unsigned OwnRequests = 0;
   /// Pending prompt tokens: those of this entry's requests without a first
   /// byte.
@@ -212,6 +216,12 @@
     return now - state.SlowdownAt < 2 * SlowdownInterval ? state.Slowdown : 1;
   }
   /// Returns this entry's load, for reports to the other entries.
+  /// Whether any endpoint's data centre is being drained.
+  bool hasDrained() const { return HasDrained; }
+  /// Whether any endpoint is outside of the entry's subset.
+  bool hasOutside() const { return HasOutside; }
+  /// Returns the endpoints of \p service, ordered by id.
+  std::vector<const EndpointState *> statesOf(const ServiceId &service) const;
   std::vector<EndpointLoad> ownLoads(TimePoint now) const;
   /// Returns the number of other entries that reported recently.
   std::size_t livePeers(TimePoint now) const;
@@ -229,7 +239,19 @@
   Duration queryInterval(TimePoint now) const;
 
   std::map<EndpointId, EndpointState> States;
-  std::map<std::string, PeerLoad> Peers;
+  bool HasDrained = false;
+  bool HasOutside = false;
+  /// Indexes of \c States. Pointers to elements of a map stay valid.
+  std::unordered_map<ServiceId, std::vector<const EndpointState *>> Services;
+  std::unordered_map<IncarnationDigest, const EndpointState *> Incarnations;
+  std::map<GroupGaps::Key, std::vector<EndpointState *>> Groups;
+  /// The endpoints that must report, by id.
+  std::map<EndpointId, EndpointState *> Closed;
+  TimePoint OutsideWantedUntil;
+  TimePoint OutsideQueryAt;
+  /// The latest report of each entry, the oldest first.
+  std::list<PeerLoad> PeerLoads;
+  std::unordered_map<std::string, std::list<PeerLoad>::iterator> Peers;
   GroupGaps Gaps;
 };
 
--- a/include/ospreyspur/Direct/WaitLogRecord.h
+++ b/include/ospreyspur/Direct/WaitLogRecord.h
@@ -39,12 +39,14 @@
   RateLimited,
   /// The endpoint asked for a backoff that has not ended.
   Resting,
+  /// Operators drain the endpoint's data centre.
+  Drained,
 };
 
 /// The names of the obstacles in the log, in the order of Obstacle.
-inline constexpr std::array<std::string_view, 9> ObstacleNames = {
-    "usable",   "leaving", "tried",        "closed", "unproven",
-    "too_slow", "full",    "rate_limited", "resting"};
+inline constexpr std::array<std::string_view, 10> ObstacleNames = {
+    "usable",   "leaving", "tried",        "closed",  "unproven",
+    "too_slow", "full",    "rate_limited", "resting", "drained"};
 
 /// Number of endpoints with each obstacle.
 using ObstacleCounts = std::array<unsigned, ObstacleNames.size()>;
--- /dev/null
+++ b/lib/Control/ConfigReader.cpp
@@ -0,0 +1,67 @@
+//===- ConfigReader.cpp - the operators' values as one value --------------===//
+//
+// See ConfigReader.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Control/ConfigReader.h"
+
+#include "ospreyspur/Config/KeyFollower.h"
+#include "platform/ConfigWire.h"
+
+#include <algorithm>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+
+asio::awaitable<KvReply> ConfigReader::ask(const KeyFollower &copy,
+                                           Duration wait, Duration timeout) {
+  // A value from a peer reflects all changes up to its revision.
+  if (copy.revision() > SeenAt)
+    if (Result<OperatorState> state = parseOperatorState(copy.value())) {
+      State = std::move(state.value());
+      SeenAt = copy.revision();
+    }
+  if (SeenAt.get() == 0)
+    co_return co_await readAll(timeout);
+  KvCall watch = KvWatchList{platform::OperatorKeyPrefix, SeenAt, wait};
+  KvReply page = co_await Platform.ask(std::move(watch), timeout);
+  if (page.Code == ResultCode::PlatformHistoryGone)
+    co_return co_await readAll(timeout);
+  if (page.Code != ResultCode::Ok)
+    co_return page;
+  OperatorState before = State;
+  Revision last;
+  for (const KvItem &it : page.Items) {
+    platform::applyOperatorItem(it, State);
+    last = std::max(last, it.At);
+  }
+  SeenAt = std::max(SeenAt, page.SeenAt);
+  co_return makeReply(State != before, last);
+}
+
+asio::awaitable<KvReply> ConfigReader::readAll(Duration timeout) {
+  KvCall call = KvList{platform::OperatorKeyPrefix, false};
+  KvReply list = co_await Platform.ask(std::move(call), timeout);
+  if (list.Code != ResultCode::Ok)
+    co_return list;
+  OperatorState before = std::exchange(State, {});
+  for (const KvItem &it : list.Items)
+    platform::applyOperatorItem(it, State);
+  SeenAt = list.SeenAt;
+  // A removed key leaves no revision behind, so the value counts as of the
+  // read.
+  co_return makeReply(State != before, list.SeenAt);
+}
+
+KvReply ConfigReader::makeReply(bool hasChanged, Revision at) const {
+  KvReply reply;
+  reply.SeenAt = SeenAt;
+  if (!hasChanged || State.Config.empty()) {
+    reply.Code = ResultCode::NotFound;
+    return reply;
+  }
+  reply.At = at;
+  reply.Value = formatOperatorState(State);
+  return reply;
+}
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -61,7 +61,7 @@
                              Handler onSnapshot)
     : Context(ioc), Settings(settings), OnSnapshot(std::move(onSnapshot)),
       Platform(ioc, parseAddress(settings.PlatformAddress).value()),
-      Reader(Platform),
+      Reader(Platform), ConfigSource(Platform),
       Node(makeIdentity(settings), makeDirectGossipLimits(), seed),
       Registry({settings.Name, DataCentreId(settings.DataCentre),
                 settings.LinkListen, settings.loadListen()}),
@@ -160,13 +160,16 @@
   auto onReply = [this, id](const KvReply &reply) {
     apply(Node.onKvReply(id, reply, monotonicNow()));
   };
+    ChangeSource = "store";
   const auto &watch = std::get<KvWatch>(action.Request.Call);
-  if (watch.Key != platform::EndpointKeyPrefix) {
-    Platform.call(watch, CallTimeout, onReply);
-    return;
-  }
-  auto ask = [this, wait = watch.Wait, onReply]() -> asio::awaitable<void> {
-    onReply(co_await Reader.ask(wait, CallTimeout));
+  bool isList = watch.Key == platform::EndpointKeyPrefix;
+  auto ask = [this, isList, wait = watch.Wait,
+              onReply]() -> asio::awaitable<void> {
+    if (isList)
+      onReply(co_await Reader.ask(wait, CallTimeout));
+    else
+      onReply(co_await ConfigSource.ask(Node.copy(SharedKey::Config), wait,
+                                        CallTimeout));
   };
   // The captures of a coroutine lambda are destroyed with the lambda, so the
   // lambda is kept alive until the coroutine ends.
@@ -185,6 +188,7 @@
   TimePoint now = monotonicNow();
   if (const auto *digest = std::get_if<GossipDigest>(&message))
     apply(Node.onMessage(from, *digest, now));
+  ChangeSource = "subscriber";
   else if (const auto *update = std::get_if<GossipUpdate>(&message))
     apply(Node.onMessage(from, *update, now));
 }
@@ -194,6 +198,7 @@
   TimePoint now = monotonicNow();
   if (const auto *digest = std::get_if<GossipDigest>(&message))
     apply(Node.onPeerReply(from, *digest, now));
+  ChangeSource = from.get();
   else if (const auto *update = std::get_if<GossipUpdate>(&message))
     apply(Node.onPeerReply(from, *update, now));
 }
@@ -223,12 +228,22 @@
 
 void DirectControl::applyConfig() {
   const KeyFollower &copy = Node.copy(SharedKey::Config);
-  Result<FleetConfig> config = platform::readConfig(copy.value());
-  if (!config) {
+  auto logUnreadable = [&copy](const Error &error) {
     LOG(ERROR) << LogEvent("config.unreadable")
                       .with("revision", copy.revision().get())
-                      .with("code", static_cast<unsigned>(config.error().Code))
-                      .with("detail", config.error().Detail);
+                      .with("code", static_cast<unsigned>(error.Code))
+                      .with("detail", error.Detail);
+  };
+  Result<OperatorState> state = parseOperatorState(copy.value());
+  if (!state) {
+    logUnreadable(state.error());
+    return;
+  }
+  setDrained(std::move(state.value().Drained));
+  Result<FleetConfig> config = platform::readConfig(state.value().Config);
+  if (!config) {
+    logUnreadable(config.error());
+    publish();
     return;
   }
   Config = std::make_shared<const FleetConfig>(std::move(config.value()));
@@ -241,6 +256,26 @@
 
 void DirectControl::applyEndpoints() {
   const KeyFollower &copy = Node.copy(SharedKey::Hosts);
+/// Logs one line for each data centre whose drain begins or ends.
+void DirectControl::setDrained(std::set<DataCentreId> drained) {
+  const KeyFollower &copy = Node.copy(SharedKey::Config);
+  auto log = [this, &copy](const char *event, const DataCentreId &dataCentre) {
+    LOG(INFO) << LogEvent(event)
+                     .with("data_centre", dataCentre.get())
+                     .with("revision", copy.revision().get())
+                     .with("age_ms",
+                           toMillis(monotonicNow() - copy.confirmedAt()))
+                     .with("from", ChangeSource);
+  };
+  for (const DataCentreId &it : drained)
+    if (!Drained.contains(it))
+      log("drain.in_force", it);
+  for (const DataCentreId &it : Drained)
+    if (!drained.contains(it))
+      log("drain.ended", it);
+  Drained = std::move(drained);
+}
+
   Result<std::vector<EndpointRecord>> records = parseEndpoints(copy.value());
   if (!records) {
     LOG(ERROR) << LogEvent("endpoints.unreadable")
@@ -269,3 +304,5 @@
   HasPublished = true;
   OnSnapshot(std::move(snapshot));
 }
+  for (ListedEndpoint &it : snapshot->Endpoints)
+    it.IsDrained = Drained.contains(it.Record.DataCentre);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -214,6 +214,7 @@
 }
 
 std::optional<TimePoint> DirectNode::nextTimer() const {
+  endUnservable(now);
   std::optional<TimePoint> next = Table.nextStatusQuery();
   auto include = [&next](std::optional<TimePoint> due) {
     if (due && (!next || *due < *next))
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -140,8 +140,7 @@
 /// Ok.
 ResultCode DirectNode::pushbackReason(const CallState &call,
                                       TimePoint now) const {
-  bool hasNoPushback = Rates.limitedCount() == 0 && Excluded.isEmpty();
-  if (hasNoPushback || call.HasBegun)
+  if (!hasExclusions() || call.HasBegun)
     return ResultCode::Ok;
   ObstacleCounts counts = Picker.countObstacles(call, now);
   auto countOf = [&](Obstacle it) {
@@ -154,7 +153,9 @@
     return ResultCode::Ok;
   if (countOf(Obstacle::RateLimited) > 0)
     return ResultCode::RateLimited;
-  return countOf(Obstacle::Resting) > 0 ? ResultCode::EndpointsResting
+  if (countOf(Obstacle::Resting) > 0)
+    return ResultCode::EndpointsResting;
+  return countOf(Obstacle::Drained) > 0 ? ResultCode::DataCentreDrained
                                         : ResultCode::Ok;
 }
 
@@ -167,7 +168,8 @@
   TimePoint until = call.waitLimit();
   double capacity = 0;
   for (const EndpointState *it : Picker.statesOf(call.Service)) {
-    bool isOut = it->Record.IsLeaving || Excluded.isLeaving(it->Incarnation) ||
+    bool isOut = it->Record.IsLeaving || it->IsDrained ||
+                 Excluded.isLeaving(it->Incarnation) ||
                  Excluded.backoffUntil(it->Incarnation) >= until;
     if (isOut || call.Tried.contains(it->Record.Id))
       continue;
@@ -183,7 +185,7 @@
 /// Ends the waiting calls that cannot be served in time, the last in the queue
 /// first.
 void DirectNode::endUnservable(TimePoint now) {
-  if (Rates.limitedCount() == 0 && Excluded.isEmpty())
+  if (!hasExclusions())
     return;
   std::vector<CallId> waiting;
   for (const auto &[priority, arrived, id] : Waiting)
@@ -269,3 +271,6 @@
                                                       most.count());
   return Duration(spread(Random));
 }
+  // Nothing tells how long a drain lasts.
+  if (!first && Table.hasDrained())
+    return drawUniform(MaxRetryAfter / 2, MaxRetryAfter);
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -127,6 +127,8 @@
   if (now < state.FullUntil || now < state.ReplacedUntil || state.MustReport)
     return Obstacle::Closed;
   // A rejection does not count as an attempt of a stream that has begun.
+  if (state.IsDrained)
+    return Obstacle::Drained;
   if (call.WasRejected && !call.HasBegun &&
       now - state.KnownServingAt > Limits.KnownServingTime)
     return Obstacle::NotKnownToServe;
--- a/lib/Direct/EndpointTable.cpp
+++ b/lib/Direct/EndpointTable.cpp
@@ -23,6 +23,8 @@
 void EndpointTable::setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
   std::set<EndpointId> present;
   for (const ListedEndpoint &it : endpoints) {
+  HasDrained = false;
+  HasOutside = false;
     auto [at, isNew] = States.try_emplace(it.Record.Id);
     EndpointState &state = at->second;
     // A group that is being formed would reject requests, and each rejection
@@ -36,6 +38,10 @@
     present.insert(it.Record.Id);
   }
   for (auto it = States.begin(); it != States.end();) {
+    state.IsDrained = it.IsDrained;
+    HasDrained = HasDrained || it.IsDrained;
+    state.IsOutside = it.IsOutside;
+    HasOutside = HasOutside || it.IsOutside;
     bool isGone = !present.contains(it->first);
     it->second.Record.IsLeaving = it->second.Record.IsLeaving || isGone;
     bool isIdle = it->second.OwnRequests == 0;
