Divide what a cold endpoint bears among the entries

Cause: nothing bounded what a cold endpoint gets from all entries together; its record says how long it stays cold and the configuration how many requests a second it bears, and neither was read.

Change: ColdEndpoints keeps the cold endpoints by incarnation and gives each half of its rate through RateLimits, the same sharing by rendezvous hashing as for rates that endpoints advertise. The other half covers the first token of each sharing entry, and entries whose views of the fleet differ for a moment. Where the record may be out of date (a drain has just ended; a new endpoint's record does not say), the endpoint counts as cold for the service's cold time. Cold endpoints and new ones in their first three seconds are a last choice.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -42,6 +42,10 @@
   void setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
     Table.setEndpoints(endpoints);
   }
+  /// Takes the endpoint list of setEndpoints() to find the cold endpoints of
+  /// services that state what such endpoints bear.
+  void setColdEndpoints(const std::vector<ListedEndpoint> &endpoints,
+                        const FleetConfig &config, TimePoint now);
   void setPeerLoad(const std::string &peer,
                    const std::vector<EndpointLoad> &loads, TimePoint now) {
     Fleet.onReport(peer, now);
@@ -173,6 +177,11 @@
     return Excluded.takeLeavingLogRecords();
   }
 
+  /// Returns the endpoints that became cold since the last call, and for how
+  /// long each stays cold, for the log.
+  std::vector<std::pair<IncarnationDigest, Duration>> takeColdLogRecords() {
+    return Cold.takeLogRecords();
+  }
   // Queries.
 
   std::optional<TimePoint> nextTimer() const;
@@ -233,6 +242,14 @@
   void wait(const CallState &call, TimePoint now);
   void recordWait(const CallState &call, TimePoint now);
   bool tryStart(CallState &call, TimePoint now);
+  bool isLimited(const EndpointState &state) const {
+    return Rates.isLimited(state.Incarnation) || Cold.isCold(state.Incarnation);
+  }
+  bool takeTokens(const EndpointState &state, TimePoint now);
+  bool hasExclusions() const {
+    return Rates.limitedCount() > 0 || !Excluded.isEmpty() ||
+           Table.hasDrained();
+  }
   void recordFirstByte(const CallState &call, TimePoint now);
   Duration allowedSilence(const CallState &call) const;
   void sendStatusQueries(TimePoint now);
@@ -272,6 +289,7 @@
   /// When onTimer() last ran. Everything due by then has been handled.
   TimePoint LastTimer;
   EndpointPicker Picker;
+  ColdEndpoints Cold;
   RetryWindow Retries;
   FleetSize Fleet;
   /// Whether the shared retry allowance must not be used before the store has
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -10,6 +10,7 @@
 
 #include "ospreyspur/Direct/ArrivalRate.h"
 #include "ospreyspur/Direct/CallState.h"
+#include "ospreyspur/Direct/ColdEndpoints.h"
 #include "ospreyspur/Direct/DirectLimits.h"
 #include "ospreyspur/Direct/EndpointTable.h"
 #include "ospreyspur/Direct/WaitLogRecord.h"
@@ -30,10 +31,11 @@
   /// Keeps references to all arguments. \p random breaks ties.
   EndpointPicker(const EndpointTable &table, const DirectLimits &limits,
                  const DataCentreId &dataCentre, const ArrivalRate &arrivals,
-                 const RateLimits &rates, const ExcludedEndpoints &excluded,
-                 std::mt19937_64 &random)
+                 const RateLimits &rates, const ColdEndpoints &cold,
+                 const ExcludedEndpoints &excluded, std::mt19937_64 &random)
       : Table(table), Limits(limits), DataCentre(dataCentre),
-        Arrivals(arrivals), Rates(rates), Excluded(excluded), Random(random) {}
+        Arrivals(arrivals), Rates(rates), Cold(cold), Excluded(excluded),
+        Random(random) {}
 
   /// Returns the endpoint for \p call; null if none has capacity for it.
   const EndpointState *pick(const CallState &call, TimePoint now) const;
@@ -80,4 +82,5 @@
 
 } // namespace ospreyspur
 
+  const ColdEndpoints &Cold;
 #endif // OSPREYSPUR_DIRECT_ENDPOINTPICKER_H
--- a/include/ospreyspur/Direct/EndpointRecord.h
+++ b/include/ospreyspur/Direct/EndpointRecord.h
@@ -9,6 +9,9 @@
 
 #include "ospreyspur/Support/Address.h"
 #include "ospreyspur/Support/Ids.h"
+#include "ospreyspur/Support/Time.h"
+
+#include <optional>
 
 namespace ospreyspur {
 
@@ -46,6 +49,9 @@
   /// address the later one is valid: the endpoint of the earlier one has exited
   /// without removing its record.
   Revision ListedAt = Revision(0);
+  /// How much longer the endpoint was cold when it wrote the record; unset if
+  /// it did not say.
+  std::optional<Duration> ColdLeft;
 
   friend bool operator==(const EndpointRecord &,
                          const EndpointRecord &) = default;
--- a/include/ospreyspur/Direct/FleetConfig.h
+++ b/include/ospreyspur/Direct/FleetConfig.h
@@ -105,6 +105,11 @@
   /// together.
   std::size_t MaxConnections = 100;
   std::optional<EngineCosts> Engine;
+  /// How long an endpoint stays cold after its start, and how many requests per
+  /// second a cold endpoint bears from all entries together; zero if its
+  /// endpoints are never cold.
+  Duration ColdTime{};
+  double ColdRequestsPerSecond = 0;
 };
 
 /// A workspace, looked up by key.
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -81,6 +81,7 @@
   void logWaits();
   void logPushback();
   void logSharing();
+  void logColdEndpoints();
   static void logEarlyClose(const DirectCall &call, const StartAttempt &order,
                             AttemptEnd end, Duration ran);
   void logCrashes();
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -18,6 +18,7 @@
 #include <glog/logging.h>
 
 #include <utility>
+#include <algorithm>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
--- a/lib/Direct/DirectMigrations.cpp
+++ b/lib/Direct/DirectMigrations.cpp
@@ -41,7 +41,7 @@
 /// Otherwise many streams would be stopped for the same slot, and those that
 /// find the slot taken would be ended.
 bool DirectNode::tryMigrate(CallState &call, StopReason reason, TimePoint now) {
-  if (!Rates.isEmpty())
+  if (!Rates.isEmpty() || !Cold.isEmpty())
     refreshMembers(now);
   const RouteRule &route = *call.Request.Route;
   std::size_t entries = countSharingEntries(now);
@@ -54,8 +54,8 @@
   if (!state || Picker.isLastChoice(*state, now))
     return false;
   Retries.spend(call.Service, entries, now);
-  call.IsNextCharged = Rates.isLimited(state->Incarnation);
-  Rates.take(state->Incarnation, now);
+  call.IsNextCharged = isLimited(*state);
+  takeTokens(*state, now);
   call.Next = state->Record;
   call.IsStopping = true;
   Table.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -23,8 +23,8 @@
 DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
                        std::uint64_t seed, std::string name)
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
-      Name(std::move(name)),
-      Picker(Table, Limits, DataCentre, Arrivals, Rates, Excluded, Random),
+      Name(std::move(name)), Picker(Table, Limits, DataCentre, Arrivals, Rates,
+                                    Cold, Excluded, Random),
       Retries(limits.Retries) {}
 
 static Duration partOf(Duration whole, double part) {
@@ -203,6 +203,8 @@
   Table.clearExpiredFull(now);
   evaluateCrashes(now);
   sendStatusQueries(now);
+  if (!Cold.isEmpty())
+    Cold.onTimer(now);
   startWaiting(now);
   std::vector<CallId> late;
   for (const auto &[priority, arrived, id] : Waiting)
@@ -223,6 +225,7 @@
   include(Crashes.nextVerdictAt());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).waitLimit());
+  include(Cold.nextTimer());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).CopyStartAt);
   if (!Waiting.empty()) {
@@ -230,6 +233,7 @@
     include(Rates.nextCapacityAt(LastTimer));
     include(Excluded.nextBackoffEnd(LastTimer));
   }
+    include(Cold.nextCapacityAt(LastTimer));
   return next;
 }
 
@@ -266,7 +270,7 @@
 }
 
 bool DirectNode::tryStart(CallState &call, TimePoint now) {
-  if (!Rates.isEmpty())
+  if (!Rates.isEmpty() || !Cold.isEmpty())
     refreshMembers(now);
   if (mustDefer(call, now)) {
     call.CopyStartAt.reset();
@@ -279,8 +283,8 @@
   bool isRetry = call.Sends > 0;
   if (isRetry && !Retries.spend(call.Service, countSharingEntries(now), now))
     return false;
-  call.IsCharged = Rates.isLimited(state->Incarnation);
-  Rates.take(state->Incarnation, now);
+  call.IsCharged = isLimited(*state);
+  takeTokens(*state, now);
   Table.onStarted(state->Record.Id, call.Request.Tokens.Prompt);
   startAttempt(call, state->Record, now);
   return true;
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -44,9 +44,33 @@
     members.Others.push_back(digest64(it));
   Rates.setMembers(std::move(members), now);
 }
+  }
+  if (!Cold.isEmpty())
+    Cold.setMembers(members, now);
 
 bool DirectNode::isIdle(TimePoint now) const {
   return Calls.empty() && (!LastCallAt || now - *LastCallAt >= IdleAfter);
+void DirectNode::setColdEndpoints(const std::vector<ListedEndpoint> &endpoints,
+                                  const FleetConfig &config, TimePoint now) {
+  bool wasEmpty = Cold.isEmpty();
+  Cold.setEndpoints(endpoints, config, now);
+  if (wasEmpty && !Cold.isEmpty()) {
+    MembersAt.reset();
+    refreshMembers(now);
+  }
+}
+
+/// Takes a token from each limit of the endpoint, or from none. Returns false
+/// if one of the limits leaves this entry none now.
+bool DirectNode::takeTokens(const EndpointState &state, TimePoint now) {
+  if ((state.IsOutside && isLimited(state)) ||
+      !Rates.hasCapacity(state.Incarnation, now) ||
+      !Cold.hasCapacity(state.Incarnation, now))
+    return false;
+  Cold.take(state.Incarnation, now);
+  return Rates.take(state.Incarnation, now);
+}
+
 }
 
 bool DirectNode::isNew(TimePoint now) const {
@@ -120,8 +144,8 @@
     return false;
   if (!state || call.IsCharged)
     return true;
-  call.IsCharged = Rates.isLimited(state->Incarnation);
-  return Rates.take(state->Incarnation, now);
+  call.IsCharged = isLimited(*state);
+  return takeTokens(*state, now);
 }
 
 std::size_t DirectNode::waitingFor(const ServiceId &service) const {
--- a/lib/Direct/DirectStatusQueries.cpp
+++ b/lib/Direct/DirectStatusQueries.cpp
@@ -35,7 +35,7 @@
 /// Whether a status query may be sent to the endpoint. A query counts toward
 /// the endpoint's limits like a request.
 bool DirectNode::mayQuery(const EndpointState &state, TimePoint now) {
-  if (isExcluded(state, now))
+  if (isExcluded(state, now) || (state.IsOutside && isLimited(state)))
     return false;
   if (!Rates.isEmpty())
     refreshMembers(now);
--- a/lib/Direct/EndpointDocument.cpp
+++ b/lib/Direct/EndpointDocument.cpp
@@ -17,15 +17,18 @@
   for (const EndpointRecord &it : endpoints) {
     std::string address = it.Address.address().to_string() + ":" +
                           std::to_string(it.Address.port());
-    out.push_back(json::object{{"name", it.Name},
-                               {"life", it.Incarnation.get()},
-                               {"service", it.Service.get()},
-                               {"address", address},
-                               {"data_centre", it.DataCentre.get()},
-                               {"slots", it.Slots},
-                               {"leaving", it.IsLeaving},
-                               {"tells_state", it.AnswersStatusQueries},
-                               {"revision", it.ListedAt.get()}});
+    json::object record{{"name", it.Name},
+                        {"life", it.Incarnation.get()},
+                        {"service", it.Service.get()},
+                        {"address", address},
+                        {"data_centre", it.DataCentre.get()},
+                        {"slots", it.Slots},
+                        {"leaving", it.IsLeaving},
+                        {"tells_state", it.AnswersStatusQueries},
+                        {"revision", it.ListedAt.get()}};
+    if (it.ColdLeft)
+      record["cold_left_us"] = it.ColdLeft->count();
+    out.push_back(std::move(record));
   }
   return json::serialize(out);
 }
@@ -56,6 +59,9 @@
                  "an endpoint lacks its address or state"};
   std::string name = textOf(in, "name");
   EndpointIncarnation incarnation(numberOf(in, "life"));
+  std::optional<Duration> coldLeft;
+  if (in.contains("cold_left_us"))
+    coldLeft = Duration(numberOf(in, "cold_left_us"));
   return EndpointRecord{makeEndpointId(name, incarnation),
                         name,
                         incarnation,
@@ -65,7 +71,8 @@
                         static_cast<unsigned>(numberOf(in, "slots")),
                         leaving->get_bool(),
                         flagOf(in, "tells_state", false),
-                        Revision(numberOf(in, "revision"))};
+                        Revision(numberOf(in, "revision")),
+                        coldLeft};
 }
 
 Result<std::vector<EndpointRecord>>
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -118,6 +118,7 @@
 Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
                                     const CallState &call,
                                     TimePoint now) const {
+         Cold.isNew(state.Incarnation, now) ||
   if (state.Record.IsLeaving || Excluded.isLeaving(state.Incarnation))
     return Obstacle::Leaving;
   if (call.Tried.contains(state.Record.Id))
@@ -144,8 +145,14 @@
                 limit / EndpointTable::slowdownOf(state, now);
   if (isFull)
     return Obstacle::Full;
-  return Rates.hasCapacity(state.Incarnation, now) ? Obstacle::None
-                                                   : Obstacle::RateLimited;
+  // The limits of an endpoint are divided among the entries whose subset has
+  // it.
+  bool isLimited =
+      Rates.isLimited(state.Incarnation) || Cold.isCold(state.Incarnation);
+  bool isAllowed = !(isLimited && state.IsOutside) &&
+                   Rates.hasCapacity(state.Incarnation, now) &&
+                   Cold.hasCapacity(state.Incarnation, now);
+  return isAllowed ? Obstacle::None : Obstacle::RateLimited;
 }
 
 ObstacleCounts EndpointPicker::countObstacles(const CallState &call,
--- a/lib/Process/DirectPushback.cpp
+++ b/lib/Process/DirectPushback.cpp
@@ -41,6 +41,16 @@
               Node.excluded().backoffCount(monotonicNow()), Measures);
 }
 
+void DirectTraffic::logColdEndpoints() {
+  for (const auto &[incarnation, span] : Node.takeColdLogRecords()) {
+    const EndpointState *state =
+        Node.endpointTable().findIncarnation(incarnation);
+    LOG(INFO) << LogEvent("endpoint.cold")
+                     .with("endpoint", state ? state->Record.Id.get() : "")
+                     .with("for_ms", toMillis(span));
+  }
+}
+
 void DirectTraffic::logSharing() {
   std::size_t sharing =
       Node.rates().limitedCount() > 0 ? Node.rates().memberCount() : 0;
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -143,6 +143,8 @@
   Config = snapshot->Config;
   Server.setLimits(makeHttpLimits(Config->Limits));
   Node.setEndpoints(snapshot->Endpoints);
+  Node.setColdEndpoints(snapshot->Endpoints, *Config, monotonicNow());
+  logColdEndpoints();
   apply(Node.restoreQuarantine(snapshot->Restored, monotonicNow()));
   std::vector<std::string> peers;
   std::set<std::string> entries;
--- a/unittests/Pushback/RateLimitedFleet.cpp
+++ b/unittests/Pushback/RateLimitedFleet.cpp
@@ -31,8 +31,9 @@
   route.Target = milliseconds(400);
   route.Services = {{ServiceId("s"), 1}};
   config->Routes.push_back(route);
-  config->Services.emplace(ServiceId("s"),
-                           ServiceRule{ServiceId("s"), 100, std::nullopt});
+  ServiceRule service{ServiceId("s"), 100, std::nullopt};
+  service.ColdRequestsPerSecond = shape.ColdRequestsPerSecond;
+  config->Services.emplace(ServiceId("s"), service);
   Config = std::move(config);
   for (unsigned i = 0; i < shape.Endpoints; ++i) {
     EndpointRecord &it = FakeEndpoints[i].Record;
@@ -54,12 +55,40 @@
                                             "n" + std::to_string(i));
   entry.LimitReceivedAt.clear();
   entry.Node->onProcessStarted(Time.now());
-  entry.Node->setEndpoints(Listed);
+  listEndpoints(i, entry.IncarnationNumber);
   if (Time.now() >= StoreOutUntil)
     listOthers(i);
   report(i, entry.IncarnationNumber);
 }
 
+void RateLimitedFleet::listEndpoints(unsigned i, unsigned incarnation) {
+  Entry &entry = Nodes[i];
+  if (!entry.Node || entry.IncarnationNumber != incarnation)
+    return;
+  if (!isAwake(i, incarnation)) {
+    Time.at(entry.FrozenUntil,
+            [this, i, incarnation] { listEndpoints(i, incarnation); });
+    return;
+  }
+  entry.Node->setEndpoints(Listed);
+  entry.Node->setColdEndpoints(Listed, *Config, Time.now());
+}
+
+void RateLimitedFleet::makeCold(unsigned i, Duration span) {
+  EndpointRecord &record = Listed[i].Record;
+  record.ListedAt = Revision(record.ListedAt.get() + 1);
+  record.ColdLeft = span;
+  for (unsigned k = 0; k < Nodes.size(); ++k)
+    Time.at(Time.now() + Duration(Time.below(200000)),
+            [this, k, incarnation = Nodes[k].IncarnationNumber] {
+              listEndpoints(k, incarnation);
+            });
+  Time.at(Time.now() + span, [this, i] {
+    Listed[i].Record.ListedAt = Revision(Listed[i].Record.ListedAt.get() + 1);
+    Listed[i].Record.ColdLeft = Duration::zero();
+  });
+}
+
 void RateLimitedFleet::listOthers(unsigned i) {
   std::set<std::string> others;
   for (unsigned k = 0; k < Nodes.size(); ++k)
@@ -108,14 +137,16 @@
                  node.takeLeavingReport(),
                  node.isNew(Time.now()),
                  node.isIdle(Time.now())};
+  auto received =
+      std::make_shared<const LoadReport>(*decodeLoad(encodeLoad(out)));
   for (unsigned k = 0; k < Nodes.size(); ++k) {
     if (k == i || Time.now() < Nodes[i].CutUntil ||
         Time.now() < Nodes[k].CutUntil)
       continue;
-    Time.runUnreliably(2, [this, k, bytes = encodeLoad(out)] {
+    Time.runUnreliably(2, [this, k, received] {
       if (!isAwake(k, Nodes[k].IncarnationNumber))
         return;
-      LoadReport peerReport = *decodeLoad(bytes);
+      const LoadReport &peerReport = *received;
       DirectNode &to = *Nodes[k].Node;
       to.setPeerLoad(peerReport.Node, peerReport.Loads, Time.now());
       if (peerReport.IsIdle)
--- a/unittests/Pushback/RateLimitedFleet.h
+++ b/unittests/Pushback/RateLimitedFleet.h
@@ -27,6 +27,8 @@
   unsigned Entries = 20;
   unsigned Endpoints = 6;
   unsigned RequestsPerSecond = 120;
+  /// What a cold endpoint bears; 0 if the service does not state it.
+  double ColdRequestsPerSecond = 0;
 };
 
 /// One request that reached an endpoint.
@@ -59,6 +61,9 @@
   void advertise(unsigned i, std::optional<double> perSecond) {
     FakeEndpoints[i].Rate = perSecond;
   }
+  /// The endpoint \p i is cold for \p span, and its record says so. The entries
+  /// read the record within 0.2 s; one that is frozen does so when it wakes.
+  void makeCold(unsigned i, Duration span);
   /// Drops all reports from and to \p entry for \p span.
   void cut(unsigned entry, Duration span) {
     Nodes[entry].CutUntil = Time.now() + span;
@@ -114,6 +119,7 @@
 
   void start(unsigned i);
   void listOthers(unsigned i);
+  void listEndpoints(unsigned i, unsigned incarnation);
   bool isAwake(unsigned i, unsigned incarnation) const;
   void report(unsigned i, unsigned incarnation);
   void scheduleTimer(unsigned i, unsigned incarnation);
