Keep running sums of the load that other entries report

Cause: EndpointTable::totalLoad summed the reports of all entries by a map keyed with strings, several times for each endpoint that a pick tries; the endpoints of a service, of a group and of an incarnation were found by walking over all. What holds only while the fleet is small: entries x endpoints at each pick.

Change: a report changes each endpoint's sum by its difference from the previous report of the same entry, reports that expire are taken back in the order of their age, and endpoints are indexed by service, group, incarnation and whether they must report.

--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -61,7 +61,9 @@
   /// Returns how many endpoints of \p call's service have each obstacle.
   ObstacleCounts countObstacles(const CallState &call, TimePoint now) const;
   /// Endpoints of \p service.
-  std::vector<const EndpointState *> statesOf(const ServiceId &service) const;
+  std::vector<const EndpointState *> statesOf(const ServiceId &service) const {
+    return Table.statesOf(service);
+  }
 
 private:
   std::size_t sampleSize(const ServiceId &service, std::size_t endpoints,
--- a/include/ospreyspur/Direct/EndpointTable.h
+++ b/include/ospreyspur/Direct/EndpointTable.h
@@ -16,6 +16,7 @@
 #include "ospreyspur/Support/Time.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <random>
@@ -42,15 +43,18 @@
   /// Digest that identifies the endpoint's incarnation in crash reports.
   IncarnationDigest Incarnation;
   bool IsMissing = false;
-  /// Number of this entry's requests at the endpoint.
   /// Whether operators drain the endpoint's data centre.
   bool IsDrained = false;
   /// Whether the endpoint is outside of the entry's subset; see EndpointSubset.
   bool IsOutside = false;
+  /// Number of this entry's requests at the endpoint.
   unsigned OwnRequests = 0;
   /// Pending prompt tokens: those of this entry's requests without a first
   /// byte.
   unsigned OwnPendingTokens = 0;
+  /// The load that the other entries last reported, in sum.
+  unsigned PeerRequests = 0;
+  unsigned PeerPendingTokens = 0;
   unsigned ConsecutiveFailures = 0;
   /// Consecutive responses that reported a failed run.
   unsigned ConsecutiveFailedResponses = 0;
@@ -118,6 +122,11 @@
   /// Maximum number of status queries that a group being formed gets in one
   /// interval. With more entries than this, each entry queries less often.
   static constexpr std::size_t MaxQueriesPerInterval = 8;
+  /// Maximum number of status queries that an entry sends to endpoints outside
+  /// of its subset in one \c QueryInterval, and how long it goes on with them
+  /// after a request found no endpoint in the subset.
+  static constexpr std::size_t MaxOutsideQueries = 8;
+  static constexpr Duration OutsideWantedTime = std::chrono::seconds(2);
   /// A status query without a response is repeated after this time.
   static constexpr Duration QueryTimeout = std::chrono::seconds(1);
   /// Inter-event gap of a group from which on its ranks are queried for their
@@ -141,9 +150,13 @@
   // Commands.
 
   void setEndpoints(const std::vector<ListedEndpoint> &endpoints);
-  /// Records the load that the entry \p peer reports.
+  /// Records the load that the entry \p peer reports. Costs time for the rows
+  /// of this report and of the previous one only, whatever the number of
+  /// entries.
   void setPeerLoad(const std::string &peer,
                    const std::vector<EndpointLoad> &loads, TimePoint now);
+  /// Drops the load reports that no longer count.
+  void expirePeerLoads(TimePoint now);
   void onStarted(const EndpointId &id, unsigned promptTokens);
   /// The first byte of a response arrived.
   void onFirstByte(const EndpointId &id, unsigned promptTokens, TimePoint now);
@@ -168,7 +181,11 @@
   /// Returns the endpoints to send a status query to now, one of each known
   /// group.
   std::vector<EndpointRecord> takeStatusQueries(const MayQuery &mayQuery,
-                                                TimePoint now);
+                                                TimePoint now,
+                                                std::mt19937_64 &random);
+  /// A request found no usable endpoint in the subset, so some of the others
+  /// are queried, too.
+  void requestOutside(TimePoint now);
   /// Returns the endpoints of slow groups to query for their slowdown factors.
   std::vector<EndpointRecord> takeSlowdownQueries(const MayQuery &mayQuery,
                                                   TimePoint now,
@@ -199,6 +216,12 @@
   const EndpointState *find(const EndpointId &id) const;
   /// Returns the endpoint of \p incarnation; null if unknown.
   const EndpointState *findIncarnation(IncarnationDigest incarnation) const;
+  /// Whether any endpoint's data centre is being drained.
+  bool hasDrained() const { return HasDrained; }
+  /// Whether any endpoint is outside of the entry's subset.
+  bool hasOutside() const { return HasOutside; }
+  /// Returns the endpoints of \p service, ordered by id.
+  std::vector<const EndpointState *> statesOf(const ServiceId &service) const;
   /// When the next endpoint that rejected a request as full may be tried again.
   std::optional<TimePoint> nextFree() const;
   /// When takeStatusQueries() must be called next.
@@ -216,22 +239,26 @@
     return now - state.SlowdownAt < 2 * SlowdownInterval ? state.Slowdown : 1;
   }
   /// Returns this entry's load, for reports to the other entries.
-  /// Whether any endpoint's data centre is being drained.
-  bool hasDrained() const { return HasDrained; }
-  /// Whether any endpoint is outside of the entry's subset.
-  bool hasOutside() const { return HasOutside; }
-  /// Returns the endpoints of \p service, ordered by id.
-  std::vector<const EndpointState *> statesOf(const ServiceId &service) const;
   std::vector<EndpointLoad> ownLoads(TimePoint now) const;
   /// Returns the number of other entries that reported recently.
   std::size_t livePeers(TimePoint now) const;
 
 private:
   struct PeerLoad {
+    std::string Peer;
     TimePoint At;
-    std::unordered_map<EndpointId, EndpointLoad> Loads;
+    std::vector<EndpointLoad> Loads;
   };
 
+  void addPeerLoad(const PeerLoad &load);
+  void removePeerLoad(const PeerLoad &load);
+  void sumPeerLoads(EndpointState &state) const;
+
+  void buildIndexes();
+  void setGroup(EndpointState &state, const GroupId &group);
+  void setMustReport(EndpointState &state, bool mustReport);
+  std::vector<EndpointState *> dueOutside(TimePoint now,
+                                          std::mt19937_64 &random);
   static void extendFull(EndpointState &state, TimePoint now);
   void onNoResponse(EndpointState &queried, TimePoint now);
   EndpointState *findMutable(const EndpointId &id);
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -32,6 +32,7 @@
 }
 
 DirectActions DirectNode::onCall(DirectRequest request, TimePoint now) {
+  Table.expirePeerLoads(now);
   CallId id = request.Id;
   const RouteRule &route = *request.Route;
   if (isIdle(now))
@@ -200,6 +201,7 @@
 
 DirectActions DirectNode::onTimer(TimePoint now) {
   LastTimer = now;
+  Table.expirePeerLoads(now);
   Table.clearExpiredFull(now);
   evaluateCrashes(now);
   sendStatusQueries(now);
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -225,9 +225,8 @@
 Duration DirectNode::expectedQueueDelay(const CallState &call,
                                         TimePoint now) const {
   unsigned running = 0;
-  for (const auto &[id, state] : Table.states())
-    if (state.Record.Service == call.Service)
-      running += Table.totalLoad(state, now).Running;
+  for (const EndpointState *it : Picker.statesOf(call.Service))
+    running += Table.totalLoad(*it, now).Running;
   if (running == 0)
     return MinRetryAfter;
   // A request runs for a second or two at an engine. The route's latency target
--- a/lib/Direct/DirectStatusQueries.cpp
+++ b/lib/Direct/DirectStatusQueries.cpp
@@ -25,7 +25,7 @@
   auto mayBeQueried = [this, now](const EndpointState &it) {
     return mayQuery(it, now);
   };
-  for (EndpointRecord &it : Table.takeStatusQueries(mayBeQueried, now))
+  for (EndpointRecord &it : Table.takeStatusQueries(mayBeQueried, now, Random))
     Out.emplace_back(QueryEndpoint{std::move(it)});
   for (EndpointRecord &it :
        Table.takeSlowdownQueries(mayBeQueried, now, Random))
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -82,15 +82,6 @@
                            });
 }
 
-std::vector<const EndpointState *>
-EndpointPicker::statesOf(const ServiceId &service) const {
-  std::vector<const EndpointState *> out;
-  for (const auto &[id, state] : Table.states())
-    if (state.Record.Service == service)
-      out.push_back(&state);
-  return out;
-}
-
 /// Returns the number of endpoints to sample. The requests that other entries
 /// send before this entry receives their load reports would all go to the
 /// endpoint with the lowest reported load. In a simulation with 52 entries,
@@ -158,9 +149,8 @@
 ObstacleCounts EndpointPicker::countObstacles(const CallState &call,
                                               TimePoint now) const {
   ObstacleCounts out{};
-  for (const auto &[id, state] : Table.states())
-    if (state.Record.Service == call.Service)
-      ++out.at(static_cast<std::size_t>(obstacleAt(state, call, now)));
+  for (const EndpointState *it : statesOf(call.Service))
+    ++out.at(static_cast<std::size_t>(obstacleAt(*it, call, now)));
   return out;
 }
 
--- a/lib/Direct/EndpointTable.cpp
+++ b/lib/Direct/EndpointTable.cpp
@@ -8,6 +8,7 @@
 #include "ospreyspur/Direct/EndpointTable.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 using namespace ospreyspur;
@@ -22,9 +23,9 @@
 
 void EndpointTable::setEndpoints(const std::vector<ListedEndpoint> &endpoints) {
   std::set<EndpointId> present;
-  for (const ListedEndpoint &it : endpoints) {
   HasDrained = false;
   HasOutside = false;
+  for (const ListedEndpoint &it : endpoints) {
     auto [at, isNew] = States.try_emplace(it.Record.Id);
     EndpointState &state = at->second;
     // A group that is being formed would reject requests, and each rejection
@@ -34,29 +35,73 @@
       state.Incarnation = digestIncarnation(it.Record.Id);
     }
     state.Record = it.Record;
+    if (isNew)
+      sumPeerLoads(state);
     state.IsMissing = it.IsMissing;
-    present.insert(it.Record.Id);
-  }
-  for (auto it = States.begin(); it != States.end();) {
     state.IsDrained = it.IsDrained;
     HasDrained = HasDrained || it.IsDrained;
     state.IsOutside = it.IsOutside;
     HasOutside = HasOutside || it.IsOutside;
+    present.insert(it.Record.Id);
+  }
+  for (auto it = States.begin(); it != States.end();) {
     bool isGone = !present.contains(it->first);
     it->second.Record.IsLeaving = it->second.Record.IsLeaving || isGone;
     bool isIdle = it->second.OwnRequests == 0;
     it = isGone && isIdle ? States.erase(it) : std::next(it);
   }
+  buildIndexes();
+}
+
+void EndpointTable::buildIndexes() {
+  Services.clear();
+  Incarnations.clear();
+  Groups.clear();
+  Closed.clear();
+  for (auto &[id, state] : States) {
+    Services[state.Record.Service].push_back(&state);
+    Incarnations.emplace(state.Incarnation, &state);
+    if (!state.Group.get().empty())
+      Groups[groupKey(state)].push_back(&state);
+    if (state.MustReport)
+      Closed.emplace(id, &state);
+  }
+}
+
+void EndpointTable::setGroup(EndpointState &state, const GroupId &group) {
+  if (state.Group == group)
+    return;
+  if (auto it = Groups.find(groupKey(state)); it != Groups.end())
+    std::erase(it->second, &state);
+  state.Group = group;
+  if (!group.get().empty())
+    Groups[groupKey(state)].push_back(&state);
+}
+
+void EndpointTable::setMustReport(EndpointState &state, bool mustReport) {
+  state.MustReport = mustReport;
+  if (mustReport)
+    Closed.emplace(state.Record.Id, &state);
+  else
+    Closed.erase(state.Record.Id);
 }
 
 void EndpointTable::setPeerLoad(const std::string &peer,
                                 const std::vector<EndpointLoad> &loads,
                                 TimePoint now) {
-  PeerLoad &kept = Peers[peer];
+  expirePeerLoads(now);
+  auto [at, isNew] = Peers.try_emplace(peer, PeerLoads.end());
+  if (isNew) {
+    at->second = PeerLoads.insert(PeerLoads.end(), {peer, now, {}});
+  } else {
+    removePeerLoad(*at->second);
+    PeerLoads.splice(PeerLoads.end(), PeerLoads, at->second);
+  }
+  PeerLoad &kept = *at->second;
   kept.At = now;
-  kept.Loads.clear();
+  kept.Loads = loads;
+  addPeerLoad(kept);
   for (const EndpointLoad &it : loads) {
-    kept.Loads[it.Endpoint] = it;
     EndpointState *state = it.Slowdown > 0 ? findMutable(it.Endpoint) : nullptr;
     if (!state)
       continue;
@@ -65,6 +110,40 @@
   }
 }
 
+void EndpointTable::expirePeerLoads(TimePoint now) {
+  while (!PeerLoads.empty() && now - PeerLoads.front().At >= MaxPeerLoadAge) {
+    removePeerLoad(PeerLoads.front());
+    Peers.erase(PeerLoads.front().Peer);
+    PeerLoads.pop_front();
+  }
+}
+
+void EndpointTable::addPeerLoad(const PeerLoad &load) {
+  for (const EndpointLoad &it : load.Loads)
+    if (EndpointState *state = findMutable(it.Endpoint)) {
+      state->PeerRequests += it.Running;
+      state->PeerPendingTokens += it.PendingPromptTokens;
+    }
+}
+
+void EndpointTable::removePeerLoad(const PeerLoad &load) {
+  for (const EndpointLoad &it : load.Loads)
+    if (EndpointState *state = findMutable(it.Endpoint)) {
+      state->PeerRequests -= it.Running;
+      state->PeerPendingTokens -= it.PendingPromptTokens;
+    }
+}
+
+/// Sums the reports about an endpoint that was not in the table before.
+void EndpointTable::sumPeerLoads(EndpointState &state) const {
+  for (const PeerLoad &load : PeerLoads)
+    for (const EndpointLoad &it : load.Loads)
+      if (it.Endpoint == state.Record.Id) {
+        state.PeerRequests += it.Running;
+        state.PeerPendingTokens += it.PendingPromptTokens;
+      }
+}
+
 void EndpointTable::onStarted(const EndpointId &id, unsigned promptTokens) {
   if (EndpointState *it = findMutable(id)) {
     ++it->OwnRequests;
@@ -152,7 +231,7 @@
   bool hadCapacity = totalLoad(*it, now).Running <= it->Record.Slots / 2;
   if (hadCapacity && it->Record.AnswersStatusQueries) {
     for (EndpointState *member : groupOf(*it)) {
-      member->MustReport = true;
+      setMustReport(*member, true);
       member->QueryAt = now;
     }
     return;
@@ -187,7 +266,7 @@
     return {};
   std::vector<EndpointId> out;
   for (EndpointState *it : groupOf(*ended)) {
-    it->MustReport = true;
+    setMustReport(*it, true);
     it->QueryAt = now + CrashedGroupDelay;
     out.push_back(it->Record.Id);
   }
@@ -226,22 +305,52 @@
 }
 
 std::vector<EndpointRecord>
-EndpointTable::takeStatusQueries(const MayQuery &mayQuery, TimePoint now) {
+EndpointTable::takeStatusQueries(const MayQuery &mayQuery, TimePoint now,
+                                 std::mt19937_64 &random) {
+  std::vector<EndpointState *> due;
+  for (const auto &[id, state] : Closed)
+    if (!state->IsOutside && now >= state->QueryAt)
+      due.push_back(state);
+  for (EndpointState *it : dueOutside(now, random))
+    due.push_back(it);
   std::vector<EndpointRecord> out;
-  for (auto &[id, state] : States) {
-    if (!state.MustReport || now < state.QueryAt)
+  for (EndpointState *state : due) {
+    // A query to another member of the group may have postponed this one.
+    if (now < state->QueryAt)
       continue;
-    if (!mayQuery(state)) {
-      state.QueryAt = now + queryInterval(now);
+    if (!mayQuery(*state)) {
+      state->QueryAt = now + queryInterval(now);
       continue;
     }
-    out.push_back(state.Record);
-    for (EndpointState *member : groupOf(state))
+    out.push_back(state->Record);
+    for (EndpointState *member : groupOf(*state))
       member->QueryAt = now + QueryTimeout;
   }
   return out;
 }
 
+void EndpointTable::requestOutside(TimePoint now) {
+  OutsideWantedUntil = now + OutsideWantedTime;
+  OutsideQueryAt = std::max(OutsideQueryAt, now);
+}
+
+/// Returns a random choice of the endpoints outside of the subset that are to
+/// be queried now, if any are wanted.
+std::vector<EndpointState *>
+EndpointTable::dueOutside(TimePoint now, std::mt19937_64 &random) {
+  if (now < OutsideQueryAt || now >= OutsideWantedUntil)
+    return {};
+  OutsideQueryAt = now + QueryInterval;
+  std::vector<EndpointState *> due;
+  for (const auto &[id, state] : Closed)
+    if (state->IsOutside && now >= state->QueryAt)
+      due.push_back(state);
+  std::vector<EndpointState *> out;
+  std::sample(due.begin(), due.end(), std::back_inserter(out),
+              MaxOutsideQueries, random);
+  return out;
+}
+
 std::vector<EndpointRecord>
 EndpointTable::takeSlowdownQueries(const MayQuery &mayQuery, TimePoint now,
                                    std::mt19937_64 &random) {
@@ -279,9 +388,15 @@
 
 std::optional<TimePoint> EndpointTable::nextStatusQuery() const {
   std::optional<TimePoint> next;
-  for (const auto &[id, state] : States)
-    if (state.MustReport && (!next || state.QueryAt < *next))
-      next = state.QueryAt;
+  bool hasOutside = false;
+  for (const auto &[id, state] : Closed) {
+    hasOutside = hasOutside || state->IsOutside;
+    if (!state->IsOutside && (!next || state->QueryAt < *next))
+      next = state->QueryAt;
+  }
+  bool wantsOutside = hasOutside && OutsideQueryAt < OutsideWantedUntil;
+  if (wantsOutside && (!next || OutsideQueryAt < *next))
+    next = OutsideQueryAt;
   return next;
 }
 
@@ -300,7 +415,7 @@
     onNoResponse(*reporter, now);
     return;
   }
-  reporter->Group = status->Group;
+  setGroup(*reporter, status->Group);
   reporter->UnresponsiveUntil = TimePoint();
   bool isFull = status->Running >= reporter->Record.Slots;
   if (status->IsOpen && isFull)
@@ -308,7 +423,7 @@
   // Whether the group accepts requests is the same for all its ranks; the load
   // is the endpoint's own.
   for (EndpointState *it : groupOf(*reporter)) {
-    it->MustReport = !status->IsOpen;
+    setMustReport(*it, !status->IsOpen);
     it->QueryAt = std::max(now + queryInterval(now), it->UnresponsiveUntil);
   }
   if (status->IsOpen && !isFull)
@@ -338,13 +453,15 @@
 
 /// Returns \p state and the other endpoints of its group.
 std::vector<EndpointState *> EndpointTable::groupOf(EndpointState &state) {
-  if (state.Group.get().empty())
-    return {&state};
-  std::vector<EndpointState *> out;
-  for (auto &[id, it] : States)
-    if (it.Group == state.Group && it.Record.Service == state.Record.Service)
-      out.push_back(&it);
-  return out;
+  auto it = Groups.find(groupKey(state));
+  return it == Groups.end() ? std::vector{&state} : it->second;
+}
+
+std::vector<const EndpointState *>
+EndpointTable::statesOf(const ServiceId &service) const {
+  auto it = Services.find(service);
+  return it == Services.end() ? std::vector<const EndpointState *>()
+                              : it->second;
 }
 
 const EndpointState *EndpointTable::find(const EndpointId &id) const {
@@ -354,22 +471,23 @@
 
 const EndpointState *
 EndpointTable::findIncarnation(IncarnationDigest incarnation) const {
-  auto it = std::find_if(States.begin(), States.end(),
-                         [incarnation](const auto &state) {
-                           return state.second.Incarnation == incarnation;
-                         });
-  return it == States.end() ? nullptr : &it->second;
+  auto it = Incarnations.find(incarnation);
+  return it == Incarnations.end() ? nullptr : it->second;
 }
 
 EndpointLoad EndpointTable::totalLoad(const EndpointState &state,
                                       TimePoint now) const {
-  EndpointLoad out{state.Record.Id, state.OwnRequests, state.OwnPendingTokens};
-  for (const auto &[name, peer] : Peers) {
-    auto it = peer.Loads.find(state.Record.Id);
-    if (it == peer.Loads.end() || now - peer.At >= MaxPeerLoadAge)
-      continue;
-    out.Running += it->second.Running;
-    out.PendingPromptTokens += it->second.PendingPromptTokens;
+  EndpointLoad out{state.Record.Id, state.OwnRequests + state.PeerRequests,
+                   state.OwnPendingTokens + state.PeerPendingTokens};
+  // Reports that are too old but have not been dropped yet.
+  for (const PeerLoad &load : PeerLoads) {
+    if (now - load.At < MaxPeerLoadAge)
+      break;
+    for (const EndpointLoad &it : load.Loads)
+      if (it.Endpoint == state.Record.Id) {
+        out.Running -= it.Running;
+        out.PendingPromptTokens -= it.PendingPromptTokens;
+      }
   }
   return out;
 }
@@ -386,9 +504,13 @@
 }
 
 std::size_t EndpointTable::livePeers(TimePoint now) const {
-  return std::count_if(Peers.begin(), Peers.end(), [now](const auto &it) {
-    return now - it.second.At < MaxPeerLoadAge;
-  });
+  std::size_t live = PeerLoads.size();
+  for (const PeerLoad &load : PeerLoads) {
+    if (now - load.At < MaxPeerLoadAge)
+      break;
+    --live;
+  }
+  return live;
 }
 
 EndpointState *EndpointTable::findMutable(const EndpointId &id) {
