Divide the endpoints of a large fleet into subsets

Cause: each change of an entry's load went to every other entry in a datagram, 125 x E a second at most and none less than 5 x E, so messages, bytes and processor time grew with the square of the number of entries; and each entry asked each rank for its state.

Ruled out: summing entries per data centre (entries x data centres, but sums that are older, and a new role that must be replaced when it dies); random subsets by rendezvous hashing (nearly every two entries share an endpoint, so the load still goes to nearly all).

Change: above 64 entries an entry uses the endpoints of its data centre and exchanges load only with the entries there; a data centre with more than 96 entries is divided again. Crashes, replaced and leaving incarnations and rate limits still go to all, without load rows. Endpoints outside are a last resort: queried a few at a time once a request finds nothing in the subset. What a limited or cold endpoint allows is divided among the entries that share its subset. An entry that is not listed yet is known from its first report.

--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -31,12 +31,17 @@
 
 namespace ospreyspur {
 
+class EndpointSubset;
+
 /// The shared values that traffic threads of the direct path use, at one
 /// moment.
 struct DirectSnapshot {
   std::shared_ptr<const FleetConfig> Config;
   std::vector<ListedEndpoint> Endpoints;
   std::vector<NodeRecord> Nodes;
+  /// The other entries with the same subset of endpoints; unset if the subset
+  /// is all endpoints.
+  std::optional<std::set<std::string>> Sharing;
   /// Whether the key-value store has returned the list of processes.
   bool HasNodeList = false;
   /// Requests that were quarantined before this process started. Contained only
@@ -86,34 +91,36 @@
   void onPeerReply(const EndpointId &from, const Message &message);
   void updatePeers();
   void applyConfig();
+  void setDrained(std::set<DataCentreId> drained);
   void applyEndpoints();
   void publish();
+  void logSubset(const EndpointSubset &subset,
+                 const std::vector<ListedEndpoint> &endpoints);
 
   boost::asio::io_context &Context;
   const DirectSettings &Settings;
-  void setDrained(std::set<DataCentreId> drained);
   Handler OnSnapshot;
   PlatformClient Platform;
   ListReader Reader;
+  ConfigReader ConfigSource;
   GossipNode Node;
   NodeRegistry Registry;
   QuarantineSync Quarantine;
   std::vector<RequestDigest> Restored;
   EndpointList Endpoints;
   std::shared_ptr<const FleetConfig> Config;
+  std::set<DataCentreId> Drained;
+  /// Where the latest change of a shared value came from, for the log.
+  std::string ChangeSource;
+  /// The number of other entries in the last logged subset.
+  std::optional<std::size_t> LoggedSharing;
   bool HasEndpoints = false;
-  ConfigReader ConfigSource;
   bool HasPublished = false;
   NodeTimer Timer;
   NodeTimer RegistryTimer;
   NodeTimer ListTimer;
   PeerServer Server;
   PeerLinks Peers;
-  std::set<DataCentreId> Drained;
-  /// Where the latest change of a shared value came from, for the log.
-  std::string ChangeSource;
-  /// The number of other entries in the last logged subset.
-  std::optional<std::size_t> LoggedSharing;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -51,6 +51,17 @@
     Fleet.onReport(peer, now);
     Table.setPeerLoad(peer, loads, now);
   }
+  /// Takes the report of an entry that does not share this entry's subset and
+  /// therefore left its load out.
+  void onOutsideReport(const std::string &peer, TimePoint now) {
+    Fleet.onReport(peer, now);
+  }
+  /// Sets the other entries that share this entry's subset; unset if the subset
+  /// is all endpoints.
+  void setSharing(std::optional<std::set<std::string>> names) {
+    Sharing = std::move(names);
+    MembersAt.reset();
+  }
   /// The process starts at \p now. From then on the retry budget accounts for
   /// retries that earlier incarnations of this process may have sent, and for
   /// entries that are listed but have not sent a report.
@@ -166,6 +177,11 @@
   std::vector<RateLimitLogRecord> takeRateLimitLogRecords() {
     return Rates.takeLogRecords();
   }
+  /// Returns the endpoints that became cold since the last call, and for how
+  /// long each stays cold, for the log.
+  std::vector<std::pair<IncarnationDigest, Duration>> takeColdLogRecords() {
+    return Cold.takeLogRecords();
+  }
   /// Returns the backoffs that endpoints asked for since the last call, for the
   /// log.
   std::vector<BackoffLogRecord> takeBackoffLogRecords() {
@@ -177,11 +193,6 @@
     return Excluded.takeLeavingLogRecords();
   }
 
-  /// Returns the endpoints that became cold since the last call, and for how
-  /// long each stays cold, for the log.
-  std::vector<std::pair<IncarnationDigest, Duration>> takeColdLogRecords() {
-    return Cold.takeLogRecords();
-  }
   // Queries.
 
   std::optional<TimePoint> nextTimer() const;
@@ -231,6 +242,14 @@
            Excluded.isInBackoff(state.Incarnation, now);
   }
   bool mayQuery(const EndpointState &state, TimePoint now);
+  bool isLimited(const EndpointState &state) const {
+    return Rates.isLimited(state.Incarnation) || Cold.isCold(state.Incarnation);
+  }
+  bool takeTokens(const EndpointState &state, TimePoint now);
+  bool hasExclusions() const {
+    return Rates.limitedCount() > 0 || !Excluded.isEmpty() ||
+           Table.hasDrained();
+  }
   ResultCode pushbackReason(const CallState &call, TimePoint now) const;
   bool isUnservable(const CallState &call, TimePoint now) const;
   std::size_t waitingFor(const ServiceId &service) const;
@@ -242,14 +261,6 @@
   void wait(const CallState &call, TimePoint now);
   void recordWait(const CallState &call, TimePoint now);
   bool tryStart(CallState &call, TimePoint now);
-  bool isLimited(const EndpointState &state) const {
-    return Rates.isLimited(state.Incarnation) || Cold.isCold(state.Incarnation);
-  }
-  bool takeTokens(const EndpointState &state, TimePoint now);
-  bool hasExclusions() const {
-    return Rates.limitedCount() > 0 || !Excluded.isEmpty() ||
-           Table.hasDrained();
-  }
   void recordFirstByte(const CallState &call, TimePoint now);
   Duration allowedSilence(const CallState &call) const;
   void sendStatusQueries(TimePoint now);
@@ -259,10 +270,6 @@
                     TimePoint now);
   void retry(CallState &call, ResultCode reason, TimePoint now);
   bool mayAttempt(const CallState &call, TimePoint now) const;
-  bool hasExclusions() const {
-    return Rates.limitedCount() > 0 || !Excluded.isEmpty() ||
-           Table.hasDrained();
-  }
   bool tryMigrate(CallState &call, StopReason reason, TimePoint now);
   bool startNext(CallState &call, TimePoint now);
   void releaseNext(CallState &call);
@@ -282,6 +289,7 @@
   EndpointTable Table;
   ArrivalRate Arrivals;
   RateLimits Rates;
+  ColdEndpoints Cold;
   ExcludedEndpoints Excluded;
   /// This entry's name, and when the members of the fleet were last counted.
   std::string Name;
@@ -289,9 +297,10 @@
   /// When onTimer() last ran. Everything due by then has been handled.
   TimePoint LastTimer;
   EndpointPicker Picker;
-  ColdEndpoints Cold;
   RetryWindow Retries;
   FleetSize Fleet;
+  /// The other entries with the same subset; unset if it is all endpoints.
+  std::optional<std::set<std::string>> Sharing;
   /// Whether the shared retry allowance must not be used before the store has
   /// listed the entries once.
   bool MustKnowFleet = false;
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -37,7 +37,9 @@
         Arrivals(arrivals), Rates(rates), Cold(cold), Excluded(excluded),
         Random(random) {}
 
-  /// Returns the endpoint for \p call; null if none has capacity for it.
+  /// Returns the endpoint for \p call; null if none has capacity for it. An
+  /// endpoint outside of the entry's subset is picked only if the subset has no
+  /// good one.
   const EndpointState *pick(const CallState &call, TimePoint now) const;
   /// Returns the endpoint for a suspect request: preferably none of \p others,
   /// which run other suspect requests, and one in the group with the fewest
@@ -55,8 +57,8 @@
   bool canFinish(const EndpointState &state, const CallState &call,
                  TimePoint now) const;
   /// Whether \p state's endpoint is used only if there is no other: it is
-  /// avoided after failures, is missing from the list, or belongs to a group
-  /// that is slow or stalled.
+  /// avoided after failures, is missing from the list, has just started, or
+  /// belongs to a group that is slow or stalled.
   bool isLastChoice(const EndpointState &state, TimePoint now) const;
   /// Returns how many endpoints of \p call's service have each obstacle.
   ObstacleCounts countObstacles(const CallState &call, TimePoint now) const;
@@ -66,6 +68,8 @@
   }
 
 private:
+  const EndpointState *pickFrom(std::vector<const EndpointState *> states,
+                                const CallState &call, TimePoint now) const;
   std::size_t sampleSize(const ServiceId &service, std::size_t endpoints,
                          TimePoint now) const;
   Obstacle obstacleAt(const EndpointState &state, const CallState &call,
@@ -78,11 +82,11 @@
   const DataCentreId &DataCentre;
   const ArrivalRate &Arrivals;
   const RateLimits &Rates;
+  const ColdEndpoints &Cold;
   const ExcludedEndpoints &Excluded;
   std::mt19937_64 &Random;
 };
 
 } // namespace ospreyspur
 
-  const ColdEndpoints &Cold;
 #endif // OSPREYSPUR_DIRECT_ENDPOINTPICKER_H
--- a/include/ospreyspur/Direct/NodeRegistry.h
+++ b/include/ospreyspur/Direct/NodeRegistry.h
@@ -39,10 +39,14 @@
   static constexpr Duration LeaseSpan = std::chrono::seconds(6);
   static constexpr Duration RenewEvery = std::chrono::seconds(2);
   /// Interval between two reads of all records: for the first \c FirstReads
-  /// reads, and later.
+  /// reads, and later. Above \c UsualFleet records the later interval grows
+  /// with their number, so that the rows that the whole fleet reads per second
+  /// grow in proportion to the fleet. Entries that start are known to those
+  /// that share their endpoints from their first report.
   static constexpr Duration FirstReadEvery = std::chrono::milliseconds(500);
   static constexpr Duration ReadEvery = std::chrono::seconds(3);
   static constexpr unsigned FirstReads = 6;
+  static constexpr std::size_t UsualFleet = 64;
   /// How long a vanished record is kept.
   static constexpr Duration VanishedGrace = std::chrono::seconds(10);
   /// Bounds of the delay before a failed write is retried.
@@ -65,6 +69,7 @@
 
   // Queries.
 
+  const NodeRecord &self() const { return Self; }
   TimePoint nextTimer() const { return std::min(WriteAt, ReadAt); }
   /// Returns the records of the other processes.
   std::vector<NodeRecord> others() const;
@@ -73,6 +78,7 @@
 
 private:
   std::string ownKey() const;
+  Duration readInterval() const;
 
   NodeRecord Self;
   /// Revision of this process's own record; 0 if the record is not known to
--- a/include/ospreyspur/Process/LoadExchange.h
+++ b/include/ospreyspur/Process/LoadExchange.h
@@ -45,18 +45,26 @@
   Result<void> start(const std::string &address);
   /// Schedules a report, as this entry's load has changed.
   void onChange();
-  /// Sets the other entries' addresses, as "ip:port".
-  void setPeers(const std::vector<std::string> &addresses);
+  /// Sets the addresses, as "ip:port", of the entries that share this entry's
+  /// subset of endpoints, and of the other ones.
+  void setPeers(const std::vector<std::string> &sharing,
+                const std::vector<std::string> &outside);
 
 private:
+  using Addresses = std::vector<boost::asio::ip::udp::endpoint>;
+
   void receive();
   void send();
+  void sendTo(const Addresses &receivers, const LoadReport &report);
+  void addUnknownSender();
   void sendAfter(Duration wait);
 
   LoadExchangeHandlers Handlers;
   boost::asio::ip::udp::socket Socket;
   boost::asio::steady_timer Timer;
-  std::vector<boost::asio::ip::udp::endpoint> Peers;
+  Addresses Sharing;
+  Addresses Outside;
+  TimePoint OutsideSentAt;
   std::array<char, 64U << 10U> Bytes{};
   boost::asio::ip::udp::endpoint Sender;
   /// Whether a change has not been sent yet.
--- a/include/ospreyspur/Rpc/LoadCodec.h
+++ b/include/ospreyspur/Rpc/LoadCodec.h
@@ -36,6 +36,15 @@
   bool IsNew = false;
   /// Whether the entry has no callers.
   bool IsIdle = false;
+  /// Whether the receiver does not share the sender's subset of endpoints, so
+  /// the loads are left out.
+  bool IsOutside = false;
+
+  /// Whether entries with other subsets need the report, too.
+  bool concernsAll() const {
+    return !Crashes.isEmpty() || !Replaced.empty() || !Rates.empty() ||
+           !Leaving.empty();
+  }
 };
 
 /// Returns \p report in its wire form.
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -8,6 +8,7 @@
 #include "ospreyspur/Control/DirectControl.h"
 
 #include "ospreyspur/Direct/EndpointDocument.h"
+#include "ospreyspur/Direct/EndpointSubset.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/ConfigWire.h"
 #include "platform/EndpointWire.h"
@@ -17,8 +18,8 @@
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
-#include <utility>
 #include <algorithm>
+#include <utility>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
@@ -159,9 +160,9 @@
 void DirectControl::perform(const CallKeyValueStoreForGossip &action) {
   KvCallId id = action.Request.Id;
   auto onReply = [this, id](const KvReply &reply) {
+    ChangeSource = "store";
     apply(Node.onKvReply(id, reply, monotonicNow()));
   };
-    ChangeSource = "store";
   const auto &watch = std::get<KvWatch>(action.Request.Call);
   bool isList = watch.Key == platform::EndpointKeyPrefix;
   auto ask = [this, isList, wait = watch.Wait,
@@ -187,9 +188,9 @@
 
 void DirectControl::onMessage(LinkId from, const Message &message) {
   TimePoint now = monotonicNow();
+  ChangeSource = "subscriber";
   if (const auto *digest = std::get_if<GossipDigest>(&message))
     apply(Node.onMessage(from, *digest, now));
-  ChangeSource = "subscriber";
   else if (const auto *update = std::get_if<GossipUpdate>(&message))
     apply(Node.onMessage(from, *update, now));
 }
@@ -197,9 +198,9 @@
 void DirectControl::onPeerReply(const EndpointId &from,
                                 const Message &message) {
   TimePoint now = monotonicNow();
+  ChangeSource = from.get();
   if (const auto *digest = std::get_if<GossipDigest>(&message))
     apply(Node.onPeerReply(from, *digest, now));
-  ChangeSource = from.get();
   else if (const auto *update = std::get_if<GossipUpdate>(&message))
     apply(Node.onPeerReply(from, *update, now));
 }
@@ -255,8 +256,6 @@
   publish();
 }
 
-void DirectControl::applyEndpoints() {
-  const KeyFollower &copy = Node.copy(SharedKey::Hosts);
 /// Logs one line for each data centre whose drain begins or ends.
 void DirectControl::setDrained(std::set<DataCentreId> drained) {
   const KeyFollower &copy = Node.copy(SharedKey::Config);
@@ -277,6 +276,8 @@
   Drained = std::move(drained);
 }
 
+void DirectControl::applyEndpoints() {
+  const KeyFollower &copy = Node.copy(SharedKey::Hosts);
   Result<std::vector<EndpointRecord>> records = parseEndpoints(copy.value());
   if (!records) {
     LOG(ERROR) << LogEvent("endpoints.unreadable")
@@ -293,17 +294,37 @@
   publish();
 }
 
+/// Logs one line for each change of the entries that share this entry's subset.
+void DirectControl::logSubset(const EndpointSubset &subset,
+                              const std::vector<ListedEndpoint> &endpoints) {
+  std::size_t sharing = subset.sharing().size();
+  if (std::exchange(LoggedSharing, sharing) == sharing)
+    return;
+  auto inside = std::count_if(endpoints.begin(), endpoints.end(),
+                              [](const auto &it) { return !it.IsOutside; });
+  LOG(INFO) << LogEvent("subset.in_force")
+                   .with("whole", subset.isWhole())
+                   .with("entries", sharing + 1)
+                   .with("endpoints", inside)
+                   .with("outside", std::ssize(endpoints) - inside);
+}
+
 void DirectControl::publish() {
   if (!Config || !HasEndpoints)
     return;
   auto snapshot = std::make_shared<DirectSnapshot>();
   snapshot->Config = Config;
   snapshot->Endpoints = Endpoints.endpoints();
+  for (ListedEndpoint &it : snapshot->Endpoints)
+    it.IsDrained = Drained.contains(it.Record.DataCentre);
   snapshot->Nodes = Registry.others();
+  EndpointSubset subset(Registry.self(), snapshot->Nodes);
+  subset.markOutside(snapshot->Endpoints);
+  if (!subset.isWhole())
+    snapshot->Sharing = subset.sharing();
+  logSubset(subset, snapshot->Endpoints);
   snapshot->HasNodeList = Registry.hasRead();
   snapshot->Restored = std::exchange(Restored, {});
   HasPublished = true;
   OnSnapshot(std::move(snapshot));
 }
-  for (ListedEndpoint &it : snapshot->Endpoints)
-    it.IsDrained = Drained.contains(it.Record.DataCentre);
--- a/lib/Direct/DirectCrashes.cpp
+++ b/lib/Direct/DirectCrashes.cpp
@@ -137,7 +137,8 @@
 CrashReport DirectNode::takeCrashReport(TimePoint now) {
   if (Crashes.isEmpty())
     return {};
-  CrashReport out{Crashes.takeRecords(Table.livePeers(now) + 1, now), {}};
+  std::size_t entries = Fleet.count(Duration::zero(), now);
+  CrashReport out{Crashes.takeRecords(entries, now), {}};
   for (const auto &[id, call] : Calls) {
     bool isSuspect = call.Current && Crashes.verdictOf(call.Request.Digest) ==
                                          CrashVerdict::Suspect;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -156,9 +156,9 @@
       startOrWait(call, now);
     break;
   case AttemptEnd::Failed:
-    if (startNext(call, now) ||
     call.MayHaveRun = true;
     call.HasFailedResponse = true;
+    if (startNext(call, now) ||
         (isRepeatable && call.Attempts < route.Attempts && tryStart(call, now)))
       break;
     if (call.HasBegun && mayAttempt(call, now)) {
@@ -203,10 +203,10 @@
   LastTimer = now;
   Table.expirePeerLoads(now);
   Table.clearExpiredFull(now);
-  evaluateCrashes(now);
-  sendStatusQueries(now);
   if (!Cold.isEmpty())
     Cold.onTimer(now);
+  evaluateCrashes(now);
+  sendStatusQueries(now);
   startWaiting(now);
   std::vector<CallId> late;
   for (const auto &[priority, arrived, id] : Waiting)
@@ -214,28 +214,28 @@
       late.push_back(id);
   for (CallId id : late)
     endNotRun(Calls.at(id), ResultCode::NoEndpoint, now);
+  endUnservable(now);
   return takeActions();
 }
 
 std::optional<TimePoint> DirectNode::nextTimer() const {
-  endUnservable(now);
   std::optional<TimePoint> next = Table.nextStatusQuery();
   auto include = [&next](std::optional<TimePoint> due) {
     if (due && (!next || *due < *next))
       next = due;
   };
   include(Crashes.nextVerdictAt());
+  include(Cold.nextTimer());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).waitLimit());
-  include(Cold.nextTimer());
   for (const auto &[priority, arrived, id] : Waiting)
     include(Calls.at(id).CopyStartAt);
   if (!Waiting.empty()) {
     include(Table.nextFree());
     include(Rates.nextCapacityAt(LastTimer));
+    include(Cold.nextCapacityAt(LastTimer));
     include(Excluded.nextBackoffEnd(LastTimer));
   }
-    include(Cold.nextCapacityAt(LastTimer));
   return next;
 }
 
@@ -280,6 +280,9 @@
   }
   const EndpointState *state =
       isSuspect(call) ? pickForSuspect(call, now) : Picker.pick(call, now);
+  bool needsOutside = !state || Picker.isLastChoice(*state, now);
+  if (Table.hasOutside() && needsOutside)
+    Table.requestOutside(now);
   if (!state)
     return false;
   bool isRetry = call.Sends > 0;
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -40,16 +40,16 @@
   Duration window = Retries.limits().Window;
   bool isSettled = ActiveSince && now - *ActiveSince >= ActiveSettleTime;
   for (const std::string &it : isSettled ? Fleet.othersWithCallers(window, now)
-                                         : Fleet.others(window, now))
+                                         : Fleet.others(window, now)) {
+    if (Sharing && !Sharing->contains(it))
+      continue;
     members.Others.push_back(digest64(it));
-  Rates.setMembers(std::move(members), now);
-}
   }
   if (!Cold.isEmpty())
     Cold.setMembers(members, now);
+  Rates.setMembers(std::move(members), now);
+}
 
-bool DirectNode::isIdle(TimePoint now) const {
-  return Calls.empty() && (!LastCallAt || now - *LastCallAt >= IdleAfter);
 void DirectNode::setColdEndpoints(const std::vector<ListedEndpoint> &endpoints,
                                   const FleetConfig &config, TimePoint now) {
   bool wasEmpty = Cold.isEmpty();
@@ -71,6 +71,8 @@
   return Rates.take(state.Incarnation, now);
 }
 
+bool DirectNode::isIdle(TimePoint now) const {
+  return Calls.empty() && (!LastCallAt || now - *LastCallAt >= IdleAfter);
 }
 
 bool DirectNode::isNew(TimePoint now) const {
@@ -273,6 +275,9 @@
     first = std::min(first.value_or(end), end);
     slots += it->Record.Slots;
   }
+  // Nothing tells how long a drain lasts.
+  if (!first && Table.hasDrained())
+    return drawUniform(MaxRetryAfter / 2, MaxRetryAfter);
   Duration left = first ? *first - now : Duration::zero();
   double rejected = Arrivals.perSecond(call.Service, now) *
                     std::chrono::duration<double>(left).count();
@@ -294,6 +299,3 @@
                                                       most.count());
   return Duration(spread(Random));
 }
-  // Nothing tells how long a drain lasts.
-  if (!first && Table.hasDrained())
-    return drawUniform(MaxRetryAfter / 2, MaxRetryAfter);
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -19,12 +19,27 @@
 /// take a few more.
 static constexpr Duration LoadReportAge = std::chrono::milliseconds(12);
 
-/// Returns the least loaded endpoint of a random sample of those with capacity.
-/// Suspect and missing endpoints and those of slow or stalled groups are used
-/// only if there is no other.
 const EndpointState *EndpointPicker::pick(const CallState &call,
                                           TimePoint now) const {
   std::vector<const EndpointState *> states = statesOf(call.Service);
+  if (!Table.hasOutside())
+    return pickFrom(std::move(states), call, now);
+  auto outside =
+      std::partition(states.begin(), states.end(),
+                     [](const EndpointState *it) { return !it->IsOutside; });
+  const EndpointState *best = pickFrom({states.begin(), outside}, call, now);
+  if (best && !isLastChoice(*best, now))
+    return best;
+  const EndpointState *other = pickFrom({outside, states.end()}, call, now);
+  return !best || (other && !isLastChoice(*other, now)) ? other : best;
+}
+
+/// Returns the least loaded endpoint of a random sample of those in \p states
+/// with capacity. Suspect and missing endpoints and those of slow or stalled
+/// groups are used only if there is no other.
+const EndpointState *
+EndpointPicker::pickFrom(std::vector<const EndpointState *> states,
+                         const CallState &call, TimePoint now) const {
   std::size_t wanted = sampleSize(call.Service, states.size(), now);
   const EndpointState *best = nullptr;
   std::tuple<bool, double, bool> bestCost;
@@ -103,15 +118,17 @@
 bool EndpointPicker::isLastChoice(const EndpointState &state,
                                   TimePoint now) const {
   return state.IsMissing || now < state.AvoidedUntil ||
+         Cold.isNew(state.Incarnation, now) ||
          Table.gapOf(state, now) > Limits.SlowGap;
 }
 
 Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
                                     const CallState &call,
                                     TimePoint now) const {
-         Cold.isNew(state.Incarnation, now) ||
   if (state.Record.IsLeaving || Excluded.isLeaving(state.Incarnation))
     return Obstacle::Leaving;
+  if (state.IsDrained)
+    return Obstacle::Drained;
   if (call.Tried.contains(state.Record.Id))
     return Obstacle::Tried;
   if (Excluded.isInBackoff(state.Incarnation, now))
@@ -119,8 +136,6 @@
   if (now < state.FullUntil || now < state.ReplacedUntil || state.MustReport)
     return Obstacle::Closed;
   // A rejection does not count as an attempt of a stream that has begun.
-  if (state.IsDrained)
-    return Obstacle::Drained;
   if (call.WasRejected && !call.HasBegun &&
       now - state.KnownServingAt > Limits.KnownServingTime)
     return Obstacle::NotKnownToServe;
--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -36,7 +36,10 @@
 /// here.
 void DirectTraffic::takeReport(const LoadReport &report) {
   TimePoint now = monotonicNow();
-  Node.setPeerLoad(report.Node, report.Loads, now);
+  if (report.IsOutside)
+    Node.onOutsideReport(report.Node, now);
+  else
+    Node.setPeerLoad(report.Node, report.Loads, now);
   if (report.IsIdle)
     Node.onIdlePeer(report.Node, now);
   Node.mergeReplaced(report.Replaced, now);
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -146,15 +146,18 @@
   Node.setColdEndpoints(snapshot->Endpoints, *Config, monotonicNow());
   logColdEndpoints();
   apply(Node.restoreQuarantine(snapshot->Restored, monotonicNow()));
-  std::vector<std::string> peers;
+  std::vector<std::string> sharing;
+  std::vector<std::string> outside;
   std::set<std::string> entries;
   for (const NodeRecord &it : snapshot->Nodes) {
     if (it.LoadAddress.empty())
       continue;
-    peers.push_back(it.LoadAddress);
+    bool isSharing = !snapshot->Sharing || snapshot->Sharing->contains(it.Name);
+    (isSharing ? sharing : outside).push_back(it.LoadAddress);
     entries.insert(it.Name);
   }
-  Loads.setPeers(peers);
+  Loads.setPeers(sharing, outside);
+  Node.setSharing(snapshot->Sharing);
   if (snapshot->HasNodeList)
     Node.setListedEntries(std::move(entries), monotonicNow());
   apply(Node.onTimer(monotonicNow()));
--- a/lib/Process/LoadExchange.cpp
+++ b/lib/Process/LoadExchange.cpp
@@ -11,6 +11,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 using namespace ospreyspur;
@@ -47,11 +48,28 @@
   return boost::outcome_v2::success();
 }
 
-void LoadExchange::setPeers(const std::vector<std::string> &addresses) {
-  Peers.clear();
+static std::vector<udp::endpoint>
+parseAll(const std::vector<std::string> &addresses) {
+  std::vector<udp::endpoint> out;
   for (const std::string &it : addresses)
     if (Result<TcpAddress> parsed = parseAddress(it))
-      Peers.push_back(toDatagramAddress(parsed.value()));
+      out.push_back(toDatagramAddress(parsed.value()));
+  return out;
+}
+
+void LoadExchange::setPeers(const std::vector<std::string> &sharing,
+                            const std::vector<std::string> &outside) {
+  Sharing = parseAll(sharing);
+  Outside = parseAll(outside);
+}
+
+/// Reports to the sender of a report, too, if it is not listed yet: it has just
+/// started.
+void LoadExchange::addUnknownSender() {
+  auto isSender = [this](const udp::endpoint &it) { return it == Sender; };
+  if (std::none_of(Sharing.begin(), Sharing.end(), isSender) &&
+      std::none_of(Outside.begin(), Outside.end(), isSender))
+    Sharing.push_back(Sender);
 }
 
 void LoadExchange::receive() {
@@ -64,6 +82,8 @@
         if (!ec)
           report = decodeLoad({Bytes.data(), n});
         if (report) {
+          if (!report->IsOutside)
+            addUnknownSender();
           Handlers.OnReport(*report);
         } else {
           LOG_EVERY_N(WARNING, LogOneIn)
@@ -73,13 +93,29 @@
       });
 }
 
-void LoadExchange::send() {
-  std::string bytes = encodeLoad(Handlers.MakeReport());
+void LoadExchange::sendTo(const Addresses &receivers,
+                          const LoadReport &report) {
+  if (receivers.empty())
+    return;
+  std::string bytes = encodeLoad(report);
   // Errors are ignored: if the link is full the report is lost, and the next
   // one follows soon.
   boost::system::error_code ignored;
-  for (const udp::endpoint &it : Peers)
+  for (const udp::endpoint &it : receivers)
     Socket.send_to(asio::buffer(bytes), it, 0, ignored);
+}
+
+void LoadExchange::send() {
+  LoadReport report = Handlers.MakeReport();
+  sendTo(Sharing, report);
+  TimePoint now = monotonicNow();
+  if (report.concernsAll() ||
+      (report.IsNew && now - OutsideSentAt >= Interval)) {
+    OutsideSentAt = now;
+    report.Loads.clear();
+    report.IsOutside = true;
+    sendTo(Outside, report);
+  }
   IsDue = false;
   sendAfter(Interval);
 }
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -73,6 +73,7 @@
     out.add_leaving(it.get());
   out.set_is_new(report.IsNew);
   out.set_is_idle(report.IsIdle);
+  out.set_is_outside(report.IsOutside);
   return out.SerializeAsString();
 }
 
@@ -106,5 +107,6 @@
     out.Leaving.emplace_back(in.leaving(i));
   out.IsNew = in.is_new();
   out.IsIdle = in.is_idle();
+  out.IsOutside = in.is_outside();
   return out;
 }
