Read the list of entries less often in a large fleet

Cause: every entry read the records of all entries each 3 s, so the rows read grew with the square of their number; 208 rows are two pages.

Change: above 64 entries the interval grows with their number. A new entry is known to those that share its endpoints from its first report, and its share of the retry allowance is at most 1/E of what the others count, far less than what RetryWindow leaves unused.

--- a/lib/Direct/NodeRegistry.cpp
+++ b/lib/Direct/NodeRegistry.cpp
@@ -70,11 +70,17 @@
   WriteAt = now + (isRecordGone ? MinRetryDelay : RetryDelay);
 }
 
+Duration NodeRegistry::readInterval() const {
+  if (Reads < FirstReads)
+    return FirstReadEvery;
+  return ReadEvery * std::max(Nodes.size(), UsualFleet) / UsualFleet;
+}
+
 std::optional<KvCall> NodeRegistry::nextRead(TimePoint now) {
   if (IsReading || now < ReadAt)
     return std::nullopt;
   IsReading = true;
-  ReadAt = now + (Reads < FirstReads ? FirstReadEvery : ReadEvery);
+  ReadAt = now + readInterval();
   ++Reads;
   return KvList{NodePrefix, true};
 }
