Ask the coordinator, not the store, whether it still leads

Cause: each of the N ranks' agents read its group's lease every 1.5 s.

Change: a member asks its coordinator every 0.7 s on the link that carries its reports anyway. Each reply postpones the next read by 1.5 s, up to 12 s after the last one. A coordinator that falls silent is noticed as soon as before. Which coordinator a member follows, and what ranks without fencing tokens require, does not change: a member still learns of a new holder only from the store.

Tests: LeaseHolderTest, reads in a minute (6 at most instead of 40), and the time until a silent holder is noticed.

--- a/include/ospreyspur/Experts/CoordinatorWatch.h
+++ b/include/ospreyspur/Experts/CoordinatorWatch.h
@@ -48,7 +48,7 @@
   /// start: the silence of its predecessor says nothing about it.
   StallAdvice onStalled(const std::string &holder, unsigned rank,
                         TimePoint now);
-  /// The coordinator has replied.
+  /// The coordinator has replied. Has no effect unless a query is pending.
   void onQueryReply(TimePoint now);
   /// The group progresses again.
   void onProgress();
--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -31,6 +31,9 @@
   /// candidate reads before it writes: most agents of a large fleet are
   /// candidates, and the number of writes is limited.
   Duration RetryEvery = std::chrono::seconds(4);
+  /// Longest time between two reads by a candidate that hears from the holder
+  /// itself; with zero, replies of the holder postpone no read.
+  Duration MaxReadInterval{};
   /// A call without a reply is abandoned after this time.
   Duration CallTimeout = std::chrono::seconds(2);
   /// Whether a holder whose renewals get no reply continues to act until it
@@ -70,6 +73,10 @@
   /// Does nothing while a call is pending. Allowed only where all orders of
   /// holders are fenced; for an own lease, see TakesOverOwnLease.
   void takeOver(TimePoint now);
+  /// The process that this one knows as the holder has replied that it leads its
+  /// group. The next read waits for another RetryEvery, up to MaxReadInterval
+  /// after the previous one. Most candidates then need not read the store.
+  void onHolderReply(TimePoint now);
   /// Called when this process may no longer hold the lease. It stops acting
   /// until the next call has found that its own write is still in place.
   void suspend(TimePoint now);
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -126,6 +126,7 @@
   /// the present time while this agent does not coordinate and each time that
   /// the lease is suspended.
   TimePoint CompleteAt;
+  TimePoint NextCoordinatorQuery;
   TimePoint NextSettingsRead;
   TimePoint NextPlan;
   TimePoint NextGroupLog;
--- a/lib/Experts/CoordinatorWatch.cpp
+++ b/lib/Experts/CoordinatorWatch.cpp
@@ -36,6 +36,8 @@
 }
 
 void CoordinatorWatch::onQueryReply(TimePoint now) {
+  if (!QueriedAt)
+    return;
   QueriedAt.reset();
   TrustedUntil = now + TrustTime;
 }
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -96,6 +96,14 @@
   NextCall = SentAt + Limits.RenewEvery;
 }
 
+void LeaseHolder::onHolderReply(TimePoint now) {
+  if (Holder.get() > 0 || OtherRevision.get() == 0 || IsCalling || IsFree ||
+      IsTakingOver)
+    return;
+  TimePoint latest = SentAt + Limits.MaxReadInterval;
+  NextCall = std::max(NextCall, std::min(now + Limits.RetryEvery, latest));
+}
+
 void LeaseHolder::suspend(TimePoint now) {
   if (Holder.get() == 0)
     return;
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -40,6 +40,15 @@
 /// coordinator recover the group before the agent may try again.
 static constexpr Duration TakeoverTime = std::chrono::milliseconds(1500);
 
+/// Interval between two queries of a member to its coordinator, short enough
+/// for two replies between two reads of the group's lease. If both are lost,
+/// the member reads the lease.
+static constexpr Duration CoordinatorQueryInterval =
+    std::chrono::milliseconds(700);
+/// Longest time between two reads of the group's lease by one member. A group
+/// of 96 then reads its lease eight times a second in all.
+static constexpr Duration MaxLeaseReadInterval = std::chrono::seconds(12);
+
 /// Bytes per second in \p share of this host's link; 0 if the link's bandwidth
 /// is not known.
 static double linkBytes(const RankSettings &settings, double share) {
@@ -60,6 +69,7 @@
   limits.Margin = std::chrono::milliseconds(700);
   limits.RenewEvery = std::chrono::milliseconds(900);
   limits.RetryEvery = std::chrono::milliseconds(1500);
+  limits.MaxReadInterval = MaxLeaseReadInterval;
   limits.CallTimeout = std::chrono::milliseconds(900);
   limits.ActsDuringOutage = true;
   limits.TakesOverOwnLease = true;
@@ -116,8 +126,12 @@
                        .with("version", order->Version.get())
                        .with("base", order->Delta->Base.get());
   } else if (std::holds_alternative<LeaderCheck>(message) && Member &&
-             from.get() == Member->Lease.holder())
-    Coordinator.onQueryReply(monotonicNow());
+             from.get() == Member->Lease.holder()) {
+    TimePoint now = monotonicNow();
+    Coordinator.onQueryReply(now);
+    Member->Lease.onHolderReply(now);
+    LeaseTimer.set(Member->Lease.nextTimer());
+  }
 }
 
 Result<void> RankAgent::start() {
@@ -256,6 +270,10 @@
   if (Member->Lease.isHeld(now))
     return;
   report(status);
+  if (now >= NextCoordinatorQuery) {
+    NextCoordinatorQuery = now + CoordinatorQueryInterval;
+    queryCoordinator();
+  }
   watchForStall(status);
 }
 
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -14,6 +14,7 @@
 #include <doctest/doctest.h>
 
 using namespace ospreyspur;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 static constexpr TimePoint Start{std::chrono::hours(1)};
@@ -154,6 +155,44 @@
   CHECK_FALSE(rank.state().Armed.has_value());
 }
 
+// Guards against reads of the store that grow with the number of ranks.
+TEST_CASE("a candidate that hears from the holder rarely reads the lease") {
+  LeaseLimits limits;
+  limits.RetryEvery = milliseconds(1500);
+  limits.MaxReadInterval = seconds(12);
+  LeaseHolder candidate("k", "b", limits);
+  unsigned reads = 0;
+  TimePoint silentAt = Start + seconds(60);
+  TimePoint noticed;
+  for (TimePoint now = Start; now < Start + seconds(70);
+       now += milliseconds(100)) {
+    if (candidate.nextCall(now)) {
+      candidate.onReply({ResultCode::Ok, Revision(7), "a"}, now);
+      reads += now < silentAt ? 1 : 0;
+      if (now >= silentAt && noticed == TimePoint())
+        noticed = now;
+    }
+    if (now < silentAt)
+      candidate.onHolderReply(now);
+  }
+  CHECK(reads <= 6);
+  CHECK(noticed - silentAt <= limits.RetryEvery);
+}
+
+TEST_CASE(
+    "a reply of the holder does not stop a candidate that found the lease "
+    "free") {
+  LeaseLimits limits;
+  limits.MaxReadInterval = seconds(12);
+  LeaseHolder candidate("k", "b", limits);
+  REQUIRE(candidate.nextCall(Start));
+  candidate.onReply({ResultCode::NotFound, {}, {}}, Start);
+  candidate.onHolderReply(Start);
+  std::optional<KvCall> call = candidate.nextCall(Start);
+  REQUIRE(call);
+  CHECK(std::holds_alternative<KvPut>(*call));
+}
+
 TEST_CASE("during an outage a holder acts on only if its orders are fenced") {
   for (bool outlasts : {false, true}) {
     LeaseLimits limits;
