Let the first read of a shared value be stale

Cause: at a start of all, each of the entries reads the configuration and the endpoint list, five pages at 816 rows, in consistent reads, each billed as a whole call: entries x pages.

Change: the first read may be stale, which costs a tenth. Its value carries the revision that it shows, so watches and peers bring what followed, and no copy goes back. After lost history the read is consistent as before.

--- a/include/ospreyspur/Control/ConfigReader.h
+++ b/include/ospreyspur/Control/ConfigReader.h
@@ -28,7 +28,7 @@
                                       Duration timeout);
 
 private:
-  boost::asio::awaitable<KvReply> readAll(Duration timeout);
+  boost::asio::awaitable<KvReply> readAll(bool mayBeStale, Duration timeout);
   KvReply makeReply(bool hasChanged, Revision at) const;
 
   PlatformClient &Platform;
--- a/include/ospreyspur/Control/ListReader.h
+++ b/include/ospreyspur/Control/ListReader.h
@@ -27,7 +27,7 @@
   boost::asio::awaitable<KvReply> ask(Duration wait, Duration timeout);
 
 private:
-  boost::asio::awaitable<KvReply> readAll(Duration timeout);
+  boost::asio::awaitable<KvReply> readAll(bool mayBeStale, Duration timeout);
   void applyItem(const KvItem &item);
   KvReply makeReply() const;
 
@@ -35,7 +35,7 @@
   std::map<std::string, EndpointRecord> Records;
   /// Keys of unreadable records that have been logged.
   std::set<std::string> LoggedKeys;
-  /// 0 before the first whole list and after its history was lost.
+  /// 0 before the first whole list.
   Revision SeenAt;
 };
 
--- a/lib/Control/ConfigReader.cpp
+++ b/lib/Control/ConfigReader.cpp
@@ -22,12 +22,13 @@
       State = std::move(state.value());
       SeenAt = copy.revision();
     }
+  // A first read may be stale: watches and peers bring what followed.
   if (SeenAt.get() == 0)
-    co_return co_await readAll(timeout);
+    co_return co_await readAll(true, timeout);
   KvCall watch = KvWatchList{platform::OperatorKeyPrefix, SeenAt, wait};
   KvReply page = co_await Platform.ask(std::move(watch), timeout);
   if (page.Code == ResultCode::PlatformHistoryGone)
-    co_return co_await readAll(timeout);
+    co_return co_await readAll(false, timeout);
   if (page.Code != ResultCode::Ok)
     co_return page;
   OperatorState before = State;
@@ -40,8 +41,9 @@
   co_return makeReply(State != before, last);
 }
 
-asio::awaitable<KvReply> ConfigReader::readAll(Duration timeout) {
-  KvCall call = KvList{platform::OperatorKeyPrefix, false};
+asio::awaitable<KvReply> ConfigReader::readAll(bool mayBeStale,
+                                               Duration timeout) {
+  KvCall call = KvList{platform::OperatorKeyPrefix, mayBeStale};
   KvReply list = co_await Platform.ask(std::move(call), timeout);
   if (list.Code != ResultCode::Ok)
     co_return list;
--- a/lib/Control/ListReader.cpp
+++ b/lib/Control/ListReader.cpp
@@ -20,12 +20,13 @@
 static constexpr std::size_t MaxLoggedKeys = 100;
 
 asio::awaitable<KvReply> ListReader::ask(Duration wait, Duration timeout) {
+  // A first read may be stale: watches and peers bring what followed.
   if (SeenAt.get() == 0)
-    co_return co_await readAll(timeout);
+    co_return co_await readAll(true, timeout);
   KvCall watch = KvWatchList{platform::EndpointKeyPrefix, SeenAt, wait};
   KvReply page = co_await Platform.ask(std::move(watch), timeout);
   if (page.Code == ResultCode::PlatformHistoryGone)
-    co_return co_await readAll(timeout);
+    co_return co_await readAll(false, timeout);
   if (page.Code != ResultCode::Ok)
     co_return page;
   for (const KvItem &it : page.Items)
@@ -38,8 +39,9 @@
   co_return makeReply();
 }
 
-asio::awaitable<KvReply> ListReader::readAll(Duration timeout) {
-  KvCall call = KvList{platform::EndpointKeyPrefix, false};
+asio::awaitable<KvReply> ListReader::readAll(bool mayBeStale,
+                                             Duration timeout) {
+  KvCall call = KvList{platform::EndpointKeyPrefix, mayBeStale};
   KvReply list = co_await Platform.ask(std::move(call), timeout);
   if (list.Code != ResultCode::Ok)
     co_return list;
--- a/lib/Rpc/GrpcThreads.cpp
+++ b/lib/Rpc/GrpcThreads.cpp
@@ -13,11 +13,11 @@
 #include <thread>
 
 /// 0 until setGrpcCores() is called: the number of cores of the machine.
-static unsigned GrpcCores = 0;
+static unsigned grpcCores = 0;
 
-void ospreyspur::setGrpcCores(unsigned cores) { GrpcCores = cores; }
+void ospreyspur::setGrpcCores(unsigned cores) { grpcCores = cores; }
 
 extern "C" unsigned gpr_cpu_num_cores() {
-  return GrpcCores > 0 ? GrpcCores
+  return grpcCores > 0 ? grpcCores
                        : std::max(std::thread::hardware_concurrency(), 1U);
 }
