--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -91,6 +91,8 @@
   Duration StopLimit{};
   Duration StopNotice{};
   RetryLimits Retries;
+  /// How long a caller may leave data of its response unread.
+  Duration WriteTimeout = std::chrono::seconds(5);
   /// HMAC key of the request digests; must be the same at all entries.
   std::string DigestKey;
 
--- a/include/ospreyspur/Experts/LeaseHolder.h
+++ b/include/ospreyspur/Experts/LeaseHolder.h
@@ -73,9 +73,10 @@
   /// Does nothing while a call is pending. Allowed only where all orders of
   /// holders are fenced; for an own lease, see TakesOverOwnLease.
   void takeOver(TimePoint now);
-  /// The process that this one knows as the holder has replied that it leads its
-  /// group. The next read waits for another RetryEvery, up to MaxReadInterval
-  /// after the previous one. Most candidates then need not read the store.
+  /// The process that this one knows as the holder has replied that it leads
+  /// its group. The next read waits for another RetryEvery, up to
+  /// MaxReadInterval after the previous one. Most candidates then need not read
+  /// the store.
   void onHolderReply(TimePoint now);
   /// Called when this process may no longer hold the lease. It stops acting
   /// until the next call has found that its own write is still in place.
@@ -97,8 +98,8 @@
   Revision newestHolder() const { return std::max(Holder, OtherRevision); }
   /// The epoch; meaningful only while the lease is held.
   Epoch epoch() const { return Epoch(Holder.get()); }
-  /// The value that the current holder wrote, as last read; empty if there was
-  /// no holder.
+  /// The value that the current holder wrote, as last read, or this process's
+  /// own since it acquired the lease; empty if there was no holder.
   const std::string &holder() const { return HolderName; }
   /// When nextCall() must be called next.
   TimePoint nextTimer() const;
--- a/include/ospreyspur/Http/HttpExchange.h
+++ b/include/ospreyspur/Http/HttpExchange.h
@@ -68,8 +68,12 @@
 
   bool mustClose() const { return MustClose; }
   bool hasBegun() const { return HasBegun; }
+  /// Whether a write was given up because the client did not read in time.
+  bool hasTimedOut() const { return HasTimedOut; }
 
 private:
+  void recordWrite(const boost::system::error_code &ec);
+
   /// Shared with the wait for the socket, which may outlive the exchange.
   struct DisconnectWatch {
     bool IsOn = true;
@@ -82,6 +86,7 @@
   std::shared_ptr<DisconnectWatch> Watch;
   bool HasBegun = false;
   bool MustClose = false;
+  bool HasTimedOut = false;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -82,6 +82,7 @@
   void logPushback();
   void logSharing();
   void logColdEndpoints();
+  void logUnread(const DirectCall &call);
   static void logEarlyClose(const DirectCall &call, const StartAttempt &order,
                             AttemptEnd end, Duration ran);
   void logCrashes();
--- a/include/ospreyspur/Support/LogEvent.h
+++ b/include/ospreyspur/Support/LogEvent.h
@@ -30,7 +30,7 @@
     if (text.find_first_of(" \"\n\r=") == std::string::npos)
       Text << text;
     else
-      Text << std::quoted(text);
+      Text << std::quoted(replaceLineEnds(text));
     return *this;
   }
 
@@ -39,6 +39,14 @@
   }
 
 private:
+  /// Returns \p text with blanks for line ends, as an event is one line.
+  static std::string replaceLineEnds(std::string text) {
+    for (char &it : text)
+      if (it == '\n' || it == '\r')
+        it = ' ';
+    return text;
+  }
+
   std::ostringstream Text;
 };
 
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -195,6 +195,11 @@
       reader.readFraction("direct.grace_s", DefaultGrace, 1, MaxGrace,
                           "from SIGTERM until the process is "
                           "killed"));
+  constexpr double DefaultWriteTimeout = 5;
+  constexpr double MaxWriteTimeout = 600;
+  out.WriteTimeout = secondsToDuration(reader.readFraction(
+      "direct.write_timeout_s", DefaultWriteTimeout, 0.1, MaxWriteTimeout,
+      "how long a caller may leave data of its response unread"));
   RetryLimits &retries = out.Retries;
   retries.Ratio =
       reader.readFraction("direct.retry_ratio", retries.Ratio, 0, 10,
--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -91,6 +91,7 @@
 
 void LeaseHolder::hold(Revision at) {
   Holder = at;
+  HolderName = Self;
   SuspendedRevision = Revision(0);
   ActUntil = SentAt + Limits.Span - Limits.Margin;
   NextCall = SentAt + Limits.RenewEvery;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -94,6 +94,11 @@
   return it == Request.end() ? std::string() : std::string(it->value());
 }
 
+void HttpExchange::recordWrite(const boost::system::error_code &ec) {
+  MustClose = MustClose || ec;
+  HasTimedOut = HasTimedOut || ec == beast::error::timeout;
+}
+
 asio::awaitable<bool> HttpExchange::respond(HttpResponse response) {
   HasBegun = true;
   response.version(Request.version());
@@ -105,7 +110,7 @@
   MustClose = MustClose || isHead || !response.keep_alive();
   Stream.expires_after(Limits.WriteTimeout);
   auto [ec, n] = co_await http::async_write(Stream, response, AsTuple);
-  MustClose = MustClose || ec;
+  recordWrite(ec);
   co_return !ec;
 }
 
@@ -140,7 +145,7 @@
   http::response_serializer<http::empty_body> serializer(head);
   Stream.expires_after(Limits.WriteTimeout);
   auto [ec, n] = co_await http::async_write_header(Stream, serializer, AsTuple);
-  MustClose = MustClose || ec;
+  recordWrite(ec);
   co_return !ec;
 }
 
@@ -150,7 +155,7 @@
   Stream.expires_after(Limits.WriteTimeout);
   auto chunk = http::make_chunk(asio::buffer(data));
   auto [ec, n] = co_await asio::async_write(Stream, chunk, AsTuple);
-  MustClose = MustClose || ec;
+  recordWrite(ec);
   co_return !ec;
 }
 
@@ -161,7 +166,7 @@
   Stream.expires_after(Limits.WriteTimeout);
   auto last = http::make_chunk_last();
   auto [ec, n] = co_await asio::async_write(Stream, last, AsTuple);
-  MustClose = MustClose || ec;
+  recordWrite(ec);
   co_return !ec;
 }
 
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -79,8 +79,10 @@
 
 /// The server closes idle connections a quarter later than the configured idle
 /// timeout, so that no caller reuses a connection just as the server closes it.
-static HttpLimits makeHttpLimits(const CallerLimits &limits) {
+static HttpLimits makeHttpLimits(const CallerLimits &limits,
+                                 Duration writeTimeout) {
   HttpLimits out;
+  out.WriteTimeout = writeTimeout;
   out.MaxHeaderBytes = limits.MaxHeaderBytes;
   out.MaxBodyBytes = limits.MaxBodyBytes;
   out.ReadTimeout = limits.IdleTimeout + limits.IdleTimeout / 4;
@@ -96,7 +98,7 @@
            settings.Name),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
       PoolTimer(ioc), StartTimer(ioc),
-      Server(ioc, makeHttpLimits(CallerLimits()),
+      Server(ioc, makeHttpLimits(CallerLimits(), settings.WriteTimeout),
              [this](HttpExchange &it) { return handle(it); }),
       Loads(ioc, {[this] {
                     TimePoint now = monotonicNow();
@@ -141,7 +143,7 @@
 void DirectTraffic::setSnapshot(
     const std::shared_ptr<const DirectSnapshot> &snapshot) {
   Config = snapshot->Config;
-  Server.setLimits(makeHttpLimits(Config->Limits));
+  Server.setLimits(makeHttpLimits(Config->Limits, Settings.WriteTimeout));
   Node.setEndpoints(snapshot->Endpoints);
   Node.setColdEndpoints(snapshot->Endpoints, *Config, monotonicNow());
   logColdEndpoints();
@@ -237,6 +239,8 @@
   for (;;) {
     DirectEvent event = co_await call.Inbox.next();
     if (call.IsCallerGone) {
+      if (exchange.hasTimedOut())
+        logUnread(call);
       apply(Node.onCallClosed(call.Request.Id, monotonicNow()));
       finish(call, ResultCode::Cancelled);
       exchange.abort();
@@ -326,6 +330,16 @@
   apply(Node.onAttemptEnded(id, end, monotonicNow(), running.connectionEnd()));
 }
 
+/// Logs that a response was given up because its caller did not read it.
+void DirectTraffic::logUnread(const DirectCall &call) {
+  Measures.count("responses_unread_total");
+  LOG(INFO) << LogEvent("response.unread")
+                   .with("id", call.Request.Label)
+                   .with("endpoints", call.Endpoints)
+                   .with("timeout_ms", toMillis(Settings.WriteTimeout))
+                   .with("ms", toMillis(monotonicNow() - call.Arrived));
+}
+
 /// Logs one line for each attempt whose endpoint closed the connection before
 /// its response was complete.
 void DirectTraffic::logEarlyClose(const DirectCall &call,
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -155,6 +155,20 @@
   CHECK_FALSE(rank.state().Armed.has_value());
 }
 
+TEST_CASE("a process that acquires the lease knows itself as the holder") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  REQUIRE(holder.nextCall(Start));
+  holder.onReply({ResultCode::Ok, Revision(3), "b"}, Start);
+  REQUIRE(holder.holder() == "b");
+  TimePoint later = Start + seconds(5);
+  REQUIRE(holder.nextCall(later));
+  holder.onReply({ResultCode::NotFound, {}, {}}, later);
+  REQUIRE(holder.nextCall(later));
+  holder.onReply({ResultCode::Ok, Revision(5), {}}, later);
+  CHECK(holder.isHeld(later));
+  CHECK(holder.holder() == "a");
+}
+
 // Guards against reads of the store that grow with the number of ranks.
 TEST_CASE("a candidate that hears from the holder rarely reads the lease") {
   LeaseLimits limits;
--- a/unittests/Process/DirectTrafficTest.cpp
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -12,6 +12,8 @@
 #include "ospreyspur/Process/DirectTraffic.h"
 #include "ospreyspur/Support/Address.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +21,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <list>
 
 using namespace ospreyspur;
@@ -29,6 +32,7 @@
     "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 8000\r\n"
     "Content-Length: 0\r\n\r\n";
 static constexpr std::chrono::seconds CallerPatience(5);
+static constexpr std::chrono::seconds CallerWriteTimeout(1);
 static constexpr std::string_view EndOfStream = "\r\n0\r\n\r\n";
 
 namespace {
@@ -76,11 +80,12 @@
 template <typename Endpoint> class TrafficFixture {
 public:
   template <typename Argument>
-  TrafficFixture(unsigned endpoints, Argument &&argument)
+  TrafficFixture(unsigned endpoints, Argument &&argument,
+                 bool isResumable = true)
       : Traffic(Context, makeSettings(), Measures, 1) {
     REQUIRE(Traffic.start());
     auto snapshot = std::make_shared<DirectSnapshot>();
-    snapshot->Config = makeConfig();
+    snapshot->Config = makeConfig(isResumable);
     for (unsigned i = 0; i < endpoints; ++i) {
       const Endpoint &it = Endpoints.emplace_back(Context, argument);
       EndpointRecord record;
@@ -110,6 +115,18 @@
     return text;
   }
 
+  /// Sends a request and reads nothing of the response until \p isDone, but at
+  /// most for CallerPatience.
+  void callWithoutReading(const std::function<bool()> &isDone) {
+    tcp::socket socket(Context);
+    socket.connect(parseAddress(Settings.Listen).value());
+    asio::write(socket, asio::buffer(Request));
+    Context.restart();
+    auto until = std::chrono::steady_clock::now() + CallerPatience;
+    while (!isDone() && std::chrono::steady_clock::now() < until)
+      Context.run_for(std::chrono::milliseconds(20));
+  }
+
   const std::list<Endpoint> &endpoints() const { return Endpoints; }
 
 private:
@@ -119,6 +136,7 @@
     tcp::endpoint links = test::findFreeAddress();
     Settings.LinkListen = toText(links);
     Settings.PeerPorts = std::to_string(links.port()) + ",0";
+    Settings.WriteTimeout = CallerWriteTimeout;
     return Settings;
   }
 
@@ -126,13 +144,13 @@
     return it.address().to_string() + ":" + std::to_string(it.port());
   }
 
-  static std::shared_ptr<const FleetConfig> makeConfig() {
+  static std::shared_ptr<const FleetConfig> makeConfig(bool isResumable) {
     auto config = std::make_shared<FleetConfig>();
     RouteRule route;
     route.Host = "h";
     route.Prefix = "/";
     route.Kind = RequestKind::Stream;
-    route.IsResumable = true;
+    route.IsResumable = isResumable;
     route.Attempts = 2;
     route.Services = {{ServiceId("s"), 1}};
     config->Routes.push_back(route);
@@ -217,3 +235,107 @@
   std::sort(all.begin(), all.end());
   CHECK(all == std::vector<std::string>{"", "1"});
 }
+
+namespace {
+/// An endpoint that writes events until its connection is closed.
+class FloodingEndpoint {
+public:
+  FloodingEndpoint(asio::io_context &ioc, bool &isReleased)
+      : Server(ioc, HttpLimits(),
+               [&isReleased](HttpExchange &it) { return run(it, isReleased); }),
+        Address(test::findFreeAddress()) {
+    REQUIRE(Server.listen(Address));
+  }
+
+  const tcp::endpoint &address() const { return Address; }
+
+private:
+  static asio::awaitable<void> run(HttpExchange &exchange, bool &isReleased) {
+    constexpr std::size_t EventBytes = 16000;
+    HttpResponse head;
+    head.set("Content-Type", "text/event-stream");
+    head.set("Request-Id", exchange.header("Request-Id"));
+    head.set("Replica-Stamp", "s");
+    bool isOpen = co_await exchange.beginStream(head);
+    for (unsigned i = 1; isOpen; ++i)
+      isOpen = co_await exchange.writeStream(
+          "id: " + std::to_string(i) +
+          "\ndata: " + std::string(EventBytes, 'x') + "\n\n");
+    isReleased = true;
+  }
+
+  HttpServer Server;
+  tcp::endpoint Address;
+};
+
+/// An endpoint that keeps its connections open and counts them.
+class CountingEndpoint {
+public:
+  CountingEndpoint(asio::io_context &ioc, unsigned &connections)
+      : Acceptor(ioc, test::findFreeAddress()),
+        Address(Acceptor.local_endpoint()) {
+    asio::co_spawn(ioc, accept(connections), asio::detached);
+  }
+
+  const tcp::endpoint &address() const { return Address; }
+
+private:
+  static constexpr std::string_view Response =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nReplica-Stamp: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "13\r\nid: 1\ndata: first\n\n\r\n0\r\n\r\n";
+
+  asio::awaitable<void> accept(unsigned &connections) {
+    for (;;) {
+      tcp::socket socket = co_await Acceptor.async_accept(asio::use_awaitable);
+      ++connections;
+      asio::co_spawn(Acceptor.get_executor(), serve(std::move(socket)),
+                     asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> serve(tcp::socket socket) {
+    std::string in;
+    for (;;) {
+      boost::system::error_code ec;
+      std::size_t n = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(in), "\r\n\r\n",
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec)
+        co_return;
+      in.erase(0, n);
+      co_await asio::async_write(socket, asio::buffer(Response),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
+  }
+
+  tcp::acceptor Acceptor;
+  tcp::endpoint Address;
+};
+} // namespace
+
+// Guards against callers that fill an endpoint with responses that they do not
+// read.
+TEST_CASE("a response that its caller does not read is given up") {
+  bool isReleased = false;
+  TrafficFixture<FloodingEndpoint> fixture(1, isReleased);
+  auto began = std::chrono::steady_clock::now();
+  fixture.callWithoutReading([&] { return isReleased; });
+  CHECK(isReleased);
+  auto taken = std::chrono::steady_clock::now() - began;
+  CHECK(taken >= CallerWriteTimeout);
+  CHECK(taken < CallerPatience);
+}
+
+// Guards against a request that reaches a kept connection just as its endpoint
+// closes it: whether the request ran would be unknown.
+TEST_CASE("a stream that cannot resume is sent on a new connection") {
+  for (bool isResumable : {true, false}) {
+    CAPTURE(isResumable);
+    unsigned connections = 0;
+    TrafficFixture<CountingEndpoint> fixture(1, connections, isResumable);
+    for (int i = 0; i < 3; ++i)
+      CHECK(fixture.call().ends_with(EndOfStream));
+    CHECK(connections == (isResumable ? 1 : 3));
+  }
+}
--- a/unittests/Support/LogWriterTest.cpp
+++ b/unittests/Support/LogWriterTest.cpp
@@ -6,12 +6,14 @@
 //===----------------------------------------------------------------------===//
 
 #include "ospreyspur/Process/LogWriter.h"
+#include "ospreyspur/Support/LogEvent.h"
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <unistd.h>
 
 #include <array>
+#include <sstream>
 #include <string>
 
 using namespace ospreyspur;
@@ -61,3 +63,9 @@
   sendLine(writer, google::GLOG_ERROR, text);
   CHECK(writer.dropped() == dropped);
 }
+
+TEST_CASE("an event is one line, whatever its values contain") {
+  std::ostringstream out;
+  out << LogEvent("e").with("detail", "first\nsecond\r\nthird");
+  CHECK(out.str() == "event=e detail=\"first second  third\"");
+}
