Let the age of confirmations grow with the depth of the gossip tree

Cause: a node whose copies were not confirmed for 4 to 6 s reads the store itself. With four watchers a watch takes 3 s, and each level of the tree adds a round of 1 s, so from some ten nodes a data centre on most nodes read the store every few seconds: a constant that held only while the tree was flat.

Change: the age after which a node reads the store is at least the longest watch and one round for each level, with one round to spare.

--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -45,7 +45,8 @@
   /// change that one watcher misses arrives with the digests of the others.
   Duration WatchWaitShare{};
   /// A copy that was not confirmed for this time plus a random part of
-  /// MaxAgeJitter is read from the key-value store.
+  /// MaxAgeJitter is read from the key-value store. In a large data centre the
+  /// time is longer, as confirmations are older the more nodes they pass.
   Duration MaxAge = std::chrono::seconds(4);
   Duration MaxAgeJitter = std::chrono::seconds(2);
   /// A subscription ends after this time without a subscribing digest.
@@ -120,6 +121,7 @@
   KeyFollower &copyOf(SharedKey key);
   void callStore(TimePoint now);
   Duration watchWait() const;
+  Duration maxAge() const;
   void sendDigests(TimePoint now);
   std::optional<EndpointId> pickParent() const;
   std::optional<EndpointId> pickRandomPeer();
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -116,7 +116,7 @@
 void GossipNode::callStore(TimePoint now) {
   for (SharedKey key : SharedKeys) {
     KeyFollower &follower = copyOf(key);
-    bool isOld = now - follower.confirmedAt() >= Limits.MaxAge + OwnAgeJitter ||
+    bool isOld = now - follower.confirmedAt() >= maxAge() + OwnAgeJitter ||
                  follower.revision().get() == 0;
     if (!isWatcher() && !isOld)
       continue;
@@ -138,6 +138,19 @@
   return std::max(Limits.WatchWait, Limits.WatchWaitShare * watchers);
 }
 
+/// A confirmation is as old as the longest watch and a round for each level of
+/// the tree that it passed. One more round may be lost.
+Duration GossipNode::maxAge() const {
+  std::size_t level = std::max<std::size_t>(Limits.WatchersPerDataCentre, 1);
+  std::size_t reached = level;
+  int rounds = 2;
+  for (; reached < Order.size(); reached += level) {
+    level *= Limits.FanOut;
+    ++rounds;
+  }
+  return std::max(Limits.MaxAge, watchWait() + Limits.Interval * rounds);
+}
+
 TimePoint GossipNode::nextTimer() const {
   TimePoint next = NextRound;
   if (!isWatcher())
--- a/unittests/Config/GossipSimulation.cpp
+++ b/unittests/Config/GossipSimulation.cpp
@@ -26,8 +26,9 @@
 }
 
 GossipSimulation::GossipSimulation(std::uint64_t seed, FleetShape shape,
-                                   unsigned lossPercent, unsigned latePercent)
-    : Scheduler(seed, latePercent), LossPercent(lossPercent),
+                                   unsigned lossPercent, unsigned latePercent,
+                                   GossipLimits limits)
+    : Scheduler(seed, latePercent), Limits(limits), LossPercent(lossPercent),
       NodesPerDataCentre(shape.Agents + shape.Entries) {
   for (std::size_t d = 0; d < shape.DataCentres; ++d) {
     DataCentreId place("d" + std::to_string(d));
@@ -78,8 +79,8 @@
 
 void GossipSimulation::start(std::size_t i) {
   Node &node = Nodes[i];
-  node.Machine = std::make_unique<GossipNode>(node.Id, GossipLimits(),
-                                              Scheduler.below(1U << 30U));
+  node.Machine =
+      std::make_unique<GossipNode>(node.Id, Limits, Scheduler.below(1U << 30U));
   node.Machine->setPeers(StartPeers);
   node.IncarnationNumber = ++LastIncarnation;
   node.Seen = {};
--- a/unittests/Config/GossipSimulation.h
+++ b/unittests/Config/GossipSimulation.h
@@ -51,7 +51,7 @@
 
   /// Of the messages, \p lossPercent are lost and as many are delivered twice.
   GossipSimulation(std::uint64_t seed, FleetShape shape, unsigned lossPercent,
-                   unsigned latePercent);
+                   unsigned latePercent, GossipLimits limits = GossipLimits());
 
   RandomScheduler Scheduler;
   std::vector<Node> Nodes;
@@ -111,6 +111,7 @@
   void hold(HeldWatch watch);
   void reply(const HeldWatch &watch, const KvReply &reply);
 
+  GossipLimits Limits;
   unsigned LossPercent;
   std::size_t NodesPerDataCentre;
   std::map<std::string, KvReply> Values;
--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -198,6 +198,25 @@
   }
 }
 
+// Guards against reads of the store by every node whose copies are confirmed
+// only by way of several others: the deeper the tree, the older they are.
+TEST_CASE("on calm days only the watchers of a data centre call the store") {
+  constexpr std::size_t DataCentres = 5;
+  constexpr Duration Span = seconds(30);
+  for (std::size_t nodes : {12U, 42U, 124U}) {
+    CAPTURE(nodes);
+    GossipLimits limits = makeDirectGossipLimits();
+    ospreyspur::test::GossipSimulation fleet(1, {DataCentres, nodes, 0}, 0, 0,
+                                             limits);
+    fleet.Scheduler.runUntil(fleet.Scheduler.now() + seconds(15));
+    std::size_t before = fleet.PlatformCalls;
+    fleet.Scheduler.runUntil(fleet.Scheduler.now() + Span);
+    std::size_t ofWatchers = DataCentres * SharedKeyCount *
+                             std::size_t(Span / limits.WatchWaitShare);
+    CHECK(fleet.PlatformCalls - before <= ofWatchers * 5 / 4);
+  }
+}
+
 TEST_CASE(
     "records that change in quick succession do not each wake a watcher") {
   KeyFollower follower("k", makeDirectGossipLimits().Follower);
