Tell entries with other subsets that a suspect request has ended

Cause: a report goes to all entries only while it has something for all, so those with other subsets took an ended attempt of a suspect request for a running one until it was too old. Found by reading the change on subsets.

Change: one more report goes to all after the last one that concerned them.

--- a/include/ospreyspur/Process/LoadExchange.h
+++ b/include/ospreyspur/Process/LoadExchange.h
@@ -65,6 +65,8 @@
   Addresses Sharing;
   Addresses Outside;
   TimePoint OutsideSentAt;
+  /// Whether the previous report concerned all entries.
+  bool ConcernedAll = false;
   std::array<char, 64U << 10U> Bytes{};
   boost::asio::ip::udp::endpoint Sender;
   /// Whether a change has not been sent yet.
--- a/lib/Process/LoadExchange.cpp
+++ b/lib/Process/LoadExchange.cpp
@@ -109,7 +109,9 @@
   LoadReport report = Handlers.MakeReport();
   sendTo(Sharing, report);
   TimePoint now = monotonicNow();
-  if (report.concernsAll() ||
+  // One more report says that a suspect request has ended.
+  bool didConcernAll = std::exchange(ConcernedAll, report.concernsAll());
+  if (ConcernedAll || didConcernAll ||
       (report.IsNew && now - OutsideSentAt >= Interval)) {
     OutsideSentAt = now;
     report.Loads.clear();
