End the limit of a cold endpoint whose record vanishes

Cause, found by reading the change on cold endpoints: an endpoint that left the list while cold kept its limit, for up to ten minutes if the same incarnation came back, as records do that lapse in an outage of the store.

Change: the limit ends with the record. Also a bound on the receivers that unlisted senders of load reports can add.

Test: ColdEndpointTest, "whose record vanishes and returns", red before.

--- a/lib/Direct/ColdEndpoints.cpp
+++ b/lib/Direct/ColdEndpoints.cpp
@@ -20,8 +20,12 @@
     track(it, config, now);
     present.insert(digestIncarnation(it.Record.Id));
   }
-  std::erase_if(Endpoints,
-                [&](const auto &it) { return !present.contains(it.first); });
+  std::erase_if(Endpoints, [&](const auto &it) {
+    bool isGone = !present.contains(it.first);
+    if (isGone && it.second.ColdUntil)
+      Rates.onResponse(it.first, std::nullopt, now, now);
+    return isGone;
+  });
   HasList = HasList || !endpoints.empty();
   onTimer(now);
 }
--- a/lib/Process/LoadExchange.cpp
+++ b/lib/Process/LoadExchange.cpp
@@ -20,6 +20,8 @@
 
 /// One in this many unreadable datagrams is logged.
 static constexpr int LogOneIn = 100;
+/// Bound on what senders of forged datagrams can make this entry send.
+static constexpr std::size_t MaxReceivers = 512;
 
 LoadExchange::LoadExchange(asio::io_context &ioc, LoadExchangeHandlers handlers)
     : Handlers(std::move(handlers)), Socket(ioc), Timer(ioc) {}
@@ -66,6 +68,8 @@
 /// Reports to the sender of a report, too, if it is not listed yet: it has just
 /// started.
 void LoadExchange::addUnknownSender() {
+  if (Sharing.size() >= MaxReceivers)
+    return;
   auto isSender = [this](const udp::endpoint &it) { return it == Sender; };
   if (std::none_of(Sharing.begin(), Sharing.end(), isSender) &&
       std::none_of(Outside.begin(), Outside.end(), isSender))
--- a/unittests/Pushback/ColdEndpointTest.cpp
+++ b/unittests/Pushback/ColdEndpointTest.cpp
@@ -105,6 +105,32 @@
   CHECK_FALSE(cold.isCold(id));
 }
 
+// Guards against a limit that outlives its endpoint's record: the record of an
+// endpoint may lapse in an outage of the store and return.
+TEST_CASE(
+    "a cold endpoint whose record vanishes and returns is not limited for "
+    "longer than it is cold") {
+  FleetConfig config;
+  ServiceRule service{ServiceId("s"), 100, std::nullopt};
+  service.ColdRequestsPerSecond = PerSecond;
+  config.Services.emplace(ServiceId("s"), service);
+  ListedEndpoint endpoint;
+  endpoint.Record.Id = EndpointId("e");
+  endpoint.Record.Service = ServiceId("s");
+  endpoint.Record.ColdLeft = seconds(3);
+  IncarnationDigest id = digestIncarnation(endpoint.Record.Id);
+  TimePoint now{seconds(100)};
+  ColdEndpoints cold;
+  cold.setEndpoints({endpoint}, config, now);
+  REQUIRE(cold.isCold(id));
+  cold.setEndpoints({}, config, now + seconds(1));
+  CHECK(cold.isEmpty());
+  endpoint.Record.ColdLeft = Duration::zero();
+  cold.setEndpoints({endpoint}, config, now + seconds(4));
+  CHECK_FALSE(cold.isCold(id));
+  CHECK(cold.hasCapacity(id, now + seconds(4)));
+}
+
 TEST_CASE("a new endpoint is a last choice at first") {
   FleetConfig config;
   config.Services.emplace(ServiceId("s"),
