Offer a first read of the operators' values under its own revision

Cause: a process that starts read the operators' values and offered them under the store's revision, which is newer than that of the same values elsewhere, so each start of an entry sent the whole configuration through the whole fleet: starts x entries x its size.

Change: the value is offered under the revision of its newest part. Only a read that shows that a drain has ended counts as of the store's revision, as a removed key leaves none behind.

Test: DrainTest, "a read has the revision of its newest value".

--- a/include/ospreyspur/Direct/OperatorState.h
+++ b/include/ospreyspur/Direct/OperatorState.h
@@ -28,6 +28,15 @@
                          const OperatorState &) = default;
 };
 
+/// Returns the revision under which a process offers the state \p read, which
+/// replaces \p before, to the others. \p newest is the revision of the latest
+/// change among the values that were read, and \p seenAt that of the store. As
+/// a rule it is \p newest, so that a process that has just started offers the
+/// others nothing that they have. A drain that has ended leaves no value
+/// behind, so a read that shows its end counts as of \p seenAt.
+Revision revisionOfRead(const OperatorState &before, const OperatorState &read,
+                        Revision newest, Revision seenAt);
+
 /// Returns the configuration document itself if no data centre is drained.
 std::string formatOperatorState(const OperatorState &state);
 
--- a/lib/Control/ConfigReader.cpp
+++ b/lib/Control/ConfigReader.cpp
@@ -48,12 +48,14 @@
   if (list.Code != ResultCode::Ok)
     co_return list;
   OperatorState before = std::exchange(State, {});
-  for (const KvItem &it : list.Items)
+  Revision newest;
+  for (const KvItem &it : list.Items) {
     platform::applyOperatorItem(it, State);
+    newest = std::max(newest, it.At);
+  }
   SeenAt = list.SeenAt;
-  // A removed key leaves no revision behind, so the value counts as of the
-  // read.
-  co_return makeReply(State != before, list.SeenAt);
+  co_return makeReply(State != before,
+                      revisionOfRead(before, State, newest, SeenAt));
 }
 
 KvReply ConfigReader::makeReply(bool hasChanged, Revision at) const {
--- a/lib/Direct/OperatorState.cpp
+++ b/lib/Direct/OperatorState.cpp
@@ -9,9 +9,19 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 namespace json = boost::json;
 
+Revision ospreyspur::revisionOfRead(const OperatorState &before,
+                                    const OperatorState &read, Revision newest,
+                                    Revision seenAt) {
+  bool hasEnded = !std::includes(read.Drained.begin(), read.Drained.end(),
+                                 before.Drained.begin(), before.Drained.end());
+  return hasEnded ? seenAt : newest;
+}
+
 std::string ospreyspur::formatOperatorState(const OperatorState &state) {
   if (state.Drained.empty())
     return state.Config;
--- a/unittests/Direct/DrainTest.cpp
+++ b/unittests/Direct/DrainTest.cpp
@@ -111,6 +111,20 @@
   CHECK(queries == 2);
 }
 
+// Guards against entries that offer the configuration to the whole fleet under
+// a newer revision whenever they start.
+TEST_CASE("a read has the revision of its newest value unless a drain ended") {
+  OperatorState none{"{}", {}};
+  OperatorState drained{"{}", {DataCentreId("a")}};
+  Revision newest(7);
+  Revision seenAt(9);
+  CHECK(revisionOfRead({}, none, newest, seenAt) == newest);
+  CHECK(revisionOfRead({}, drained, newest, seenAt) == newest);
+  CHECK(revisionOfRead(none, drained, newest, seenAt) == newest);
+  CHECK(revisionOfRead(drained, drained, newest, seenAt) == newest);
+  CHECK(revisionOfRead(drained, none, newest, seenAt) == seenAt);
+}
+
 TEST_CASE("operators' values are one value with the drained data centres") {
   auto apply = [](OperatorState &state, const std::string &key, bool isRemoved,
                   const std::string &value = "{}") {
