Log lost calls to the store, lost links, and where a version came from

One line a lost call, which the state machines' backoffs bound; one a link that had replied.

No change of behaviour.

--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -23,6 +23,7 @@
 #include "ospreyspur/Rpc/PeerServer.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -32,6 +33,7 @@
 namespace ospreyspur {
 
 class EndpointSubset;
+class Metrics;
 
 /// The shared values that traffic threads of the direct path use, at one
 /// moment.
@@ -61,7 +63,7 @@
   /// \p seed determines the random choice of peers; \p onSnapshot runs on the
   /// control thread.
   DirectControl(boost::asio::io_context &ioc, const DirectSettings &settings,
-                std::uint64_t seed, Handler onSnapshot);
+                Metrics &metrics, std::uint64_t seed, Handler onSnapshot);
 
   /// Starts following the shared values. Errors: SettingInvalid.
   Result<void> start();
@@ -89,6 +91,7 @@
   void perform(const CopyChanged &action);
   void onMessage(LinkId from, const Message &message);
   void onPeerReply(const EndpointId &from, const Message &message);
+  void onPeerDown(const EndpointId &peer);
   void updatePeers();
   void applyConfig();
   void setDrained(std::set<DataCentreId> drained);
@@ -112,6 +115,8 @@
   std::set<DataCentreId> Drained;
   /// Where the latest change of a shared value came from, for the log.
   std::string ChangeSource;
+  /// Peers that have replied, and whether the link to each is up.
+  std::map<EndpointId, bool> LinksUp;
   /// The number of other entries in the last logged subset.
   std::optional<std::size_t> LoggedSharing;
   bool HasEndpoints = false;
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -14,17 +14,21 @@
 #include "platform/StoreWire.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace ospreyspur {
 
+class Metrics;
+
 /// A client of the platform's key-value store, for one io_context's thread.
 class PlatformClient {
 public:
   using Handler = std::function<void(KvReply)>;
 
-  PlatformClient(boost::asio::io_context &ioc, TcpAddress server);
+  PlatformClient(boost::asio::io_context &ioc, TcpAddress server,
+                 Metrics &metrics);
 
   /// Makes \p call and passes the reply to \p handler on the context's thread.
   /// \p timeout does not include the wait of a watch.
@@ -41,8 +45,18 @@
     platform::StoreLease Lease;
   };
 
+  /// What an exchange is for, in logs and metrics.
+  struct Purpose {
+    const char *Operation;
+    std::string Key;
+  };
+
   template <typename T> using Task = boost::asio::awaitable<T>;
 
+  Task<Result<HttpResponse>> exchange(Purpose purpose, HttpRequest request,
+                                      Duration timeout);
+  void recordLoss(const Purpose &purpose, const Error &error, Duration waited);
+  void recordResponse(TimePoint now);
   Task<KvReply> get(KvGet call, Duration timeout);
   Task<KvReply> put(KvPut call, Duration timeout);
   Task<KvReply> renew(KvRenew call, Duration timeout);
@@ -52,7 +66,12 @@
 
   boost::asio::io_context &Context;
   HttpClient Client;
+  Metrics &Measures;
   std::unordered_map<std::string, HeldLease> Leases;
+  /// When the first of the calls was made that were lost since the last
+  /// response; empty if none was lost.
+  std::optional<TimePoint> LostSince;
+  unsigned LostCalls = 0;
 };
 
 } // namespace ospreyspur
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -59,10 +59,10 @@
 }
 
 DirectControl::DirectControl(asio::io_context &ioc,
-                             const DirectSettings &settings, std::uint64_t seed,
-                             Handler onSnapshot)
+                             const DirectSettings &settings, Metrics &metrics,
+                             std::uint64_t seed, Handler onSnapshot)
     : Context(ioc), Settings(settings), OnSnapshot(std::move(onSnapshot)),
-      Platform(ioc, parseAddress(settings.PlatformAddress).value()),
+      Platform(ioc, parseAddress(settings.PlatformAddress).value(), metrics),
       Reader(Platform), ConfigSource(Platform),
       Node(makeIdentity(settings), makeDirectGossipLimits(), seed),
       Registry({settings.Name, DataCentreId(settings.DataCentre),
@@ -87,7 +87,7 @@
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
                     onPeerReply(from, message);
                   },
-                  [](const EndpointId &) {}}) {}
+                  [this](const EndpointId &peer) { onPeerDown(peer); }}) {}
 
 Result<void> DirectControl::start() {
   Result<void> listening = Server.listen(Settings.LinkListen);
@@ -199,12 +199,23 @@
                                 const Message &message) {
   TimePoint now = monotonicNow();
   ChangeSource = from.get();
+  auto it = LinksUp.emplace(from, true).first;
+  if (!std::exchange(it->second, true))
+    LOG(INFO) << LogEvent("link.up").with("peer", from.get());
   if (const auto *digest = std::get_if<GossipDigest>(&message))
     apply(Node.onPeerReply(from, *digest, now));
   else if (const auto *update = std::get_if<GossipUpdate>(&message))
     apply(Node.onPeerReply(from, *update, now));
 }
 
+/// Logs the loss of a link that had carried a reply.
+void DirectControl::onPeerDown(const EndpointId &peer) {
+  auto it = LinksUp.find(peer);
+  if (it == LinksUp.end() || !std::exchange(it->second, false))
+    return;
+  LOG(INFO) << LogEvent("link.down").with("peer", peer.get());
+}
+
 /// Uses the registered processes as peers, or those of the settings while no
 /// other process is registered.
 void DirectControl::updatePeers() {
@@ -224,10 +235,17 @@
       if (it != Settings.LinkListen)
         add(it, own, it);
   add(Settings.Name, own, Settings.LinkListen);
+  std::erase_if(LinksUp,
+                [&](const auto &it) { return !addresses.contains(it.first); });
   Peers.setAddresses(std::move(addresses));
   Node.setPeers(views);
 }
 
+/// Milliseconds since the store was last known to hold \p copy.
+static std::int64_t ageMillis(const KeyFollower &copy) {
+  return toMillis(monotonicNow() - copy.confirmedAt());
+}
+
 void DirectControl::applyConfig() {
   const KeyFollower &copy = Node.copy(SharedKey::Config);
   auto logUnreadable = [&copy](const Error &error) {
@@ -252,7 +270,9 @@
   LOG(INFO) << LogEvent("config.in_force")
                    .with("revision", copy.revision().get())
                    .with("version", Config->Version)
-                   .with("routes", Config->Routes.size());
+                   .with("routes", Config->Routes.size())
+                   .with("from", ChangeSource)
+                   .with("age_ms", ageMillis(copy));
   publish();
 }
 
@@ -263,8 +283,7 @@
     LOG(INFO) << LogEvent(event)
                      .with("data_centre", dataCentre.get())
                      .with("revision", copy.revision().get())
-                     .with("age_ms",
-                           toMillis(monotonicNow() - copy.confirmedAt()))
+                     .with("age_ms", ageMillis(copy))
                      .with("from", ChangeSource);
   };
   for (const DataCentreId &it : drained)
@@ -289,7 +308,9 @@
   HasEndpoints = true;
   LOG(INFO) << LogEvent("endpoints.in_force")
                    .with("revision", copy.revision().get())
-                   .with("endpoints", records.value().size());
+                   .with("endpoints", records.value().size())
+                   .with("from", ChangeSource)
+                   .with("age_ms", ageMillis(copy));
   ListTimer.set(Endpoints.nextTimer());
   publish();
 }
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -48,6 +48,9 @@
     // longer than the lost one, so they are dropped as well.
     bool canResend =
         isLost && resendPolicy == ResendPolicy::AfterLostConnection;
+    if (!response && !canResend)
+      co_return Error{response.error().Code,
+                      "on a kept connection: " + response.error().Detail};
     if (!canResend)
       co_return response;
     Idle.clear();
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -9,12 +9,16 @@
 
 #include "ospreyspur/Platform/PlatformClient.h"
 
+#include "ospreyspur/Support/LogEvent.h"
+#include "ospreyspur/Support/Metrics.h"
 #include "platform/StoreWire.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <glog/logging.h>
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
@@ -22,14 +26,17 @@
 /// Most pages read for one list, in case the store always reports another page.
 static constexpr unsigned MaxPages = 200;
 
+static constexpr const char *WatchOperation = "watch";
+
 static KvReply makeReply(ResultCode code) {
   KvReply reply;
   reply.Code = code;
   return reply;
 }
 
-PlatformClient::PlatformClient(asio::io_context &ioc, TcpAddress server)
-    : Context(ioc), Client(ioc, std::move(server)) {}
+PlatformClient::PlatformClient(asio::io_context &ioc, TcpAddress server,
+                               Metrics &metrics)
+    : Context(ioc), Client(ioc, std::move(server)), Measures(metrics) {}
 
 void PlatformClient::call(KvCall call, Duration timeout, Handler handler) {
   auto exchange = [this, timeout, handler = std::move(handler)](
@@ -57,10 +64,51 @@
   co_return co_await watchList(std::move(std::get<KvWatchList>(call)), timeout);
 }
 
+asio::awaitable<Result<HttpResponse>>
+PlatformClient::exchange(Purpose purpose, HttpRequest request,
+                         Duration timeout) {
+  TimePoint sentAt = monotonicNow();
+  Result<HttpResponse> response =
+      co_await Client.call(std::move(request), timeout);
+  TimePoint now = monotonicNow();
+  Measures.count("store_calls_total");
+  if (!response) {
+    LostSince = LostSince.value_or(sentAt);
+    recordLoss(purpose, response.error(), now - sentAt);
+    co_return response;
+  }
+  recordResponse(now);
+  if (purpose.Operation != WatchOperation)
+    Measures.observe("store_call_time", now - sentAt);
+  co_return response;
+}
+
+void PlatformClient::recordLoss(const Purpose &purpose, const Error &error,
+                                Duration waited) {
+  ++LostCalls;
+  Measures.count("store_calls_lost_total");
+  LOG(WARNING) << LogEvent("store.call_lost")
+                      .with("operation", purpose.Operation)
+                      .with("key", purpose.Key)
+                      .with("code", static_cast<unsigned>(error.Code))
+                      .with("waited_ms", toMillis(waited))
+                      .with("detail", error.Detail);
+}
+
+void PlatformClient::recordResponse(TimePoint now) {
+  if (!LostSince)
+    return;
+  LOG(INFO) << LogEvent("store.regained")
+                   .with("lost_calls", std::exchange(LostCalls, 0))
+                   .with("lost_ms", toMillis(now - *LostSince));
+  LostSince.reset();
+}
+
 asio::awaitable<KvReply> PlatformClient::get(KvGet call, Duration timeout) {
   HttpRequest request = platform::makeGet(call.Key, call.MayBeStale);
+  Purpose purpose{"get", call.Key};
   Result<HttpResponse> response =
-      co_await Client.call(std::move(request), timeout);
+      co_await exchange(std::move(purpose), std::move(request), timeout);
   if (!response)
     co_return makeReply(response.error().Code);
   ResultCode code = platform::readStatus(response.value());
@@ -74,8 +122,9 @@
   platform::StoreLease lease;
   if (call.Lease > Duration::zero()) {
     HttpRequest grant = platform::makeLeaseGrant(call.Lease);
+    Purpose purpose{"grant", call.Key};
     Result<HttpResponse> granted =
-        co_await Client.call(std::move(grant), timeout);
+        co_await exchange(std::move(purpose), std::move(grant), timeout);
     // Nothing was written, and a granted lease without a key expires.
     if (!granted)
       co_return makeReply(ResultCode::PlatformRefused);
@@ -86,8 +135,9 @@
   }
   platform::StoreWrite write{call.Key, call.Value, call.Expected, lease};
   HttpRequest request = platform::makeWrite(write);
+  Purpose purpose{"put", call.Key};
   Result<HttpResponse> response =
-      co_await Client.call(std::move(request), timeout);
+      co_await exchange(std::move(purpose), std::move(request), timeout);
   if (!response)
     co_return makeReply(response.error().Code);
   KvReply reply;
@@ -115,8 +165,9 @@
   if (it == Leases.end() || it->second.WrittenRevision != call.WrittenRevision)
     co_return makeReply(ResultCode::NotFound);
   HttpRequest request = platform::makeLeaseRenewal(it->second.Lease);
+  Purpose purpose{"renew", call.Key};
   Result<HttpResponse> response =
-      co_await Client.call(std::move(request), timeout);
+      co_await exchange(std::move(purpose), std::move(request), timeout);
   if (!response)
     co_return makeReply(response.error().Code);
   KvReply reply = makeReply(platform::readStatus(response.value()));
@@ -154,8 +205,9 @@
     std::string last = reply.Items.empty() ? "" : reply.Items.back().Key;
     HttpRequest request =
         platform::makeList(call.Prefix, last, call.MayBeStale);
+    Purpose purpose{"list", call.Prefix};
     Result<HttpResponse> response =
-        co_await Client.call(std::move(request), timeout);
+        co_await exchange(std::move(purpose), std::move(request), timeout);
     if (!response)
       co_return makeReply(response.error().Code);
     ResultCode code = platform::readStatus(response.value());
@@ -178,8 +230,9 @@
 asio::awaitable<KvReply> PlatformClient::watchList(KvWatchList call,
                                                    Duration timeout) {
   HttpRequest request = platform::makeWatch(call.Prefix, call.After, call.Wait);
-  Result<HttpResponse> response =
-      co_await Client.call(std::move(request), timeout + call.Wait);
+  Purpose purpose{WatchOperation, call.Prefix};
+  Result<HttpResponse> response = co_await exchange(
+      std::move(purpose), std::move(request), timeout + call.Wait);
   if (!response)
     co_return makeReply(response.error().Code);
   KvReply reply = makeReply(platform::readStatus(response.value()));
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -85,7 +85,7 @@
               parseAddress(settings.EndpointAddress).value(), OwnIncarnation,
               drawKey(), Measures, std::random_device{}()),
       Platform(Threads.control(),
-               parseAddress(settings.Common.PlatformAddress).value()),
+               parseAddress(settings.Common.PlatformAddress).value(), Measures),
       Plane(Threads.control(), Platform,
             {Self, DataCentreId(settings.Common.DataCentre)},
             settings.Common.Peers, std::random_device{}(),
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -57,7 +57,7 @@
                   Control.setQuarantine(std::move(own), cleared);
                 });
               }),
-      Control(Threads.control(), settings, std::random_device{}(),
+      Control(Threads.control(), settings, Measures, std::random_device{}(),
               [this](std::shared_ptr<const DirectSnapshot> it) {
                 Threads.postToTraffic(
                     [this, it = std::move(it)] { Traffic.setSnapshot(it); });
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -48,7 +48,7 @@
               parseAddress(settings.Common.PlatformAddress).value(), Measures,
               std::random_device{}()),
       Platform(Threads.control(),
-               parseAddress(settings.Common.PlatformAddress).value()),
+               parseAddress(settings.Common.PlatformAddress).value(), Measures),
       Plane(Threads.control(), Platform,
             {EndpointId(), DataCentreId(settings.Common.DataCentre)},
             settings.Common.Peers, std::random_device{}(),
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -30,7 +30,7 @@
            settings.DigestKey),
       Server(ioc, HttpLimits(),
              [this](HttpExchange &exchange) { return handle(exchange); }),
-      Platform(ioc, std::move(platform)),
+      Platform(ioc, std::move(platform), metrics),
       Quarantine(ioc, Platform, seed,
                  [this](const std::vector<RequestDigest> &restored) {
                    apply(Node.restoreQuarantine(restored, monotonicNow()));
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -79,7 +79,7 @@
 RankAgent::RankAgent(asio::io_context &ioc, const RankSettings &settings,
                      Metrics &metrics, std::uint64_t seed)
     : Context(ioc), Settings(settings), Measures(metrics), Random(seed),
-      Platform(ioc, parseAddress(settings.PlatformAddress).value()),
+      Platform(ioc, parseAddress(settings.PlatformAddress).value(), metrics),
       Rank(ioc, parseAddress(settings.EndpointAddress).value()),
       Sampler(makeSampleLimits(settings)), Switch(SwitchLimits()),
       Demand(DemandLimits()), MapQueue(linkBytes(settings, MapShare)),
