--- a/test/standin/CrashableEndpoint.cpp
+++ b/test/standin/CrashableEndpoint.cpp
@@ -10,6 +10,7 @@
 #include "Standins.h"
 
 #include "ospreyspur/Platform/PlatformClient.h"
+#include "ospreyspur/Support/Metrics.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,7 +36,7 @@
 public:
   CrashableEndpoint(asio::io_context &ioc, const CrashableEndpointPlan &plan)
       : Context(ioc), Plan(plan),
-        Platform(ioc, parseAddress(plan.Platform).value()),
+        Platform(ioc, parseAddress(plan.Platform).value(), Measures),
         Id("i-" + plan.Name + "-" + std::to_string(::getpid())),
         PushbackState({"Server-Limit", "Server-Leaving"}, plan.History),
         Signals(ioc, SIGTERM) {
@@ -148,6 +149,7 @@
 
   asio::io_context &Context;
   const CrashableEndpointPlan &Plan;
+  Metrics Measures;
   PlatformClient Platform;
   std::string Id;
   FakePushback PushbackState;
