Trust no kept connection after a call on one of them has failed

What callers saw: changes of the configuration in force up to 4.8 s after all open connections fell silent (docs/incidents).

Cause: a call that timed out on a kept connection left the other kept ones in use.

Mend: whatever the failure, the next call opens a new connection.

HttpClientTest, 'a call after one that timed out': red before (both later calls fail), passes now.

--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -1,9 +1,11 @@
 //===- HttpClient.h - HTTP requests to one address --------------*- C++ -*-===//
 //
 // call() reuses idle connections, for short exchanges that the caller can retry
-// or resolve in another way. run() opens a new connection for each request, for
-// requests whose caller must know whether they may have run: only on a new
-// connection can the client tell "never sent" from "lost".
+// or resolve in another way. After a call on one of them has failed, for
+// whatever reason, the next call opens a new connection. run() opens a new
+// connection for each request, for requests whose caller must know whether they
+// may have run: only on a new connection can the client tell "never sent" from
+// "lost".
 //
 //===----------------------------------------------------------------------===//
 
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -44,16 +44,13 @@
     kept->expires_after(timeout);
     Result<HttpResponse> response =
         co_await exchange(std::move(kept), request, isLost);
-    // Servers close idle connections. All others in Idle have been idle for
-    // longer than the lost one, so they are dropped as well.
-    bool canResend =
-        isLost && resendPolicy == ResendPolicy::AfterLostConnection;
-    if (!response && !canResend)
-      co_return Error{response.error().Code,
-                      "on a kept connection: " + response.error().Detail};
-    if (!canResend)
+    if (response)
       co_return response;
+    // What closed or silenced this connection may have struck the others too.
     Idle.clear();
+    if (!isLost || resendPolicy != ResendPolicy::AfterLostConnection)
+      co_return Error{response.error().Code,
+                      "on a kept connection: " + response.error().Detail};
   }
   Result<Stream> stream = co_await connect(timeout);
   if (!stream)
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -1,14 +1,17 @@
-//===- HttpClientTest.cpp - idle connections that close -------------------===//
+//===- HttpClientTest.cpp - idle connections that close or fall silent ----===//
 //
 // Guards against lost or duplicated requests when a server closes an idle
-// connection without "Connection: close" in its response. Uses loopback
-// sockets.
+// connection without "Connection: close" in its response, and against calls
+// that time out one after the other when all idle connections fell silent. Uses
+// loopback sockets.
 //
 //===----------------------------------------------------------------------===//
 
 #include "FreeAddress.h"
+#include "SilenceableRelay.h"
 
 #include "ospreyspur/Http/HttpClient.h"
+#include "ospreyspur/Http/HttpServer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -83,3 +86,39 @@
   CHECK(server.callTwice(ResendPolicy::Never) == std::pair(true, false));
   CHECK(server.connections() == 1);
 }
+
+// Guards against a timeout for each kept connection: all of them fell silent at
+// the same moment, and the calls of one process are made on whichever is kept.
+TEST_CASE("a call after one that timed out on a silent connection succeeds") {
+  constexpr unsigned Connections = 4;
+  constexpr Duration Timeout = std::chrono::milliseconds(100);
+  asio::io_context ioc;
+  HttpServer server(ioc, HttpLimits(),
+                    [](HttpExchange &it) -> asio::awaitable<void> {
+                      co_await it.respond(200, "text/plain", "ok");
+                    });
+  tcp::endpoint address = test::findFreeAddress();
+  REQUIRE(server.listen(address));
+  test::SilenceableRelay relay(ioc, address);
+  HttpClient client(ioc, relay.address());
+  unsigned good = 0;
+  auto call = [&]() -> asio::awaitable<void> {
+    HttpRequest request(boost::beast::http::verb::get, "/", 11);
+    if (co_await client.call(std::move(request), Timeout))
+      ++good;
+  };
+  auto run = [&](unsigned n) {
+    good = 0;
+    for (unsigned i = 0; i < n; ++i)
+      asio::co_spawn(ioc, call(), asio::detached);
+    ioc.restart();
+    ioc.run_for(2 * Timeout);
+    return good;
+  };
+  CHECK(run(Connections) == Connections);
+  CHECK(relay.connectionCount() == Connections);
+  relay.silence();
+  CHECK(run(1) == 0);
+  CHECK(run(1) == 1);
+  CHECK(run(1) == 1);
+}
--- a/unittests/SilenceableRelay.h
+++ b/unittests/SilenceableRelay.h
@@ -50,7 +50,8 @@
   void silence() {
     for (const std::shared_ptr<Pair> &it : Pairs) {
       it->IsSilent = true;
-      dropArrivals(it->Client);
+      if (it->Client.is_open())
+        dropArrivals(it->Client);
     }
   }
 
