Make a lost watch again when its backoff has passed

Cause: GossipNode::nextTimer() knew of coalesced updates but not of a follower's backoff, so a lost watch was made again in the next round of digests, up to 1.1 s later instead of 0.2 s.

Mend: a follower has one delay, whatever its reason, and the node's timer follows it. The call after a lost one asks the store not to wait: whether it replies again is known within the call's timeout, also after an outage, and the next watch follows at once.

GossipTest, 'a watcher makes a lost watch again': red with the timer's line taken out. Two tests name the new accessor; what they check is the same.

--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -43,6 +43,8 @@
 
   /// The call to make now, unless one is in flight or a delay has not passed.
   /// The store may hold the call for \p wait; with zero it replies at once.
+  /// After a call without a reply the store is never asked to wait: whether it
+  /// replies again is then known sooner.
   std::optional<KvCall> nextCall(Duration wait, TimePoint now);
 
   /// Takes the reply to the call of nextCall(). True if the copy changed.
@@ -55,13 +57,12 @@
   /// Records that the store held revision \p at at the time \p confirmed.
   void confirm(Revision at, TimePoint confirmed);
 
-  /// When nextCall() may return a call after coalesced updates; no value while
-  /// no updates are being coalesced.
-  std::optional<TimePoint> coalescedAt() const { return CoalesceUntil; }
-  /// When nextCall() may return a call after a failure.
-  TimePoint retryAt() const { return BackoffUntil; }
-  /// When the last call was made.
-  TimePoint calledAt() const { return CalledAt; }
+  /// When nextCall() may return a call after coalesced updates or a failure; no
+  /// value while neither delays the next call.
+  std::optional<TimePoint> delayedUntil() const { return DelayedUntil; }
+  /// Whether a reply at \p now shows that the store held the last call for at
+  /// least half of the time that it was asked to.
+  bool wasHeld(TimePoint now) const { return now - CalledAt >= CalledWait / 2; }
   /// Whether the store itself has replied at least once.
   bool hasReadStore() const { return HasReadStore; }
   /// The copy's revision; 0 until there is a value.
@@ -80,17 +81,18 @@
   std::string Value;
   TimePoint Confirmed;
   TimePoint CalledAt;
+  Duration CalledWait{};
   Revision RevisionAtCall;
   /// The revision after which the next watch continues; after a reply of the
   /// store it may be above the copy's revision.
   Revision SeenAt;
   bool HasCallInFlight = false;
   bool HasReadStore = false;
-  TimePoint BackoffUntil;
   /// When the store last returned a newer value.
   std::optional<TimePoint> UpdatedAt;
-  /// End of the delay during which updates are coalesced.
-  std::optional<TimePoint> CoalesceUntil;
+  /// End of the delay for which updates are coalesced, or of a backoff.
+  std::optional<TimePoint> DelayedUntil;
+  /// Zero unless the last call failed.
   Duration Backoff{};
 };
 
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -156,7 +156,7 @@
   if (!isWatcher())
     return next;
   for (const KeyFollower &it : Copies)
-    next = std::min(next, it.coalescedAt().value_or(next));
+    next = std::min(next, it.delayedUntil().value_or(next));
   return next;
 }
 
@@ -229,8 +229,7 @@
     announce(key, std::nullopt, now);
   // If the store did not hold the watch, the next call waits for the next
   // round.
-  bool wasHeld = now - copyOf(key).calledAt() >= watchWait() / 2;
-  if (isWatcher() && (reply.Code == ResultCode::Ok || wasHeld))
+  if (isWatcher() && (reply.Code == ResultCode::Ok || copyOf(key).wasHeld(now)))
     callStore(now);
   return takeActions();
 }
--- a/lib/Config/KeyFollower.cpp
+++ b/lib/Config/KeyFollower.cpp
@@ -11,14 +11,14 @@
 using namespace ospreyspur;
 
 std::optional<KvCall> KeyFollower::nextCall(Duration wait, TimePoint now) {
-  if (HasCallInFlight ||
-      now < std::max(BackoffUntil, CoalesceUntil.value_or(now)))
+  if (HasCallInFlight || now < DelayedUntil.value_or(now))
     return std::nullopt;
-  CoalesceUntil.reset();
+  DelayedUntil.reset();
   HasCallInFlight = true;
   CalledAt = now;
+  CalledWait = Backoff > Duration::zero() ? Duration::zero() : wait;
   RevisionAtCall = At;
-  return KvWatch{Key, std::max(SeenAt, At), wait};
+  return KvWatch{Key, std::max(SeenAt, At), CalledWait};
 }
 
 bool KeyFollower::onReply(const KvReply &reply, TimePoint now) {
@@ -27,7 +27,7 @@
   // NotFound means that the store has no newer value.
   if (!isNewer && reply.Code != ResultCode::NotFound) {
     Backoff = std::clamp(Backoff * 2, Limits.MinBackoff, Limits.MaxBackoff);
-    BackoffUntil = now + Backoff;
+    DelayedUntil = now + Backoff;
     return false;
   }
   Backoff = Duration::zero();
@@ -46,7 +46,7 @@
   bool isIsolated = !UpdatedAt || now - *UpdatedAt >= Limits.BurstGap;
   UpdatedAt = now;
   if (!isIsolated)
-    CoalesceUntil = now + Limits.CoalesceDelay;
+    DelayedUntil = now + Limits.CoalesceDelay;
 }
 
 bool KeyFollower::offer(Revision at, const std::string &value,
--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -237,7 +237,7 @@
   CHECK(follower.nextCall(seconds(1), now));
   now += seconds(2);
   follower.onReply({ResultCode::Ok, Revision(++revision), "v"}, now);
-  CHECK_FALSE(follower.coalescedAt());
+  CHECK_FALSE(follower.delayedUntil());
   CHECK(follower.nextCall(seconds(1), now));
 }
 
@@ -274,9 +274,48 @@
   TimePoint now{std::chrono::hours(1)};
   // The store refuses calls for ten seconds and then works again.
   TimePoint back = now + std::chrono::seconds(10);
-  for (; now < back; now = std::max(now, follower.retryAt())) {
+  for (; now < back; now = follower.delayedUntil().value_or(now)) {
     REQUIRE(follower.nextCall(Duration::zero(), now).has_value());
     follower.onReply({ResultCode::PlatformRefused, {}, {}}, now);
   }
   CHECK(now - back <= std::chrono::seconds(1));
 }
+
+TEST_CASE("a watcher makes a lost watch again when its backoff has passed") {
+  GossipNode node({EndpointId("a"), DataCentreId("x")},
+                  makeDirectGossipLimits(), 1);
+  node.setPeers({{EndpointId("a"), {}, DataCentreId("x"), "a", {}, false}});
+  TimePoint now{std::chrono::hours(1)};
+  auto takeCalls = [](const GossipActions &actions) {
+    std::vector<KvRequest> out;
+    for (const GossipAction &it : actions)
+      if (const auto *call = std::get_if<CallKeyValueStoreForGossip>(&it))
+        out.push_back(call->Request);
+    return out;
+  };
+  // Once the node has read both values it is ready, and rounds are rare.
+  std::vector<KvRequest> watches;
+  for (const KvRequest &it : takeCalls(node.onTimer(now)))
+    for (const KvRequest &next : takeCalls(
+             node.onKvReply(it.Id, {ResultCode::Ok, Revision(1), "v"}, now)))
+      watches.push_back(next);
+  REQUIRE(watches.size() == SharedKeyCount);
+  REQUIRE(node.isReady());
+  now = node.nextTimer();
+  node.onTimer(now);
+  KvReply lost;
+  lost.Code = ResultCode::PlatformTimeout;
+  CHECK(takeCalls(node.onKvReply(watches[0].Id, lost, now)).empty());
+  TimePoint due = now + makeDirectGossipLimits().Follower.MinBackoff;
+  CHECK(node.nextTimer() <= due);
+  std::vector<KvRequest> again = takeCalls(node.onTimer(due));
+  REQUIRE(again.size() == 1);
+  // Whether the store replies again is known soonest if it holds nothing.
+  CHECK(std::get<KvWatch>(again[0].Call).Wait == Duration::zero());
+  // The next watch follows at once.
+  KvReply unchanged;
+  unchanged.Code = ResultCode::NotFound;
+  again = takeCalls(node.onKvReply(again[0].Id, unchanged, due));
+  REQUIRE(again.size() == 1);
+  CHECK(std::get<KvWatch>(again[0].Call).Wait > Duration::zero());
+}
