Detect silent connections to the store by keep-alives

Cause: a watch was itself the only sign that its connection had fallen silent.

Keep-alive probes of the kernel cost no calls: a silent connection is closed after 2 s, however long a watch waits, and one whose request is not acknowledged after 1 s. A watch uses no connection that was idle for over a second, so that it cannot begin on a silent one late.

HttpClientTest, 'a call that waits on a silent connection': red with the probes taken out.

--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -51,7 +51,7 @@
   std::vector<RequestDigest> Restored;
 };
 
-/// How values spread on the direct path: up to eight entries of a data centre
+/// How values spread on the direct path: up to four entries of a data centre
 /// watch the store themselves, so that none waits for one that has just died.
 GossipLimits makeDirectGossipLimits();
 
@@ -60,6 +60,10 @@
 public:
   using Handler = std::function<void(std::shared_ptr<const DirectSnapshot>)>;
 
+  /// Time limit of a call to the key-value store, in addition to the time for
+  /// which the store may hold a watch.
+  static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
+
   /// \p seed determines the random choice of peers; \p onSnapshot runs on the
   /// control thread.
   DirectControl(boost::asio::io_context &ioc, const DirectSettings &settings,
--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -65,11 +65,13 @@
 public:
   HttpClient(boost::asio::io_context &ioc, TcpAddress server);
 
-  /// Sends \p request and reads the complete response. Errors: PlatformRefused
-  /// (the request was not sent) or PlatformTimeout (it may have arrived).
+  /// Sends \p request and reads the complete response. Uses no connection that
+  /// was idle for longer than \p maxIdle. Errors: PlatformRefused (the request
+  /// was not sent) or PlatformTimeout (it may have arrived).
   boost::asio::awaitable<Result<HttpResponse>>
   call(HttpRequest request, Duration timeout,
-       ResendPolicy resendPolicy = ResendPolicy::Never);
+       ResendPolicy resendPolicy = ResendPolicy::Never,
+       Duration maxIdle = Duration::max());
 
   /// Sends \p request on a new connection and streams the response to \p sink.
   /// Returns Ok if the response was complete, EndpointUnreachable if the
@@ -84,13 +86,21 @@
 private:
   using Stream = std::unique_ptr<boost::beast::tcp_stream>;
 
+  struct IdleConnection {
+    Stream Connection;
+    TimePoint Since;
+  };
+
+  /// Removes and returns the connection that was used last; null if it was idle
+  /// for longer than \p maxIdle.
+  Stream takeIdle(Duration maxIdle, TimePoint now);
   boost::asio::awaitable<Result<Stream>> connect(Duration timeout);
   boost::asio::awaitable<Result<HttpResponse>>
   exchange(Stream stream, const HttpRequest &request, bool &isLost);
 
   boost::asio::io_context &Context;
   TcpAddress Server;
-  std::vector<Stream> Idle;
+  std::vector<IdleConnection> Idle;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -27,6 +27,10 @@
 public:
   using Handler = std::function<void(KvReply)>;
 
+  /// A watch uses no connection that was idle for longer. The time until a
+  /// change is in force rests on it: a watch on a silent connection is lost.
+  static constexpr Duration MaxIdleBeforeWatch = std::chrono::seconds(1);
+
   PlatformClient(boost::asio::io_context &ioc, TcpAddress server,
                  Metrics &metrics);
 
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -24,9 +24,6 @@
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
-/// Time limit of a call to the key-value store, in addition to the time for
-/// which the store may hold a watch.
-static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
 /// Links to random peers are rarely used again, so unused ones are closed after
 /// this time.
 static constexpr Duration UnusedLinkTimeout = std::chrono::seconds(10);
@@ -43,9 +40,8 @@
 GossipLimits ospreyspur::makeDirectGossipLimits() {
   GossipLimits limits;
   limits.WatchersPerDataCentre = WatchersPerDataCentre;
-  // A watch whose reply is lost must end within the time limit for reconnecting
-  // to the store. A shorter wait costs more calls, and each watch is billed as
-  // one call.
+  // A shorter wait costs more calls, and each watch is billed as one call. A
+  // silent connection is detected without the end of the wait (TcpKeepAlive).
   limits.WatchWait = std::chrono::milliseconds(1500);
   limits.WatchWaitShare = limits.WatchWait / 2;
   limits.Follower.MaxBackoff = LongestBackoff;
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -6,6 +6,8 @@
 
 #include "ospreyspur/Http/HttpClient.h"
 
+#include "ospreyspur/Http/TcpKeepAlive.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,13 +36,11 @@
 
 asio::awaitable<Result<HttpResponse>>
 HttpClient::call(HttpRequest request, Duration timeout,
-                 ResendPolicy resendPolicy) {
+                 ResendPolicy resendPolicy, Duration maxIdle) {
   request.keep_alive(true);
   request.prepare_payload();
   bool isLost = false;
-  if (!Idle.empty()) {
-    Stream kept = std::move(Idle.back());
-    Idle.pop_back();
+  if (Stream kept = takeIdle(maxIdle, monotonicNow())) {
     kept->expires_after(timeout);
     Result<HttpResponse> response =
         co_await exchange(std::move(kept), request, isLost);
@@ -58,6 +58,14 @@
   co_return co_await exchange(std::move(stream.value()), request, isLost);
 }
 
+HttpClient::Stream HttpClient::takeIdle(Duration maxIdle, TimePoint now) {
+  if (Idle.empty() || now - Idle.back().Since > maxIdle)
+    return nullptr;
+  Stream out = std::move(Idle.back().Connection);
+  Idle.pop_back();
+  return out;
+}
+
 asio::awaitable<Result<HttpClient::Stream>>
 HttpClient::connect(Duration timeout) {
   auto stream = std::make_unique<beast::tcp_stream>(Context);
@@ -67,6 +75,7 @@
     co_return Error{ResultCode::PlatformRefused,
                     "cannot connect: " + ec.message()};
   stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  enableKeepAlive(stream->socket());
   co_return std::move(stream);
 }
 
@@ -91,7 +100,7 @@
   HttpResponse response = parser.release();
   if (response.keep_alive() && Idle.size() < MaxIdleConnections) {
     stream->expires_never();
-    Idle.push_back(std::move(stream));
+    Idle.push_back({std::move(stream), monotonicNow()});
   }
   co_return response;
 }
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -67,9 +67,11 @@
 asio::awaitable<Result<HttpResponse>>
 PlatformClient::exchange(Purpose purpose, HttpRequest request,
                          Duration timeout) {
+  bool isWatch = purpose.Operation == WatchOperation;
   TimePoint sentAt = monotonicNow();
   Result<HttpResponse> response =
-      co_await Client.call(std::move(request), timeout);
+      co_await Client.call(std::move(request), timeout, ResendPolicy::Never,
+                           isWatch ? MaxIdleBeforeWatch : Duration::max());
   TimePoint now = monotonicNow();
   Measures.count("store_calls_total");
   if (!response) {
@@ -78,7 +80,7 @@
     co_return response;
   }
   recordResponse(now);
-  if (purpose.Operation != WatchOperation)
+  if (!isWatch)
     Measures.observe("store_call_time", now - sentAt);
   co_return response;
 }
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -12,14 +12,18 @@
 
 #include "ospreyspur/Http/HttpClient.h"
 #include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Http/TcpKeepAlive.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <optional>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
@@ -122,3 +126,34 @@
   CHECK(run(1) == 1);
   CHECK(run(1) == 1);
 }
+
+// Guards against a long poll whose own wait is the only sign that its
+// connection has fallen silent.
+TEST_CASE("a call that waits on a silent connection ends before its timeout") {
+  constexpr Duration Timeout = seconds(8);
+  constexpr Duration Slack = std::chrono::milliseconds(500);
+  asio::io_context ioc;
+  HttpServer server(
+      ioc, HttpLimits(), [&](HttpExchange &) -> asio::awaitable<void> {
+        asio::steady_timer never(ioc, asio::steady_timer::time_point::max());
+        co_await never.async_wait(asio::use_awaitable);
+      });
+  tcp::endpoint address = test::findFreeAddress();
+  REQUIRE(server.listen(address));
+  test::SilenceableRelay relay(ioc, address);
+  HttpClient client(ioc, relay.address());
+  std::optional<TimePoint> endedAt;
+  auto call = [&]() -> asio::awaitable<void> {
+    HttpRequest request(boost::beast::http::verb::get, "/", 11);
+    CHECK_FALSE(co_await client.call(std::move(request), Timeout));
+    endedAt = monotonicNow();
+  };
+  asio::co_spawn(ioc, call(), asio::detached);
+  ioc.run_for(std::chrono::milliseconds(200));
+  TimePoint silentSince = monotonicNow();
+  relay.silence();
+  ioc.restart();
+  ioc.run_for(TcpKeepAlive::DetectionTime + Slack);
+  REQUIRE(endedAt);
+  CHECK(*endedAt - silentSince <= TcpKeepAlive::DetectionTime + Slack);
+}
