Detect silent links, and subscribe again at once

Cause: links between processes were pinged after 30 s, and unacknowledged data closed them after 3 s. An entry that knew a version could not tell the others. Three more parts of the same chain showed in the simulation: after the loss of its parent's link a node waited for the next round; a parent refused the subscribers that came back, as their silent links still had all places; and a server never closed links that its clients had given up, which would use up descriptors.

Mend: pings after 1 s, replies and acknowledgements within 1 s, both paths; the parent gets another digest as soon as its link is down, once a round; a subscriber that missed a round gives its place up; servers ping idle links after 10 s.

--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -103,6 +103,9 @@
                             TimePoint now);
   GossipActions onPeerReply(const EndpointId &from, const GossipUpdate &update,
                             TimePoint now);
+  /// Handles the loss of the link that this node opened to \p peer. If \p peer
+  /// is the parent, another digest is sent on a new link, once a round.
+  GossipActions onPeerDown(const EndpointId &peer, TimePoint now);
   /// Ends the subscription of a link that another node opened and that closed.
   void onLinkDown(LinkId link) { Subscribers.erase(link); }
 
@@ -154,6 +157,8 @@
   std::size_t ParentShift = 0;
   unsigned Misses = 0;
   std::optional<EndpointId> Parent;
+  /// Whether the parent's link was lost in this round.
+  bool HasLostParent = false;
   TimePoint NextRound;
   std::uint64_t LastKvCall = 0;
   std::unordered_map<KvCallId, SharedKey> CallsInFlight;
--- a/include/ospreyspur/Rpc/PeerClient.h
+++ b/include/ospreyspur/Rpc/PeerClient.h
@@ -9,6 +9,7 @@
 #define OSPREYSPUR_RPC_PEERCLIENT_H
 
 #include "ospreyspur/Rpc/Messages.h"
+#include "ospreyspur/Support/Time.h"
 
 #include <functional>
 #include <memory>
@@ -17,6 +18,17 @@
 
 namespace ospreyspur {
 
+/// How a silent link is detected.
+struct LinkKeepAlive {
+  /// Time without arrivals after which the connecting side pings the peer, and
+  /// within which the peer must reply. Sent data must also be acknowledged
+  /// within the second time.
+  static constexpr Duration IdleTime = std::chrono::seconds(1);
+  static constexpr Duration ReplyTimeout = std::chrono::seconds(1);
+  /// Longest time until a silent link is closed.
+  static constexpr Duration DetectionTime = IdleTime + ReplyTimeout;
+};
+
 /// Callbacks of a PeerClient; they run on gRPC's threads.
 struct PeerClientHandlers {
   std::function<void(std::vector<Message>)> OnMessages;
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -163,6 +163,7 @@
 void GossipNode::sendDigests(TimePoint now) {
   Duration interval = isReady() ? Limits.Interval : Limits.StartInterval;
   auto jitter = interval.count() * JitterPercent / 100;
+  HasLostParent = false;
   NextRound = now + interval - Duration(jitter) +
               drawJitter(Duration(2 * jitter), Random);
   if (Misses >= Limits.MaxMisses) {
@@ -234,11 +235,20 @@
   return takeActions();
 }
 
-/// Starts or extends a subscription. False if the limit has been reached.
+/// Starts or extends a subscription. False if the limit has been reached. A
+/// subscriber that missed a round may have subscribed again on another link, so
+/// its place may be taken.
 bool GossipNode::subscribe(LinkId link, TimePoint now) {
   bool isKnown = Subscribers.contains(link);
-  if (!isKnown && Subscribers.size() >= Limits.MaxSubscribers)
-    return false;
+  if (!isKnown && Subscribers.size() >= Limits.MaxSubscribers) {
+    auto oldest = std::min_element(
+        Subscribers.begin(), Subscribers.end(),
+        [](const auto &a, const auto &b) { return a.second < b.second; });
+    TimePoint heardAt = oldest->second - Limits.SubscriptionTime;
+    if (now - heardAt < Limits.Interval * 3 / 2)
+      return false;
+    Subscribers.erase(oldest);
+  }
   Subscribers[link] = now + Limits.SubscriptionTime;
   return true;
 }
@@ -264,6 +274,12 @@
   return takeActions();
 }
 
+GossipActions GossipNode::onPeerDown(const EndpointId &peer, TimePoint now) {
+  if (peer == Parent && !std::exchange(HasLostParent, true))
+    Out.push_back(SendDigestTo{peer, makeDigest(true, now)});
+  return takeActions();
+}
+
 GossipActions GossipNode::onPeerReply(const EndpointId &from,
                                       const GossipDigest &digest,
                                       TimePoint now) {
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -31,7 +31,9 @@
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
                     onPeerReply(from, message);
                   },
-                  [](const EndpointId &) {}}) {
+                  [this](const EndpointId &peer) {
+                    apply(Node.onPeerDown(peer, monotonicNow()));
+                  }}) {
   // Until the host list is known, an agent's address serves as its endpoint id.
   std::vector<EndpointView> first;
   first.reserve(peers.size());
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -204,12 +204,12 @@
     apply(Node.onPeerReply(from, *update, now));
 }
 
-/// Logs the loss of a link that had carried a reply.
 void DirectControl::onPeerDown(const EndpointId &peer) {
+  // Only the loss of a link that had carried a reply is logged.
   auto it = LinksUp.find(peer);
-  if (it == LinksUp.end() || !std::exchange(it->second, false))
-    return;
-  LOG(INFO) << LogEvent("link.down").with("peer", peer.get());
+  if (it != LinksUp.end() && std::exchange(it->second, false))
+    LOG(INFO) << LogEvent("link.down").with("peer", peer.get());
+  apply(Node.onPeerDown(peer, monotonicNow()));
 }
 
 /// Uses the registered processes as peers, or those of the settings while no
--- a/lib/Rpc/PeerClient.cpp
+++ b/lib/Rpc/PeerClient.cpp
@@ -24,8 +24,6 @@
 using namespace ospreyspur;
 
 static constexpr int MaxEnvelopeBytes = 64 << 20;
-static constexpr int KeepaliveMs = 30000;
-static constexpr int KeepaliveTimeoutMs = 3000;
 static constexpr int FirstReconnectMs = 100;
 static constexpr int MaxReconnectMs = 1000;
 
@@ -105,8 +103,12 @@
     grpc::ChannelArguments args;
     args.SetMaxReceiveMessageSize(MaxEnvelopeBytes);
     args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-    args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMs);
-    args.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
+    args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS,
+                static_cast<int>(toMillis(LinkKeepAlive::IdleTime)));
+    // On Linux gRPC also closes a connection whose data stays unacknowledged
+    // for this time.
+    args.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                static_cast<int>(toMillis(LinkKeepAlive::ReplyTimeout)));
     args.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, FirstReconnectMs);
     args.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, FirstReconnectMs);
--- a/lib/Rpc/PeerServer.cpp
+++ b/lib/Rpc/PeerServer.cpp
@@ -20,7 +20,12 @@
 using namespace ospreyspur;
 
 static constexpr int MaxEnvelopeBytes = 64 << 20;
-static constexpr int MinPingIntervalMs = 5000;
+/// Clients ping more rarely (LinkKeepAlive).
+static constexpr int MinPingIntervalMs = 500;
+/// A link that has fallen silent is given up by its client, which may not be
+/// able to close it. The server then must, or descriptors would run out.
+static constexpr int KeepaliveMs = 10000;
+static constexpr int KeepaliveTimeoutMs = 3000;
 static constexpr auto StopGrace = std::chrono::milliseconds(500);
 
 namespace {
@@ -122,6 +127,8 @@
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.AddChannelArgument(
       GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, MinPingIntervalMs);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMs);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
   builder.RegisterService(Pimpl.get());
   Pimpl->Server = builder.BuildAndStart();
   if (!Pimpl->Server || port == 0)
--- a/unittests/Config/GossipSimulation.cpp
+++ b/unittests/Config/GossipSimulation.cpp
@@ -8,6 +8,9 @@
 #include "GossipSimulation.h"
 
 #include "ospreyspur/Config/ConfigDocument.h"
+#include "ospreyspur/Http/TcpKeepAlive.h"
+#include "ospreyspur/Platform/PlatformClient.h"
+#include "ospreyspur/Rpc/PeerClient.h"
 
 #include <algorithm>
 
@@ -19,6 +22,7 @@
 static constexpr Duration CallTimeout = seconds(2);
 static constexpr Duration Step = milliseconds(10);
 static constexpr std::uint64_t NodesPerIncarnation = 4096;
+static constexpr std::uint64_t LinksPerIncarnation = 64;
 static constexpr std::size_t StartPeerCount = 3;
 
 static std::string nameOf(SharedKey key) {
@@ -108,6 +112,56 @@
   });
 }
 
+Duration GossipSimulation::drawDetectionTime(Duration least, Duration most) {
+  auto spread = std::uint64_t((most - least).count()) + 1;
+  return least + Duration(Scheduler.below(spread));
+}
+
+/// Lets \p watch end without a reply.
+void GossipSimulation::loseWatch(const HeldWatch &watch, Duration after) {
+  KvReply lost;
+  lost.Code = ResultCode::PlatformTimeout;
+  Scheduler.at(Scheduler.now() + after, [this, watch, lost] {
+    if (Nodes[watch.Caller].IncarnationNumber == watch.IncarnationNumber)
+      Nodes[watch.Caller].HasSilentStore = false;
+    reply(watch, lost);
+  });
+}
+
+void GossipSimulation::closeSilentLink(std::size_t from, std::size_t to,
+                                       Duration after) {
+  LinkId id = makeLinkId(from, Links[{from, to}].Generation);
+  Scheduler.at(Scheduler.now() + after, [this, from, to, id] {
+    Link &link = Links[{from, to}];
+    if (makeLinkId(from, link.Generation) != id)
+      return;
+    ++link.Generation;
+    link.IsSilent = false;
+    EndpointId peer = Nodes[to].Id.Endpoint;
+    deliverToNode(from, Nodes[from].IncarnationNumber,
+                  [this, peer](GossipNode &it) {
+                    return it.onPeerDown(peer, Scheduler.now());
+                  });
+  });
+}
+
+void GossipSimulation::silence() {
+  SilentSince = Scheduler.now();
+  for (Node &it : Nodes)
+    it.HasSilentStore = true;
+  for (const HeldWatch &it : std::exchange(Held, {}))
+    loseWatch(it, drawDetectionTime(TcpKeepAlive::ProbeTimeout,
+                                    TcpKeepAlive::DetectionTime));
+  for (auto &[ends, link] : Links) {
+    link.IsSilent = true;
+    // While nothing else arrives, the peer is pinged at this interval.
+    Duration sinceReply =
+        (SilentSince - link.HeardAt) % LinkKeepAlive::IdleTime;
+    closeSilentLink(ends.first, ends.second,
+                    LinkKeepAlive::DetectionTime - sinceReply);
+  }
+}
+
 bool GossipSimulation::canReachPlatform(std::size_t i) const {
   auto cut = CutUntil.find(i / NodesPerDataCentre);
   return cut == CutUntil.end() || cut->second <= Scheduler.now();
@@ -179,12 +233,27 @@
   ++Nodes[i].MessagesOut;
 }
 
+/// Identifies the link also after its node was restarted or opened it again.
+LinkId GossipSimulation::makeLinkId(std::size_t from,
+                                    std::uint64_t generation) const {
+  return LinkId((Nodes[from].IncarnationNumber * LinksPerIncarnation +
+                 generation % LinksPerIncarnation) *
+                    NodesPerIncarnation +
+                from);
+}
+
 template <typename Body>
 void GossipSimulation::sendOnOwnLink(std::size_t i, const EndpointId &to,
                                      const Body &body) {
   count(i, body);
   std::size_t k = nodeOf(to);
-  LinkId link(Nodes[i].IncarnationNumber * NodesPerIncarnation + i);
+  const Link &used = Links[{i, k}];
+  if (used.IsSilent) {
+    // What is sent is never acknowledged.
+    closeSilentLink(i, k, LinkKeepAlive::ReplyTimeout);
+    return;
+  }
+  LinkId link = makeLinkId(i, used.Generation);
   Scheduler.runUnreliably(LossPercent, [this, k, link, body] {
     deliverToNode(k, Nodes[k].IncarnationNumber,
                   [this, link, body](GossipNode &it) {
@@ -197,7 +266,12 @@
 void GossipSimulation::replyOnLink(std::size_t i, LinkId to, const Body &body) {
   count(i, body);
   std::size_t k = to.get() % NodesPerIncarnation;
-  std::uint64_t incarnation = to.get() / NodesPerIncarnation;
+  std::uint64_t incarnation =
+      to.get() / NodesPerIncarnation / LinksPerIncarnation;
+  Link &used = Links[{k, i}];
+  if (used.IsSilent || makeLinkId(k, used.Generation) != to)
+    return;
+  used.HeardAt = Scheduler.now();
   EndpointId from = Nodes[i].Id.Endpoint;
   Scheduler.runUnreliably(LossPercent, [this, k, incarnation, from, body] {
     deliverToNode(k, incarnation, [this, from, body](GossipNode &it) {
@@ -240,6 +314,12 @@
                  [this, watch, lost] { reply(watch, lost); });
     return;
   }
+  bool isOnKept =
+      Scheduler.now() - SilentSince <= PlatformClient::MaxIdleBeforeWatch;
+  if (Nodes[watch.Caller].HasSilentStore && isOnKept) {
+    loseWatch(watch, TcpKeepAlive::UnackedTimeout);
+    return;
+  }
   const KvReply &value = Values.at(watch.Call.Key);
   if (value.At > watch.Call.After) {
     reply(watch, value);
--- a/unittests/Config/GossipSimulation.h
+++ b/unittests/Config/GossipSimulation.h
@@ -1,8 +1,9 @@
 //===- GossipSimulation.h - simulated gossip fleet --------------*- C++ -*-===//
 //
 // Connects real GossipNodes and a fake key-value store through a
-// RandomScheduler. Nodes can be killed or frozen, and the store can be made
-// unreachable for one or all data centres. Checks that no copy ever returns to
+// RandomScheduler. Nodes can be killed or frozen, the store can be made
+// unreachable for one or all data centres, and all open connections can be made
+// silent. Checks that no copy ever returns to
 // an older revision, and counts calls and messages. Used by tests and by the
 // gossip benchmark.
 //
@@ -45,6 +46,8 @@
     std::uint64_t IncarnationNumber = 0;
     TimePoint FrozenUntil;
     std::array<Revision, SharedKeyCount> Seen;
+    /// Whether its kept connections to the store are silent.
+    bool HasSilentStore = false;
     std::size_t BytesOut = 0;
     std::size_t MessagesOut = 0;
   };
@@ -74,6 +77,9 @@
   void setOutage(Duration span);
   /// Makes the key-value store unreachable for one data centre for \p span.
   void cutFromPlatform(std::size_t dataCentre, Duration span);
+  /// Makes all open links and connections to the store silent, until
+  /// keep-alives detect it; new ones work.
+  void silence();
   /// Whether all running nodes have at least revision \p at of \p key.
   bool isInForce(SharedKey key, Revision at) const;
   /// Runs until isInForce(), but at most for \p limit, and returns the elapsed
@@ -91,7 +97,20 @@
     KvWatch Call;
   };
 
+  /// The link that one node opened to another.
+  struct Link {
+    /// Increased when the link is opened again.
+    std::uint64_t Generation = 0;
+    bool IsSilent = false;
+    /// When a reply last arrived on it.
+    TimePoint HeardAt;
+  };
+
   std::size_t nodeOf(const EndpointId &id) const;
+  LinkId makeLinkId(std::size_t from, std::uint64_t generation) const;
+  Duration drawDetectionTime(Duration least, Duration most);
+  void loseWatch(const HeldWatch &watch, Duration after);
+  void closeSilentLink(std::size_t from, std::size_t to, Duration after);
   bool canReachPlatform(std::size_t i) const;
   void deliverToNode(std::size_t i, std::uint64_t incarnation,
                      const std::function<GossipActions(GossipNode &)> &input);
@@ -119,6 +138,9 @@
   std::map<Revision, std::string> History;
   Revision Last;
   std::list<HeldWatch> Held;
+  /// By the node that opened the link and the other one.
+  std::map<std::pair<std::size_t, std::size_t>, Link> Links;
+  TimePoint SilentSince;
   std::uint64_t LastIncarnation = 0;
   std::map<std::size_t, TimePoint> CutUntil;
   std::vector<EndpointView> StartPeers;
--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -9,6 +9,7 @@
 #include "GossipSimulation.h"
 
 #include "ospreyspur/Control/DirectControl.h"
+#include "ospreyspur/Rpc/PeerClient.h"
 
 #include <doctest/doctest.h>
 
@@ -19,6 +20,8 @@
 
 /// Required time until a change is in force on all nodes.
 static constexpr Duration InForceLimit = seconds(8);
+/// The same on the platform, after all open connections fell silent.
+static constexpr Duration SilenceLimit = seconds(3);
 static constexpr Duration StartTime = seconds(5);
 
 namespace {
@@ -281,6 +284,58 @@
   CHECK(now - back <= std::chrono::seconds(1));
 }
 
+/// Makes all connections silent several times, each time with a change within a
+/// second, and returns the longest time from the silence until the change is in
+/// force.
+static Duration silenceOften(GossipSimulation &fleet, Duration limit) {
+  Duration worst{};
+  RandomScheduler &random = fleet.Scheduler;
+  random.runUntil(random.now() + seconds(10));
+  for (int i = 0; i < 4; ++i) {
+    random.runUntil(random.now() + seconds(4) +
+                    milliseconds(random.below(3000)));
+    TimePoint silentSince = random.now();
+    fleet.silence();
+    random.runUntil(random.now() + milliseconds(random.below(1000)));
+    Revision at = fleet.write(SharedKey::Config, "change " + std::to_string(i));
+    fleet.awaitInForce(SharedKey::Config, at, 2 * limit);
+    Duration span = random.now() - silentSince;
+    CHECK(span <= limit);
+    worst = std::max(worst, span);
+  }
+  CHECK(fleet.Violations == 0);
+  return worst;
+}
+
+// Guards against changes that come into force late after all open connections,
+// to the store and between the nodes, fell silent at the same moment: a lost
+// watch that is made again late, subscribers that cannot return to a parent
+// whose places are taken by their own silent links.
+TEST_CASE("a change is in force in time although all connections are silent") {
+  struct Case {
+    FleetShape Shape;
+    std::uint64_t Seeds;
+  };
+  // With late messages, only the limit for hosts in trouble applies.
+  for (auto [latePercent, limit] :
+       {std::pair(0U, SilenceLimit), std::pair(5U, InForceLimit)})
+    for (auto [shape, seeds] :
+         {Case{{3, 1, 0}, 20}, Case{{3, 5, 0}, 20}, Case{{3, 18, 0}, 10},
+          Case{{5, 42, 0}, 3}, Case{{6, 62, 0}, 2}}) {
+      CAPTURE(shape.Agents);
+      CAPTURE(latePercent);
+      Duration worst{};
+      for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        GossipSimulation fleet(seed, shape, 0, latePercent,
+                               makeDirectGossipLimits());
+        worst = std::max(worst, silenceOften(fleet, limit));
+      }
+      MESSAGE((shape.DataCentres * shape.Agents), " nodes, ", latePercent,
+              "% late, longest until in force: ", toMillis(worst), " ms");
+    }
+}
+
 TEST_CASE("a watcher makes a lost watch again when its backoff has passed") {
   GossipNode node({EndpointId("a"), DataCentreId("x")},
                   makeDirectGossipLimits(), 1);
@@ -319,3 +374,22 @@
   REQUIRE(again.size() == 1);
   CHECK(std::get<KvWatch>(again[0].Call).Wait > Duration::zero());
 }
+
+TEST_CASE("subscribers return to their parent on new links") {
+  GossipNode node({EndpointId("a"), DataCentreId("x")}, GossipLimits(), 1);
+  TimePoint now{std::chrono::hours(1)};
+  GossipDigest digest;
+  digest.IsSubscription = true;
+  auto isAccepted = [&](std::uint64_t link) {
+    GossipActions actions = node.onMessage(LinkId(link), digest, now);
+    return std::get<ReplyDigest>(actions.back()).Body.IsSubscription;
+  };
+  for (std::uint64_t link : {1U, 2U, 3U})
+    CHECK(isAccepted(link));
+  CHECK_FALSE(isAccepted(4));
+  // The old links are silent; nobody has closed them here.
+  now += LinkKeepAlive::DetectionTime;
+  for (std::uint64_t link : {5U, 6U, 7U})
+    CHECK(isAccepted(link));
+  CHECK_FALSE(isAccepted(8));
+}
