Use new connections after an attempt was lost

Connections kept to endpoints fall silent together; a request that was moved from a silent one went out on another silent one, until its attempts were used up and it was held to its deadline.

Mend: after a lost attempt a request uses new connections, so that it meets one silent connection at most, whatever its route allows.

SilentConnectionTest: red with the mend taken out (callers not answered within 3 s), passes now.

--- a/include/ospreyspur/Process/DirectCall.h
+++ b/include/ospreyspur/Process/DirectCall.h
@@ -40,6 +40,9 @@
   /// The connection of the running attempt; null between attempts.
   EndpointConnection *Connection = nullptr;
   bool IsCallerGone = false;
+  /// Whether an attempt was lost. The next ones use new connections: if kept
+  /// connections have fallen silent, each further attempt would be lost, too.
+  bool HasLostAttempt = false;
   EventSplitter Events;
   /// Whether the complete response has been sent. Status does not show this: a
   /// response that reports a failed run sets it, too, and is held back while
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -70,7 +70,7 @@
 /// Requests that must not run twice are sent on a new connection, as the
 /// endpoint may close a kept one at the moment the request is sent.
 asio::awaitable<EndpointPool::Connection> DirectAttempt::open() {
-  if (Call.Request.Route->isRepeatable())
+  if (Call.Request.Route->isRepeatable() && !Call.HasLostAttempt)
     if (auto kept = Pool.takeIdle(Order.Endpoint.Id, monotonicNow()))
       co_return kept;
   co_return co_await Pool.connect(Order.Endpoint.Address, ConnectTimeout);
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -292,6 +292,8 @@
   if (running.connectionEnd() == ConnectionEnd::Endpoint)
     logEarlyClose(call, order, end, monotonicNow() - began);
   call.IsResponseSent = end == AttemptEnd::Complete;
+  if (end == AttemptEnd::Lost || end == AttemptEnd::BrokeOff)
+    call.HasLostAttempt = true;
   apply(Node.onAttemptEnded(id, end, monotonicNow(), running.connectionEnd()));
 }
 
--- a/unittests/Process/PushbackSimulation.h
+++ b/unittests/Process/PushbackSimulation.h
@@ -12,6 +12,7 @@
 #define OSPREYSPUR_UNITTESTS_PROCESS_PUSHBACKSIMULATION_H
 
 #include "FreeAddress.h"
+#include "SilenceableRelay.h"
 
 #include "ospreyspur/Http/HttpServer.h"
 #include "ospreyspur/Process/DirectTraffic.h"
@@ -65,13 +66,19 @@
     out.Incarnation = EndpointIncarnation(1);
     out.Id = makeEndpointId(Name, out.Incarnation);
     out.Service = ServiceId("s");
-    out.Address = Address;
+    out.Address = Relay ? Relay->address() : Address;
     out.Slots = 8;
     return out;
   }
 
   const std::vector<Arrival> &arrivals() const { return Arrivals; }
 
+  /// Lets entries connect through a relay, which can fall silent.
+  void addRelay(asio::io_context &ioc) {
+    Relay = std::make_unique<SilenceableRelay>(ioc, Address);
+  }
+  void silence() { Relay->silence(); }
+
 private:
   asio::awaitable<void> run(HttpExchange &exchange) {
     static constexpr std::chrono::milliseconds Work(5);
@@ -94,6 +101,7 @@
   std::vector<Arrival> Arrivals;
   HttpServer Server;
   tcp::endpoint Address;
+  std::unique_ptr<SilenceableRelay> Relay;
 };
 
 /// Real entries in front of such endpoints.
@@ -106,6 +114,17 @@
                              it);
   }
 
+  /// Call before addEntries().
+  void addRelays() {
+    for (PushbackEndpoint &it : Endpoints)
+      it.addRelay(Context);
+  }
+  /// Makes all open connections to endpoints silent.
+  void silence() {
+    for (PushbackEndpoint &it : Endpoints)
+      it.silence();
+  }
+
   void addEntries(unsigned n) {
     for (unsigned i = 0; i < n; ++i)
       addEntry();
