--- a/include/ospreyspur/Control/ControlPlane.h
+++ b/include/ospreyspur/Control/ControlPlane.h
@@ -35,6 +35,10 @@
 /// Follows the shared values on the control thread.
 class ControlPlane {
 public:
+  /// Time limit of a call to the key-value store, in addition to the time for
+  /// which the store may hold a watch.
+  static constexpr Duration CallTimeout = std::chrono::seconds(2);
+
   /// \p peers are the addresses of agents to use until the host list is known;
   /// \p seed determines the random choice of peers.
   ControlPlane(boost::asio::io_context &ioc, PlatformClient &platform,
--- a/include/ospreyspur/Control/QuarantineSync.h
+++ b/include/ospreyspur/Control/QuarantineSync.h
@@ -21,6 +21,9 @@
 public:
   using Handler = std::function<void(std::vector<RequestDigest>)>;
 
+  /// Time limit of a call to the key-value store.
+  static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
+
   /// \p onRestored receives the requests that were stored before this process
   /// started.
   QuarantineSync(boost::asio::io_context &ioc, PlatformClient &platform,
--- a/include/ospreyspur/Process/RankAgent.h
+++ b/include/ospreyspur/Process/RankAgent.h
@@ -39,9 +39,17 @@
 
 namespace ospreyspur {
 
+/// Limits of the lease of a group's coordinator.
+LeaseLimits makeRankLeaseLimits();
+
 /// The agent of one rank, on one io_context's thread.
 class RankAgent {
 public:
+  /// Time limit of a call to the key-value store. A lost renewal must have
+  /// ended before the next one is due: until then the other kept connections,
+  /// which may have fallen silent too, are still in use.
+  static constexpr Duration CallTimeout = std::chrono::milliseconds(800);
+
   RankAgent(boost::asio::io_context &ioc, const RankSettings &settings,
             Metrics &metrics, std::uint64_t seed);
 
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -16,7 +16,6 @@
 
 using namespace ospreyspur;
 
-static constexpr Duration CallTimeout = std::chrono::seconds(2);
 /// Links to random peers are rarely used again, so unused ones are closed after
 /// this time.
 static constexpr Duration UnusedLinkTimeout = std::chrono::seconds(10);
--- a/lib/Control/QuarantineSync.cpp
+++ b/lib/Control/QuarantineSync.cpp
@@ -14,8 +14,6 @@
 
 using namespace ospreyspur;
 
-static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
-
 QuarantineSync::QuarantineSync(boost::asio::io_context &ioc,
                                PlatformClient &platform, std::uint64_t seed,
                                Handler onRestored)
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -32,7 +32,6 @@
 /// Period over which the agents of a group that start together spread their
 /// first read of the group's lease; a read takes some 5 ms.
 static constexpr Duration JoinSpread = std::chrono::milliseconds(100);
-static constexpr Duration CallTimeout = std::chrono::seconds(1);
 /// How long a coordinator acts without current reports of all ranks before it
 /// verifies its lease at the store.
 static constexpr Duration MaxIncomplete = std::chrono::milliseconds(2000);
@@ -63,7 +62,7 @@
   return limits;
 }
 
-static LeaseLimits makeLeaseLimits() {
+LeaseLimits ospreyspur::makeRankLeaseLimits() {
   LeaseLimits limits;
   limits.Span = std::chrono::seconds(3);
   limits.Margin = std::chrono::milliseconds(700);
@@ -326,7 +325,7 @@
   std::string key =
       "ospreyspur/groups/" + Settings.Service + "/" + status.Group.get();
   Member = std::make_unique<Membership>(
-      status, LeaseHolder(key, Settings.linkListen(), makeLeaseLimits()));
+      status, LeaseHolder(key, Settings.linkListen(), makeRankLeaseLimits()));
   Switch.resign();
   Consent.clear();
   // The new group numbers its ranks independently of the previous one.
