Arm map changes by how long arming takes, at a rate that late reports do not change

Callers saw late streams for seconds after a coordinator's host had been frozen: each map change took 2.7 s instead of 0.3 to 0.5 s, 1.7 to 2.3 s of it between the release and the new map, so that the maps never caught up with the demand. A change that was under way when a rank became slow took 7 s, and no other could begin meanwhile.

The step rate was logged as 58 a second where the group made 10: an old report that a host delivered when it was no longer frozen set the measurement back to an earlier step. And the time to cover was the slowest reply, Prepare orders included, which are large and during which experts are copied.

Now reports of earlier steps do not count for the rate, the time to cover is that of the last arming, and the present step is extrapolated from the latest report of the highest step instead of from every rank's.

Tests: StepRateTest, seen red on the earlier code (a rate of 110 instead of 10, a hold far ahead). MapSwitchTest and LargeGroupTest hold unchanged, the test of retransmitted orders among them.

The first map still comes only when the host wakes up: its rank answers neither reads nor orders before.

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -64,8 +64,11 @@
   /// Minimum number of steps between the current one and the change: orders
   /// take a few milliseconds, a step of a busy group some tens.
   std::uint64_t StepsAhead = 1;
-  /// Upper bound of the delay that slow replies may add to the change.
+  /// Upper bound of the delay that slow arming may add to the change.
   Duration MaxStepDelay = std::chrono::milliseconds(800);
+  /// Time that arming is expected to take before it has been measured: the four
+  /// round trips of busy hosts.
+  Duration FirstArmingTime = std::chrono::milliseconds(100);
   /// Number of steps that the coordinator tries to hold; the group may step
   /// faster than estimated.
   unsigned MaxHolds = 3;
@@ -174,8 +177,6 @@
   struct Pending {
     MapOrder Order;
     TimePoint SentAt;
-    /// When the first copy was sent.
-    TimePoint FirstSentAt;
     unsigned Tries = 0;
     /// Whether the order waits for the link.
     bool IsQueued = false;
@@ -209,8 +210,9 @@
   bool beginStage(TimePoint now);
   bool beginClaiming(TimePoint now);
   void holdNext(TimePoint now);
+  StepNumber presentStep(TimePoint now) const;
   std::uint64_t stepsAhead() const;
-  void recordReply(const Pending &order, TimePoint now);
+  void recordArming(TimePoint now);
   void orderAll(MapOrderKind kind, TimePoint now);
   void order(unsigned rank, MapOrderKind kind, MapVersion version,
              StepNumber step, TimePoint now);
@@ -238,9 +240,11 @@
   MapVersion Version;
   StepNumber Step;
   unsigned HoldTries = 0;
-  /// The slowest reply of this change so far, or half that of the previous
-  /// change.
-  Duration SlowestReply{};
+  /// When the order to hold the step of this change was sent.
+  TimePoint HeldAt;
+  /// The time from then until all ranks were armed, of the last change, or half
+  /// that of an earlier one if that is longer.
+  Duration ArmingTime{};
   /// The stages of the phase that follow the pending orders.
   std::deque<std::vector<PlannedOrder>> Stages;
   /// In Releasing: whether the group will begin the step with Version.
--- a/lib/Experts/MapArming.cpp
+++ b/lib/Experts/MapArming.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 using namespace ospreyspur;
@@ -19,34 +20,47 @@
     enterIdle(now);
     return;
   }
-  StepNumber last;
-  for (const auto &[rank, status] : Ranks) {
-    double since = std::chrono::duration<double>(now - SeenAt.at(rank)).count();
-    auto passed = static_cast<std::uint64_t>(std::ceil(since * StepsPerSecond));
-    last = std::max(last, StepNumber(status.Step.get() + passed));
-  }
-  Step = StepNumber(last.get() + stepsAhead() * HoldTries);
+  Step = StepNumber(presentStep(now).get() + stepsAhead() * HoldTries);
+  HeldAt = now;
   enter(SwitchPhase::Holding, now);
   // If this host freezes, others must still be able to release the step.
   unsigned holdRank = OwnRank == 0 && Ranks.size() > 1 ? 1 : 0;
   order(holdRank, MapOrderKind::Hold, Version, Step, now);
 }
 
+/// The step that the group has probably reached: extrapolated from the latest
+/// report of the highest step. The report of a rank that has been silent for
+/// long says little about it.
+StepNumber MapSwitch::presentStep(TimePoint now) const {
+  StepNumber highest;
+  TimePoint seen;
+  for (const auto &[rank, status] : Ranks) {
+    TimePoint at = SeenAt.at(rank);
+    if (std::tie(highest, seen) < std::tie(status.Step, at))
+      std::tie(highest, seen) = std::tie(status.Step, at);
+  }
+  double since = std::chrono::duration<double>(now - seen).count();
+  auto passed = static_cast<std::uint64_t>(std::lround(since * StepsPerSecond));
+  return StepNumber(highest.get() + passed);
+}
+
 /// Number of steps ahead at which the group is held. The group will probably
 /// not reach that step before every rank is armed, so that the hold normally
-/// does not delay it. Where links lose packets, a reply may need a
-/// retransmission of 0.2 s or more, during which the group would be stalled. A
-/// fixed number of steps that covers such retransmissions would delay all other
-/// changes.
+/// does not delay it. Where links lose packets, arming may need retransmissions
+/// of 0.2 s or more, during which the group would be stalled. A fixed number of
+/// steps that covers such retransmissions would delay all other changes.
+/// Replies to Prepare orders say little: these orders are large, and the ranks
+/// copy experts meanwhile.
 std::uint64_t MapSwitch::stepsAhead() const {
-  Duration ahead = std::min(SlowestReply, Limits.MaxStepDelay);
-  double seconds = std::chrono::duration<double>(ahead).count();
+  Duration arming = std::min(ArmingTime, Limits.MaxStepDelay);
+  double seconds = std::chrono::duration<double>(arming).count();
   return Limits.StepsAhead +
-         static_cast<std::uint64_t>(seconds * StepsPerSecond);
+         static_cast<std::uint64_t>(std::ceil(seconds * StepsPerSecond));
 }
 
-void MapSwitch::recordReply(const Pending &order, TimePoint now) {
-  SlowestReply = std::max(SlowestReply, now - order.FirstSentAt);
+/// Called when all ranks are armed.
+void MapSwitch::recordArming(TimePoint now) {
+  ArmingTime = std::max(now - HeldAt, ArmingTime / 2);
 }
 
 /// Arms the coordinator's own rank last: a successor then knows that this rank
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -33,6 +33,7 @@
   Ranks.clear();
   SeenAt.clear();
   RanksWithToken.clear();
+  ArmingTime = Limits.FirstArmingTime;
 }
 
 void MapSwitch::resign() {
@@ -68,15 +69,19 @@
     enterIdle(now);
 }
 
-/// Measures the group's step rate.
+/// Measures the group's step rate. A report of an earlier step is late: a host
+/// that was frozen delivers what it had queued. Measured from such a step, the
+/// rate was several times too high.
 void MapSwitch::recordStep(const RankStatus &status, TimePoint now) {
-  if (status.Formation != StepFormation || status.Step < LastStep) {
+  if (status.Formation != StepFormation) {
     StepFormation = status.Formation;
     LastStep = status.Step;
     LastStepAt = now;
     return;
   }
   Duration elapsed = now - LastStepAt;
+  if (status.Step < LastStep)
+    return;
   if (elapsed < Limits.StepWindow)
     return;
   StepsPerSecond = double(status.Step.get() - LastStep.get()) /
@@ -100,7 +105,6 @@
     return takeActions();
   case MapOrderResult::Done:
     RanksWithToken.insert(rank);
-    recordReply(it->second, now);
     Orders.erase(it);
     break;
   case MapOrderResult::Refused: {
@@ -155,10 +159,8 @@
   for (const auto &[rank, pending] : Orders)
     if (!pending.IsQueued && now - pending.SentAt >= resendAfter())
       late.emplace_back(rank, pending);
-  for (const auto &[rank, pending] : late) {
+  for (const auto &[rank, pending] : late)
     send(rank, pending.Order, pending.Tries + 1, now);
-    Orders.at(rank).FirstSentAt = pending.FirstSentAt;
-  }
   advance(now);
   return takeActions();
 }
@@ -196,8 +198,6 @@
   Pending &it = Orders.at(rank);
   it.IsQueued = false;
   it.SentAt = now;
-  if (it.Tries == 0)
-    it.FirstSentAt = now;
   // Large maps take long on a narrow link; the ranks' preparation time starts
   // when the last map has been sent.
   if (Phase == SwitchPhase::Preparing)
@@ -211,7 +211,6 @@
   PlannedMap = std::make_shared<const GroupPlacement>(placement);
   Formation = Ranks.begin()->second.Formation;
   BeganAt = now;
-  SlowestReply /= 2;
   enter(SwitchPhase::Preparing, now);
   orderAll(MapOrderKind::Prepare, now);
   return takeActions();
@@ -380,7 +379,7 @@
   ++LastOrder;
   order.Id = MapOrderId(LastOrder);
   order.Fence = FencingToken((Lease << OrderBits) + LastOrder);
-  Orders[rank] = {order, now, now, tries};
+  Orders[rank] = {order, now, tries};
   Out.push_back({rank, tries, std::move(order)});
 }
 
@@ -391,8 +390,10 @@
     beginArming(now);
     break;
   case SwitchPhase::Arming:
-    if (!beginStage(now))
+    if (!beginStage(now)) {
+      recordArming(now);
       release(true, now);
+    }
     break;
   case SwitchPhase::Disarming:
     if (!beginStage(now))
