Empty ranks that delay their whole group, and find them within a second

Callers saw streams late or refused for nine seconds while one rank of a group of 63 was twelve times slower. Cause, from the wait and group logs: the rank kept 1 to 10 streams, and in lock step each of them made every iteration of all ranks 300 ms and longer. The streams could not leave: the long gap is the group's, so all 63 ranks counted as too slow. Waiting calls were held for 1.5 s for the same reason and then refused. The entries learned of the rank after one to two seconds, as they drew the times of their queries at random.

Now a rank on which one request makes the iterations of a fully used group longer than the strictest gap target of its service is emptied: it gets no requests, its streams migrate before any waiting call starts, and for two seconds the group is judged by the gap it would have without the rank. The rank is queried by the entry that comes first for it by rendezvous hashing, by the next one 0.25 s later: one query a rank and second for the whole fleet. Queries are also looked for as events arrive, not only as requests end. A slow rank is queried until it says that it has recovered.

--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -111,6 +111,8 @@
   /// The request is quarantined because it crashes endpoints. It is not sent to
   /// another endpoint.
   Quarantined,
+  /// The endpoint is a rank that delays its whole group and is to be emptied.
+  SlowRank,
 };
 
 /// Stops the current attempt. The call continues at another endpoint, or ends
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -178,6 +178,11 @@
   std::vector<RateLimitLogRecord> takeRateLimitLogRecords() {
     return Rates.takeLogRecords();
   }
+  /// Returns the ranks that began or ceased to be slow since the last call, for
+  /// the log.
+  std::vector<SlowRankLogRecord> takeSlowRankLogRecords() {
+    return Slow.takeLogRecords();
+  }
   /// Returns the endpoints that became cold since the last call, and for how
   /// long each stays cold, for the log.
   std::vector<std::pair<IncarnationDigest, Duration>> takeColdLogRecords() {
@@ -201,6 +206,7 @@
   const CrashTracker &crashes() const { return Crashes; }
   const RateLimits &rates() const { return Rates; }
   const ExcludedEndpoints &excluded() const { return Excluded; }
+  const SlowRanks &slowRanks() const { return Slow; }
   /// Whether the call still lacks its final response.
   bool isKnown(CallId id) const { return Calls.contains(id); }
   std::size_t callCount() const { return Calls.size(); }
@@ -272,6 +278,8 @@
   void retry(CallState &call, ResultCode reason, TimePoint now);
   bool mayAttempt(const CallState &call, TimePoint now) const;
   bool tryMigrate(CallState &call, StopReason reason, TimePoint now);
+  bool isOnSlowRank(const CallState &call) const;
+  void emptySlowRanks(TimePoint now);
   bool startNext(CallState &call, TimePoint now);
   void releaseNext(CallState &call);
   void recordReceived(CallState &call, TimePoint now);
@@ -292,8 +300,11 @@
   RateLimits Rates;
   ColdEndpoints Cold;
   ExcludedEndpoints Excluded;
-  /// This entry's name, and when the members of the fleet were last counted.
+  SlowRanks Slow;
+  /// This entry's name, its digest, and when the members of the fleet were last
+  /// counted.
   std::string Name;
+  std::uint64_t NameDigest;
   std::optional<TimePoint> MembersAt;
   /// When onTimer() last ran. Everything due by then has been handled.
   TimePoint LastTimer;
@@ -319,6 +330,8 @@
   /// Calls whose current attempt is to be migrated if possible; see
   /// CallState::IsSilent.
   std::set<CallId> Silent;
+  /// When the events of a slow group last led to a look for due queries.
+  TimePoint SlowGroupAt;
   /// Whether the endpoint list was replaced after onTimer() last ran.
   bool HasNewList = false;
   std::vector<WaitLogRecord> WaitLogRecords;
--- a/include/ospreyspur/Direct/EndpointPicker.h
+++ b/include/ospreyspur/Direct/EndpointPicker.h
@@ -16,6 +16,7 @@
 #include "ospreyspur/Direct/WaitLogRecord.h"
 #include "ospreyspur/Pushback/ExcludedEndpoints.h"
 #include "ospreyspur/Pushback/RateLimits.h"
+#include "ospreyspur/Scheduling/SlowRanks.h"
 
 #include <cstddef>
 #include <random>
@@ -32,10 +33,11 @@
   EndpointPicker(const EndpointTable &table, const DirectLimits &limits,
                  const DataCentreId &dataCentre, const ArrivalRate &arrivals,
                  const RateLimits &rates, const ColdEndpoints &cold,
-                 const ExcludedEndpoints &excluded, std::mt19937_64 &random)
+                 const ExcludedEndpoints &excluded, const SlowRanks &slowRanks,
+                 std::mt19937_64 &random)
       : Table(table), Limits(limits), DataCentre(dataCentre),
         Arrivals(arrivals), Rates(rates), Cold(cold), Excluded(excluded),
-        Random(random) {}
+        Slow(slowRanks), Random(random) {}
 
   /// Returns the endpoint for \p call; null if none has capacity for it. An
   /// endpoint outside of the entry's subset is picked only if the subset has no
@@ -84,6 +86,7 @@
   const RateLimits &Rates;
   const ColdEndpoints &Cold;
   const ExcludedEndpoints &Excluded;
+  const SlowRanks &Slow;
   std::mt19937_64 &Random;
 };
 
--- a/include/ospreyspur/Direct/EndpointTable.h
+++ b/include/ospreyspur/Direct/EndpointTable.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -87,9 +88,10 @@
   /// When the endpoint last reported its slowdown factor to this entry, rather
   /// than to another one.
   TimePoint SlowdownReportedAt;
-  /// When this entry queries the slowdown factor, unless another entry has
-  /// reported it by then.
-  std::optional<TimePoint> QuerySlowdownAt;
+  /// Since when the slowdown factor is to be known, and when this entry last
+  /// queried it.
+  std::optional<TimePoint> SlowdownWantedSince;
+  TimePoint SlowdownQueriedAt;
 };
 
 /// Load and health by endpoint.
@@ -137,13 +139,20 @@
   /// The endpoint has to be restarted and the group formed, which takes 600 ms
   /// on the platform, where reports are 200 ms old.
   static constexpr Duration CrashedGroupDelay = std::chrono::milliseconds(500);
-  /// Mean interval between slowdown queries of all entries to one endpoint; a
-  /// reported factor is used for two intervals. Each entry draws the time of
-  /// its query at random and announces the result to the others. If every entry
-  /// queried every endpoint itself, there would be many more queries than
-  /// requests: 52 entries that each queried 192 endpoints once a second sent
-  /// 225,000 queries on a day with 17,000 requests.
+  /// Interval between slowdown queries of all entries to one endpoint; a
+  /// reported factor is used for two intervals. The entry that comes first for
+  /// the endpoint by rendezvous hashing queries it and announces the result to
+  /// the others. If every entry queried every endpoint itself, there would be
+  /// many more queries than requests: 52 entries that each queried 192
+  /// endpoints once a second sent 225,000 queries on a day with 17,000
+  /// requests.
   static constexpr Duration SlowdownInterval = std::chrono::milliseconds(1000);
+  /// How long each further entry in hash order waits for the report of the one
+  /// before it. Longer than a query and a load report take together.
+  static constexpr Duration SuccessorDelay = std::chrono::milliseconds(250);
+  /// Slowdown factors below this one are not indexed; see slowed(). Endpoints
+  /// of one service differ in speed by less.
+  static constexpr double MinSlowdown = 1.5;
   /// Age at which another entry's load report no longer counts.
   static constexpr Duration MaxPeerLoadAge = std::chrono::seconds(1);
 
@@ -186,10 +195,13 @@
   /// A request found no usable endpoint in the subset, so some of the others
   /// are queried, too.
   void requestOutside(TimePoint now);
-  /// Returns the endpoints of slow groups to query for their slowdown factors.
-  std::vector<EndpointRecord> takeSlowdownQueries(const MayQuery &mayQuery,
-                                                  TimePoint now,
-                                                  std::mt19937_64 &random);
+  /// Returns the endpoints to query for their slowdown factors: those of slow
+  /// groups, and those in \p followed. \p self is the digest of this entry's
+  /// name.
+  std::vector<EndpointRecord>
+  takeSlowdownQueries(const MayQuery &mayQuery,
+                      const std::set<EndpointId> &followed, std::uint64_t self,
+                      TimePoint now);
   /// Takes an endpoint's status report; \p status is unset if the endpoint
   /// did not respond.
   void onStatusReport(const EndpointId &id,
@@ -238,6 +250,11 @@
   static double slowdownOf(const EndpointState &state, TimePoint now) {
     return now - state.SlowdownAt < 2 * SlowdownInterval ? state.Slowdown : 1;
   }
+  /// The endpoints that last reported a slowdown factor of at least
+  /// MinSlowdown, even if that factor is no longer used.
+  const std::map<EndpointId, EndpointState *> &slowed() const { return Slowed; }
+  /// Returns the number of endpoints in \p state's group.
+  std::size_t groupSize(const EndpointState &state) const;
   /// Returns this entry's load, for reports to the other entries.
   std::vector<EndpointLoad> ownLoads(TimePoint now) const;
   /// Returns the number of other entries that reported recently.
@@ -246,6 +263,7 @@
 private:
   struct PeerLoad {
     std::string Peer;
+    std::uint64_t NameDigest = 0;
     TimePoint At;
     std::vector<EndpointLoad> Loads;
   };
@@ -257,6 +275,8 @@
   void buildIndexes();
   void setGroup(EndpointState &state, const GroupId &group);
   void setMustReport(EndpointState &state, bool mustReport);
+  void setSlowdown(EndpointState &state, double slowdown, TimePoint now);
+  std::vector<std::uint64_t> peerDigests(TimePoint now) const;
   std::vector<EndpointState *> dueOutside(TimePoint now,
                                           std::mt19937_64 &random);
   static void extendFull(EndpointState &state, TimePoint now);
@@ -274,6 +294,7 @@
   std::map<GroupGaps::Key, std::vector<EndpointState *>> Groups;
   /// The endpoints that must report, by id.
   std::map<EndpointId, EndpointState *> Closed;
+  std::map<EndpointId, EndpointState *> Slowed;
   TimePoint OutsideWantedUntil;
   TimePoint OutsideQueryAt;
   /// The latest report of each entry, the oldest first.
--- a/include/ospreyspur/Direct/WaitLogRecord.h
+++ b/include/ospreyspur/Direct/WaitLogRecord.h
@@ -41,12 +41,14 @@
   Resting,
   /// Operators drain the endpoint's data centre.
   Drained,
+  /// The endpoint is a rank that delays its whole group and is to be emptied.
+  SlowRank,
 };
 
 /// The names of the obstacles in the log, in the order of Obstacle.
-inline constexpr std::array<std::string_view, 10> ObstacleNames = {
-    "usable",   "leaving", "tried",        "closed",  "unproven",
-    "too_slow", "full",    "rate_limited", "resting", "drained"};
+inline constexpr std::array<std::string_view, 11> ObstacleNames = {
+    "usable", "leaving",      "tried",   "closed",  "unproven", "too_slow",
+    "full",   "rate_limited", "resting", "drained", "slow_rank"};
 
 /// Number of endpoints with each obstacle.
 using ObstacleCounts = std::array<unsigned, ObstacleNames.size()>;
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -79,6 +79,7 @@
   void takePushback(const EndpointId &id, const Pushback &pushback,
                     std::optional<TimePoint> sentAt);
   void logWaits();
+  void logSlowRanks();
   void logPushback();
   void logSharing();
   void logColdEndpoints();
--- a/include/ospreyspur/Support/Digest.h
+++ b/include/ospreyspur/Support/Digest.h
@@ -14,6 +14,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -27,6 +28,13 @@
 /// The first 64 bits of the SHA-256 of \p text.
 std::uint64_t digest64(std::string_view text);
 
+/// Returns the position of the member \p self among itself and \p others for
+/// \p item by rendezvous hashing; 0 is the first. All arguments are digests.
+/// The order is the same in every process and build.
+std::size_t rendezvousRank(std::uint64_t self,
+                           const std::vector<std::uint64_t> &others,
+                           std::uint64_t item);
+
 /// The first 64 bits of an HMAC-SHA256 with \p key over the digests of
 /// \p parts. Hashing the digests keeps apart lists of parts that differ only in
 /// where one part ends and the next begins.
--- a/lib/Direct/DirectAttempts.cpp
+++ b/lib/Direct/DirectAttempts.cpp
@@ -96,11 +96,14 @@
                                 call.Attempts, call.MaxIdleTime});
 }
 
-/// Assigns freed capacity to waiting calls. Calls that can still be within
-/// their latency target go first, then calls to be migrated from silent
+/// Assigns freed capacity. Streams on slow ranks go first, as each of them
+/// makes all others of its group late, then waiting calls that can still be
+/// within their latency target, then calls to be migrated from silent
 /// endpoints, then the rest. In a backlog, serving strictly in order of arrival
 /// would make every call late.
 void DirectNode::startWaiting(TimePoint now) {
+  Slow.update(now);
+  emptySlowRanks(now);
   startWaiting(true, now);
   for (CallId id : std::vector<CallId>(Silent.begin(), Silent.end()))
     tryMigrate(Calls.at(id), StopReason::Silent, now);
--- a/lib/Direct/DirectMigrations.cpp
+++ b/lib/Direct/DirectMigrations.cpp
@@ -8,7 +8,9 @@
 
 #include "ospreyspur/Direct/DirectNode.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 using namespace ospreyspur;
 
@@ -36,6 +38,29 @@
          state && !Picker.canFinish(*state, call, now);
 }
 
+bool DirectNode::isOnSlowRank(const CallState &call) const {
+  const EndpointState *state =
+      call.Current ? Table.find(*call.Current) : nullptr;
+  return state && Slow.isToBeEmptied(*state);
+}
+
+/// Migrates this entry's requests away from slow ranks, those with the most
+/// events to come first: they would keep a rank busy longest.
+void DirectNode::emptySlowRanks(TimePoint now) {
+  if (Slow.slow().empty())
+    return;
+  std::vector<CallState *> leaving;
+  for (auto &[id, call] : Calls)
+    if (isOnSlowRank(call))
+      leaving.push_back(&call);
+  std::sort(leaving.begin(), leaving.end(),
+            [](const CallState *a, const CallState *b) {
+              return a->ReceivedParts < b->ReceivedParts;
+            });
+  for (CallState *it : leaving)
+    tryMigrate(*it, StopReason::SlowRank, now);
+}
+
 /// Stops the current attempt if the call is certain to continue at another
 /// endpoint: a slot there and a retry from the budget are reserved first.
 /// Otherwise many streams would be stopped for the same slot, and those that
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -14,12 +14,16 @@
 
 /// Weight of the latest sample in the running mean of the time to first byte.
 static constexpr double FirstByteWeight = 0.1;
+/// Minimum time between two looks for due queries because of events; a slow
+/// group delivers hundreds of them per second.
+static constexpr Duration SlowGroupInterval = std::chrono::milliseconds(50);
 
 DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
                        std::uint64_t seed, std::string name)
     : DataCentre(std::move(dataCentre)), Limits(limits), Random(seed),
-      Name(std::move(name)), Picker(Table, Limits, DataCentre, Arrivals, Rates,
-                                    Cold, Excluded, Random),
+      Slow(Table), Name(std::move(name)), NameDigest(digest64(Name)),
+      Picker(Table, Limits, DataCentre, Arrivals, Rates, Cold, Excluded, Slow,
+             Random),
       Retries(limits.Retries) {}
 
 static Duration partOf(Duration whole, double part) {
@@ -43,6 +47,8 @@
   call.WaitUntil =
       now + std::min(Limits.MaxWait, partOf(left, Limits.MaxWaitPart));
   call.Request = std::move(request);
+  Slow.setConfig(call.Request.Config);
+  Slow.update(now);
   Retries.onRequest(call.Service, now);
   Crashes.onReceived(call.Request.Digest, now);
   if (Crashes.verdictOf(call.Request.Digest) == CrashVerdict::Quarantined) {
@@ -77,8 +83,17 @@
   recordReceived(call, now);
   if (gap > Duration::zero())
     Table.onEvents(*call.Current, gap, now);
-  if (isTooSlow(call, now))
+  if (isOnSlowRank(call))
+    tryMigrate(call, StopReason::SlowRank, now);
+  else if (isTooSlow(call, now))
     tryMigrate(call, StopReason::TooSlow, now);
+  // Otherwise a slow rank would be queried only once a request ends.
+  const EndpointState *state = Table.find(*call.Current);
+  if (state && now - SlowGroupAt >= SlowGroupInterval &&
+      Table.gapOf(*state, now) >= EndpointTable::SlowdownQueryGap) {
+    SlowGroupAt = now;
+    sendStatusQueries(now);
+  }
   return takeActions();
 }
 
@@ -201,6 +216,7 @@
   if (!Cold.isEmpty())
     Cold.onTimer(now);
   evaluateCrashes(now);
+  Slow.update(now);
   sendStatusQueries(now);
   startWaiting(now);
   std::vector<CallId> late;
--- a/lib/Direct/DirectPushback.cpp
+++ b/lib/Direct/DirectPushback.cpp
@@ -35,7 +35,7 @@
     return;
   MembersAt = now;
   FleetMembers members;
-  members.Self = digest64(Name);
+  members.Self = NameDigest;
   members.IsComplete = !MustKnowFleet || Fleet.hasList();
   Duration window = Retries.limits().Window;
   bool isSettled = ActiveSince && now - *ActiveSince >= ActiveSettleTime;
@@ -174,7 +174,8 @@
   };
   unsigned others = countOf(Obstacle::None) + countOf(Obstacle::Full) +
                     countOf(Obstacle::Closed) + countOf(Obstacle::TooSlow) +
-                    countOf(Obstacle::NotKnownToServe);
+                    countOf(Obstacle::NotKnownToServe) +
+                    countOf(Obstacle::SlowRank);
   if (others > 0)
     return ResultCode::Ok;
   if (countOf(Obstacle::RateLimited) > 0)
--- a/lib/Direct/DirectStatusQueries.cpp
+++ b/lib/Direct/DirectStatusQueries.cpp
@@ -16,6 +16,7 @@
                            const std::optional<EndpointStatus> &status,
                            TimePoint now) {
   Table.onStatusReport(id, status, now);
+  Slow.update(now);
   sendStatusQueries(now);
   startWaiting(now);
   return takeActions();
@@ -28,7 +29,7 @@
   for (EndpointRecord &it : Table.takeStatusQueries(mayBeQueried, now, Random))
     Out.emplace_back(QueryEndpoint{std::move(it)});
   for (EndpointRecord &it :
-       Table.takeSlowdownQueries(mayBeQueried, now, Random))
+       Table.takeSlowdownQueries(mayBeQueried, Slow.slow(), NameDigest, now))
     Out.emplace_back(QueryEndpoint{std::move(it)});
 }
 
--- a/lib/Direct/EndpointLoads.cpp
+++ b/lib/Direct/EndpointLoads.cpp
@@ -6,6 +6,8 @@
 
 #include "ospreyspur/Direct/EndpointTable.h"
 
+#include "ospreyspur/Support/Digest.h"
+
 using namespace ospreyspur;
 
 void EndpointTable::setPeerLoad(const std::string &peer,
@@ -14,7 +16,8 @@
   expirePeerLoads(now);
   auto [at, isNew] = Peers.try_emplace(peer, PeerLoads.end());
   if (isNew) {
-    at->second = PeerLoads.insert(PeerLoads.end(), {peer, now, {}});
+    at->second =
+        PeerLoads.insert(PeerLoads.end(), {peer, digest64(peer), now, {}});
   } else {
     removePeerLoad(*at->second);
     PeerLoads.splice(PeerLoads.end(), PeerLoads, at->second);
@@ -25,10 +28,8 @@
   addPeerLoad(kept);
   for (const EndpointLoad &it : loads) {
     EndpointState *state = it.Slowdown > 0 ? findMutable(it.Endpoint) : nullptr;
-    if (!state)
-      continue;
-    state->Slowdown = it.Slowdown;
-    state->SlowdownAt = now;
+    if (state)
+      setSlowdown(*state, it.Slowdown, now);
   }
 }
 
@@ -94,6 +95,14 @@
   return out;
 }
 
+std::vector<std::uint64_t> EndpointTable::peerDigests(TimePoint now) const {
+  std::vector<std::uint64_t> out;
+  for (const PeerLoad &load : PeerLoads)
+    if (now - load.At < MaxPeerLoadAge)
+      out.push_back(load.NameDigest);
+  return out;
+}
+
 std::size_t EndpointTable::livePeers(TimePoint now) const {
   std::size_t live = PeerLoads.size();
   for (const PeerLoad &load : PeerLoads) {
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -119,7 +119,7 @@
                                   TimePoint now) const {
   return state.IsMissing || now < state.AvoidedUntil ||
          Cold.isNew(state.Incarnation, now) ||
-         Table.gapOf(state, now) > Limits.SlowGap;
+         Slow.gapWithout(state, Table.gapOf(state, now), now) > Limits.SlowGap;
 }
 
 Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
@@ -139,6 +139,8 @@
   if (call.WasRejected && !call.HasBegun &&
       now - state.KnownServingAt > Limits.KnownServingTime)
     return Obstacle::NotKnownToServe;
+  if (Slow.isToBeEmptied(state))
+    return Obstacle::SlowRank;
   const ServiceRule *service = call.Request.Config->findService(call.Service);
   bool isEngine = service && service->Engine;
   if (isEngine && !canFinish(state, call, now))
@@ -181,8 +183,8 @@
   // At least one more event is always expected.
   unsigned parts =
       std::max(tokens / engine.StepsPerIteration, call.ReceivedParts + 1);
-  return Table.confirmedGapOf(state, now) * (parts - call.ReceivedParts) <
-         call.Deadline - now;
+  Duration gap = Slow.gapWithout(state, Table.confirmedGapOf(state, now), now);
+  return gap * (parts - call.ReceivedParts) < call.Deadline - now;
 }
 
 /// Returns the load of an endpoint in seconds: the time that its running
--- a/lib/Direct/EndpointStatusQueries.cpp
+++ b/lib/Direct/EndpointStatusQueries.cpp
@@ -7,6 +7,8 @@
 
 #include "ospreyspur/Direct/EndpointTable.h"
 
+#include "ospreyspur/Support/Digest.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -60,36 +62,33 @@
 }
 
 std::vector<EndpointRecord>
-EndpointTable::takeSlowdownQueries(const MayQuery &mayQuery, TimePoint now,
-                                   std::mt19937_64 &random) {
+EndpointTable::takeSlowdownQueries(const MayQuery &mayQuery,
+                                   const std::set<EndpointId> &followed,
+                                   std::uint64_t self, TimePoint now) {
   std::vector<EndpointRecord> out;
-  std::size_t others = livePeers(now);
-  // Each entry's interval is drawn from [0, 2 * SlowdownInterval * entries] and
-  // is at least SlowdownInterval, so the mean interval between the queries of
-  // all entries is about SlowdownInterval. Without other entries it is
-  // SlowdownInterval.
-  Duration maxInterval =
-      others > 0 ? 2 * SlowdownInterval * int(others + 1) : Duration();
-  std::uniform_int_distribution<Duration::rep> drawInterval(
-      0, maxInterval.count());
+  // Read only if needed: its cost grows with the number of entries.
+  std::optional<std::vector<std::uint64_t>> others;
   for (auto &[id, state] : States) {
-    bool mayBeSlow = state.Record.AnswersStatusQueries &&
-                     gapOf(state, now) >= SlowdownQueryGap;
-    if (!mayBeSlow || state.MustReport) {
-      state.QuerySlowdownAt.reset();
+    bool isWanted =
+        state.Record.AnswersStatusQueries && !state.MustReport &&
+        (gapOf(state, now) >= SlowdownQueryGap || followed.contains(id));
+    if (!isWanted) {
+      state.SlowdownWantedSince.reset();
       continue;
     }
-    if (!state.QuerySlowdownAt)
-      state.QuerySlowdownAt = now + Duration(drawInterval(random));
-    if (now < *state.QuerySlowdownAt)
+    if (!state.SlowdownWantedSince)
+      state.SlowdownWantedSince = now;
+    TimePoint due = std::max(*state.SlowdownWantedSince,
+                             state.SlowdownAt + SlowdownInterval);
+    if (now < std::max(due, state.SlowdownQueriedAt + SlowdownInterval))
+      continue;
+    if (!others)
+      others = peerDigests(now);
+    std::size_t rank = rendezvousRank(self, *others, state.Incarnation.get());
+    if (now < due + int(rank) * SuccessorDelay || !mayQuery(state))
       continue;
-    bool isKnown = now - state.SlowdownAt < SlowdownInterval;
-    if (!isKnown && mayQuery(state))
-      out.push_back(state.Record);
-    TimePoint from = isKnown ? state.SlowdownAt : now;
-    state.QuerySlowdownAt =
-        from +
-        std::max<Duration>(SlowdownInterval, Duration(drawInterval(random)));
+    state.SlowdownQueriedAt = now;
+    out.push_back(state.Record);
   }
   return out;
 }
@@ -113,8 +112,7 @@
                                    TimePoint now) {
   EndpointState *reporter = findMutable(id);
   if (reporter && status) {
-    reporter->Slowdown = status->Slowdown;
-    reporter->SlowdownAt = now;
+    setSlowdown(*reporter, status->Slowdown, now);
     reporter->SlowdownReportedAt = now;
   }
   if (!reporter || !reporter->MustReport)
--- a/lib/Direct/EndpointTable.cpp
+++ b/lib/Direct/EndpointTable.cpp
@@ -58,6 +58,7 @@
   Incarnations.clear();
   Groups.clear();
   Closed.clear();
+  Slowed.clear();
   for (auto &[id, state] : States) {
     Services[state.Record.Service].push_back(&state);
     Incarnations.emplace(state.Incarnation, &state);
@@ -65,6 +66,8 @@
       Groups[groupKey(state)].push_back(&state);
     if (state.MustReport)
       Closed.emplace(id, &state);
+    if (state.Slowdown >= MinSlowdown)
+      Slowed.emplace(id, &state);
   }
 }
 
@@ -86,6 +89,16 @@
     Closed.erase(state.Record.Id);
 }
 
+void EndpointTable::setSlowdown(EndpointState &state, double slowdown,
+                                TimePoint now) {
+  state.Slowdown = slowdown;
+  state.SlowdownAt = now;
+  if (slowdown >= MinSlowdown)
+    Slowed.emplace(state.Record.Id, &state);
+  else
+    Slowed.erase(state.Record.Id);
+}
+
 void EndpointTable::onStarted(const EndpointId &id, unsigned promptTokens) {
   if (EndpointState *it = findMutable(id)) {
     ++it->OwnRequests;
@@ -252,6 +265,11 @@
   return it == Groups.end() ? std::vector{&state} : it->second;
 }
 
+std::size_t EndpointTable::groupSize(const EndpointState &state) const {
+  auto it = Groups.find(groupKey(state));
+  return it == Groups.end() ? 1 : it->second.size();
+}
+
 std::vector<const EndpointState *>
 EndpointTable::statesOf(const ServiceId &service) const {
   auto it = Services.find(service);
--- a/lib/Process/DirectLog.cpp
+++ b/lib/Process/DirectLog.cpp
@@ -43,6 +43,8 @@
     return "silent";
   case StopReason::Quarantined:
     return "quarantined";
+  case StopReason::SlowRank:
+    return "slow_rank";
   }
   return "";
 }
@@ -90,6 +92,22 @@
   }
 }
 
+/// Logs one line for each rank that begins or ceases to be slow.
+void DirectTraffic::logSlowRanks() {
+  std::vector<SlowRankLogRecord> records = Node.takeSlowRankLogRecords();
+  if (records.empty())
+    return;
+  Measures.set("slow_ranks", double(Node.slowRanks().slow().size()));
+  for (const SlowRankLogRecord &it : records)
+    LOG(INFO) << LogEvent(it.IsSlow ? "rank.slow" : "rank.recovered")
+                     .with("endpoint", it.Endpoint.get())
+                     .with("group", it.Group.get())
+                     .with("slowdown", it.Slowdown)
+                     .with("running", it.Running)
+                     .with("gap_ms", toMillis(it.Gap))
+                     .with("lasted_ms", toMillis(it.Lasted));
+}
+
 void DirectTraffic::finish(const DirectCall &call, ResultCode code) {
   TimePoint now = monotonicNow();
   const ResultInfo &info = describe(code);
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -302,6 +302,7 @@
   for (DirectAction &action : actions)
     std::visit([this](auto &it) { perform(it); }, action);
   logWaits();
+  logSlowRanks();
   logCrashes();
   logPushback();
   Timer.set(Node.nextTimer());
--- a/lib/Pushback/RateLimits.cpp
+++ b/lib/Pushback/RateLimits.cpp
@@ -6,22 +6,14 @@
 
 #include "ospreyspur/Pushback/RateLimits.h"
 
+#include "ospreyspur/Support/Digest.h"
+
 #include <algorithm>
 #include <cmath>
 
 using namespace ospreyspur;
 using Seconds = std::chrono::duration<double>;
 
-/// Returns the rendezvous hashing weight of \p entry for \p incarnation. The
-/// finalizer of SplitMix64 gives the same weight in every process and build.
-static std::uint64_t rendezvousWeight(std::uint64_t entry,
-                                      IncarnationDigest incarnation) {
-  std::uint64_t n = entry ^ (incarnation.get() * 0x9e3779b97f4a7c15U);
-  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9U;
-  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebU;
-  return n ^ (n >> 31U);
-}
-
 bool RateLimits::isStricter(const std::optional<double> &a,
                             const std::optional<double> &b) {
   return a && (!b || *a < *b);
@@ -42,11 +34,7 @@
                              TimePoint now) const {
   if (!limit.PerSecond)
     return;
-  std::uint64_t own = rendezvousWeight(Members.Self, incarnation);
-  limit.Rank = std::count_if(Members.Others.begin(), Members.Others.end(),
-                             [&](std::uint64_t it) {
-                               return rendezvousWeight(it, incarnation) > own;
-                             });
+  limit.Rank = rendezvousRank(Members.Self, Members.Others, incarnation.get());
   double rate = std::max(*limit.PerSecond, MinPerSecond);
   double owners = std::floor(std::max(rate, 1.0));
   limit.Owners = std::min(memberCount(), static_cast<std::size_t>(owners));
--- a/lib/Support/Digest.cpp
+++ b/lib/Support/Digest.cpp
@@ -11,6 +11,7 @@
 #include <openssl/hmac.h>
 #include <openssl/sha.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <iterator>
@@ -49,6 +50,25 @@
   return firstBits(sha256(text));
 }
 
+/// Returns the rendezvous hashing weight of \p member for \p item, by the
+/// finalizer of SplitMix64.
+static std::uint64_t rendezvousWeight(std::uint64_t member,
+                                      std::uint64_t item) {
+  std::uint64_t n = member ^ (item * 0x9e3779b97f4a7c15U);
+  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9U;
+  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebU;
+  return n ^ (n >> 31U);
+}
+
+std::size_t ospreyspur::rendezvousRank(std::uint64_t self,
+                                       const std::vector<std::uint64_t> &others,
+                                       std::uint64_t item) {
+  std::uint64_t own = rendezvousWeight(self, item);
+  return std::count_if(others.begin(), others.end(), [&](std::uint64_t it) {
+    return rendezvousWeight(it, item) > own;
+  });
+}
+
 RequestDigest
 ospreyspur::digestRequest(std::string_view key,
                           std::initializer_list<std::string_view> parts) {
--- a/unittests/Direct/ManyEntriesTest.cpp
+++ b/unittests/Direct/ManyEntriesTest.cpp
@@ -7,6 +7,7 @@
 
 #include "Direct/NodeFixture.h"
 #include "RandomScheduler.h"
+#include "ospreyspur/Support/Digest.h"
 
 #include <doctest/doctest.h>
 
@@ -144,7 +145,7 @@
     listed.push_back({it, false});
   }
   std::vector<EndpointTable> books(Entries);
-  std::mt19937_64 random(1);
+  auto nameOf = [](unsigned entry) { return "n" + std::to_string(entry); };
   TimePoint now{seconds(100)};
   EndpointStatus slow{GroupId("g"), true, 0, 4.0};
   for (EndpointTable &it : books) {
@@ -158,10 +159,12 @@
   unsigned queries = 0;
   unsigned known = 0;
   for (unsigned tick = 0; tick < 100; ++tick, now += milliseconds(100)) {
-    for (EndpointTable &it : books) {
+    for (unsigned entry = 0; entry < Entries; ++entry) {
+      EndpointTable &it = books[entry];
       it.onEvents(listed.front().Record.Id, milliseconds(500), now);
-      for (const EndpointRecord &query : it.takeSlowdownQueries(
-               [](const EndpointState &) { return true; }, now, random)) {
+      for (const EndpointRecord &query :
+           it.takeSlowdownQueries([](const EndpointState &) { return true; },
+                                  {}, digest64(nameOf(entry)), now)) {
         ++queries;
         it.onStatusReport(query.Id, slow, now);
       }
@@ -170,7 +173,7 @@
       std::vector<EndpointLoad> loads = books[from].ownLoads(now);
       for (unsigned to = 0; to < Entries; ++to)
         if (to != from)
-          books[to].setPeerLoad("n" + std::to_string(from), loads, now);
+          books[to].setPeerLoad(nameOf(from), loads, now);
     }
     for (const auto &[id, state] : books.back().states())
       known += EndpointTable::slowdownOf(state, now) > 1 ? 1 : 0;
