Mend what a review of slow ranks and step rates found

- Entries without requests had a turn in the order of queries but observe no gap and never asked, so that a slowdown expired and the rank got streams again.
Only entries that report requests have a turn now, and the next query is due by a timer.
Test: 20 of 26 entries without callers; the test fleet calls timers only when they are due.
- While a group was slow, each event hashed all entries for each rank.
The turn is computed once a query now.
- What a slow rank adds was computed by its present requests, while the gap is a mean over iterations with all of them; now by the most it has had.
It is kept for each group instead of being summed up at each pick.
- An old report that closes a measuring window gave a rate of 0.
Only reports of the highest step so far count now.
- Arming that failed did not make the next attempt leave more time.
- A load report that names a slow rank has effect at once.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -51,6 +51,7 @@
                    const std::vector<EndpointLoad> &loads, TimePoint now) {
     Fleet.onReport(peer, now);
     Table.setPeerLoad(peer, loads, now);
+    Slow.update(now);
   }
   /// Takes the report of an entry that does not share this entry's subset and
   /// therefore left its load out.
@@ -330,8 +331,8 @@
   /// Calls whose current attempt is to be migrated if possible; see
   /// CallState::IsSilent.
   std::set<CallId> Silent;
-  /// When the events of a slow group last led to a look for due queries.
-  TimePoint SlowGroupAt;
+  /// When events last triggered a check for due queries.
+  TimePoint EventQueryAt;
   /// Whether the endpoint list was replaced after onTimer() last ran.
   bool HasNewList = false;
   std::vector<WaitLogRecord> WaitLogRecords;
--- a/include/ospreyspur/Direct/EndpointTable.h
+++ b/include/ospreyspur/Direct/EndpointTable.h
@@ -88,10 +88,9 @@
   /// When the endpoint last reported its slowdown factor to this entry, rather
   /// than to another one.
   TimePoint SlowdownReportedAt;
-  /// Since when the slowdown factor is to be known, and when this entry last
-  /// queried it.
-  std::optional<TimePoint> SlowdownWantedSince;
-  TimePoint SlowdownQueriedAt;
+  /// When this entry queries the slowdown factor unless a report of it arrives
+  /// before; unset while there is no reason to.
+  std::optional<TimePoint> QuerySlowdownAt;
 };
 
 /// Load and health by endpoint.
@@ -238,6 +237,10 @@
   std::optional<TimePoint> nextFree() const;
   /// When takeStatusQueries() must be called next.
   std::optional<TimePoint> nextStatusQuery() const;
+  /// When takeSlowdownQueries() must be called next, as of its last call.
+  std::optional<TimePoint> nextSlowdownQuery() const {
+    return NextSlowdownQuery;
+  }
   /// Returns the load of all entries at \p state's endpoint.
   EndpointLoad totalLoad(const EndpointState &state, TimePoint now) const;
   /// Returns the expected inter-event gap at \p state's endpoint; zero if the
@@ -276,7 +279,7 @@
   void setGroup(EndpointState &state, const GroupId &group);
   void setMustReport(EndpointState &state, bool mustReport);
   void setSlowdown(EndpointState &state, double slowdown, TimePoint now);
-  std::vector<std::uint64_t> peerDigests(TimePoint now) const;
+  std::vector<std::uint64_t> decodingPeers(TimePoint now) const;
   std::vector<EndpointState *> dueOutside(TimePoint now,
                                           std::mt19937_64 &random);
   static void extendFull(EndpointState &state, TimePoint now);
@@ -295,6 +298,7 @@
   /// The endpoints that must report, by id.
   std::map<EndpointId, EndpointState *> Closed;
   std::map<EndpointId, EndpointState *> Slowed;
+  std::optional<TimePoint> NextSlowdownQuery;
   TimePoint OutsideWantedUntil;
   TimePoint OutsideQueryAt;
   /// The latest report of each entry, the oldest first.
--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -66,8 +66,9 @@
   std::uint64_t StepsAhead = 1;
   /// Upper bound of the delay that slow arming may add to the change.
   Duration MaxStepDelay = std::chrono::milliseconds(800);
-  /// Time that arming is expected to take before it has been measured: the four
-  /// round trips of busy hosts.
+  /// Time that arming is expected to take before it has been measured: four
+  /// round trips of busy hosts, to hold, to arm most ranks, the last but one
+  /// and the coordinator's own.
   Duration FirstArmingTime = std::chrono::milliseconds(100);
   /// Number of steps that the coordinator tries to hold; the group may step
   /// faster than estimated.
@@ -261,6 +262,7 @@
   std::map<unsigned, Pending> Orders;
   /// Measurement of the group's step rate.
   FormationEpoch StepFormation;
+  StepNumber HighestStep;
   StepNumber LastStep;
   TimePoint LastStepAt;
   double StepsPerSecond = 0;
--- a/include/ospreyspur/Scheduling/SlowRankLogRecord.h
+++ b/include/ospreyspur/Scheduling/SlowRankLogRecord.h
@@ -1,6 +1,6 @@
 //===- SlowRankLogRecord.h - log record of a slow rank ----------*- C++ -*-===//
 //
-// A rank begins or ceases to be emptied.
+// A rank becomes slow, or ceases to be.
 //
 //===----------------------------------------------------------------------===//
 
@@ -14,11 +14,13 @@
 
 namespace ospreyspur {
 
-/// A rank begins or ceases to be emptied.
+/// A rank becomes slow, or ceases to be.
 struct SlowRankLogRecord {
   EndpointId Endpoint;
   GroupId Group;
   bool IsSlow = false;
+  /// Whether the rank is to be emptied; see SlowRanks::isToBeEmptied().
+  bool IsEmptied = false;
   double Slowdown = 1;
   /// Number of requests of all entries on the rank.
   unsigned Running = 0;
--- a/include/ospreyspur/Scheduling/SlowRanks.h
+++ b/include/ospreyspur/Scheduling/SlowRanks.h
@@ -1,7 +1,7 @@
 //===- SlowRanks.h - ranks that delay their whole group ---------*- C++ -*-===//
 //
-// Answers the load of a group in lock step with a rank that is several times
-// slower than the others. Any request on such a rank makes all streams of the
+// Handles a group in lock step of which one rank is several times slower than
+// the others. Any request on such a rank makes all streams of the
 // group late, so the rank must get no requests and become empty. The group's
 // inter-event gap then says little about what the group can do without that
 // rank; judged by it, all ranks of the group count as too slow and no stream
@@ -28,7 +28,7 @@
 struct EndpointState;
 struct FleetConfig;
 
-/// The ranks that are to be emptied, by the slowdown factors that they report.
+/// Finds the ranks to be emptied by the slowdown factors that they report.
 class SlowRanks {
 public:
   /// How long gapWithout() leaves out a rank that has become slow. Its streams
@@ -60,11 +60,23 @@
   bool isToBeEmptied(const EndpointState &state) const;
   /// Returns the inter-event gap to expect in \p state's group once the ranks
   /// that are to be emptied have no requests, given the \p measured one.
-  Duration gapWithout(const EndpointState &state, Duration measured,
-                      TimePoint now) const;
+  Duration gapWithout(const EndpointState &state, Duration measured) const;
 
 private:
+  struct SlowRank {
+    TimePoint Since;
+    /// The most requests that the rank has had since then.
+    unsigned MaxRunning = 1;
+  };
+  /// What the ranks of one group that are to be emptied add to an iteration.
+  struct AddedTime {
+    Duration Added{};
+    /// The time that a rank of normal speed takes with all slots in use.
+    Duration Least{};
+  };
+
   bool isSlow(const EndpointState &state, TimePoint now) const;
+  void computeAddedTimes(TimePoint now);
   void record(const EndpointId &id, TimePoint now);
 
   const EndpointTable &Table;
@@ -72,10 +84,10 @@
   /// The strictest gap target of the routes to each service.
   std::unordered_map<ServiceId, Duration> GapTargets;
   std::set<EndpointId> Slow;
-  /// Since when each slow rank has been slow.
-  std::map<EndpointId, TimePoint> SlowSince;
+  std::map<EndpointId, SlowRank> Details;
   /// Number of slow ranks by group.
   std::map<GroupGaps::Key, std::size_t> SlowInGroup;
+  std::map<GroupGaps::Key, AddedTime> AddedTimes;
   std::vector<SlowRankLogRecord> LogRecords;
 };
 
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -14,9 +14,9 @@
 
 /// Weight of the latest sample in the running mean of the time to first byte.
 static constexpr double FirstByteWeight = 0.1;
-/// Minimum time between two looks for due queries because of events; a slow
-/// group delivers hundreds of them per second.
-static constexpr Duration SlowGroupInterval = std::chrono::milliseconds(50);
+/// Minimum interval between checks for due queries that events trigger; a slow
+/// group delivers hundreds of events per second.
+static constexpr Duration EventQueryInterval = std::chrono::milliseconds(50);
 
 DirectNode::DirectNode(DataCentreId dataCentre, DirectLimits limits,
                        std::uint64_t seed, std::string name)
@@ -87,11 +87,12 @@
     tryMigrate(call, StopReason::SlowRank, now);
   else if (isTooSlow(call, now))
     tryMigrate(call, StopReason::TooSlow, now);
-  // Otherwise a slow rank would be queried only once a request ends.
+  // The first long gaps are noticed here. Without this check, the queries would
+  // wait until a request ends.
   const EndpointState *state = Table.find(*call.Current);
-  if (state && now - SlowGroupAt >= SlowGroupInterval &&
+  if (state && now - EventQueryAt >= EventQueryInterval &&
       Table.gapOf(*state, now) >= EndpointTable::SlowdownQueryGap) {
-    SlowGroupAt = now;
+    EventQueryAt = now;
     sendStatusQueries(now);
   }
   return takeActions();
@@ -237,6 +238,7 @@
     if (due && (!next || *due < *next))
       next = due;
   };
+  include(Table.nextSlowdownQuery());
   include(Crashes.nextVerdictAt());
   include(Cold.nextTimer());
   for (const auto &[priority, arrived, id] : Waiting)
--- a/lib/Direct/EndpointLoads.cpp
+++ b/lib/Direct/EndpointLoads.cpp
@@ -8,6 +8,8 @@
 
 #include "ospreyspur/Support/Digest.h"
 
+#include <algorithm>
+
 using namespace ospreyspur;
 
 void EndpointTable::setPeerLoad(const std::string &peer,
@@ -95,11 +97,17 @@
   return out;
 }
 
-std::vector<std::uint64_t> EndpointTable::peerDigests(TimePoint now) const {
+/// Returns the digests of the entries that have requests at endpoints. The
+/// others observe no gaps, so they send no slowdown queries.
+std::vector<std::uint64_t> EndpointTable::decodingPeers(TimePoint now) const {
   std::vector<std::uint64_t> out;
-  for (const PeerLoad &load : PeerLoads)
-    if (now - load.At < MaxPeerLoadAge)
+  for (const PeerLoad &load : PeerLoads) {
+    bool hasRequests =
+        std::any_of(load.Loads.begin(), load.Loads.end(),
+                    [](const EndpointLoad &it) { return it.Running > 0; });
+    if (now - load.At < MaxPeerLoadAge && hasRequests)
       out.push_back(load.NameDigest);
+  }
   return out;
 }
 
--- a/lib/Direct/EndpointPicker.cpp
+++ b/lib/Direct/EndpointPicker.cpp
@@ -119,7 +119,7 @@
                                   TimePoint now) const {
   return state.IsMissing || now < state.AvoidedUntil ||
          Cold.isNew(state.Incarnation, now) ||
-         Slow.gapWithout(state, Table.gapOf(state, now), now) > Limits.SlowGap;
+         Slow.gapWithout(state, Table.gapOf(state, now)) > Limits.SlowGap;
 }
 
 Obstacle EndpointPicker::obstacleAt(const EndpointState &state,
@@ -183,7 +183,7 @@
   // At least one more event is always expected.
   unsigned parts =
       std::max(tokens / engine.StepsPerIteration, call.ReceivedParts + 1);
-  Duration gap = Slow.gapWithout(state, Table.confirmedGapOf(state, now), now);
+  Duration gap = Slow.gapWithout(state, Table.confirmedGapOf(state, now));
   return gap * (parts - call.ReceivedParts) < call.Deadline - now;
 }
 
--- a/lib/Direct/EndpointStatusQueries.cpp
+++ b/lib/Direct/EndpointStatusQueries.cpp
@@ -66,29 +66,32 @@
                                    const std::set<EndpointId> &followed,
                                    std::uint64_t self, TimePoint now) {
   std::vector<EndpointRecord> out;
-  // Read only if needed: its cost grows with the number of entries.
+  NextSlowdownQuery.reset();
+  // Determined only if needed: its cost grows with the number of entries.
   std::optional<std::vector<std::uint64_t>> others;
   for (auto &[id, state] : States) {
     bool isWanted =
         state.Record.AnswersStatusQueries && !state.MustReport &&
         (gapOf(state, now) >= SlowdownQueryGap || followed.contains(id));
     if (!isWanted) {
-      state.SlowdownWantedSince.reset();
+      state.QuerySlowdownAt.reset();
       continue;
     }
-    if (!state.SlowdownWantedSince)
-      state.SlowdownWantedSince = now;
-    TimePoint due = std::max(*state.SlowdownWantedSince,
-                             state.SlowdownAt + SlowdownInterval);
-    if (now < std::max(due, state.SlowdownQueriedAt + SlowdownInterval))
-      continue;
-    if (!others)
-      others = peerDigests(now);
-    std::size_t rank = rendezvousRank(self, *others, state.Incarnation.get());
-    if (now < due + int(rank) * SuccessorDelay || !mayQuery(state))
-      continue;
-    state.SlowdownQueriedAt = now;
-    out.push_back(state.Record);
+    if (!state.QuerySlowdownAt) {
+      if (!others)
+        others = decodingPeers(now);
+      auto rank = int(rendezvousRank(self, *others, state.Incarnation.get()));
+      state.QuerySlowdownAt =
+          std::max(now, state.SlowdownAt + SlowdownInterval) +
+          rank * SuccessorDelay;
+    }
+    if (now >= *state.QuerySlowdownAt) {
+      state.QuerySlowdownAt = now + SlowdownInterval;
+      if (mayQuery(state))
+        out.push_back(state.Record);
+    }
+    NextSlowdownQuery = std::min(NextSlowdownQuery.value_or(TimePoint::max()),
+                                 *state.QuerySlowdownAt);
   }
   return out;
 }
--- a/lib/Direct/EndpointTable.cpp
+++ b/lib/Direct/EndpointTable.cpp
@@ -93,6 +93,7 @@
                                 TimePoint now) {
   state.Slowdown = slowdown;
   state.SlowdownAt = now;
+  state.QuerySlowdownAt.reset();
   if (slowdown >= MinSlowdown)
     Slowed.emplace(state.Record.Id, &state);
   else
--- a/lib/Experts/MapArming.cpp
+++ b/lib/Experts/MapArming.cpp
@@ -114,7 +114,11 @@
 
 /// Disarms every rank for Version. All ranks have prepared that map, so none
 /// can be armed for another one.
-void MapSwitch::rollBack(TimePoint now) { beginDisarming(Version, true, now); }
+void MapSwitch::rollBack(TimePoint now) {
+  // The next attempt must not be as close to the present step.
+  ArmingTime = std::max(ArmingTime, now - HeldAt);
+  beginDisarming(Version, true, now);
+}
 
 /// A rank that holds nothing refuses the order, which is harmless.
 void MapSwitch::release(bool isChanging, TimePoint now) {
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -75,13 +75,15 @@
 void MapSwitch::recordStep(const RankStatus &status, TimePoint now) {
   if (status.Formation != StepFormation) {
     StepFormation = status.Formation;
+    HighestStep = status.Step;
     LastStep = status.Step;
     LastStepAt = now;
     return;
   }
-  Duration elapsed = now - LastStepAt;
-  if (status.Step < LastStep)
+  if (status.Step < HighestStep)
     return;
+  HighestStep = status.Step;
+  Duration elapsed = now - LastStepAt;
   if (elapsed < Limits.StepWindow)
     return;
   StepsPerSecond = double(status.Step.get() - LastStep.get()) /
--- a/lib/Process/DirectLog.cpp
+++ b/lib/Process/DirectLog.cpp
@@ -103,6 +103,7 @@
                      .with("endpoint", it.Endpoint.get())
                      .with("group", it.Group.get())
                      .with("slowdown", it.Slowdown)
+                     .with("emptied", it.IsEmptied)
                      .with("running", it.Running)
                      .with("gap_ms", toMillis(it.Gap))
                      .with("lasted_ms", toMillis(it.Lasted));
--- a/lib/Scheduling/SlowRanks.cpp
+++ b/lib/Scheduling/SlowRanks.cpp
@@ -57,14 +57,40 @@
       continue;
     Slow.insert(id);
     ++SlowInGroup[groupOf(*state)];
-    if (SlowSince.try_emplace(id, now).second)
+    auto [it, isNew] = Details.try_emplace(id);
+    if (isNew) {
+      it->second.Since = now;
       record(id, now);
+    }
+    it->second.MaxRunning =
+        std::max(it->second.MaxRunning, Table.totalLoad(*state, now).Running);
   }
   for (const EndpointId &it : before)
     if (!Slow.contains(it)) {
       record(it, now);
-      SlowSince.erase(it);
+      Details.erase(it);
     }
+  computeAddedTimes(now);
+}
+
+void SlowRanks::computeAddedTimes(TimePoint now) {
+  AddedTimes.clear();
+  for (const EndpointId &id : Slow) {
+    const EndpointState &state = *Table.find(id);
+    const SlowRank &rank = Details.at(id);
+    if (!isToBeEmptied(state) || now - rank.Since >= MaxEmptyingTime)
+      continue;
+    const EngineCosts &engine =
+        *Config->findService(state.Record.Service)->Engine;
+    AddedTime &out = AddedTimes[groupOf(state)];
+    out.Least = rankTime(engine, 1, state.Record.Slots);
+    // The measured gap is a mean of iterations, some of which began while the
+    // rank had its requests.
+    Duration slow = rankTime(engine, EndpointTable::slowdownOf(state, now),
+                             rank.MaxRunning);
+    out.Added =
+        std::max(out.Added, slow - rankTime(engine, 1, rank.MaxRunning));
+  }
 }
 
 bool SlowRanks::isToBeEmptied(const EndpointState &state) const {
@@ -75,38 +101,27 @@
   return it != SlowInGroup.end() && it->second * 2 < Table.groupSize(state);
 }
 
-Duration SlowRanks::gapWithout(const EndpointState &state, Duration measured,
-                               TimePoint now) const {
-  Duration added{};
-  Duration least{};
-  for (const EndpointId &id : Slow) {
-    const EndpointState *it = Table.find(id);
-    bool isOther = !it || groupOf(*it) != groupOf(state);
-    if (isOther || !isToBeEmptied(*it) ||
-        now - SlowSince.at(id) >= MaxEmptyingTime)
-      continue;
-    const EngineCosts &engine =
-        *Config->findService(it->Record.Service)->Engine;
-    // The iteration under way may have begun before the rank became empty.
-    unsigned running = std::max(Table.totalLoad(*it, now).Running, 1U);
-    least = rankTime(engine, 1, it->Record.Slots);
-    added = std::max(
-        added, rankTime(engine, EndpointTable::slowdownOf(*it, now), running) -
-                   rankTime(engine, 1, running));
-  }
-  // The other ranks need their own time, however much a rank is said to add.
-  return added == Duration::zero()
-             ? measured
-             : std::min(measured, std::max(measured - added, least));
+Duration SlowRanks::gapWithout(const EndpointState &state,
+                               Duration measured) const {
+  if (AddedTimes.empty())
+    return measured;
+  auto it = AddedTimes.find(groupOf(state));
+  if (it == AddedTimes.end())
+    return measured;
+  // The other ranks need their own time, even if a reported slowdown is too
+  // high.
+  const AddedTime &time = it->second;
+  return std::min(measured, std::max(measured - time.Added, time.Least));
 }
 
 void SlowRanks::record(const EndpointId &id, TimePoint now) {
   SlowRankLogRecord out;
   out.Endpoint = id;
   out.IsSlow = Slow.contains(id);
-  out.Lasted = now - SlowSince.at(id);
+  out.Lasted = now - Details.at(id).Since;
   if (const EndpointState *it = Table.find(id)) {
     out.Group = it->Group;
+    out.IsEmptied = isToBeEmptied(*it);
     out.Slowdown = EndpointTable::slowdownOf(*it, now);
     out.Running = Table.totalLoad(*it, now).Running;
     out.Gap = Table.gapOf(*it, now);
--- a/unittests/Scheduling/LockStepFleet.cpp
+++ b/unittests/Scheduling/LockStepFleet.cpp
@@ -1,4 +1,5 @@
-//===- LockStepFleet.cpp - entries before one group in lock step ----------===//
+//===- LockStepFleet.cpp - entries and one group in lock step
+//--------------===//
 //
 // See LockStepFleet.h.
 //
@@ -20,7 +21,7 @@
 static constexpr Duration IdleIteration = milliseconds(20);
 /// Time that a message takes from one host to another.
 static constexpr Duration Latency = milliseconds(1);
-static constexpr Duration TickInterval = milliseconds(20);
+static constexpr Duration TickInterval = milliseconds(10);
 
 static EngineCosts makeEngine() {
   EngineCosts engine;
@@ -33,30 +34,23 @@
   return engine;
 }
 
-/// Some 1.4 s of iterations for each stream on 55% of the slots.
-static double usualLoad(unsigned ranks) {
-  return ranks * LockStepFleet::Slots * 0.55 / 1.4;
+/// Streams per second that use 55% of the slots, at some 1.4 s each.
+static double usualLoad(std::size_t ranks) {
+  return double(ranks * LockStepFleet::Slots) * 0.55 / 1.4;
 }
 
 LockStepFleet::LockStepFleet(unsigned entries, unsigned ranks)
-    : LockStepFleet(entries, ranks, {{0, usualLoad(ranks)}}) {}
-
-LockStepFleet::LockStepFleet(unsigned entries, unsigned ranks,
-                             const std::vector<StreamLoad> &loads)
-    : Loads(loads), Config(std::make_shared<FleetConfig>()), Ranks(ranks),
-      Outcomes(loads.size()) {
-  for (const StreamLoad &it : Loads) {
-    RouteRule route;
-    route.Kind = RequestKind::Stream;
-    route.IsResumable = true;
-    route.Attempts = 2;
-    route.Priority = it.Priority;
-    route.Target = milliseconds(400);
-    route.GapTarget = GapTarget;
-    route.Timeout = seconds(8);
-    route.Services = {{ServiceId("s"), 1}};
-    Config->Routes.push_back(route);
-  }
+    : Config(std::make_shared<FleetConfig>()), Ranks(ranks),
+      UsedEntries(entries) {
+  RouteRule route;
+  route.Kind = RequestKind::Stream;
+  route.IsResumable = true;
+  route.Attempts = 2;
+  route.Target = milliseconds(400);
+  route.GapTarget = GapTarget;
+  route.Timeout = seconds(8);
+  route.Services = {{ServiceId("s"), 1}};
+  Config->Routes.push_back(route);
   Config->Services.emplace(ServiceId("s"),
                            ServiceRule{ServiceId("s"), 100, makeEngine()});
   listRanks();
@@ -78,8 +72,7 @@
   iterate();
   tick();
   report();
-  for (std::size_t route = 0; route < Loads.size(); ++route)
-    arrive(route);
+  arrive();
 }
 
 void LockStepFleet::listRanks() {
@@ -124,40 +117,38 @@
   Duration longest{};
   unsigned running = 0;
   for (const Rank &it : Ranks) {
-    longest = std::max(longest, rankTime(engine, it.Slowdown, it.Running));
+    unsigned decoding = std::min(it.Running, Slots);
+    longest = std::max(longest, rankTime(engine, it.Slowdown, decoding));
     running += it.Running;
   }
   Duration experts =
       expertTime(engine, Slots) * running / Duration::rep(Slots * Ranks.size());
-  longest += std::chrono::duration_cast<Duration>(experts * Skew);
+  longest += experts;
   Duration length = running > 0 ? longest : IdleIteration;
   LateIterations += length > GapTarget ? 1 : 0;
-  after(length, [this, length] { finishIteration(length); });
+  after(length, [this] { finishIteration(); });
 }
 
-void LockStepFleet::finishIteration(Duration length) {
+void LockStepFleet::finishIteration() {
   std::vector<std::uint64_t> running;
   for (const auto &[id, stream] : Streams)
     if (stream.Rank)
       running.push_back(id);
   for (std::uint64_t id : running)
-    deliver(id, length);
+    deliver(id);
   iterate();
 }
 
 /// Delivers one event of the stream \p id.
-void LockStepFleet::deliver(std::uint64_t id, Duration length) {
+void LockStepFleet::deliver(std::uint64_t id) {
   auto it = Streams.find(id);
   if (it == Streams.end() || !it->second.Rank)
     return;
   Stream &stream = it->second;
   unsigned entry = stream.Entry;
-  stream.IsLate = stream.IsLate || (stream.HasBegun && length > GapTarget);
   bool isFirst = !std::exchange(stream.HasBegun, true);
   bool isLast = --stream.EventsLeft == 0;
   if (isLast) {
-    Outcome &outcome = Outcomes[stream.Route];
-    ++(stream.IsLate ? outcome.Late : outcome.InTime);
     leaveRank(stream);
     Streams.erase(it);
   }
@@ -172,31 +163,31 @@
 }
 
 /// A caller sends a stream to some entry; the next one follows.
-void LockStepFleet::arrive(std::size_t route) {
-  double each = Loads[route].PerSecond > 0 ? 1e6 / Loads[route].PerSecond : 1e5;
+void LockStepFleet::arrive() {
+  double each = 1e6 / usualLoad(Ranks.size());
   after(Duration(Time.below(std::uint64_t(2 * each) + 1)),
-        [this, route] { arrive(route); });
-  if (Loads[route].PerSecond <= 0)
-    return;
-  auto entry = unsigned(Time.below(Entries.size()));
+        [this] { arrive(); });
+  auto entry = unsigned(Time.below(UsedEntries));
   if (Entries[entry].IsCutOff)
     return;
   DirectRequest request;
   request.Id = CallId(++LastCall);
   request.Config = Config;
-  request.Route = &Config->Routes[route];
-  request.Priority = request.Route->Priority;
+  request.Route = &Config->Routes.front();
   request.TimeLeft = seconds(8);
   request.Tokens = {800, EventsPerStream * 6};
-  Stream &stream = Streams[LastCall];
-  stream.Entry = entry;
-  stream.Route = route;
+  Streams[LastCall].Entry = entry;
   apply(entry, Entries[entry].Node->onCall(std::move(request), Time.now()));
 }
 
+bool LockStepFleet::isTimerDue(unsigned entry) const {
+  std::optional<TimePoint> due = Entries[entry].Node->nextTimer();
+  return !Entries[entry].IsCutOff && due && *due <= Time.now();
+}
+
 void LockStepFleet::tick() {
   for (unsigned i = 0; i < Entries.size(); ++i)
-    if (!Entries[i].IsCutOff)
+    if (isTimerDue(i))
       apply(i, Entries[i].Node->onTimer(Time.now()));
   after(TickInterval, [this] { tick(); });
 }
@@ -232,7 +223,7 @@
     auto it = Streams.find(id);
     if (it == Streams.end())
       return;
-    if (Ranks[rank].Running >= Slots) {
+    if (Ranks[rank].Running >= Slots + QueueLength) {
       apply(entry, Entries[entry].Node->onAttemptEnded(
                        CallId(id), AttemptEnd::Full, Time.now()));
       return;
@@ -269,7 +260,7 @@
   auto it = Streams.find(action.Call.get());
   if (it == Streams.end())
     return;
-  ++Outcomes[it->second.Route].Refused;
+  ++Refused;
   leaveRank(it->second);
   Streams.erase(it);
 }
@@ -285,23 +276,3 @@
     return it.Node->slowRanks().slow().contains(Listed[rank].Record.Id);
   });
 }
-
-unsigned LockStepFleet::refused() const {
-  unsigned out = 0;
-  for (const Outcome &it : Outcomes)
-    out += it.Refused;
-  return out;
-}
-
-double LockStepFleet::servedInTime(std::size_t route) const {
-  const Outcome &it = Outcomes[route];
-  unsigned all = it.InTime + it.Late + it.Refused;
-  return all > 0 ? double(it.InTime) / all : 1;
-}
-
-unsigned LockStepFleet::waiting() const {
-  unsigned out = 0;
-  for (const Entry &it : Entries)
-    out += it.Node->waitingCount();
-  return out;
-}
--- a/unittests/Scheduling/LockStepFleet.h
+++ b/unittests/Scheduling/LockStepFleet.h
@@ -1,4 +1,5 @@
-//===- LockStepFleet.h - entries before one group in lock step --*- C++ -*-===//
+//===- LockStepFleet.h - entries and one group in lock step ------*- C++
+//-*-===//
 //
 // DirectNodes with streams on the ranks of one group, on virtual time. An
 // iteration takes as long as its slowest rank and delivers one event of each
@@ -21,17 +22,12 @@
 
 using namespace ospreyspur;
 
-/// What the callers of one route send.
-struct StreamLoad {
-  unsigned Priority = 0;
-  /// Streams per second of the whole fleet.
-  double PerSecond = 0;
-};
-
 /// Entries, the ranks of a group, and callers who send streams.
 class LockStepFleet {
 public:
   static constexpr unsigned Slots = 10;
+  /// Requests that an engine accepts beyond its slots.
+  static constexpr unsigned QueueLength = 20;
   static constexpr unsigned EventsPerStream = 20;
   static constexpr Duration GapTarget = std::chrono::milliseconds(120);
   /// Age of the state that a rank reports to other hosts.
@@ -40,8 +36,6 @@
 
   /// A fleet whose callers use somewhat more than half of the slots.
   LockStepFleet(unsigned entries, unsigned ranks);
-  LockStepFleet(unsigned entries, unsigned ranks,
-                const std::vector<StreamLoad> &loads);
 
   // Commands.
 
@@ -54,12 +48,8 @@
   void query(unsigned rank);
   /// The entry \p index neither sends nor receives anything from now on.
   void cutOff(unsigned index) { Entries[index].IsCutOff = true; }
-  /// Sets the streams per second of the route with index \p route.
-  void setLoad(std::size_t route, double perSecond) {
-    Loads[route].PerSecond = perSecond;
-  }
-  /// Sets by how much the expert map lengthens the experts' part.
-  void setSkew(double skew) { Skew = skew; }
+  /// From now on callers use only the first \p entries.
+  void useOnly(unsigned entries) { UsedEntries = entries; }
   /// The number of status queries since the last call.
   unsigned takeQueries() { return std::exchange(Queries, 0); }
 
@@ -71,12 +61,7 @@
   /// Number of iterations that took longer than GapTarget.
   unsigned lateIterations() const { return LateIterations; }
   unsigned moved() const { return Moved; }
-  unsigned refused() const;
-  /// Streams of the route with index \p route that were complete and had no gap
-  /// over GapTarget, as a fraction of all that ended.
-  double servedInTime(std::size_t route) const;
-  void clearOutcomes() { Outcomes.assign(Loads.size(), {}); }
-  unsigned waiting() const;
+  unsigned refused() const { return Refused; }
 
 private:
   struct Entry {
@@ -85,9 +70,7 @@
   };
   struct Stream {
     unsigned Entry = 0;
-    std::size_t Route = 0;
     unsigned EventsLeft = EventsPerStream;
-    bool IsLate = false;
     std::optional<unsigned> Rank;
     bool HasBegun = false;
   };
@@ -98,20 +81,15 @@
     TimePoint ReportedSince;
     unsigned Running = 0;
   };
-  struct Outcome {
-    unsigned InTime = 0;
-    unsigned Late = 0;
-    unsigned Refused = 0;
-  };
-
   void after(Duration delay, std::function<void()> what) {
     Time.at(Time.now() + delay, std::move(what));
   }
   void listRanks();
   void iterate();
-  void finishIteration(Duration length);
-  void deliver(std::uint64_t id, Duration length);
-  void arrive(std::size_t route);
+  void finishIteration();
+  void deliver(std::uint64_t id);
+  void arrive();
+  bool isTimerDue(unsigned entry) const;
   void tick();
   void report();
   void leaveRank(Stream &stream);
@@ -124,19 +102,18 @@
   template <typename Other> void perform(unsigned, const Other &) {}
 
   ospreyspur::test::RandomScheduler Time{1, 0};
-  std::vector<StreamLoad> Loads;
-  double Skew = 1;
   std::shared_ptr<FleetConfig> Config;
   std::vector<ListedEndpoint> Listed;
   std::map<EndpointId, unsigned> RankNumbers;
   std::vector<Rank> Ranks;
   std::vector<Entry> Entries;
   std::map<std::uint64_t, Stream> Streams;
-  std::vector<Outcome> Outcomes;
   std::uint64_t LastCall = 0;
   unsigned Queries = 0;
   unsigned LateIterations = 0;
   unsigned Moved = 0;
+  unsigned Refused = 0;
+  unsigned UsedEntries;
 };
 
 } // namespace test
--- a/unittests/Scheduling/SlowRanksTest.cpp
+++ b/unittests/Scheduling/SlowRanksTest.cpp
@@ -18,7 +18,7 @@
 using std::chrono::seconds;
 
 namespace {
-/// A fleet whose streams are on time, and one rank of which becomes slow.
+/// The size of a fleet.
 struct FleetCase {
   unsigned Entries;
   unsigned Ranks;
@@ -29,7 +29,7 @@
 // Guards against streams that stay on a slow rank because all ranks of its
 // group count as too slow.
 TEST_CASE("a rank of twelve times the usual duration is known in all entries "
-          "within a second and becomes empty") {
+          "a second after the first long iteration and becomes empty") {
   for (const FleetCase &it : Fleets) {
     CAPTURE(it.Entries);
     LockStepFleet fleet(it.Entries, it.Ranks);
@@ -38,21 +38,23 @@
     REQUIRE(fleet.runningAt(0) > 0);
     fleet.setSlowdown(0, 12);
     fleet.run(milliseconds(1300));
-    // The first long iteration has to end before anyone can notice it.
+    // The first long iteration takes at least 0.3 s.
     CHECK(fleet.entriesThatKnow(0) == it.Entries);
     fleet.run(milliseconds(700));
     CHECK(fleet.runningAt(0) == 0);
     unsigned late = fleet.lateIterations();
     fleet.run(seconds(6));
-    // While the rank stays slow, it gets nothing and nobody waits for it.
+    // While the rank stays slow, it gets no requests and delays no stream.
     CHECK(fleet.lateIterations() == late);
     CHECK(fleet.runningAt(0) == 0);
     CHECK(fleet.refused() == 0);
   }
 }
 
-// Guards against a price of queries that grows with the number of entries.
-TEST_CASE("about one query per rank and second finds a slow rank") {
+// Guards against a number of queries that grows with the number of entries.
+TEST_CASE(
+    "the number of queries for slowdowns does not grow with the number of "
+    "entries") {
   for (const FleetCase &it : Fleets) {
     CAPTURE(it.Entries);
     LockStepFleet fleet(it.Entries, it.Ranks);
@@ -61,12 +63,31 @@
     fleet.setSlowdown(0, 12);
     fleet.run(seconds(2));
     CHECK(fleet.takeQueries() <= 3 * it.Ranks);
+    CHECK(fleet.entriesThatKnow(0) == it.Entries);
     // Once the group is fast again, only the slow rank is queried.
     fleet.run(seconds(10));
     CHECK(fleet.takeQueries() <= 15);
+    CHECK(fleet.entriesThatKnow(0) == it.Entries);
   }
 }
 
+// Guards against entries that come first for a rank but have no streams,
+// observe nothing and never query it: the slowdown would expire again and
+// again.
+TEST_CASE("a slow rank stays known where most entries have no callers") {
+  LockStepFleet fleet(26, 72);
+  fleet.useOnly(6);
+  fleet.run(seconds(4));
+  fleet.setSlowdown(0, 12);
+  fleet.run(milliseconds(1300));
+  CHECK(fleet.entriesThatKnow(0) >= 6);
+  for (unsigned i = 0; i < 40; ++i) {
+    fleet.run(milliseconds(200));
+    CHECK(fleet.entriesThatKnow(0) >= 6);
+  }
+  CHECK(fleet.runningAt(0) == 0);
+}
+
 // Guards against a slow rank that nobody finds because the entry that should
 // query it is gone.
 TEST_CASE("a slow rank is found without the entries that should query it") {
@@ -83,6 +104,7 @@
   CHECK(fleet.runningAt(0) == 0);
 }
 
+// Guards against a rank that is never used again after it was slow.
 TEST_CASE("two slow ranks become empty, and a rank that recovers is used "
           "again") {
   LockStepFleet fleet(12, 63);
@@ -98,8 +120,8 @@
   CHECK(fleet.runningAt(1) == 0);
 }
 
-// Moving streams off a rank that is only a little slower costs their prompts
-// once more and gains less.
+// Guards against migrations that cost more than they gain: each prompt is read
+// once more.
 TEST_CASE("a rank that is 1.6 times slower keeps its streams") {
   LockStepFleet fleet(12, 63);
   fleet.run(seconds(4));
@@ -110,9 +132,8 @@
   CHECK(fleet.runningAt(0) > 0);
 }
 
-// Guards against an answer that names a wrong slowdown factor.
-TEST_CASE("a rank that only claims to be slow costs its group nothing but its "
-          "slots") {
+// Guards against a status report with a wrong slowdown factor.
+TEST_CASE("a wrongly reported slowdown delays no stream and rejects no call") {
   LockStepFleet fleet(12, 63);
   fleet.run(seconds(4));
   fleet.setReportedSlowdown(0, 100);
@@ -124,6 +145,7 @@
   CHECK(fleet.refused() == 0);
 }
 
+// Guards against a group without usable ranks.
 TEST_CASE("no rank is emptied where half of the ranks are slow") {
   LockStepFleet fleet(4, 8);
   fleet.run(seconds(4));
@@ -134,6 +156,7 @@
   unsigned moved = fleet.moved();
   fleet.run(seconds(4));
   CHECK(fleet.moved() == moved);
+  CHECK(fleet.runningAt(0) > 0);
 }
 
 TEST_CASE("the time of a rank without requests is zero") {
