--- a/unittests/Scheduling/LockStepFleet.cpp
+++ b/unittests/Scheduling/LockStepFleet.cpp
@@ -1,5 +1,4 @@
-//===- LockStepFleet.cpp - entries and one group in lock step
-//--------------===//
+//===- LockStepFleet.cpp - entries and one group in lock step -------------===//
 //
 // See LockStepFleet.h.
 //
--- a/unittests/Scheduling/LockStepFleet.h
+++ b/unittests/Scheduling/LockStepFleet.h
@@ -1,5 +1,4 @@
-//===- LockStepFleet.h - entries and one group in lock step ------*- C++
-//-*-===//
+//===- LockStepFleet.h - entries and one group in lock step -----*- C++ -*-===//
 //
 // DirectNodes with streams on the ranks of one group, on virtual time. An
 // iteration takes as long as its slowest rank and delivers one event of each
