--- a/include/ospreyspur/Direct/EndpointTable.h
+++ b/include/ospreyspur/Direct/EndpointTable.h
@@ -149,8 +149,8 @@
   /// How long each further entry in hash order waits for the report of the one
   /// before it. Longer than a query and a load report take together.
   static constexpr Duration SuccessorDelay = std::chrono::milliseconds(250);
-  /// Slowdown factors below this one are not indexed; see slowed(). Endpoints
-  /// of one service differ in speed by less.
+  /// Slowdown factors below this one are not indexed; see slowed(). Such ranks
+  /// only get fewer requests.
   static constexpr double MinSlowdown = 1.5;
   /// Age at which another entry's load report no longer counts.
   static constexpr Duration MaxPeerLoadAge = std::chrono::seconds(1);
