Log the prompt parts of requests whose endpoints cut them off

Reads the parts that a caller lists, but for the last, which is the request's or its session's own, and logs keyed digests of them in attempt.cut. Nothing is decided by them yet.

--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -45,6 +45,8 @@
   /// Digest that identifies the request when it is sent again; 0 if it cannot
   /// be identified.
   RequestDigest Digest;
+  /// Digests of the parts of its prompt that other requests may share.
+  std::vector<RequestDigest> Parts;
 };
 
 /// How an attempt at an endpoint ended.
--- a/include/ospreyspur/Support/Digest.h
+++ b/include/ospreyspur/Support/Digest.h
@@ -18,8 +18,9 @@
 
 namespace ospreyspur {
 
-/// Identifies requests that are the same to an endpoint: a digest of method,
-/// service or host, target, workspace and body.
+/// Identifies a set of requests: those that are the same to an endpoint, by
+/// method, service or host, target, workspace and body, or those whose prompts
+/// have one part in common.
 using RequestDigest = StrongType<struct RequestDigestTag, std::uint64_t>;
 
 /// The SHA-256 of \p text in lower-case hex.
@@ -41,9 +42,16 @@
 RequestDigest digestRequest(std::string_view key,
                             std::initializer_list<std::string_view> parts);
 
+/// Returns the digest under \p key that identifies the requests whose prompts
+/// have the part \p part. It differs from the digest of any request.
+RequestDigest digestPromptPart(std::string_view key, std::string_view part);
+
 /// Formats \p it as 16 hex digits.
 std::string toHex(RequestDigest it);
 
+/// Formats all of \p digests, separated by commas.
+std::string toHex(const std::vector<RequestDigest> &digests);
+
 /// Parses a digest that toHex() wrote; 0 if \p text is not one.
 RequestDigest parseRequestDigest(std::string_view text);
 
--- a/lib/Process/DirectLog.cpp
+++ b/lib/Process/DirectLog.cpp
@@ -67,6 +67,7 @@
   LOG(INFO) << LogEvent("attempt.cut")
                    .with("id", call.Request.Label)
                    .with("digest", toHex(call.Request.Digest))
+                   .with("parts", toHex(call.Request.Parts))
                    .with("endpoint", order.Endpoint.Id.get())
                    .with("end", wordOf(end))
                    .with("ran_ms", toMillis(ran));
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -164,6 +164,8 @@
   out.Digest = digestRequest(
       Settings.DigestKey, {std::string(request.method_string()), headers.Host,
                            target, out.Workspace.get(), request.body()});
+  for (const std::string &it : headers.PromptParts)
+    out.Parts.push_back(digestPromptPart(Settings.DigestKey, it));
   out.Id = CallId(++LastCall);
   return out;
 }
--- a/lib/Support/Digest.cpp
+++ b/lib/Support/Digest.cpp
@@ -87,6 +87,18 @@
   return RequestDigest(firstBits(out));
 }
 
+RequestDigest ospreyspur::digestPromptPart(std::string_view key,
+                                           std::string_view part) {
+  return digestRequest(key, {"prompt part", part});
+}
+
+std::string ospreyspur::toHex(const std::vector<RequestDigest> &digests) {
+  std::string out;
+  for (RequestDigest it : digests)
+    out += (out.empty() ? "" : ",") + toHex(it);
+  return out;
+}
+
 std::string ospreyspur::toHex(RequestDigest it) {
   std::array<char, HexDigits> digits;
   auto *end =
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -196,6 +196,29 @@
   return request;
 }
 
+TEST_CASE("the parts of a prompt that other requests may share are read") {
+  auto partsOf = [](const std::vector<std::string> &values) {
+    HttpRequest request = makeRequest();
+    for (const std::string &it : values)
+      request.insert("Prompt-Prefix", it);
+    return platform::readCaller(request).PromptParts;
+  };
+  using Parts = std::vector<std::string>;
+  CHECK(partsOf({}).empty());
+  CHECK(partsOf({""}).empty());
+  // The last part belongs to the request or its session.
+  CHECK(partsOf({"5c1e07a2:800"}).empty());
+  CHECK(partsOf({"5c1e07a2:800,91bd3f06:410,e4402b7d:250"}) ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  CHECK(partsOf({"5C1E07A2:800 , 91bd3f06", "e4402b7d:250"}) ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  CHECK(partsOf({",,:,a:1,b:2"}) == Parts{"a"});
+  std::string many;
+  for (unsigned i = 0; i < 1000; ++i)
+    many += std::to_string(i) + ":1,";
+  CHECK(partsOf({many}).size() == platform::MaxPromptParts);
+}
+
 TEST_CASE("a request is forwarded without its connection-specific headers") {
   HttpRequest request = makeRequest();
   platform::CallerHeaders caller = platform::readCaller(request);
