Ask whether a response that ends with its connection was cut

What callers saw: a stream without a length or chunks was told complete when its endpoint crashed between two events, so that its rest was missing.

Cause: the connection of a crashed endpoint ends in order, like that of a whole response; nothing asked which it was. Ruled out by tests on the same code: a whole response, an end inside an event and a reset between events are handled (pass before and after). Red before: 'a stream that ends with its endpoint between events is resumed' (the second event missing, the stream marked complete).

Now the endpoint is asked at such an end, unless it was to leave: the check that follows a cut response already. It costs a connection a response of this kind, and a status query where endpoints answer these.

--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -35,6 +35,9 @@
   /// Nothing was received for StartAttempt::MaxIdleTime. Called again each time
   /// that this period passes once more without data.
   std::function<void()> OnIdle;
+  /// Whether the endpoint has exited unexpectedly. Asked at the end of a
+  /// response that ends with its connection.
+  std::function<boost::asio::awaitable<bool>()> HasCrashed;
 };
 
 /// One attempt to run a request at one endpoint.
@@ -57,6 +60,7 @@
   boost::asio::awaitable<bool> send();
   boost::asio::awaitable<bool> readHead();
   boost::asio::awaitable<bool> readBody(std::string &body);
+  boost::asio::awaitable<bool> isCutAtEnd();
   boost::asio::awaitable<AttemptEnd> forwardComplete();
   boost::asio::awaitable<AttemptEnd> forwardEvents();
   boost::asio::awaitable<bool> forward(std::string events);
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -186,9 +186,20 @@
   co_return true;
 }
 
+/// Whether the endpoint crashed at the end of a response without a length or
+/// chunks: the connection of a cut response ends like that of a whole one.
+asio::awaitable<bool> DirectAttempt::isCutAtEnd() {
+  bool endsWithConnection =
+      Response->need_eof() && Exchange.request().method() != http::verb::head;
+  if (!endsWithConnection || !co_await Handlers.HasCrashed())
+    co_return false;
+  ClosedBy = ConnectionEnd::Endpoint;
+  co_return true;
+}
+
 asio::awaitable<AttemptEnd> DirectAttempt::forwardComplete() {
   std::string body;
-  bool isComplete = co_await readBody(body);
+  bool isComplete = co_await readBody(body) && !co_await isCutAtEnd();
   switch (Head.Kind) {
   case ResponseKind::Full:
     if (isComplete)
@@ -232,7 +243,7 @@
     if (ec)
       co_return abortAttempt();
   }
-  if (Call.Events.hasIncompleteEvent())
+  if (Call.Events.hasIncompleteEvent() || co_await isCutAtEnd())
     co_return abortAttempt();
   keepConnection();
   if (!Exchange.hasBegun())
--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -94,3 +94,15 @@
   co_return co_await checkLiveness(Context, endpoint.Address,
                                    isSameIncarnation);
 }
+
+/// Whether \p endpoint has exited though it was not to leave.
+asio::awaitable<bool> DirectTraffic::hasCrashed(EndpointRecord endpoint) {
+  const EndpointState *state = Node.endpointTable().find(endpoint.Id);
+  bool isPlanned = !state || state->Record.IsLeaving || state->IsMissing;
+  if (isPlanned)
+    co_return false;
+  EndpointLiveness liveness = co_await findLiveness(endpoint);
+  Measures.count("response_end_checks_total{fate=\"" +
+                 std::string(toString(liveness)) + "\"}");
+  co_return liveness == EndpointLiveness::Exited;
+}
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -272,9 +272,10 @@
                                std::optional<TimePoint> sentAt) {
     takePushback(order.Endpoint.Id, pushback, sentAt);
   };
+  auto hasCrashed = [this, &order] { return this->hasCrashed(order.Endpoint); };
   TimePoint began = monotonicNow();
   DirectAttempt running(Pool, exchange, call, order,
-                        {maySend, onHead, onData, onIdle});
+                        {maySend, onHead, onData, onIdle, hasCrashed});
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
   Measures.set("requests_waiting", double(Node.waitingCount()));
--- a/unittests/Process/DirectTrafficTest.cpp
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -339,3 +339,119 @@
     CHECK(connections == (isResumable ? 1 : 3));
   }
 }
+
+namespace {
+/// How the first response of an UnframedEndpoint ends.
+enum class StreamEnd : std::uint8_t { Whole, InsideEvent, Reset, Crash };
+
+/// What UnframedEndpoints have in common.
+struct UnframedRun {
+  StreamEnd End = StreamEnd::Whole;
+  /// The Last-Event-Id of each request; empty for one that starts the stream.
+  std::vector<std::string> Requests;
+};
+
+/// An endpoint whose responses have neither a length nor chunks and end with
+/// the connection.
+class UnframedEndpoint {
+public:
+  UnframedEndpoint(asio::io_context &ioc, UnframedRun &run)
+      : Acceptor(ioc, test::findFreeAddress()),
+        Address(Acceptor.local_endpoint()) {
+    asio::co_spawn(ioc, accept(run), asio::detached);
+  }
+
+  const tcp::endpoint &address() const { return Address; }
+
+private:
+  static constexpr std::string_view Head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nReplica-Stamp: s\r\n"
+      "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+  static constexpr std::string_view FirstEvent = "id: 1\ndata: first\n\n";
+  static constexpr std::string_view SecondEvent = "id: 2\ndata: second\n\n";
+
+  asio::awaitable<void> accept(UnframedRun &run) {
+    boost::system::error_code ec;
+    while (!ec) {
+      tcp::socket socket = co_await Acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (!ec)
+        asio::co_spawn(Acceptor.get_executor(), serve(std::move(socket), run),
+                       asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(tcp::socket socket, UnframedRun &run) {
+    static constexpr std::string_view IdHeader = "Last-Event-Id: ";
+    std::string in;
+    boost::system::error_code ec;
+    co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(in), "\r\n\r\n",
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+      co_return;
+    std::size_t at = in.find(IdHeader);
+    bool resumes = at != std::string::npos;
+    std::string after =
+        resumes ? in.substr(at + IdHeader.size(), 1) : std::string();
+    bool isFirst = run.Requests.empty();
+    run.Requests.push_back(after);
+    std::string out(Head);
+    if (!resumes)
+      out += FirstEvent;
+    if (!isFirst || run.End == StreamEnd::Whole)
+      out += SecondEvent;
+    else if (run.End == StreamEnd::InsideEvent)
+      out += SecondEvent.substr(0, SecondEvent.size() / 2);
+    co_await asio::async_write(socket, asio::buffer(out),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    if (!isFirst)
+      co_return;
+    asio::steady_timer timer(Acceptor.get_executor(),
+                             std::chrono::milliseconds(20));
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (run.End == StreamEnd::Crash)
+      Acceptor.close(ec);
+    if (run.End == StreamEnd::Reset) {
+      socket.set_option(asio::socket_base::linger(true, 0), ec);
+      // Asio's destructor would end the connection in order.
+      socket.close(ec);
+    }
+  }
+
+  tcp::acceptor Acceptor;
+  tcp::endpoint Address;
+};
+} // namespace
+
+/// Checks that a caller receives the whole stream when its first endpoint ends
+/// it in this way, and that it is continued once if it was cut.
+static void checkUnframedStream(StreamEnd end) {
+  UnframedRun run{end, {}};
+  TrafficFixture<UnframedEndpoint> fixture(2, run);
+  std::string text = fixture.call();
+  CHECK(text.find("first") != std::string::npos);
+  CHECK(text.find("second") != std::string::npos);
+  CHECK(text.ends_with(EndOfStream));
+  bool isWhole = end == StreamEnd::Whole;
+  CHECK(run.Requests == (isWhole ? std::vector<std::string>{""}
+                                 : std::vector<std::string>{"", "1"}));
+}
+
+TEST_CASE("a stream that ends with its connection is whole") {
+  checkUnframedStream(StreamEnd::Whole);
+}
+
+TEST_CASE("a stream that ends with its connection inside an event is resumed") {
+  checkUnframedStream(StreamEnd::InsideEvent);
+}
+
+TEST_CASE("a stream whose connection is reset between events is resumed") {
+  checkUnframedStream(StreamEnd::Reset);
+}
+
+// Guards against a cut stream that its caller takes for whole: when an endpoint
+// crashes between two events, its connections end as after a whole response.
+TEST_CASE("a stream that ends with its endpoint between events is resumed") {
+  checkUnframedStream(StreamEnd::Crash);
+}
