--- a/include/ospreyspur/Direct/CallState.h
+++ b/include/ospreyspur/Direct/CallState.h
@@ -9,6 +9,7 @@
 #define OSPREYSPUR_DIRECT_CALLSTATE_H
 
 #include "ospreyspur/Direct/DirectActions.h"
+#include "ospreyspur/Quarantine/CrashQuarantine.h"
 #include "ospreyspur/Support/Time.h"
 
 #include <optional>
@@ -20,6 +21,8 @@
 struct CallState {
   DirectRequest Request;
   ServiceId Service;
+  /// What identifies the request as a possible cause of crashes.
+  CrashSubject Subject;
   TimePoint Arrived;
   TimePoint Deadline;
   /// A request that has not started by this time can no longer meet its latency
@@ -48,6 +51,10 @@
   /// Silent period after which the attempt is migrated if possible.
   Duration MaxIdleTime{};
   bool HasFirstByte = false;
+  TimePoint FirstByteAt;
+  /// Whether the endpoint of the current attempt has been sending its response
+  /// for some time.
+  bool HasProgressed = false;
   /// Whether any attempt has received part of the response.
   bool HasBegun = false;
   /// Whether an endpoint rejected the request as full. The next attempt then
--- a/include/ospreyspur/Direct/DirectActions.h
+++ b/include/ospreyspur/Direct/DirectActions.h
@@ -97,6 +97,8 @@
   ResultCode Code = ResultCode::Ok;
   /// When the caller should retry; zero if not stated.
   Duration RetryAfter{};
+  /// The part of the prompt that is quarantined, if that is the reason.
+  RequestDigest Part{};
 };
 
 /// Forwards the endpoint's own error response to the caller.
--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -15,8 +15,7 @@
 #include "ospreyspur/Direct/EndpointPicker.h"
 #include "ospreyspur/Direct/FleetSize.h"
 #include "ospreyspur/Pushback/Pushback.h"
-#include "ospreyspur/Quarantine/CrashLogRecord.h"
-#include "ospreyspur/Quarantine/CrashTracker.h"
+#include "ospreyspur/Quarantine/CrashQuarantine.h"
 
 #include <map>
 #include <random>
@@ -105,7 +104,8 @@
   /// Merges the crash report of the entry \p peer.
   DirectActions onCrashReport(const std::string &peer,
                               const CrashReport &report, TimePoint now);
-  /// Restores the requests that were quarantined before this process started.
+  /// Restores the requests and prompt parts that were quarantined before this
+  /// process started.
   DirectActions restoreQuarantine(const std::vector<RequestDigest> &requests,
                                   TimePoint now);
   /// Returns the crash report to send to the other entries now.
@@ -172,7 +172,7 @@
   /// Returns the endpoint crashes that were attributed to requests since the
   /// last call, for the log.
   std::vector<CrashLogRecord> takeCrashLogRecords() {
-    return std::exchange(CrashLogRecords, {});
+    return Crashes.takeLogRecords();
   }
   /// Returns the changes of advertised rate limits since the last call, for the
   /// log.
@@ -204,7 +204,7 @@
 
   std::optional<TimePoint> nextTimer() const;
   const EndpointTable &endpointTable() const { return Table; }
-  const CrashTracker &crashes() const { return Crashes; }
+  const CrashQuarantine &crashes() const { return Crashes; }
   const RateLimits &rates() const { return Rates; }
   const ExcludedEndpoints &excluded() const { return Excluded; }
   const SlowRanks &slowRanks() const { return Slow; }
@@ -214,21 +214,12 @@
   std::size_t waitingCount() const { return Waiting.size(); }
 
 private:
-  /// An attempt whose connection the endpoint closed early, kept until the
-  /// liveness of the endpoint is known.
-  struct ClosedAttempt {
-    RequestDigest Request;
-    std::string Label;
-    ServiceId Service;
-    Duration Ran{};
-  };
-
   /// Maximum number of attempts of suspect requests in one report. Each attempt
   /// occupies one of the slots that this entry uses.
   static constexpr std::size_t MaxReportedAttempts = 64;
 
   void handleClosedConnection(const CallState &call, TimePoint now);
-  void recordCrash(const EndpointId &id, const ClosedAttempt &run,
+  void recordCrash(const EndpointId &id, const CrashedAttempt &attempt,
                    TimePoint now);
   void evaluateCrashes(TimePoint now);
   void excludeGroupOf(const EndpointId &id, TimePoint now);
@@ -239,7 +230,10 @@
   bool mustDefer(const CallState &call, TimePoint now) const;
   std::set<IncarnationDigest> incarnationsOfSuspects(const CallState &call,
                                                      TimePoint now) const;
-  void endQuarantined(RequestDigest request, TimePoint now);
+  void quarantinePart(RequestDigest part, bool isFromPeer);
+  void endQuarantined(TimePoint now);
+  void recordProgress(CallState &call, TimePoint now);
+  static bool hasOutlastedStart(const CallState &call, TimePoint now);
   std::size_t countSharingEntries(TimePoint now) const;
   void refreshMembers(TimePoint now);
   void onLimitsChanged(TimePoint now);
@@ -336,11 +330,10 @@
   /// Whether the endpoint list was replaced after onTimer() last ran.
   bool HasNewList = false;
   std::vector<WaitLogRecord> WaitLogRecords;
-  CrashTracker Crashes;
+  CrashQuarantine Crashes;
   /// Attempts whose connections were closed by endpoints whose liveness is
   /// being checked.
-  std::map<EndpointId, std::vector<ClosedAttempt>> Checks;
-  std::vector<CrashLogRecord> CrashLogRecords;
+  std::map<EndpointId, std::vector<CrashedAttempt>> Checks;
   DirectActions Out;
 };
 
--- a/include/ospreyspur/Process/CrashLog.h
+++ b/include/ospreyspur/Process/CrashLog.h
@@ -8,17 +8,17 @@
 #ifndef OSPREYSPUR_PROCESS_CRASHLOG_H
 #define OSPREYSPUR_PROCESS_CRASHLOG_H
 
-#include "ospreyspur/Quarantine/CrashLogRecord.h"
+#include "ospreyspur/Quarantine/CrashQuarantine.h"
 #include "ospreyspur/Support/Metrics.h"
 
 #include <vector>
 
 namespace ospreyspur {
 
-/// Logs and counts \p records, and sets the metric of the number of records in
-/// \p tracker.
+/// Logs and counts \p records, and sets the metrics of the number of records in
+/// \p crashes.
 void logCrashes(const std::vector<CrashLogRecord> &records,
-                const CrashTracker &tracker, Metrics &metrics);
+                const CrashQuarantine &crashes, Metrics &metrics);
 
 } // namespace ospreyspur
 
--- a/include/ospreyspur/Process/DirectCall.h
+++ b/include/ospreyspur/Process/DirectCall.h
@@ -56,6 +56,8 @@
   /// The rate limit and backoff in the last response's head.
   Pushback LastPushback;
   std::optional<TimePoint> FirstByte;
+  /// The quarantined part of its prompt for which the request was rejected.
+  RequestDigest QuarantinedPart{};
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Quarantine/CrashLogRecord.h
+++ b/include/ospreyspur/Quarantine/CrashLogRecord.h
@@ -29,6 +29,10 @@
   CrashVerdict Verdict = CrashVerdict::Unknown;
   /// Whether another entry reported the verdict.
   bool IsFromPeer = false;
+  /// The part of the request's prompt with the most crashes, and their number;
+  /// in the record of a quarantine, the part that is quarantined.
+  RequestDigest Part{};
+  unsigned PartCrashes = 0;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Quarantine/CrashRelay.h
+++ b/include/ospreyspur/Quarantine/CrashRelay.h
@@ -11,6 +11,7 @@
 #define OSPREYSPUR_QUARANTINE_CRASHRELAY_H
 
 #include "ospreyspur/Quarantine/CrashTracker.h"
+#include "ospreyspur/Quarantine/PartTracker.h"
 #include "ospreyspur/Rpc/Messages.h"
 
 #include <set>
@@ -43,6 +44,8 @@
 
 private:
   CrashTracker Crashes;
+  /// The records of prompt parts.
+  CrashTracker Parts{PartLimits::makeCrashLimits()};
   std::set<LinkId> Entries;
   /// Subscribers whose last report listed attempts of suspect requests.
   std::set<LinkId> EntriesWithSuspects;
--- a/include/ospreyspur/Quarantine/CrashReport.h
+++ b/include/ospreyspur/Quarantine/CrashReport.h
@@ -59,8 +59,12 @@
 struct CrashReport {
   std::vector<CrashRecord> Records;
   std::vector<SuspectAttempt> SuspectAttempts;
+  /// The records of prompt parts instead of single requests.
+  std::vector<CrashRecord> Parts{};
 
-  bool isEmpty() const { return Records.empty() && SuspectAttempts.empty(); }
+  bool isEmpty() const {
+    return Records.empty() && SuspectAttempts.empty() && Parts.empty();
+  }
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Quarantine/CrashTracker.h
+++ b/include/ospreyspur/Quarantine/CrashTracker.h
@@ -48,6 +48,9 @@
   /// endpoints crash. On the platform a request has two attempts and is sent
   /// again once, so an innocent request has no attempt left by then.
   unsigned QuarantineCrashes = 4;
+  /// Whether a request's latest crash is kept when it has more crashes than
+  /// QuarantineCrashes. The others kept are the first ones.
+  bool KeepsLatestCrash = false;
   /// A request with fewer crashes is quarantined if endpoints that crash for
   /// other reasons cause as many with at most this probability. It corresponds
   /// to one request among those of several hours.
@@ -77,6 +80,10 @@
   std::size_t MaxReportRecords = 32;
   /// After this time the attempts that another entry reported are ignored.
   Duration PeerAttemptMaxAge = std::chrono::seconds(1);
+  /// After this time a quarantine ends. The crashes are kept, so that the next
+  /// one quarantines the request again. Unset if a quarantine lasts as long as
+  /// the request is received.
+  std::optional<Duration> MaxQuarantine;
 };
 
 /// The verdict on a request.
@@ -91,6 +98,13 @@
 /// The crash records of one entry.
 class CrashTracker {
 public:
+  /// The crash of an incarnation that was running a request.
+  struct Crash {
+    IncarnationDigest Incarnation;
+    TimePoint At;
+    Duration Ran{};
+  };
+
   explicit CrashTracker(CrashLimits limits = CrashLimits()) : Limits(limits) {}
 
   // Commands.
@@ -99,8 +113,12 @@
   /// \p ran. The request's service has \p endpoints endpoints.
   void onCrash(RequestDigest request, IncarnationDigest incarnation,
                Duration ran, std::size_t endpoints, TimePoint now);
-  /// Clears \p request, as it got a complete response.
-  void onCompleteResponse(RequestDigest request, TimePoint now);
+  /// Clears \p request, as it got a complete response. Returns whether there
+  /// was anything to clear.
+  bool onCompleteResponse(RequestDigest request, TimePoint now);
+  /// Records that \p request got a complete response at \p at, before this
+  /// entry had a record of it. \p isAnnounced to tell the other entries.
+  void onEarlierResponse(RequestDigest request, TimePoint at, bool isAnnounced);
   /// Records that \p request was received.
   void onReceived(RequestDigest request, TimePoint now);
   /// Decides on all requests whose verdict is due. Returns those that are
@@ -109,6 +127,18 @@
   /// Decides on all requests with a pending verdict without waiting. For use
   /// while there is no other entry.
   std::vector<RequestDigest> updateAllVerdicts(TimePoint now);
+  /// Returns the requests whose verdict is due at \p due, or all with a pending
+  /// verdict if \p due is empty, those with the most crashes first. For callers
+  /// that decide by a rule of their own.
+  std::vector<RequestDigest>
+  takeDueVerdicts(const std::optional<TimePoint> &due);
+  /// Makes the verdict on \p request due again at \p at.
+  void postponeVerdict(RequestDigest request, TimePoint at);
+  /// Quarantines \p request.
+  void quarantine(RequestDigest request, TimePoint now);
+  /// A cause other than a request of this table is known for the crashes of
+  /// \p incarnations, which are no evidence against its requests then.
+  void explain(const std::vector<IncarnationDigest> &incarnations);
   /// Merges a report of the entry \p peer. Returns the requests that are
   /// quarantined by it.
   std::vector<RequestDigest> merge(const std::string &peer,
@@ -132,6 +162,16 @@
   /// The number of incarnations that crashed while they ran \p request, since
   /// it was last cleared.
   unsigned crashesOf(RequestDigest request) const;
+  /// The crashes recorded for \p request, in any order.
+  std::vector<Crash> crashListOf(RequestDigest request) const;
+  /// The incarnations that crashed while they ran \p request.
+  std::vector<IncarnationDigest> incarnationsOf(RequestDigest request) const;
+  /// The requests that were running on \p incarnation when it crashed.
+  std::vector<RequestDigest> requestsAt(IncarnationDigest incarnation) const;
+  /// The number of crashes in this period that no quarantined request explains.
+  std::size_t countUnexplained(TimePoint from, TimePoint until) const;
+  /// When \p request last got a complete response; empty if that is not known.
+  std::optional<TimePoint> clearedAt(RequestDigest request) const;
   /// The probability that an innocent request meets the crashes recorded for
   /// \p request.
   double chanceOf(RequestDigest request, TimePoint now) const;
@@ -154,11 +194,6 @@
   std::uint64_t quarantineChanges() const { return Changes; }
 
 private:
-  struct Crash {
-    IncarnationDigest Incarnation;
-    TimePoint At;
-    Duration Ran{};
-  };
   struct Record {
     std::vector<Crash> Crashes;
     std::size_t Endpoints = 1;
@@ -188,7 +223,9 @@
                          TimePoint now) const;
   std::vector<RequestDigest> updateDueVerdicts(std::optional<TimePoint> due,
                                                TimePoint now);
-  void attributeCrashes(RequestDigest request, const Record &record);
+  void attributeCrashes(RequestDigest request);
+  void removeExplained(std::optional<RequestDigest> cause,
+                       const std::vector<IncarnationDigest> &crashed);
   bool hasCoincidentRequest(RequestDigest request, const Record &record) const;
   double chanceOf(const Record &record, TimePoint now) const;
   bool mergeRecord(const CrashRecord &in, TimePoint now);
--- a/include/ospreyspur/Routing/Call.h
+++ b/include/ospreyspur/Routing/Call.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_ROUTING_CALL_H
 #define OSPREYSPUR_ROUTING_CALL_H
 
+#include "ospreyspur/Quarantine/CrashQuarantine.h"
 #include "ospreyspur/Routing/EntryActions.h"
 #include "ospreyspur/Routing/ProbePicker.h"
 #include "ospreyspur/Routing/Reassembler.h"
@@ -40,6 +41,8 @@
 /// One caller's request inside an entry.
 struct Call {
   CallerRequest Request;
+  /// What identifies the request as a possible cause of crashes.
+  CrashSubject Subject;
   CallStage Stage = CallStage::Probing;
   /// The caller's deadline.
   TimePoint Deadline;
@@ -72,6 +75,10 @@
 
   /// When the current dispatch was first sent.
   TimePoint SentAt;
+  /// When the first part of the current dispatch's response arrived.
+  std::optional<TimePoint> FirstDataAt;
+  /// Whether its endpoint has been sending the response for some time.
+  bool HasProgressed = false;
   /// Until when a suspect request may be deferred.
   std::optional<TimePoint> DeferUntil;
   /// End of the random backoff of a suspect request.
--- a/include/ospreyspur/Routing/EntryActions.h
+++ b/include/ospreyspur/Routing/EntryActions.h
@@ -40,8 +40,8 @@
   std::optional<Ticket> CallerTicket;
   /// Whether the caller asked only for a ticket; nothing is run then.
   bool WantsTicket = false;
-  /// Identifies repeated requests with the same content; set by the entry.
-  RequestDigest Digest;
+  /// Texts that identify the parts of the prompt that other requests may share.
+  std::vector<std::string> PromptParts;
 };
 
 /// Send \c Body to the agent of \c To.
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -11,9 +11,8 @@
 #ifndef OSPREYSPUR_ROUTING_ENTRYNODE_H
 #define OSPREYSPUR_ROUTING_ENTRYNODE_H
 
-#include "ospreyspur/Quarantine/CrashLogRecord.h"
+#include "ospreyspur/Quarantine/CrashQuarantine.h"
 #include "ospreyspur/Quarantine/CrashReporter.h"
-#include "ospreyspur/Quarantine/CrashTracker.h"
 #include "ospreyspur/Routing/Call.h"
 #include "ospreyspur/Routing/EntryActions.h"
 #include "ospreyspur/Routing/ProbePicker.h"
@@ -64,16 +63,21 @@
   Duration MaxDefer = std::chrono::milliseconds(1500);
   /// How often a deferred request checks whether it may run.
   Duration DeferPollInterval = std::chrono::milliseconds(20);
-  CrashLimits Crashes = makeRelayedCrashLimits();
+  CrashLimits Crashes = makeRelayedLimits(CrashLimits());
+  PartLimits Parts = makeRelayedPartLimits();
 
   /// Links are reliable and relays keep all records, so each record needs few
   /// announcements.
-  static CrashLimits makeRelayedCrashLimits() {
-    CrashLimits limits;
+  static CrashLimits makeRelayedLimits(CrashLimits limits) {
     limits.Announcements = 1;
     limits.RefreshEvery = std::chrono::seconds(1);
     return limits;
   }
+  static PartLimits makeRelayedPartLimits() {
+    PartLimits limits;
+    limits.Crashes = makeRelayedLimits(limits.Crashes);
+    return limits;
+  }
 };
 
 /// The traffic side of an entry.
@@ -98,7 +102,8 @@
   EntryActions onLinkDown(const EndpointId &to, TimePoint now);
   /// The key-value store replied to the CallKeyValueStore action \p id.
   EntryActions onKvReply(KvCallId id, const KvReply &reply, TimePoint now);
-  /// Restores requests that were quarantined before this process started.
+  /// Restores requests and prompt parts that were quarantined before this
+  /// process started.
   EntryActions restoreQuarantine(const std::vector<RequestDigest> &requests,
                                  TimePoint now);
   /// Replaces the view of the fleet; call onTimer() next.
@@ -108,14 +113,14 @@
   /// Returns the log records of endpoint crashes that were attributed to
   /// requests, and of quarantined requests, since the last call.
   std::vector<CrashLogRecord> takeCrashLogRecords() {
-    return std::exchange(CrashLogRecords, {});
+    return Crashes.takeLogRecords();
   }
 
   // Queries.
 
   /// When onTimer() is next needed, if at all.
   std::optional<TimePoint> nextTimer() const;
-  const CrashTracker &crashes() const { return Crashes; }
+  const CrashQuarantine &crashes() const { return Crashes; }
   /// Number of known entries, this one included.
   std::size_t entryCount(TimePoint now) const {
     return Reporter.entryCount(now);
@@ -141,10 +146,9 @@
   void onRunFailed(Call &call, const Finish &msg, TimePoint now);
   void noteCrash(const Call &call, const Finish &msg, TimePoint now);
   void updateCrashVerdicts(TimePoint now);
-  void quarantine(RequestDigest request, bool isFromPeer, TimePoint now);
-  void endQuarantined(RequestDigest request);
+  void endQuarantined();
   bool isSuspect(const Call &call) const;
-  bool isQuarantined(const Call &call) const;
+  void recordProgress(Call &call, TimePoint now);
   bool mustDefer(Call &call, TimePoint now);
   void defer(Call &call, TimePoint now);
   void resume(Call &call, TimePoint now);
@@ -202,9 +206,8 @@
   std::string DigestKey;
   /// The random name that identifies this entry to other entries.
   std::string Name;
-  CrashTracker Crashes;
+  CrashQuarantine Crashes;
   CrashReporter Reporter;
-  std::vector<CrashLogRecord> CrashLogRecords;
   EntryActions Out;
 };
 
--- a/lib/Direct/DirectAttempts.cpp
+++ b/lib/Direct/DirectAttempts.cpp
@@ -88,6 +88,7 @@
   ++call.Sends;
   call.Current = endpoint.Id;
   call.IsStopping = false;
+  call.HasProgressed = false;
   call.SentAt = now;
   call.ReceivedAt = now;
   call.MaxIdleTime = allowedSilence(call);
@@ -132,8 +133,8 @@
 /// all of its streams at once. If those streams were ended, their callers would
 /// send them again, and each caller may retry only once.
 void DirectNode::retry(CallState &call, ResultCode reason, TimePoint now) {
-  if (Crashes.verdictOf(call.Request.Digest) == CrashVerdict::Quarantined) {
-    end(call, ResultCode::RequestQuarantined, Duration::zero());
+  if (ResultCode code = Crashes.codeOf(call.Subject); code != ResultCode::Ok) {
+    end(call, code, Duration::zero());
     return;
   }
   if (startNext(call, now))
@@ -172,7 +173,10 @@
 void DirectNode::end(CallState &call, ResultCode code, Duration retryAfter) {
   CallId id = call.Request.Id;
   releaseNext(call);
-  Out.emplace_back(EndCall{id, code, retryAfter});
+  RequestDigest part;
+  if (code == ResultCode::PartQuarantined)
+    part = Crashes.findPart(call.Subject).value_or(RequestDigest());
+  Out.emplace_back(EndCall{id, code, retryAfter, part});
   Waiting.erase({call.Request.Priority, call.Arrived, id});
   Calls.erase(id);
 }
--- a/lib/Direct/DirectCrashes.cpp
+++ b/lib/Direct/DirectCrashes.cpp
@@ -26,16 +26,17 @@
   bool isPlanned = !state || state->Record.IsLeaving || state->IsMissing;
   if (isPlanned || call.Request.Digest == RequestDigest())
     return;
-  ClosedAttempt run{call.Request.Digest, call.Request.Label, call.Service,
-                    now - call.SentAt};
+  CrashedAttempt attempt{call.Subject, call.Request.Label, now - call.SentAt,
+                         call.HasProgressed, hasOutlastedStart(call, now)};
   IncarnationDigest incarnation = digestIncarnation(*call.Current);
-  if (std::optional<TimePoint> ended = Crashes.crashTimeOf(incarnation)) {
+  if (std::optional<TimePoint> ended =
+          Crashes.requests().crashTimeOf(incarnation)) {
     if (call.SentAt < *ended)
-      recordCrash(*call.Current, run, now);
+      recordCrash(*call.Current, attempt, now);
     return;
   }
   auto [it, isNew] = Checks.try_emplace(*call.Current);
-  it->second.push_back(std::move(run));
+  it->second.push_back(std::move(attempt));
   if (isNew)
     Out.emplace_back(CheckEndpoint{state->Record});
 }
@@ -45,38 +46,45 @@
   auto it = Checks.find(id);
   if (it == Checks.end())
     return takeActions();
-  std::vector<ClosedAttempt> runs = std::move(it->second);
+  std::vector<CrashedAttempt> attempts = std::move(it->second);
   Checks.erase(it);
   if (liveness == EndpointLiveness::Exited) {
     excludeGroupOf(id, now);
-    for (const ClosedAttempt &run : runs)
-      recordCrash(id, run, now);
+    for (const CrashedAttempt &attempt : attempts)
+      recordCrash(id, attempt, now);
   }
+  if (liveness == EndpointLiveness::Alive)
+    for (const CrashedAttempt &attempt : attempts)
+      if (attempt.HasOutlastedStart)
+        Crashes.onProgress(attempt.Subject, now);
   startWaiting(now);
   return takeActions();
 }
 
-void DirectNode::recordCrash(const EndpointId &id, const ClosedAttempt &run,
-                             TimePoint now) {
-  std::size_t endpoints = Picker.countEndpoints(run.Service);
-  Crashes.onCrash(run.Request, digestIncarnation(id), run.Ran, endpoints, now);
-  CrashLogRecords.push_back({run.Request, run.Label, id, run.Ran,
-                             Crashes.crashesOf(run.Request),
-                             Crashes.chanceOf(run.Request, now),
-                             Crashes.verdictOf(run.Request), false});
+void DirectNode::recordCrash(const EndpointId &id,
+                             const CrashedAttempt &attempt, TimePoint now) {
+  Crashes.onCrash(attempt, id, digestIncarnation(id),
+                  Picker.countEndpoints(attempt.Subject.Service), now);
 }
 
 void DirectNode::evaluateCrashes(TimePoint now) {
-  for (RequestDigest it : Crashes.updateVerdicts(now))
-    quarantine(it, false, now);
+  if (Crashes.updateVerdicts(false, now))
+    endQuarantined(now);
 }
 
-void DirectNode::quarantine(RequestDigest request, bool isFromPeer,
-                            TimePoint now) {
-  CrashLogRecords.push_back(
-      {request, "", EndpointId(), Duration(), Crashes.crashesOf(request),
-       Crashes.chanceOf(request, now), CrashVerdict::Quarantined, isFromPeer});
-  endQuarantined(request, now);
+/// Whether the first byte of the current attempt arrived long ago.
+bool DirectNode::hasOutlastedStart(const CallState &call, TimePoint now) {
+  return call.HasFirstByte &&
+         now - call.FirstByteAt >= CrashQuarantine::ProgressTime;
+}
+
+/// Records if the current attempt of \p call has been receiving data for
+/// CrashQuarantine::ProgressTime.
+void DirectNode::recordProgress(CallState &call, TimePoint now) {
+  if (call.HasProgressed || !hasOutlastedStart(call, now))
+    return;
+  call.HasProgressed = true;
+  Crashes.onProgress(call.Subject, now);
 }
 
 /// Stops sending requests to the group of \p id and marks its resumable streams
@@ -102,7 +110,7 @@
   for (const CrashRecord &record : report.Records)
     for (const ReportedCrash &it : record.Crashes)
       if (it.Age < EndpointTable::CrashedGroupDelay &&
-          !Crashes.crashTimeOf(it.Incarnation))
+          !Crashes.requests().crashTimeOf(it.Incarnation))
         fresh.insert(it.Incarnation);
   if (fresh.empty())
     return;
@@ -118,8 +126,8 @@
                                         const CrashReport &report,
                                         TimePoint now) {
   handleReportedCrashes(report, now);
-  for (RequestDigest it : Crashes.merge(peer, report, now))
-    quarantine(it, true, now);
+  if (Crashes.merge(peer, report, now))
+    endQuarantined(now);
   startWaiting(now);
   return takeActions();
 }
@@ -127,22 +135,20 @@
 DirectActions
 DirectNode::restoreQuarantine(const std::vector<RequestDigest> &requests,
                               TimePoint now) {
+  if (requests.empty())
+    return takeActions();
   Crashes.restore(requests, now);
-  for (RequestDigest it : requests)
-    if (Crashes.verdictOf(it) == CrashVerdict::Quarantined)
-      endQuarantined(it, now);
+  endQuarantined(now);
   return takeActions();
 }
 
 CrashReport DirectNode::takeCrashReport(TimePoint now) {
   if (Crashes.isEmpty())
     return {};
-  std::size_t entries = Fleet.count(Duration::zero(), now);
-  CrashReport out{Crashes.takeRecords(entries, now), {}};
+  CrashReport out = Crashes.takeReport(Fleet.count(Duration::zero(), now), now);
   for (const auto &[id, call] : Calls) {
-    bool isSuspect = call.Current && Crashes.verdictOf(call.Request.Digest) ==
-                                         CrashVerdict::Suspect;
-    if (isSuspect && out.SuspectAttempts.size() < MaxReportedAttempts)
+    if (call.Current && isSuspect(call) &&
+        out.SuspectAttempts.size() < MaxReportedAttempts)
       out.SuspectAttempts.push_back(
           {call.Request.Digest, digestIncarnation(*call.Current)});
   }
@@ -150,7 +156,8 @@
 }
 
 bool DirectNode::isSuspect(const CallState &call) const {
-  return Crashes.verdictOf(call.Request.Digest) == CrashVerdict::Suspect;
+  return Crashes.requests().verdictOf(call.Request.Digest) ==
+         CrashVerdict::Suspect;
 }
 
 /// Returns the endpoint for a suspect request; null if there is none or the
@@ -160,7 +167,8 @@
 /// starts.
 const EndpointState *DirectNode::pickForSuspect(CallState &call,
                                                 TimePoint now) {
-  bool hasSeveralCrashes = Crashes.crashesOf(call.Request.Digest) > 1;
+  bool hasSeveralCrashes =
+      Crashes.requests().crashesOf(call.Request.Digest) > 1;
   const EndpointState *state = Picker.pickIsolated(
       call, incarnationsOfSuspects(call, now), hasSeveralCrashes, now);
   if (!state)
@@ -182,18 +190,18 @@
 bool DirectNode::mustDefer(const CallState &call, TimePoint now) const {
   RequestDigest request = call.Request.Digest;
   for (const auto &[id, runs] : Checks)
-    if (std::any_of(runs.begin(), runs.end(), [&](const ClosedAttempt &it) {
-          return it.Request == request;
+    if (std::any_of(runs.begin(), runs.end(), [&](const CrashedAttempt &it) {
+          return it.Subject.Request == request;
         }))
       return true;
   if (!isSuspect(call))
     return false;
-  if (Crashes.isVerdictPending(request))
+  if (Crashes.requests().isVerdictPending(request))
     return true;
   bool runsHere = std::any_of(Calls.begin(), Calls.end(), [&](const auto &it) {
     return it.second.Current && it.second.Request.Digest == request;
   });
-  return runsHere || Crashes.runsElsewhere(request, now);
+  return runsHere || Crashes.requests().runsElsewhere(request, now);
 }
 
 /// Returns the endpoints that run suspect requests other than \p call's. If an
@@ -202,7 +210,7 @@
 std::set<IncarnationDigest>
 DirectNode::incarnationsOfSuspects(const CallState &call, TimePoint now) const {
   std::set<IncarnationDigest> out =
-      Crashes.incarnationsOfOthers(call.Request.Digest, now);
+      Crashes.requests().incarnationsOfOthers(call.Request.Digest, now);
   for (const auto &[id, other] : Calls) {
     const EndpointState *state =
         other.Current ? Table.find(*other.Current) : nullptr;
@@ -213,25 +221,28 @@
   return out;
 }
 
-/// Ends the waiting calls of \p request. An attempt in progress may not have
-/// started at its endpoint yet, so the attempt is stopped, and onAttemptEnded()
-/// ends its call. If that would leave the caller uncertain whether the request
-/// ran, the attempt runs on.
-void DirectNode::endQuarantined(RequestDigest request, TimePoint now) {
-  std::vector<CallId> waiting;
+/// Ends the waiting calls that a quarantine concerns. An attempt in progress
+/// may not have started at its endpoint yet, so the attempt is stopped, and
+/// onAttemptEnded() ends its call. If that would leave the caller uncertain
+/// whether the request ran, or if the endpoint has been sending the response
+/// for some time, the attempt runs on.
+void DirectNode::endQuarantined(TimePoint now) {
+  std::vector<std::pair<CallId, ResultCode>> waiting;
   for (auto &[id, call] : Calls) {
-    if (call.Request.Digest != request)
+    ResultCode code = Crashes.codeOf(call.Subject);
+    if (code == ResultCode::Ok)
       continue;
     if (!call.Current) {
-      waiting.push_back(id);
+      waiting.emplace_back(id, code);
       continue;
     }
-    if (call.IsStopping || !call.Request.Route->isRepeatable())
+    bool isRunning = code == ResultCode::PartQuarantined && call.HasProgressed;
+    if (call.IsStopping || isRunning || !call.Request.Route->isRepeatable())
       continue;
     call.IsStopping = true;
     Out.emplace_back(StopAttempt{id, StopReason::Quarantined, Duration(),
                                  call.Deadline - now});
   }
-  for (CallId id : waiting)
-    end(Calls.at(id), ResultCode::RequestQuarantined, Duration::zero());
+  for (const auto &[id, code] : waiting)
+    end(Calls.at(id), code, Duration::zero());
 }
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -24,7 +24,7 @@
       Slow(Table), Name(std::move(name)), NameDigest(digest64(Name)),
       Picker(Table, Limits, DataCentre, Arrivals, Rates, Cold, Excluded, Slow,
              Random),
-      Retries(limits.Retries) {}
+      Retries(limits.Retries), Crashes(seed) {}
 
 static Duration partOf(Duration whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
@@ -50,9 +50,10 @@
   Slow.setConfig(call.Request.Config);
   Slow.update(now);
   Retries.onRequest(call.Service, now);
-  Crashes.onReceived(call.Request.Digest, now);
-  if (Crashes.verdictOf(call.Request.Digest) == CrashVerdict::Quarantined) {
-    end(call, ResultCode::RequestQuarantined, Duration::zero());
+  call.Subject = {call.Request.Digest, call.Request.Parts, call.Service};
+  Crashes.onReceived(call.Subject, now);
+  if (ResultCode code = Crashes.codeOf(call.Subject); code != ResultCode::Ok) {
+    end(call, code, Duration::zero());
     return takeActions();
   }
   Arrivals.onRequest(call.Service, now);
@@ -66,6 +67,7 @@
     return takeActions();
   it->second.HasFirstByte = true;
   it->second.HasBegun = true;
+  it->second.FirstByteAt = now;
   recordReceived(it->second, now);
   recordFirstByte(it->second, now);
   Table.onFirstByte(*it->second.Current, it->second.Request.Tokens.Prompt, now);
@@ -81,6 +83,7 @@
   ++call.ReceivedParts;
   Duration gap = now - call.ReceivedAt;
   recordReceived(call, now);
+  recordProgress(call, now);
   if (gap > Duration::zero())
     Table.onEvents(*call.Current, gap, now);
   if (isOnSlowRank(call))
@@ -130,8 +133,10 @@
   recordOutcome(call, end, now);
   if (connection == ConnectionEnd::Endpoint)
     handleClosedConnection(call, now);
+  else if (hasOutlastedStart(call, now))
+    Crashes.onProgress(call.Subject, now);
   if (end == AttemptEnd::Complete || end == AttemptEnd::Failed)
-    Crashes.onCompleteResponse(call.Request.Digest, now);
+    Crashes.onComplete(call.Subject, end == AttemptEnd::Complete, now);
   // The endpoint's rate limit, backoff or draining state decides when the
   // request may be sent there again.
   if (end == AttemptEnd::Withheld)
--- a/lib/Http/CallerApi.cpp
+++ b/lib/Http/CallerApi.cpp
@@ -11,6 +11,7 @@
 #include <boost/container_hash/hash.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 using namespace ospreyspur;
@@ -21,6 +22,8 @@
 static constexpr std::string_view ServicesPrefix = "/services/";
 static constexpr std::size_t PrefixBlockBytes = 256;
 static constexpr std::size_t MaxIdempotencyKey = 256;
+/// Most parts of a prompt that are digested; callers may send any number.
+static constexpr std::size_t MaxPromptParts = 16;
 static constexpr std::uint64_t MaxDeadlineMs = 3600000; // an hour
 
 static std::string_view headerOf(const HttpRequest &request, const char *name) {
@@ -51,6 +54,24 @@
   return std::max<std::uint64_t>(1, boost::hash<std::string>()(text));
 }
 
+/// Returns digests of the parts of the prompt that other requests may share:
+/// all messages but the last, or the first block of a longer prompt.
+static std::vector<std::string> readPromptParts(const json::object &body) {
+  std::vector<std::string> out;
+  const json::value *messages = body.if_contains("messages");
+  if (const json::array *list = messages ? messages->if_array() : nullptr) {
+    std::size_t shared = list->empty() ? 0 : list->size() - 1;
+    for (std::size_t i = 0; i < std::min(shared, MaxPromptParts); ++i)
+      out.push_back(sha256Hex(json::serialize((*list)[i])));
+    return out;
+  }
+  const json::value *prompt = body.if_contains("prompt");
+  const json::string *text = prompt ? prompt->if_string() : nullptr;
+  if (text && text->size() > PrefixBlockBytes)
+    out.push_back(sha256Hex({text->data(), PrefixBlockBytes}));
+  return out;
+}
+
 /// Reads the service name from the JSON body.
 static Result<void> readModelBody(const HttpRequest &request,
                                   CallerRequest &out) {
@@ -64,6 +85,7 @@
     return Error{ResultCode::BadRequest, "the body has no \"model\" string"};
   out.Service = ServiceId(std::string(model->get_string()));
   out.Prefix = hashPrefix(*top);
+  out.PromptParts = readPromptParts(*top);
   return boost::outcome_v2::success();
 }
 
--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -25,7 +25,7 @@
 /// passes changes of the quarantine to ReportQuarantine.
 void DirectTraffic::logCrashes() {
   ospreyspur::logCrashes(Node.takeCrashLogRecords(), Node.crashes(), Measures);
-  std::uint64_t change = Node.crashes().quarantineChanges();
+  std::uint64_t change = Node.crashes().changes();
   if (std::exchange(LastReportedChange, change) == change || !ReportQuarantine)
     return;
   ReportQuarantine(Node.crashes().quarantined(), Node.crashes().cleared());
--- a/lib/Process/DirectLog.cpp
+++ b/lib/Process/DirectLog.cpp
@@ -118,19 +118,20 @@
                  std::to_string(static_cast<unsigned>(code)) + "\"}");
   if (call.FirstByte)
     Measures.observe("first_byte", *call.FirstByte - call.Arrived);
-  LOG(INFO) << LogEvent("request.done")
-                   .with("id", call.Request.Label)
-                   .with("digest", toHex(call.Request.Digest))
-                   .with("route", call.Request.Route->Name)
-                   .with("version", call.Request.Config->Version)
-                   .with("code", static_cast<unsigned>(code))
-                   .with("outcome", toString(info.Kind))
-                   .with("status", call.Status)
-                   .with("endpoints", call.Endpoints)
-                   .with("asked_rate",
-                         call.LastPushback.RequestsPerSecond.value_or(-1))
-                   .with("first_ms", call.FirstByte ? toMillis(*call.FirstByte -
-                                                               call.Arrived)
-                                                    : -1)
-                   .with("ms", toMillis(now - call.Arrived));
+  LogEvent line("request.done");
+  line.with("id", call.Request.Label)
+      .with("digest", toHex(call.Request.Digest))
+      .with("route", call.Request.Route->Name)
+      .with("version", call.Request.Config->Version)
+      .with("code", static_cast<unsigned>(code))
+      .with("outcome", toString(info.Kind))
+      .with("status", call.Status)
+      .with("endpoints", call.Endpoints)
+      .with("asked_rate", call.LastPushback.RequestsPerSecond.value_or(-1))
+      .with("first_ms",
+            call.FirstByte ? toMillis(*call.FirstByte - call.Arrived) : -1)
+      .with("ms", toMillis(now - call.Arrived));
+  if (call.QuarantinedPart != RequestDigest())
+    line.with("part", toHex(call.QuarantinedPart));
+  LOG(INFO) << line;
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -237,6 +237,7 @@
 
 asio::awaitable<void> DirectTraffic::refuse(HttpExchange &exchange,
                                             DirectCall &call, EndCall end) {
+  call.QuarantinedPart = end.Part;
   finish(call, end.Code);
   if (exchange.hasBegun()) {
     exchange.abort();
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -145,7 +145,7 @@
   std::vector<CrashLogRecord> records = Node.takeCrashLogRecords();
   if (!records.empty())
     logCrashes(records, Node.crashes(), Measures);
-  std::uint64_t change = Node.crashes().quarantineChanges();
+  std::uint64_t change = Node.crashes().changes();
   if (std::exchange(LastReportedChange, change) != change)
     Quarantine.setLocalQuarantine(Node.crashes().quarantined(),
                                   Node.crashes().cleared());
--- a/lib/Quarantine/CrashRelay.cpp
+++ b/lib/Quarantine/CrashRelay.cpp
@@ -13,9 +13,12 @@
   std::vector<Delivery> out;
   bool isNew = Entries.insert(from).second;
   auto count = static_cast<std::uint32_t>(Entries.size());
-  if (isNew)
+  if (isNew) {
     for (CrashReport &it : Crashes.allRecords(now))
       out.push_back({from, {"", count, std::move(it)}});
+    for (CrashReport &it : Parts.allRecords(now))
+      out.push_back({from, {"", count, {{}, {}, std::move(it.Records)}}});
+  }
   bool hadAttempts = EntriesWithSuspects.erase(from) > 0;
   if (!update.Report.SuspectAttempts.empty())
     EntriesWithSuspects.insert(from);
@@ -25,6 +28,7 @@
     return out;
   }
   Crashes.merge(update.Sender, update.Report, now);
+  Parts.merge(update.Sender, {update.Report.Parts, {}}, now);
   for (LinkId it : Entries)
     if (it != from)
       out.push_back({it, {update.Sender, count, update.Report}});
--- a/lib/Quarantine/CrashTracker.cpp
+++ b/lib/Quarantine/CrashTracker.cpp
@@ -40,15 +40,27 @@
   record.VerdictAt = now + Limits.SettleTime;
 }
 
-void CrashTracker::onCompleteResponse(RequestDigest request, TimePoint now) {
+bool CrashTracker::onCompleteResponse(RequestDigest request, TimePoint now) {
   auto it = Records.find(request);
   if (it == Records.end())
-    return;
+    return false;
   Record &record = it->second;
   if (record.Crashes.empty() && !record.QuarantinedAt)
-    return;
+    return false;
   clear(record, now);
   record.RemainingAnnouncements = Limits.Announcements;
+  return true;
+}
+
+void CrashTracker::onEarlierResponse(RequestDigest request, TimePoint at,
+                                     bool isAnnounced) {
+  auto it = Records.find(request);
+  if (it == Records.end() ||
+      at <= it->second.ClearedAt.value_or(TimePoint::min()))
+    return;
+  clear(it->second, at);
+  if (isAnnounced)
+    it->second.RemainingAnnouncements = Limits.Announcements;
 }
 
 void CrashTracker::onReceived(RequestDigest request, TimePoint now) {
@@ -95,11 +107,13 @@
   if (record.QuarantinedAt)
     return false;
   TimePoint cleared = record.ClearedAt.value_or(TimePoint());
-  if (in.QuarantinedAge && now - *in.QuarantinedAge > cleared) {
+  bool isOver = in.QuarantinedAge && Limits.MaxQuarantine &&
+                *in.QuarantinedAge >= *Limits.MaxQuarantine;
+  if (in.QuarantinedAge && !isOver && now - *in.QuarantinedAge > cleared) {
     record.QuarantinedAt = now - *in.QuarantinedAge;
     record.VerdictAt.reset();
     ++Changes;
-    attributeCrashes(in.Request, record);
+    attributeCrashes(in.Request);
     return true;
   }
   if (record.Crashes.empty() && !record.ClearedAt)
@@ -203,6 +217,45 @@
                              : static_cast<unsigned>(it->second.Crashes.size());
 }
 
+std::vector<CrashTracker::Crash>
+CrashTracker::crashListOf(RequestDigest request) const {
+  auto it = Records.find(request);
+  return it == Records.end() ? std::vector<Crash>() : it->second.Crashes;
+}
+
+std::vector<IncarnationDigest>
+CrashTracker::incarnationsOf(RequestDigest request) const {
+  std::vector<IncarnationDigest> out;
+  for (const Crash &it : crashListOf(request))
+    out.push_back(it.Incarnation);
+  return out;
+}
+
+std::vector<RequestDigest>
+CrashTracker::requestsAt(IncarnationDigest incarnation) const {
+  std::vector<RequestDigest> out;
+  for (const auto &[request, record] : Records)
+    if (std::any_of(
+            record.Crashes.begin(), record.Crashes.end(),
+            [&](const Crash &it) { return it.Incarnation == incarnation; }))
+      out.push_back(request);
+  return out;
+}
+
+std::size_t CrashTracker::countUnexplained(TimePoint from,
+                                           TimePoint until) const {
+  return std::count_if(Incarnations.begin(), Incarnations.end(),
+                       [&](const auto &it) {
+                         return !it.second.IsExplained &&
+                                it.second.At >= from && it.second.At <= until;
+                       });
+}
+
+std::optional<TimePoint> CrashTracker::clearedAt(RequestDigest request) const {
+  auto it = Records.find(request);
+  return it == Records.end() ? std::nullopt : it->second.ClearedAt;
+}
+
 double CrashTracker::chanceOf(RequestDigest request, TimePoint now) const {
   auto it = Records.find(request);
   return it == Records.end() ? 1 : chanceOf(it->second, now);
@@ -292,9 +345,18 @@
   bool isKnown = std::any_of(
       record.Crashes.begin(), record.Crashes.end(),
       [&](const Crash &it) { return it.Incarnation == crash.Incarnation; });
-  if (isOver || isKnown || record.Crashes.size() >= Limits.QuarantineCrashes)
+  if (isOver || isKnown)
+    return false;
+  if (record.Crashes.size() < Limits.QuarantineCrashes) {
+    record.Crashes.push_back(crash);
+    return true;
+  }
+  auto latest = std::max_element(
+      record.Crashes.begin(), record.Crashes.end(),
+      [](const Crash &a, const Crash &b) { return a.At < b.At; });
+  if (!Limits.KeepsLatestCrash || crash.At <= latest->At)
     return false;
-  record.Crashes.push_back(crash);
+  *latest = crash;
   return true;
 }
 
@@ -323,12 +385,8 @@
   return updateDueVerdicts(std::nullopt, now);
 }
 
-/// Decides on the requests whose verdict is due at \p due, or on all with a
-/// pending verdict if \p due is empty.
 std::vector<RequestDigest>
-CrashTracker::updateDueVerdicts(std::optional<TimePoint> due, TimePoint now) {
-  // Requests with the most crashes come first, as crashes that one of them
-  // explains are no evidence against the others.
+CrashTracker::takeDueVerdicts(const std::optional<TimePoint> &due) {
   std::vector<std::pair<std::size_t, RequestDigest>> open;
   for (auto &[request, record] : Records) {
     if (!record.VerdictAt || (due && *due < *record.VerdictAt))
@@ -338,19 +396,43 @@
   }
   std::sort(open.rbegin(), open.rend());
   std::vector<RequestDigest> out;
-  for (const auto &[n, request] : open) {
+  for (const auto &[n, request] : open)
+    out.push_back(request);
+  return out;
+}
+
+/// Decides on the requests whose verdict is due at \p due, or on all with a
+/// pending verdict if \p due is empty. Those with the most crashes come first,
+/// as crashes that one of them explains are no evidence against the others.
+std::vector<RequestDigest>
+CrashTracker::updateDueVerdicts(std::optional<TimePoint> due, TimePoint now) {
+  std::vector<RequestDigest> out;
+  for (RequestDigest request : takeDueVerdicts(due)) {
     auto it = Records.find(request);
     if (it == Records.end() || !hasEnoughEvidence(request, it->second, now))
       continue;
-    it->second.QuarantinedAt = now;
-    it->second.RemainingAnnouncements = Limits.Announcements;
-    ++Changes;
-    attributeCrashes(request, it->second);
+    quarantine(request, now);
     out.push_back(request);
   }
   return out;
 }
 
+void CrashTracker::quarantine(RequestDigest request, TimePoint now) {
+  Record &record = recordOf(request, now);
+  record.SeenAt = now;
+  record.QuarantinedAt = now;
+  record.VerdictAt.reset();
+  record.RemainingAnnouncements = Limits.Announcements;
+  ++Changes;
+  attributeCrashes(request);
+}
+
+void CrashTracker::postponeVerdict(RequestDigest request, TimePoint at) {
+  auto it = Records.find(request);
+  if (it != Records.end() && !it->second.QuarantinedAt)
+    it->second.VerdictAt = at;
+}
+
 bool CrashTracker::hasEnoughEvidence(RequestDigest request,
                                      const Record &record,
                                      TimePoint now) const {
@@ -375,20 +457,26 @@
   return next;
 }
 
-/// Marks the crashes of \p record as caused by \p request and removes them from
-/// all other requests that are not quarantined.
-void CrashTracker::attributeCrashes(RequestDigest request,
-                                    const Record &record) {
-  std::vector<IncarnationDigest> crashed;
-  for (const Crash &it : record.Crashes) {
-    crashed.push_back(it.Incarnation);
-    if (auto incarnation = Incarnations.find(it.Incarnation);
+/// Marks the crashes of \p request as caused by it and removes them from all
+/// other requests that are not quarantined.
+void CrashTracker::attributeCrashes(RequestDigest request) {
+  removeExplained(request, incarnationsOf(request));
+}
+
+void CrashTracker::explain(const std::vector<IncarnationDigest> &incarnations) {
+  removeExplained(std::nullopt, incarnations);
+}
+
+void CrashTracker::removeExplained(
+    std::optional<RequestDigest> cause,
+    const std::vector<IncarnationDigest> &crashed) {
+  for (IncarnationDigest it : crashed)
+    if (auto incarnation = Incarnations.find(it);
         incarnation != Incarnations.end())
       incarnation->second.IsExplained = true;
-  }
   for (auto it = Records.begin(); it != Records.end();) {
     Record &other = it->second;
-    bool isOther = it->first != request && !other.QuarantinedAt;
+    bool isOther = it->first != cause && !other.QuarantinedAt;
     auto n =
         !isOther ? 0 : std::erase_if(other.Crashes, [&](const Crash &crash) {
           return std::find(crashed.begin(), crashed.end(), crash.Incarnation) !=
@@ -446,8 +534,9 @@
 
 void CrashTracker::clear(Record &record, TimePoint at) {
   record.ClearedAt = at;
-  record.VerdictAt.reset();
   std::erase_if(record.Crashes, [at](const Crash &it) { return it.At <= at; });
+  if (record.Crashes.empty())
+    record.VerdictAt.reset();
   if (!record.QuarantinedAt || *record.QuarantinedAt > at)
     return;
   record.QuarantinedAt.reset();
@@ -455,6 +544,13 @@
 }
 
 void CrashTracker::expire(TimePoint now) {
+  for (auto &[request, record] : Records) {
+    if (!Limits.MaxQuarantine || !record.QuarantinedAt ||
+        now - *record.QuarantinedAt < *Limits.MaxQuarantine)
+      continue;
+    record.QuarantinedAt.reset();
+    ++Changes;
+  }
   std::erase_if(Records, [&](const auto &it) {
     const Record &record = it.second;
     bool isOnlyCleared = record.Crashes.empty() && !record.QuarantinedAt;
--- a/lib/Routing/EntryCrashes.cpp
+++ b/lib/Routing/EntryCrashes.cpp
@@ -28,59 +28,59 @@
 }
 
 void EntryNode::noteCrash(const Call &call, const Finish &msg, TimePoint now) {
-  RequestDigest request = call.Request.Digest;
   const EndpointId &endpoint = call.Permit->Endpoint;
   const ServiceView *service = findService(call);
-  Duration ran = now - call.SentAt;
-  Crashes.onCrash(request, incarnationOf(endpoint, msg), ran,
+  Crashes.onCrash({call.Subject, std::to_string(call.Request.Id.get()),
+                   now - call.SentAt, call.HasProgressed},
+                  endpoint, incarnationOf(endpoint, msg),
                   service ? service->Endpoints.size() : 1, now);
-  CrashLogRecords.push_back({request, std::to_string(call.Request.Id.get()),
-                             endpoint, ran, Crashes.crashesOf(request),
-                             Crashes.chanceOf(request, now),
-                             Crashes.verdictOf(request), false});
   Reporter.onChange(now);
   updateCrashVerdicts(now);
 }
 
-/// Decides which suspect requests to quarantine. The decision waits for the
-/// reports of other entries, except at an entry that knows of no other.
+/// Decides what to quarantine. The decision on a request waits for the reports
+/// of other entries, except at an entry that knows of no other.
 void EntryNode::updateCrashVerdicts(TimePoint now) {
-  bool isAlone = Reporter.entryCount(now) == 1;
-  for (RequestDigest it :
-       isAlone ? Crashes.updateAllVerdicts(now) : Crashes.updateVerdicts(now)) {
-    quarantine(it, false, now);
-    Reporter.onChange(now);
-  }
+  if (!Crashes.updateVerdicts(Reporter.entryCount(now) == 1, now))
+    return;
+  endQuarantined();
+  Reporter.onChange(now);
 }
 
-void EntryNode::quarantine(RequestDigest request, bool isFromPeer,
-                           TimePoint now) {
-  CrashLogRecords.push_back(
-      {request, "", EndpointId(), Duration(), Crashes.crashesOf(request),
-       Crashes.chanceOf(request, now), CrashVerdict::Quarantined, isFromPeer});
-  endQuarantined(request);
+/// Records that the current dispatch of \p call has been receiving data for
+/// CrashQuarantine::ProgressTime.
+void EntryNode::recordProgress(Call &call, TimePoint now) {
+  if (!call.FirstDataAt)
+    call.FirstDataAt = now;
+  if (call.HasProgressed ||
+      now - *call.FirstDataAt < CrashQuarantine::ProgressTime)
+    return;
+  call.HasProgressed = true;
+  Crashes.onProgress(call.Subject, now);
 }
 
-/// Fails the calls of \p request that are probing or deferred, and cancels and
-/// fails the dispatched ones that may run elsewhere, as these may still be
-/// queued at their agents. All other calls go on.
-void EntryNode::endQuarantined(RequestDigest request) {
-  std::vector<CallId> ended;
+/// Fails the calls that a quarantine concerns and that are probing or deferred,
+/// and cancels and fails the dispatched ones that may run elsewhere, as these
+/// may still be queued at their agents. All other calls go on.
+void EntryNode::endQuarantined() {
+  std::vector<std::pair<CallId, ResultCode>> ended;
   for (const auto &[id, call] : Calls) {
-    if (call.Request.Digest != request)
+    ResultCode code = Crashes.codeOf(call.Subject);
+    if (code == ResultCode::Ok)
       continue;
     bool isInFlight = call.Stage == CallStage::Dispatched ||
                       call.Stage == CallStage::Accepted;
     bool isUndispatched =
         call.Stage == CallStage::Probing || call.Stage == CallStage::Deferred;
-    if (isUndispatched || (isInFlight && mayRunElsewhere(call)))
-      ended.push_back(id);
+    bool isRunning = code == ResultCode::PartQuarantined && call.HasProgressed;
+    if (isUndispatched || (isInFlight && mayRunElsewhere(call) && !isRunning))
+      ended.emplace_back(id, code);
   }
-  for (CallId id : ended) {
+  for (const auto &[id, code] : ended) {
     Call &call = Calls.at(id);
     if (call.Permit)
       send(call.Permit->Endpoint, Cancel{call.Permit->Id, call.Attempt});
-    finishWith(call, ResultCode::RequestQuarantined);
+    finishWith(call, code);
   }
 }
 
@@ -88,18 +88,13 @@
 EntryNode::restoreQuarantine(const std::vector<RequestDigest> &requests,
                              TimePoint now) {
   Crashes.restore(requests, now);
-  for (RequestDigest it : requests)
-    if (Crashes.verdictOf(it) == CrashVerdict::Quarantined)
-      endQuarantined(it);
+  endQuarantined();
   return takeActions();
 }
 
 bool EntryNode::isSuspect(const Call &call) const {
-  return Crashes.verdictOf(call.Request.Digest) == CrashVerdict::Suspect;
-}
-
-bool EntryNode::isQuarantined(const Call &call) const {
-  return Crashes.verdictOf(call.Request.Digest) == CrashVerdict::Quarantined;
+  return Crashes.requests().verdictOf(call.Subject.Request) ==
+         CrashVerdict::Suspect;
 }
 
 /// Whether the call must wait for another run of the same suspect request, for
@@ -110,20 +105,21 @@
 bool EntryNode::mustDefer(Call &call, TimePoint now) {
   if (!isSuspect(call) || call.Request.WantsTicket)
     return false;
-  RequestDigest request = call.Request.Digest;
+  RequestDigest request = call.Subject.Request;
   bool runsHere = std::any_of(Calls.begin(), Calls.end(), [&](const auto &it) {
     const Call &other = it.second;
     bool isInFlight = other.Stage == CallStage::Dispatched ||
                       other.Stage == CallStage::Accepted;
     return isInFlight && it.first != call.Request.Id &&
-           other.Request.Digest == request;
+           other.Subject.Request == request;
   });
-  if (runsHere || Crashes.isVerdictPending(request) ||
-      Crashes.runsElsewhere(request, now)) {
+  if (runsHere || Crashes.requests().isVerdictPending(request) ||
+      Crashes.requests().runsElsewhere(request, now)) {
     call.NotBefore.reset();
     return true;
   }
-  if (Crashes.crashesOf(request) < 2 || Reporter.entryCount(now) == 1)
+  if (Crashes.requests().crashesOf(request) < 2 ||
+      Reporter.entryCount(now) == 1)
     return false;
   if (!call.NotBefore) {
     std::uniform_int_distribution<Duration::rep> turn(
@@ -163,9 +159,9 @@
   if (!isSuspect(call))
     return {};
   std::set<IncarnationDigest> out =
-      Crashes.incarnationsOfOthers(call.Request.Digest, now);
+      Crashes.requests().incarnationsOfOthers(call.Subject.Request, now);
   for (const SuspectAttempt &it : suspectRuns())
-    if (it.Request != call.Request.Digest)
+    if (it.Request != call.Subject.Request)
       out.insert(it.Incarnation);
   return out;
 }
@@ -182,7 +178,7 @@
                       call.Stage == CallStage::Resolving;
     if (isInFlight && isSuspect(call) && out.size() < MaxReportedRuns)
       out.push_back(
-          {call.Request.Digest, digestIncarnation(call.Permit->Endpoint)});
+          {call.Subject.Request, digestIncarnation(call.Permit->Endpoint)});
   }
   return out;
 }
@@ -190,7 +186,7 @@
 void EntryNode::sendReports(TimePoint now) {
   for (const EndpointId &relay : Reporter.takeSubscriptions(now)) {
     send(relay, CrashUpdate{Name, 0, {}});
-    for (CrashReport &it : Crashes.allRecords(now))
+    for (CrashReport &it : Crashes.allReports(now))
       send(relay, CrashUpdate{Name, 0, std::move(it)});
   }
   for (const EndpointId &relay : Reporter.takeHeartbeats(now))
@@ -198,8 +194,8 @@
   std::vector<SuspectAttempt> runs = suspectRuns();
   if (!Reporter.takeReport(!runs.empty(), now))
     return;
-  CrashReport report{Crashes.takeRecords(Reporter.entryCount(now), now),
-                     std::move(runs)};
+  CrashReport report = Crashes.takeReport(Reporter.entryCount(now), now);
+  report.SuspectAttempts = std::move(runs);
   for (const EndpointId &relay : Reporter.relays())
     send(relay, CrashUpdate{Name, 0, report});
 }
@@ -209,6 +205,6 @@
   Reporter.onCount(from, msg.Entries, now);
   if (msg.Report.isEmpty() && msg.Sender.empty())
     return;
-  for (RequestDigest it : Crashes.merge(msg.Sender, msg.Report, now))
-    quarantine(it, true, now);
+  if (Crashes.merge(msg.Sender, msg.Report, now))
+    endQuarantined();
 }
--- a/lib/Routing/EntryMessages.cpp
+++ b/lib/Routing/EntryMessages.cpp
@@ -55,7 +55,11 @@
   CallId id = call.Request.Id;
   if (msg.Code == ResultCode::EndpointFailed)
     noteCrash(call, msg, now);
-  // This crash may have quarantined the request and ended the call.
+  else if (call.FirstDataAt &&
+           now - *call.FirstDataAt >= CrashQuarantine::ProgressTime)
+    Crashes.onProgress(call.Subject, now);
+  // This crash may have quarantined the request or a part of its prompt and
+  // ended the call.
   if (!Calls.contains(id))
     return;
   if (!mayRunElsewhere(call)) {
@@ -98,6 +102,7 @@
   if (!call)
     return;
   setStageTimer(*call, Limits.StallTimeout, now);
+  recordProgress(*call, now);
   call->Unsent += call->Response.add(msg.Attempt, msg.Offset, msg.Data);
   if (call->Response.earlyBytes() > Limits.MaxEarlyBytes) {
     loseContact(*call, now);
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -24,7 +24,7 @@
       Retries(limits.RetryRatio, limits.RetryReserve), Random(seed),
       Snapshot(std::make_shared<RoutingSnapshot>()),
       DigestKey(std::move(digestKey)), Name(std::to_string(Random())),
-      Crashes(limits.Crashes) {}
+      Crashes(Random(), limits.Crashes, limits.Parts) {}
 
 EntryActions EntryNode::onCall(CallerRequest request, TimePoint now) {
   CallId id = request.Id;
@@ -40,12 +40,15 @@
   }
   updateCrashVerdicts(now);
   const CallerRequest &stored = call.Request;
-  call.Request.Digest = digestRequest(
+  call.Subject.Service = stored.Service;
+  call.Subject.Request = digestRequest(
       DigestKey, {stored.Method, stored.Service.get(), stored.Target,
                   stored.Workspace.get(), stored.Body});
-  Crashes.onReceived(call.Request.Digest, now);
-  if (isQuarantined(call)) {
-    finishWith(call, ResultCode::RequestQuarantined);
+  for (const std::string &it : stored.PromptParts)
+    call.Subject.Parts.push_back(digestPromptPart(DigestKey, it));
+  Crashes.onReceived(call.Subject, now);
+  if (ResultCode code = Crashes.codeOf(call.Subject); code != ResultCode::Ok) {
+    finishWith(call, code);
     return takeActions();
   }
   Retries.earn(call.Request.Workspace);
@@ -162,12 +165,14 @@
 }
 
 void EntryNode::dispatch(Call &call, TimePoint now) {
-  if (isQuarantined(call)) {
-    finishWith(call, ResultCode::RequestQuarantined);
+  if (ResultCode code = Crashes.codeOf(call.Subject); code != ResultCode::Ok) {
+    finishWith(call, code);
     return;
   }
   ++call.Dispatches;
   call.SentAt = now;
+  call.FirstDataAt.reset();
+  call.HasProgressed = false;
   call.Tries = 0;
   LastAttempt = AttemptNumber(LastAttempt.get() + 1);
   call.Attempt = LastAttempt;
@@ -394,10 +399,8 @@
 }
 
 void EntryNode::finishComplete(Call &call, TimePoint now) {
-  if (isSuspect(call) || isQuarantined(call)) {
-    Crashes.onCompleteResponse(call.Request.Digest, now);
+  if (Crashes.onComplete(call.Subject, true, now))
     Reporter.onChange(now);
-  }
   Out.push_back(ResponseEnd{call.Request.Id});
   erase(call);
 }
--- a/lib/Rpc/CrashCodec.cpp
+++ b/lib/Rpc/CrashCodec.cpp
@@ -14,7 +14,7 @@
 
 /// Bounds on the records read from one report; no entry sends more.
 static constexpr int MaxRecords = 64;
-static constexpr int MaxCrashes = 8;
+static constexpr int MaxCrashes = 12;
 /// Ages are capped here; no record is kept for that long.
 static constexpr std::uint64_t MaxAgeUs = 86400ULL * 1000000;
 
@@ -62,6 +62,8 @@
 static void encode(const CrashReport &report, Wire &out) {
   for (const CrashRecord &it : report.Records)
     encodeRecord(it, *out.add_crashes());
+  for (const CrashRecord &it : report.Parts)
+    encodeRecord(it, *out.add_parts());
   for (const SuspectAttempt &it : report.SuspectAttempts) {
     wire::SuspectRun *run = out.add_suspect_runs();
     run->set_request(it.Request.get());
@@ -73,6 +75,8 @@
   CrashReport out;
   for (int i = 0; i < std::min(in.crashes_size(), MaxRecords); ++i)
     out.Records.push_back(decodeRecord(in.crashes(i)));
+  for (int i = 0; i < std::min(in.parts_size(), MaxRecords); ++i)
+    out.Parts.push_back(decodeRecord(in.parts(i)));
   for (int i = 0; i < std::min(in.suspect_runs_size(), MaxRecords); ++i)
     out.SuspectAttempts.push_back(
         {RequestDigest(in.suspect_runs(i).request()),
--- a/unittests/Direct/CrashSimulation.cpp
+++ b/unittests/Direct/CrashSimulation.cpp
@@ -18,6 +18,8 @@
 /// a crashed rank, how long forming a group takes, and how long a crashed
 /// endpoint is down.
 static constexpr milliseconds StallTime(1500);
+/// When an endpoint sends an event after the first byte of a response.
+static constexpr milliseconds EventTime(1100);
 static constexpr milliseconds FormTime(600);
 static constexpr milliseconds LeastDownTime(3500);
 static constexpr milliseconds MostDownTime(6000);
@@ -161,7 +163,10 @@
 void CrashSimulation::scheduleHarmlessRequest() {
   auto interval = Duration(std::int64_t(1e6 / Sizes.HarmlessPerSecond));
   Time.at(Time.now() + between(Duration(0), 2 * interval), [this] {
-    call({RequestDigest(++LastHarmless), 0});
+    ++LastHarmless;
+    call({RequestDigest(LastHarmless),
+          {CommonPart, makeHarmlessPart(unsigned(LastHarmless))},
+          0});
     scheduleHarmlessRequest();
   });
 }
@@ -176,11 +181,36 @@
                                             Duration meanInterval) {
   Time.at(Time.now() + between(Duration(0), 2 * meanInterval),
           [this, request, meanInterval] {
-            call({request, 0});
+            call({request, {CommonPart}, 0});
             scheduleDeadlyRequest(request, meanInterval);
           });
 }
 
+void CrashSimulation::addDeadlyPart(RequestDigest part,
+                                    std::vector<RequestDigest> parts,
+                                    Duration meanInterval) {
+  DeadlyParts.insert(part);
+  scheduleDeadlyPart(std::move(parts), meanInterval);
+}
+
+void CrashSimulation::scheduleDeadlyPart(std::vector<RequestDigest> parts,
+                                         Duration meanInterval) {
+  Time.at(Time.now() + between(Duration(0), 2 * meanInterval),
+          [this, parts, meanInterval] {
+            call({RequestDigest(++LastHarmless), parts, 0});
+            scheduleDeadlyPart(parts, meanInterval);
+          });
+}
+
+RequestDigest CrashSimulation::deadlyCauseOf(const Caller &caller) const {
+  if (DeadlyRequests.contains(caller.Request))
+    return caller.Request;
+  for (RequestDigest it : caller.Parts)
+    if (DeadlyParts.contains(it))
+      return it;
+  return RequestDigest();
+}
+
 void CrashSimulation::addCrashWave(unsigned n, Duration span) {
   for (unsigned i = 0; i < n; ++i)
     Time.at(Time.now() + between(Duration(0), span),
@@ -200,6 +230,7 @@
     request.TimeLeft = seconds(8);
     request.Tokens.Prompt = 800;
     request.Digest = caller.Request;
+    request.Parts = caller.Parts;
     return it.onCall(std::move(request), Time.now());
   });
 }
@@ -211,13 +242,13 @@
     return;
   Caller caller = it->second;
   Callers.erase(it);
-  ++(isDeadly(caller.Request) ? DeadlyResults : HarmlessResults)[code];
+  ++(isDeadly(caller) ? DeadlyResults : HarmlessResults)[code];
   if (caller.Tries < 2)
     Time.at(Time.now() + milliseconds(200), [this, caller] { call(caller); });
 }
 
 void CrashSimulation::perform(unsigned i, const StartAttempt &it) {
-  Run run{i, Entries[i].Incarnation, it.Call, Callers[it.Call].Request, false};
+  Run run{i, Entries[i].Incarnation, it.Call, Callers[it.Call], false};
   // A change is reported after the delay that batches changes.
   Time.at(Time.now() + milliseconds(8),
           [this, i, incarnation = run.EntryIncarnation] {
@@ -240,7 +271,8 @@
     return;
   }
   if (Time.now() - Entries[run.Entry].DisturbedAt >= ContactTime)
-    Arrivals[run.Request].push_back(Time.now());
+    Arrivals[isDeadly(run.From) ? deadlyCauseOf(run.From) : run.From.Request]
+        .push_back(Time.now());
   if (Time.now() < OpenAt[it.Group] || it.Runs.size() >= Slots) {
     endRun(run, AttemptEnd::Full, ConnectionEnd::Ours);
     return;
@@ -249,14 +281,14 @@
   it.Runs[number] = run;
   unsigned incarnation = it.Incarnation;
   Duration queued = between(milliseconds(30), milliseconds(250));
-  if (isDeadly(run.Request)) {
+  if (isDeadly(run.From)) {
     Duration ran = queued + between(milliseconds(20), milliseconds(90));
     Time.at(Time.now() + ran, [this, endpoint, number, incarnation] {
       Endpoint &there = Endpoints[endpoint];
       auto found = there.Runs.find(number);
       if (there.Incarnation != incarnation || found == there.Runs.end())
         return;
-      CrashTimes[found->second.Request].push_back(Time.now());
+      CrashTimes[deadlyCauseOf(found->second.From)].push_back(Time.now());
       crash(endpoint);
     });
     return;
@@ -273,6 +305,18 @@
       return node.onFirstByte(id, Time.now());
     });
   });
+  Time.at(Time.now() + queued + EventTime,
+          [this, endpoint, number, incarnation] {
+            Endpoint &there = Endpoints[endpoint];
+            auto found = there.Runs.find(number);
+            if (there.Incarnation != incarnation || found == there.Runs.end() ||
+                !found->second.HasBegun || Time.now() < OpenAt[there.Group])
+              return;
+            CallId id = found->second.Call;
+            toEntry(found->second.Entry, [this, id](DirectNode &node) {
+              return node.onEvents(id, Time.now());
+            });
+          });
   Duration ran = queued + between(milliseconds(400), milliseconds(1800));
   Time.at(Time.now() + ran, [this, endpoint, number, incarnation] {
     finish(endpoint, number, incarnation);
@@ -403,7 +447,7 @@
 std::size_t CrashSimulation::maxHarmlessArrivals() const {
   std::size_t most = 0;
   for (const auto &[request, times] : Arrivals)
-    if (!isDeadly(request))
+    if (!DeadlyRequests.contains(request) && !DeadlyParts.contains(request))
       most = std::max(most, times.size());
   return most;
 }
--- a/unittests/Direct/CrashSimulation.h
+++ b/unittests/Direct/CrashSimulation.h
@@ -34,6 +34,15 @@
   double HarmlessPerSecond = 50;
 };
 
+/// The part that the prompts of all harmless requests have, and the number of
+/// other parts, of which each has one.
+inline constexpr RequestDigest CommonPart(1000001);
+inline constexpr unsigned HarmlessParts = 20;
+/// Returns one of these parts.
+inline RequestDigest makeHarmlessPart(unsigned i) {
+  return RequestDigest(1000100 + i % HarmlessParts);
+}
+
 class CrashSimulation {
 public:
   CrashSimulation(std::uint64_t seed, CrashSimulationOptions sizes);
@@ -41,6 +50,10 @@
   /// From now on \p request arrives repeatedly and crashes every endpoint that
   /// runs it.
   void addDeadlyRequest(RequestDigest request, Duration meanInterval);
+  /// From now on requests arrive whose prompts have \p parts. No two are alike,
+  /// and each crashes every endpoint that runs it if \p part is among \p parts.
+  void addDeadlyPart(RequestDigest part, std::vector<RequestDigest> parts,
+                     Duration meanInterval);
   /// Lets \p n endpoints crash by themselves within \p span.
   void addCrashWave(unsigned n, Duration span);
   void killEntry(unsigned i);
@@ -49,14 +62,16 @@
   void cutReports(Duration span) { ReportsCutUntil = Time.now() + span; }
   void run(Duration span) { Time.runUntil(Time.now() + span); }
 
-  /// Returns the times at which endpoints crashed while running \p request.
-  const std::vector<TimePoint> &crashTimes(RequestDigest request) {
-    return CrashTimes[request];
+  /// Returns the times at which endpoints crashed because of \p cause, a
+  /// request or a part of a prompt.
+  const std::vector<TimePoint> &crashTimes(RequestDigest cause) {
+    return CrashTimes[cause];
   }
-  /// Returns the times at which \p request reached an endpoint, sent by an
-  /// entry that had been running for at least ContactTime.
-  const std::vector<TimePoint> &arrivals(RequestDigest request) {
-    return Arrivals[request];
+  /// Returns the times at which the request \p cause, or requests with the
+  /// deadly part \p cause, reached an endpoint, sent by an entry that had been
+  /// running for at least ContactTime.
+  const std::vector<TimePoint> &arrivals(RequestDigest cause) {
+    return Arrivals[cause];
   }
   /// Returns how often callers of harmless requests received \p code.
   unsigned harmlessResults(ResultCode code) { return HarmlessResults[code]; }
@@ -77,11 +92,16 @@
     /// When the entry was last started or resumed.
     TimePoint DisturbedAt;
   };
+  struct Caller {
+    RequestDigest Request;
+    std::vector<RequestDigest> Parts;
+    unsigned Tries = 0;
+  };
   struct Run {
     unsigned Entry = 0;
     unsigned EntryIncarnation = 0;
     CallId Call;
-    RequestDigest Request;
+    Caller From;
     bool HasBegun = false;
   };
   struct Endpoint {
@@ -90,15 +110,14 @@
     bool IsUp = true;
     std::map<std::uint64_t, Run> Runs;
   };
-  struct Caller {
-    RequestDigest Request;
-    unsigned Tries = 0;
-  };
-
   static constexpr unsigned Slots = 12;
   static constexpr Duration ContactTime = std::chrono::seconds(3);
 
-  bool isDeadly(RequestDigest it) const { return DeadlyRequests.contains(it); }
+  /// Returns what makes \p caller's request crash endpoints; 0 if nothing does.
+  RequestDigest deadlyCauseOf(const Caller &caller) const;
+  bool isDeadly(const Caller &caller) const {
+    return deadlyCauseOf(caller) != RequestDigest();
+  }
   EndpointRecord recordOf(unsigned i) const;
   std::vector<ListedEndpoint> list() const;
   void publish();
@@ -111,6 +130,8 @@
   void sendReport(unsigned i, unsigned incarnation);
   void scheduleHarmlessRequest();
   void scheduleDeadlyRequest(RequestDigest request, Duration meanInterval);
+  void scheduleDeadlyPart(std::vector<RequestDigest> parts,
+                          Duration meanInterval);
   void call(Caller caller);
   void onResult(CallId id, ResultCode code);
   void perform(unsigned i, const StartAttempt &it);
@@ -137,6 +158,7 @@
   /// When each group accepts requests again.
   std::vector<TimePoint> OpenAt;
   std::set<RequestDigest> DeadlyRequests;
+  std::set<RequestDigest> DeadlyParts;
   std::map<CallId, Caller> Callers;
   std::map<RequestDigest, std::vector<TimePoint>> CrashTimes;
   std::map<RequestDigest, std::vector<TimePoint>> Arrivals;
--- a/unittests/Direct/PushbackPathsTest.cpp
+++ b/unittests/Direct/PushbackPathsTest.cpp
@@ -136,8 +136,8 @@
     request.Digest = record.Request;
     DirectActions actions =
         fixture.Node.onCall(std::move(request), fixture.Now);
-    bool isSuspect = fixture.Node.crashes().verdictOf(record.Request) ==
-                     CrashVerdict::Suspect;
+    bool isSuspect = fixture.Node.crashes().requests().verdictOf(
+                         record.Request) == CrashVerdict::Suspect;
     REQUIRE(isSuspect);
     CHECK(startedAt(actions) == idOf(1));
   }
--- a/unittests/Routing/EngineCrashTest.cpp
+++ b/unittests/Routing/EngineCrashTest.cpp
@@ -11,6 +11,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 using namespace ospreyspur::test;
 using std::chrono::milliseconds;
@@ -31,7 +33,7 @@
   explicit EngineSimulation(std::uint64_t seed, FaultRates rates = {0, 0, 0, 0})
       : RequestSimulation(seed, rates, EntryCount, AgentCount,
                           EntryLimits().ClaimLease, 10000) {
-    setCrashingRequest("deadly");
+    setCrashingRequests("deadly");
   }
 
   /// Sends the request \p name every \p pause until \p end, to the entries in
@@ -47,11 +49,28 @@
       });
   }
 
+  /// Sends requests that have \p parts in their prompts every \p pause until
+  /// \p end, to the entries in turn. No two are alike; their names start with
+  /// \p name.
+  void sendWithParts(const std::string &name,
+                     const std::vector<std::string> &parts, Duration pause,
+                     TimePoint end) {
+    std::size_t n = 0;
+    for (TimePoint at = Scheduler.now(); at < end; at += pause, ++n)
+      Scheduler.at(at, [this, name, parts, n] {
+        sendRequest(n % EntryCount, name + std::to_string(n),
+                    [&parts](CallerRequest &it) {
+                      it.IsRetryable = true;
+                      it.PromptParts = parts;
+                    });
+      });
+  }
+
   unsigned countCode(ResultCode code, bool ofCrashing) const {
     unsigned n = 0;
     for (const auto &it : Calls)
       n += it->Ended && !it->IsAborted && it->Code == code &&
-                   (it->Name == "deadly") == ofCrashing
+                   it->Name.starts_with("deadly") == ofCrashing
                ? 1
                : 0;
     return n;
@@ -60,7 +79,7 @@
   unsigned countOthers() const {
     unsigned n = 0;
     for (const auto &it : Calls)
-      n += it->Name != "deadly" ? 1 : 0;
+      n += it->Name.starts_with("deadly") ? 0 : 1;
     return n;
   }
 };
@@ -180,3 +199,96 @@
           simulation.countOthers() * 97);
   }
 }
+
+/// Time for reports to spread after the fifth crash, and the number of crashes
+/// allowed after that time.
+static constexpr Duration ReportTime = seconds(3);
+static constexpr std::size_t CrashesBeforeBound = 5;
+static constexpr std::size_t MaxLateCrashes = 3;
+/// Entries that have just started reach no verdict yet.
+static constexpr Duration CalmTime = seconds(3);
+
+/// Returns the number of crashes after the reports of the fifth should have
+/// arrived.
+static std::size_t lateCrashes(const EngineSimulation &simulation) {
+  const std::vector<TimePoint> &times = simulation.crashTimes();
+  if (times.size() < CrashesBeforeBound)
+    return 0;
+  TimePoint from = times[CrashesBeforeBound - 1] + ReportTime;
+  return std::count_if(times.begin(), times.end(),
+                       [from](TimePoint it) { return it > from; });
+}
+
+TEST_CASE("through agents, requests that share a crashing prompt part crash "
+          "only a few engines") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineSimulation simulation(seed);
+    TimePoint begin = simulation.Scheduler.now();
+    simulation.sendWithParts("innocent", {"system"}, milliseconds(30),
+                             begin + seconds(14));
+    simulation.Scheduler.runUntil(begin + CalmTime);
+    simulation.sendWithParts("deadly", {"system", "part"}, milliseconds(170),
+                             begin + seconds(12));
+    simulation.Scheduler.runUntil(begin + seconds(20));
+    CHECK(simulation.crashCount() >= 1);
+    CHECK(lateCrashes(simulation) <= MaxLateCrashes);
+    CHECK(simulation.countCode(ResultCode::Ok, true) == 0);
+    CHECK(simulation.countCode(ResultCode::PartQuarantined, true) > 20);
+    CHECK(simulation.countCode(ResultCode::PartQuarantined, false) == 0);
+    CHECK(simulation.countCode(ResultCode::Ok, false) * 100 >=
+          simulation.countOthers() * 97);
+  }
+}
+
+TEST_CASE("through agents, restarted entries hold back a crashing prompt part "
+          "while the key-value store is unavailable") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineSimulation simulation(seed);
+    TimePoint begin = simulation.Scheduler.now();
+    simulation.setOutage(seconds(60));
+    simulation.sendWithParts("innocent", {"system"}, milliseconds(50),
+                             begin + seconds(14));
+    simulation.Scheduler.runUntil(begin + CalmTime);
+    simulation.sendWithParts("deadly", {"system", "part"}, milliseconds(170),
+                             begin + seconds(14));
+    simulation.Scheduler.runUntil(begin + seconds(7));
+    unsigned before = simulation.crashCount();
+    CHECK(before >= 1);
+    for (std::size_t i = 0; i < EntryCount; ++i) {
+      simulation.killEntry(i);
+      simulation.Scheduler.runUntil(simulation.Scheduler.now() +
+                                    milliseconds(400));
+    }
+    for (std::size_t i = 0; i < EntryCount; ++i)
+      simulation.killEntry(i);
+    simulation.Scheduler.runUntil(begin + seconds(10));
+    simulation.killAgent(simulation.Scheduler.below(AgentCount));
+    simulation.killAgent(simulation.Scheduler.below(AgentCount));
+    simulation.Scheduler.runUntil(begin + seconds(18));
+    CHECK(lateCrashes(simulation) <= MaxLateCrashes);
+    CHECK(simulation.crashCount() == before);
+    CHECK(simulation.countCode(ResultCode::PartQuarantined, false) == 0);
+  }
+}
+
+TEST_CASE("through agents, unrelated engine crashes quarantine no prompt "
+          "part") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    EngineSimulation simulation(seed);
+    TimePoint begin = simulation.Scheduler.now();
+    simulation.sendWithParts("one", {"system", "a"}, milliseconds(40),
+                             begin + seconds(10));
+    simulation.sendWithParts("two", {"system", "b"}, milliseconds(300),
+                             begin + seconds(10));
+    for (unsigned k = 0; k < 24; ++k)
+      simulation.Scheduler.at(
+          begin + milliseconds(400 + 300 * k), [&simulation] {
+            simulation.crashEngine(simulation.Scheduler.below(AgentCount));
+          });
+    simulation.Scheduler.runUntil(begin + seconds(16));
+    CHECK(simulation.countCode(ResultCode::PartQuarantined, false) == 0);
+  }
+}
--- a/unittests/Routing/RequestSimulation.cpp
+++ b/unittests/Routing/RequestSimulation.cpp
@@ -351,8 +351,8 @@
         if (Agents[i].Engine != engine)
           return;
         Runs.push_back({name, Scheduler.now()});
-        if (!CrashingRequest.empty() && name == CrashingRequest) {
-          ++CrashCount;
+        if (!CrashingPrefix.empty() && name.starts_with(CrashingPrefix)) {
+          CrashTimes.push_back(Scheduler.now());
           crashEngine(i);
           return;
         }
--- a/unittests/Routing/RequestSimulation.h
+++ b/unittests/Routing/RequestSimulation.h
@@ -80,13 +80,17 @@
   /// agent learns of the change after a delay, entries only from the agent.
   void setLeaving(std::size_t i, bool leaving);
   void cutLink(std::size_t entry, std::size_t agent);
-  /// From now on each engine that runs \p name crashes.
-  void setCrashingRequest(const std::string &name) { CrashingRequest = name; }
+  /// From now on each engine that runs a request whose name starts with
+  /// \p prefix crashes.
+  void setCrashingRequests(const std::string &prefix) {
+    CrashingPrefix = prefix;
+  }
   /// Crashes the engine of endpoint \p i with all its runs. The engine restarts
   /// after EngineDowntime; the agent keeps running and detects the crash.
   void crashEngine(std::size_t i);
-  /// Number of engines that the crashing request crashed.
-  unsigned crashCount() const { return CrashCount; }
+  /// When crashing requests crashed engines.
+  const std::vector<TimePoint> &crashTimes() const { return CrashTimes; }
+  unsigned crashCount() const { return unsigned(CrashTimes.size()); }
   void setOutage(Duration span) { OutageUntil = Scheduler.now() + span; }
 
   /// Returns the complete response to \p name.
@@ -147,8 +151,8 @@
   FakeKeyValueStore Kv;
   std::uint64_t LastIncarnation = 0;
   TimePoint OutageUntil;
-  std::string CrashingRequest;
-  unsigned CrashCount = 0;
+  std::string CrashingPrefix;
+  std::vector<TimePoint> CrashTimes;
 };
 
 } // namespace ospreyspur::test
