--- a/unittests/Pushback/RateLimitFleetTest.cpp
+++ b/unittests/Pushback/RateLimitFleetTest.cpp
@@ -260,3 +260,36 @@
     CHECK(fleet.mostWithin(0, Window, from, true) <= maxWithExtraOwner(1));
   }
 }
+
+/// Of the requests that an entry takes while it gets all callers, at least this
+/// part must be served compared with the time before.
+static constexpr double LeastServedPart = 0.75;
+/// Time in which the fleet may adapt to callers that have moved.
+static constexpr Duration AdaptTime = seconds(3);
+
+// Guards against shares by entry that leave an entry too little when most
+// callers connect to it: rate limits, queues and places.
+TEST_CASE("an entry that suddenly gets all callers serves them as the fleet "
+          "did") {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    for (unsigned entries : {6U, 20U}) {
+      CAPTURE(seed);
+      CAPTURE(entries);
+      RateLimitedFleet fleet(seed, {entries, 6, 120, 0});
+      for (unsigned i = 0; i < 3; ++i)
+        fleet.advertise(i, 12.0);
+      fleet.run(seconds(5));
+      unsigned before = fleet.outcomes().Served;
+      fleet.run(seconds(4));
+      unsigned served = fleet.outcomes().Served - before;
+      // One entry after the other gets all callers, as the first is taken out.
+      for (unsigned first : {1U, 4U}) {
+        fleet.useEntries(1, first);
+        fleet.run(AdaptTime);
+        before = fleet.outcomes().Served;
+        fleet.run(seconds(4));
+        CHECK(fleet.outcomes().Served - before >= LeastServedPart * served);
+      }
+    }
+  }
+}
