--- a/lib/Quarantine/CrashTracker.cpp
+++ b/lib/Quarantine/CrashTracker.cpp
@@ -396,6 +396,7 @@
   }
   std::sort(open.rbegin(), open.rend());
   std::vector<RequestDigest> out;
+  out.reserve(open.size());
   for (const auto &[n, request] : open)
     out.push_back(request);
   return out;
--- a/unittests/Direct/CrashSimulation.cpp
+++ b/unittests/Direct/CrashSimulation.cpp
@@ -187,14 +187,14 @@
 }
 
 void CrashSimulation::addDeadlyPart(RequestDigest part,
-                                    std::vector<RequestDigest> parts,
+                                    const std::vector<RequestDigest> &parts,
                                     Duration meanInterval) {
   DeadlyParts.insert(part);
-  scheduleDeadlyPart(std::move(parts), meanInterval);
+  scheduleDeadlyPart(parts, meanInterval);
 }
 
-void CrashSimulation::scheduleDeadlyPart(std::vector<RequestDigest> parts,
-                                         Duration meanInterval) {
+void CrashSimulation::scheduleDeadlyPart(
+    const std::vector<RequestDigest> &parts, Duration meanInterval) {
   Time.at(Time.now() + between(Duration(0), 2 * meanInterval),
           [this, parts, meanInterval] {
             call({RequestDigest(++LastHarmless), parts, 0});
--- a/unittests/Direct/CrashSimulation.h
+++ b/unittests/Direct/CrashSimulation.h
@@ -52,7 +52,8 @@
   void addDeadlyRequest(RequestDigest request, Duration meanInterval);
   /// From now on requests arrive whose prompts have \p parts. No two are alike,
   /// and each crashes every endpoint that runs it if \p part is among \p parts.
-  void addDeadlyPart(RequestDigest part, std::vector<RequestDigest> parts,
+  void addDeadlyPart(RequestDigest part,
+                     const std::vector<RequestDigest> &parts,
                      Duration meanInterval);
   /// Lets \p n endpoints crash by themselves within \p span.
   void addCrashWave(unsigned n, Duration span);
@@ -130,7 +131,7 @@
   void sendReport(unsigned i, unsigned incarnation);
   void scheduleHarmlessRequest();
   void scheduleDeadlyRequest(RequestDigest request, Duration meanInterval);
-  void scheduleDeadlyPart(std::vector<RequestDigest> parts,
+  void scheduleDeadlyPart(const std::vector<RequestDigest> &parts,
                           Duration meanInterval);
   void call(Caller caller);
   void onResult(CallId id, ResultCode code);
--- a/unittests/Quarantine/PartTrackerTest.cpp
+++ b/unittests/Quarantine/PartTrackerTest.cpp
@@ -18,8 +18,8 @@
 static constexpr RequestDigest Common(1);
 static constexpr RequestDigest Deadly(2);
 static constexpr RequestDigest Bystander(3);
-static const ServiceId Service("s");
-static const ServiceId OtherService("t");
+static const ServiceId usedService("s");
+static const ServiceId otherService("t");
 static constexpr std::size_t Endpoints = 16;
 static constexpr TimePoint Start{seconds(100000)};
 static constexpr Duration Settled = seconds(1);
@@ -34,24 +34,25 @@
 
   void receive(const PartTracker::Parts &parts, unsigned n = 1) {
     for (unsigned i = 0; i < n; ++i)
-      Tracker.onReceived(parts, Service, Now);
+      Tracker.onReceived(parts, usedService, Now);
   }
   void complete(const PartTracker::Parts &parts) {
     receive(parts);
-    Tracker.onComplete(parts, Service, Now);
+    Tracker.onComplete(parts, usedService, Now);
   }
   /// One more endpoint crashes as it runs requests with these parts, while
   /// others arrive. Returns the number of verdicts that follow.
   std::size_t crash(const std::vector<PartTracker::Parts> &requests) {
     ++Crashed;
     for (const PartTracker::Parts &it : requests)
-      Tracker.onCrash(it, Service, IncarnationDigest(Crashed), milliseconds(80),
-                      Endpoints, Now);
+      Tracker.onCrash(it, usedService, IncarnationDigest(Crashed),
+                      milliseconds(80), Endpoints, Now);
     receive({Common}, 20);
     Now += Settled;
     return Tracker.updateVerdicts(Now).size();
   }
-  bool isHeld(RequestDigest part, const ServiceId &service = Service) const {
+  bool isHeld(RequestDigest part,
+              const ServiceId &service = usedService) const {
     return Tracker.findQuarantined({part}, service).has_value();
   }
 
@@ -109,16 +110,16 @@
           "it") {
   Fixture fixture;
   fixture.receive({Deadly});
-  fixture.Tracker.onComplete({Deadly}, OtherService, fixture.Now);
+  fixture.Tracker.onComplete({Deadly}, otherService, fixture.Now);
   for (unsigned i = 0; i < 3; ++i) {
     fixture.receive({Common, Deadly});
     fixture.crash({{Common, Deadly}});
   }
   CHECK(fixture.isHeld(Deadly));
   CHECK(fixture.isHeld(Deadly, ServiceId("u")));
-  CHECK_FALSE(fixture.isHeld(Deadly, OtherService));
+  CHECK_FALSE(fixture.isHeld(Deadly, otherService));
   // It says nothing of the service whose endpoints crash.
-  fixture.Tracker.onComplete({Deadly}, OtherService, fixture.Now);
+  fixture.Tracker.onComplete({Deadly}, otherService, fixture.Now);
   CHECK(fixture.isHeld(Deadly));
 }
 
@@ -205,13 +206,13 @@
           "the reverse") {
   CrashQuarantine quarantine(1);
   TimePoint now = Start;
-  quarantine.onReceived({RequestDigest(50), {Common}, Service}, now);
-  quarantine.onComplete({RequestDigest(50), {Common}, Service}, true, now);
+  quarantine.onReceived({RequestDigest(50), {Common}, usedService}, now);
+  quarantine.onComplete({RequestDigest(50), {Common}, usedService}, true, now);
   now += seconds(10);
   std::uint64_t request = 1000;
   auto crash = [&](std::uint64_t incarnation, RequestDigest digest,
                    std::vector<RequestDigest> parts) {
-    CrashSubject subject{digest, std::move(parts), Service};
+    CrashSubject subject{digest, std::move(parts), usedService};
     quarantine.onReceived(subject, now);
     quarantine.onCrash({subject, "id", milliseconds(80), false, false},
                        EndpointId("e"), IncarnationDigest(incarnation),
@@ -219,13 +220,14 @@
   };
   for (std::uint64_t i = 1; i <= 3; ++i) {
     for (unsigned k = 0; k < 30; ++k)
-      quarantine.onReceived({RequestDigest(++request), {Common}, Service}, now);
+      quarantine.onReceived({RequestDigest(++request), {Common}, usedService},
+                            now);
     crash(i, RequestDigest(++request), {Common, Deadly});
     crash(i, RequestDigest(60 + i), {Common});
     now += Settled;
     quarantine.updateVerdicts(false, now);
   }
-  CHECK(quarantine.codeOf({RequestDigest(7), {Common, Deadly}, Service}) ==
+  CHECK(quarantine.codeOf({RequestDigest(7), {Common, Deadly}, usedService}) ==
         ResultCode::PartQuarantined);
   CHECK(quarantine.requests().verdictOf(RequestDigest(61)) ==
         CrashVerdict::Unknown);
@@ -234,8 +236,8 @@
     now += milliseconds(120);
     quarantine.updateVerdicts(false, now);
   }
-  CHECK(quarantine.codeOf({RequestDigest(70), {}, Service}) ==
+  CHECK(quarantine.codeOf({RequestDigest(70), {}, usedService}) ==
         ResultCode::RequestQuarantined);
-  CHECK(quarantine.codeOf({RequestDigest(71), {Bystander}, Service}) ==
+  CHECK(quarantine.codeOf({RequestDigest(71), {Bystander}, usedService}) ==
         ResultCode::Ok);
 }
