Keep the bound on crashes read from a request's record

CrashTrackerTest allows eight crashes a record in a report that was read; the twelve that records of parts need had raised the bound for both. Records of parts have a bound of their own.

--- a/lib/Rpc/CrashCodec.cpp
+++ b/lib/Rpc/CrashCodec.cpp
@@ -14,7 +14,8 @@
 
 /// Bounds on the records read from one report; no entry sends more.
 static constexpr int MaxRecords = 64;
-static constexpr int MaxCrashes = 12;
+static constexpr int MaxCrashes = 8;
+static constexpr int MaxPartCrashes = 12;
 /// Ages are capped here; no record is kept for that long.
 static constexpr std::uint64_t MaxAgeUs = 86400ULL * 1000000;
 
@@ -42,7 +43,7 @@
   }
 }
 
-static CrashRecord decodeRecord(const wire::CrashRow &in) {
+static CrashRecord decodeRecord(const wire::CrashRow &in, int maxCrashes) {
   CrashRecord out;
   out.Request = RequestDigest(in.request());
   out.Endpoints = in.endpoints();
@@ -51,7 +52,7 @@
     out.ClearedAge = fromWire(in.cleared_age_us());
   if (in.has_quarantined_age_us())
     out.QuarantinedAge = fromWire(in.quarantined_age_us());
-  for (int i = 0; i < std::min(in.crashes_size(), MaxCrashes); ++i)
+  for (int i = 0; i < std::min(in.crashes_size(), maxCrashes); ++i)
     out.Crashes.push_back({IncarnationDigest(in.crashes(i).life()),
                            fromWire(in.crashes(i).age_us()),
                            fromWire(in.crashes(i).ran_us())});
@@ -74,9 +75,9 @@
 template <typename Wire> static CrashReport decode(const Wire &in) {
   CrashReport out;
   for (int i = 0; i < std::min(in.crashes_size(), MaxRecords); ++i)
-    out.Records.push_back(decodeRecord(in.crashes(i)));
+    out.Records.push_back(decodeRecord(in.crashes(i), MaxCrashes));
   for (int i = 0; i < std::min(in.parts_size(), MaxRecords); ++i)
-    out.Parts.push_back(decodeRecord(in.parts(i)));
+    out.Parts.push_back(decodeRecord(in.parts(i), MaxPartCrashes));
   for (int i = 0; i < std::min(in.suspect_runs_size(), MaxRecords); ++i)
     out.SuspectAttempts.push_back(
         {RequestDigest(in.suspect_runs(i).request()),
