--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,7 +21,7 @@
 LONGER_S = 6.0
 # PROTOCOL.md: a read with serializable=1 "may be seconds old".
 OLD_S = 3.0
-CALL_S, WORK_S, TIMEOUT_S = 0.025, 0.06, 4.0
+CALL_S, WORK_S, TIMEOUT_S = 0.025, 0.25, 4.0
 
 
 class OldStore(standin.Store):
