--- a/review/standin.py
+++ b/review/standin.py
@@ -330,6 +330,8 @@
     """Runs main(record, children, folder) and exits with its result."""
     import tempfile
     record = Record(record_path)
+    # Lets the clean-up below run when the script is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     if find_program() is None:
         record.write("no program was built")
         sys.exit(2)
