Invalidate unfinished map changes where ranks check no fencing tokens

Cause: after a disarm order, copies of earlier arm orders could still be executed, and only fencing tokens spoke against it. These ranks do not compare tokens; they compare versions of maps, the formation and the step.

Now such a change is replaced by one to the map in force: every rank prepares it under a new version, which ends the effect of all earlier arm orders, and is armed for it at the held step. So a step is released only while all ranks are armed for one map, which also makes late releases harmless. A rank is disarmed only after another one was invalidated, and the last arm order is never given up, so that going back and going forward exclude each other. Nothing changes where tokens are checked.

Ruled out: a second survey (late orders arrive after it), two coordinators (the record shows one), a store write for each decision (a call a change, and needs the store while a step is held). Tried and dropped: releases bound to the number of orders begun (expect_rev).

LargeGroupTest now also runs its seeds without tokens.

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -23,6 +23,25 @@
 // more rank in a stage of its own before the last makes it rare that all others
 // are armed.
 //
+// Where ranks do not check fencing tokens, any order may be executed late,
+// after newer ones. All that such ranks compare is the version of a map, which
+// must be above all that the rank has taken, the formation and the step. There:
+//
+// - A step is released only while every rank is armed for one map at this step
+//   or a later one. Nothing else can then happen to the group before that step,
+//   so late copies of the release have no effect.
+// - A change that every rank is armed for goes forward, whoever finds it. Any
+//   other unfinished change is invalidated: each rank prepares the map in force
+//   under a new version and forgets the map of the change, so that orders to
+//   arm it have no effect any more. All ranks are then armed for the new
+//   version at the step that is held, which is released.
+// - A rank is disarmed only after another one was invalidated, since nobody can
+//   find every rank armed from then on: a change cannot be invalidated and go
+//   forward. For the same reason, an order to arm the coordinator's own rank,
+//   the last one, is repeated until it is answered.
+//
+// None of this depends on who else sends orders, or on when one is executed.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef OSPREYSPUR_EXPERTS_MAPSWITCH_H
@@ -73,6 +92,9 @@
   /// Number of steps that the coordinator tries to hold; the group may step
   /// faster than estimated.
   unsigned MaxHolds = 3;
+  /// Time within which a rank that has accepted a map without new experts
+  /// reports it as prepared; afterwards the rank gets the map again.
+  Duration ReportDelay = std::chrono::milliseconds(500);
   /// A rank is unreachable if a coordinator that has led for at least this time
   /// has received nothing from the rank.
   Duration UnreachableAfter = std::chrono::milliseconds(150);
@@ -96,6 +118,9 @@
   /// Disarms the ranks that report that they are armed; to roll back a change
   /// of this coordinator, every rank.
   Disarming,
+  /// Makes the orders of an unfinished change ineffective on every rank, where
+  /// ranks do not check fencing tokens.
+  Invalidating,
 };
 
 /// Send \c Order to rank \c Rank.
@@ -111,7 +136,10 @@
 /// Coordinates the map changes of one group.
 class MapSwitch {
 public:
-  explicit MapSwitch(SwitchLimits limits) : Limits(limits) {}
+  /// \p checksFences: whether the ranks refuse orders with outdated fencing
+  /// tokens.
+  explicit MapSwitch(SwitchLimits limits, bool checksFences = true)
+      : Limits(limits), ChecksFences(checksFences) {}
 
   // Commands.
 
@@ -189,6 +217,12 @@
     MapVersion Version;
   };
 
+  /// The last reply of a rank while a change is invalidated.
+  struct RankReplied {
+    TimePoint At;
+    MapOrderResult Result = MapOrderResult::Unanswered;
+  };
+
   Duration resendAfter() const;
   bool isSurveyed() const;
   bool allRanks(const std::function<bool(const RankStatus &)> &test) const;
@@ -221,13 +255,25 @@
   void send(unsigned rank, MapOrder order, unsigned tries, TimePoint now);
   void onRefused(unsigned tries, TimePoint now);
   void onPhaseDone(TimePoint now);
+  bool isSuperseded(const RankStatus &status) const;
+  bool isArmingLast() const;
+  void resolveUnchecked(TimePoint now);
+  void beginInvalidating(TimePoint now);
+  void advanceInvalidating(TimePoint now);
+  void onInvalidationReply(unsigned rank, MapOrderResult result, TimePoint now);
+  bool isInvalidated(const RankStatus &status) const;
+  bool isAbandoned(MapVersion version) const;
+  bool mayOrderAgain(unsigned rank, TimePoint now) const;
+  bool invalidate(unsigned rank, const RankStatus &status, TimePoint now);
+  void armHeldStep(TimePoint now);
   void rollBack(TimePoint now);
   void release(bool isChanging, TimePoint now);
   SwitchActions takeActions();
 
   SwitchLimits Limits;
+  bool ChecksFences;
   bool IsLeading = false;
-  /// Whether a higher token was seen under Lease.
+  /// Whether a higher token, or orders of a later lease, were seen under Lease.
   bool IsFenced = false;
   std::uint64_t Lease = 0;
   unsigned OwnRank = 0;
@@ -256,6 +302,9 @@
   std::set<unsigned> RanksWithToken;
   FormationEpoch TokenFormation;
   std::shared_ptr<const GroupPlacement> PlannedMap;
+  /// In Invalidating: the last reply of each rank whose order needs a report to
+  /// show its effect.
+  std::map<unsigned, RankReplied> LastReplies;
   std::map<unsigned, RankStatus> Ranks;
   std::map<unsigned, TimePoint> SeenAt;
   /// Orders of the current phase without a final reply, by rank.
--- a/lib/Experts/MapArming.cpp
+++ b/lib/Experts/MapArming.cpp
@@ -112,17 +112,34 @@
   return false;
 }
 
+/// Whether the coordinator's own rank, the last one, has been ordered to arm.
+bool MapSwitch::isArmingLast() const {
+  return Phase == SwitchPhase::Arming && Stages.empty();
+}
+
 /// Disarms every rank for Version. All ranks have prepared that map, so none
 /// can be armed for another one.
 void MapSwitch::rollBack(TimePoint now) {
   // The next attempt must not be as close to the present step.
   ArmingTime = std::max(ArmingTime, now - HeldAt);
-  beginDisarming(Version, true, now);
+  if (ChecksFences)
+    beginDisarming(Version, true, now);
+  else if (Phase == SwitchPhase::Arming)
+    beginInvalidating(now);
+  else
+    // Nothing was armed; if the step is held, the next reports show it.
+    enterIdle(now);
 }
 
-/// A rank that holds nothing refuses the order, which is harmless.
+/// A rank that holds nothing refuses the order, which is harmless. Where ranks
+/// do not check fencing tokens, a late order may have let one hold an earlier
+/// step, which is released, too.
 void MapSwitch::release(bool isChanging, TimePoint now) {
   IsChanging = isChanging;
   enter(SwitchPhase::Releasing, now);
-  orderAll(MapOrderKind::Release, now);
+  for (const auto &[rank, status] : Ranks) {
+    bool isEarlier = !ChecksFences && status.Held && *status.Held < Step;
+    order(rank, MapOrderKind::Release, Version, isEarlier ? *status.Held : Step,
+          now);
+  }
 }
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -48,6 +48,11 @@
   auto before = Ranks.find(rank);
   if (before != Ranks.end() && before->second.Incarnation != status.Incarnation)
     forgetRank(rank, now);
+  if (!ChecksFences && IsLeading && isSuperseded(status)) {
+    IsFenced = true;
+    resign();
+    return takeActions();
+  }
   RankStatus &known = Ranks[rank];
   bool isSameMap = known.Formation == status.Formation &&
                    known.Map == status.Map && status.Placement.empty();
@@ -97,6 +102,13 @@
   auto it = Orders.find(rank);
   if (it == Orders.end() || it->second.Order.Id != reply.Id)
     return takeActions();
+  bool isInvalidation = Phase == SwitchPhase::Invalidating &&
+                        (reply.Result == MapOrderResult::Done ||
+                         reply.Result == MapOrderResult::Refused);
+  if (isInvalidation) {
+    onInvalidationReply(rank, reply.Result, now);
+    return takeActions();
+  }
   switch (reply.Result) {
   case MapOrderResult::Unanswered:
     // The timer sends the order again.
@@ -150,6 +162,7 @@
   case SwitchPhase::Releasing:
   case SwitchPhase::Confirming:
   case SwitchPhase::Disarming:
+  case SwitchPhase::Invalidating:
     break;
   }
 }
@@ -237,7 +250,9 @@
 
 bool MapSwitch::canBegin(TimePoint now) const {
   if (!IsLeading || Phase != SwitchPhase::Idle || !isComplete(now) ||
-      !isSurveyed() || RanksWithToken.size() < Ranks.size())
+      !isSurveyed())
+    return false;
+  if (ChecksFences && RanksWithToken.size() < Ranks.size())
     return false;
   MapVersion map = Ranks.begin()->second.Map;
   return allRanks([map](const RankStatus &it) {
@@ -327,7 +342,7 @@
     break;
   case SwitchPhase::Holding:
   case SwitchPhase::Arming:
-    if (age > Limits.PhaseTimeout)
+    if (age > Limits.PhaseTimeout && (ChecksFences || !isArmingLast()))
       rollBack(now);
     break;
   case SwitchPhase::Freezing:
@@ -337,6 +352,9 @@
   case SwitchPhase::Confirming:
     advanceConfirming(now);
     break;
+  case SwitchPhase::Invalidating:
+    advanceInvalidating(now);
+    break;
   case SwitchPhase::Releasing:
   case SwitchPhase::Disarming:
     // Orders are repeated until they are answered.
@@ -416,6 +434,7 @@
   case SwitchPhase::Idle:
   case SwitchPhase::Preparing:
   case SwitchPhase::Confirming:
+  case SwitchPhase::Invalidating:
     break;
   }
 }
--- a/lib/Experts/MapTakeover.cpp
+++ b/lib/Experts/MapTakeover.cpp
@@ -45,6 +45,9 @@
     return false;
   if (isComplete(now))
     return true;
+  // Without fencing, nothing is known of the orders to an unreachable rank.
+  if (!ChecksFences)
+    return false;
   std::optional<unsigned> unreachable = unreachableRank(now);
   MapVersion newest = newestVersion();
   if (!unreachable || newest == MapVersion(0) || isNewestArmed())
@@ -95,7 +98,7 @@
 
 /// Looks for a change that an earlier coordinator left unfinished.
 void MapSwitch::advanceIdle(TimePoint now) {
-  if (beginClaiming(now) || !canDecide(now))
+  if ((ChecksFences && beginClaiming(now)) || !canDecide(now))
     return;
   std::optional<StepNumber> armed;
   std::set<StepNumber> held;
@@ -109,6 +112,10 @@
     return;
   Formation = Ranks.begin()->second.Formation;
   BeganAt = now;
+  if (!ChecksFences) {
+    resolveUnchecked(now);
+    return;
+  }
   Step = armed ? *armed : *held.begin();
   // A rank holds only one step: other held steps are released first.
   held.erase(Step);
--- a/lib/Process/RankPlans.cpp
+++ b/lib/Process/RankPlans.cpp
@@ -12,6 +12,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 
 // docs/PLATFORM.md describes the traffic that these values assume.
@@ -152,6 +154,8 @@
     return "freezing";
   case SwitchPhase::Disarming:
     return "disarming";
+  case SwitchPhase::Invalidating:
+    return "invalidating";
   }
   return "";
 }
@@ -164,9 +168,17 @@
                  std::string(phaseName(LoggedPhase)) + "\"}");
   auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       monotonicNow() - Switch.beganAt());
+  auto count = [this](auto isCounted) {
+    return std::count_if(Switch.ranks().begin(), Switch.ranks().end(),
+                         [&](const auto &it) { return isCounted(it.second); });
+  };
+  auto armed = count([](const RankStatus &it) { return it.Armed.has_value(); });
+  auto held = count([](const RankStatus &it) { return it.Held.has_value(); });
   LOG(INFO) << LogEvent("map.phase")
                    .with("group", Member ? Member->Group.get() : "")
                    .with("version", Switch.version().get())
                    .with("phase", phaseName(LoggedPhase))
+                   .with("armed", armed)
+                   .with("held", held)
                    .with("ms", age.count());
 }
--- a/test/standin/FakeRankGroup.h
+++ b/test/standin/FakeRankGroup.h
@@ -130,8 +130,8 @@
       if (order.Version <= it.HighestVersion || status.Armed)
         return false;
       it.HighestVersion = order.Version;
-      it.CopyEnds = now + CopyTime;
       it.Copied = (*order.Map)[status.Rank];
+      it.CopyEnds = it.Copied == status.Placement ? now : now + CopyTime;
       status.Prepared.reset();
       return true;
     case MapOrderKind::Arm: {
--- a/unittests/Experts/LargeGroupTest.cpp
+++ b/unittests/Experts/LargeGroupTest.cpp
@@ -51,14 +51,16 @@
   unsigned LostOrders = 0;
   bool FreezesMembers = false;
   bool FreezesCoordinator = false;
+  /// Whether ranks check fencing tokens.
+  bool ChecksFences = true;
 };
 
 /// A large group and its coordinators on virtual time.
 class LargeGroupSimulation {
 public:
   LargeGroupSimulation(unsigned size, std::uint64_t seed, Faults faults)
-      : Time(seed, 0), Size(size), ActiveFaults(faults), Group(size, true),
-        FrozenUntil(size) {
+      : Time(seed, 0), Size(size), ActiveFaults(faults),
+        Group(size, faults.ChecksFences), FrozenUntil(size) {
     addCoordinator(0);
     at(Duration(0), [this] { step(); });
     for (unsigned rank = 0; rank < Size; ++rank)
@@ -68,7 +70,27 @@
 
   void run(Duration length) { Time.runUntil(Time.now() + length); }
   /// Ends all faults.
-  void endFaults() { ActiveFaults = {}; }
+  void endFaults() {
+    ActiveFaults = {.ChecksFences = ActiveFaults.ChecksFences};
+  }
+  /// Once half of the ranks are armed for a change, its coordinator crashes.
+  /// Returns how long no step begins then.
+  Duration crashWhileArming() {
+    while (armedRanks() < Size / 2)
+      run(milliseconds(1));
+    Current->HasCrashed = true;
+    All.clear();
+    TimePoint crashed = Time.now();
+    addCoordinator((Current->Own + 1) % Size);
+    std::uint64_t ordersBefore = Orders;
+    std::uint64_t bytesBefore = Bytes;
+    while (isHeld() || armedRanks() > 0)
+      run(milliseconds(1));
+    MESSAGE(Size, " ranks, held for ", toMillis(Time.now() - crashed),
+            " ms after a crash, ", Orders - ordersBefore, " orders, ",
+            Bytes - bytesBefore, " bytes");
+    return Time.now() - crashed;
+  }
 
   FakeRankGroup &group() { return Group; }
   unsigned changes() const { return Changes; }
@@ -80,13 +102,15 @@
 
 private:
   struct Coordinator {
-    explicit Coordinator(unsigned own) : Own(own) {}
+    Coordinator(unsigned own, bool checksFences)
+        : Own(own), Switch(SwitchLimits(), checksFences) {}
     unsigned Own;
-    MapSwitch Switch{SwitchLimits()};
+    MapSwitch Switch;
     MapOrderQueue Queue{LinkBytesPerSecond * MapShare};
     SentMaps Sent;
     TimePoint LinkFreeAt;
     std::optional<TimePoint> WakeAt;
+    bool HasCrashed = false;
   };
   using CoordinatorPtr = std::shared_ptr<Coordinator>;
 
@@ -99,11 +123,25 @@
   }
 
   void addCoordinator(unsigned own) {
-    Current = std::make_shared<Coordinator>(own);
+    Current = std::make_shared<Coordinator>(own, ActiveFaults.ChecksFences);
     Current->Switch.lead(++Lease, own, Time.now());
     All.push_back(Current);
   }
 
+  unsigned armedRanks() {
+    unsigned out = 0;
+    for (unsigned rank = 0; rank < Size; ++rank)
+      out += Group.status(rank, Time.now()).Armed ? 1 : 0;
+    return out;
+  }
+
+  bool isHeld() {
+    for (unsigned rank = 0; rank < Size; ++rank)
+      if (Group.status(rank, Time.now()).Held)
+        return true;
+    return false;
+  }
+
   bool isFrozen(unsigned rank) const { return Time.now() < FrozenUntil[rank]; }
 
   /// Runs \p what once the host of \p rank is not frozen.
@@ -162,6 +200,8 @@
   }
 
   void act(const CoordinatorPtr &from, const SwitchActions &actions) {
+    if (from->HasCrashed)
+      return;
     for (const SendMapOrder &it : actions) {
       if (it.Rank != from->Own && MapOrderQueue::mustWait(it.Order)) {
         from->Queue.push(it);
@@ -270,8 +310,10 @@
   faults.FreezesMembers = true;
   faults.FreezesCoordinator = true;
   for (unsigned size : {32U, 96U}) {
-    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
       INFO("ranks " << size << ", seed " << seed);
+      // The first half are the seeds of ranks that check fencing tokens.
+      faults.ChecksFences = seed <= 6;
       LargeGroupSimulation simulation(size, seed, faults);
       simulation.run(seconds(40));
       CHECK(simulation.group().mixedSteps() == 0);
@@ -285,3 +327,18 @@
     }
   }
 }
+
+TEST_CASE("a large group is not held for long after a crash, though its ranks "
+          "check no fencing tokens") {
+  for (bool checksFences : {true, false})
+    for (unsigned size : {24U, 96U}) {
+      INFO("ranks " << size << ", checks fences " << checksFences);
+      Faults faults;
+      faults.ChecksFences = checksFences;
+      LargeGroupSimulation simulation(size, 1, faults);
+      simulation.run(seconds(10));
+      CHECK(simulation.crashWhileArming() < seconds(2));
+      simulation.run(seconds(10));
+      CHECK(simulation.group().mixedSteps() == 0);
+    }
+}
