Bring the pages of a list to one revision before it is used

Cause: a list was read in pages and had the revision of its first page. With stale reads a later page may be older: its records then counted as newer than what all peers knew, and the watch skipped what they lacked.

Now a list whose pages differ in revision is brought to one state with the changes since its oldest page; a change that a newer page reflects does not undo it. On related paths: a stale read no longer confirms a copy, here or for peers; changes up to a list's revision are skipped; a start of an endpoint that leaves never returns to service, whatever a list says, and no older record replaces a newer one.

Ruled out: refusing stale reads (a tenth of the price; with an honest revision every peer has a newer list), comparing record by record among peers (all records of an honest list are as new as its revision).

Price: one more read at a start of an entry, only where pages differ.

--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Platform/KeyValue.h"
 #include "ospreyspur/Support/Time.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -69,8 +70,11 @@
   Revision revision() const { return At; }
   /// The copy.
   const std::string &value() const { return Value; }
-  /// When the store was last known to hold the copy's revision.
+  /// When the store was last known to hold the copy's revision; TimePoint() if
+  /// only a stale read returned it.
   TimePoint confirmedAt() const { return Confirmed; }
+  /// When the store was last read, or known to hold the copy's revision.
+  TimePoint checkedAt() const { return std::max(Confirmed, ReadAt); }
 
 private:
   void recordUpdate(TimePoint now);
@@ -81,6 +85,8 @@
   std::string Value;
   TimePoint Confirmed;
   TimePoint CalledAt;
+  /// The time of the last call that the store replied to.
+  TimePoint ReadAt;
   Duration CalledWait{};
   Revision RevisionAtCall;
   /// The revision after which the next watch continues; after a reply of the
--- a/include/ospreyspur/Control/ListReader.h
+++ b/include/ospreyspur/Control/ListReader.h
@@ -29,7 +29,7 @@
 private:
   boost::asio::awaitable<KvReply> readAll(bool mayBeStale, Duration timeout);
   void applyItem(const KvItem &item);
-  KvReply makeReply() const;
+  KvReply makeReply(bool mayBeStale) const;
 
   PlatformClient &Platform;
   std::map<std::string, EndpointRecord> Records;
--- a/include/ospreyspur/Direct/EndpointList.h
+++ b/include/ospreyspur/Direct/EndpointList.h
@@ -61,6 +61,8 @@
     std::optional<TimePoint> DropAt;
   };
 
+  void track(const EndpointRecord &record);
+
   std::map<EndpointId, TrackedEndpoint> Tracked;
 };
 
--- a/include/ospreyspur/Platform/KeyValue.h
+++ b/include/ospreyspur/Platform/KeyValue.h
@@ -61,6 +61,9 @@
   /// Whether a list that is seconds old is acceptable; such a read costs a
   /// tenth of a consistent one.
   bool MayBeStale = false;
+  /// Whether all items must show the store at one revision, the SeenAt of the
+  /// reply. If the list has several pages, this may take another call.
+  bool MustBeSnapshot = false;
 };
 
 /// Waits, up to \c Wait, for changes of keys that begin with \c Prefix after
@@ -101,6 +104,8 @@
   /// The revision up to which the reply covers changes; the next watch
   /// continues after it.
   Revision SeenAt = Revision(0);
+  /// Whether the reply may show the store as it was seconds before the call.
+  bool MayBeStale = false;
   /// Filled by KvList and KvWatchList.
   std::vector<KvItem> Items = {};
 };
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -20,6 +20,7 @@
 
 namespace ospreyspur {
 
+class ListSnapshot;
 class Metrics;
 
 /// A client of the platform's key-value store, for one io_context's thread.
@@ -66,6 +67,8 @@
   Task<KvReply> renew(KvRenew call, Duration timeout);
   Task<KvReply> watch(KvWatch call, Duration timeout);
   Task<KvReply> list(KvList call, Duration timeout);
+  Task<ResultCode> catchUp(ListSnapshot &snapshot, std::string prefix,
+                           Duration timeout);
   Task<KvReply> watchList(KvWatchList call, Duration timeout);
 
   boost::asio::io_context &Context;
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -116,7 +116,7 @@
 void GossipNode::callStore(TimePoint now) {
   for (SharedKey key : SharedKeys) {
     KeyFollower &follower = copyOf(key);
-    bool isOld = now - follower.confirmedAt() >= maxAge() + OwnAgeJitter ||
+    bool isOld = now - follower.checkedAt() >= maxAge() + OwnAgeJitter ||
                  follower.revision().get() == 0;
     if (!isWatcher() && !isOld)
       continue;
--- a/lib/Config/KeyFollower.cpp
+++ b/lib/Config/KeyFollower.cpp
@@ -32,12 +32,17 @@
   }
   Backoff = Duration::zero();
   HasReadStore = true;
+  ReadAt = CalledAt;
   SeenAt = std::max(SeenAt, reply.SeenAt);
-  // The store held the value at or after the time of the call.
+  // The store held the value at or after the time of the call, unless the reply
+  // is stale, which confirms nothing.
   if (isNewer) {
     recordUpdate(now);
-    return offer(reply.At, reply.Value, CalledAt);
+    return offer(reply.At, reply.Value,
+                 reply.MayBeStale ? TimePoint() : CalledAt);
   }
+  if (reply.MayBeStale)
+    return false;
   confirm(RevisionAtCall, CalledAt);
   return false;
 }
--- a/lib/Control/ConfigReader.cpp
+++ b/lib/Control/ConfigReader.cpp
@@ -22,7 +22,8 @@
       State = std::move(state.value());
       SeenAt = copy.revision();
     }
-  // A first read may be stale: watches and peers bring what followed.
+  // A first read may be stale: watches and peers bring what followed, as the
+  // values are one state of the store and have that state's revision.
   if (SeenAt.get() == 0)
     co_return co_await readAll(true, timeout);
   KvCall watch = KvWatchList{platform::OperatorKeyPrefix, SeenAt, wait};
@@ -34,6 +35,9 @@
   OperatorState before = State;
   Revision last;
   for (const KvItem &it : page.Items) {
+    // State reflects all changes up to SeenAt.
+    if (it.At <= SeenAt)
+      continue;
     platform::applyOperatorItem(it, State);
     last = std::max(last, it.At);
   }
@@ -43,7 +47,7 @@
 
 asio::awaitable<KvReply> ConfigReader::readAll(bool mayBeStale,
                                                Duration timeout) {
-  KvCall call = KvList{platform::OperatorKeyPrefix, mayBeStale};
+  KvCall call = KvList{platform::OperatorKeyPrefix, mayBeStale, true};
   KvReply list = co_await Platform.ask(std::move(call), timeout);
   if (list.Code != ResultCode::Ok)
     co_return list;
@@ -54,8 +58,10 @@
     newest = std::max(newest, it.At);
   }
   SeenAt = list.SeenAt;
-  co_return makeReply(State != before,
-                      revisionOfRead(before, State, newest, SeenAt));
+  KvReply reply =
+      makeReply(State != before, revisionOfRead(before, State, newest, SeenAt));
+  reply.MayBeStale = list.MayBeStale;
+  co_return reply;
 }
 
 KvReply ConfigReader::makeReply(bool hasChanged, Revision at) const {
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -237,8 +237,11 @@
   Node.setPeers(views);
 }
 
-/// Milliseconds since the store was last known to hold \p copy.
+/// Milliseconds since the store was last known to hold \p copy; -1 if only a
+/// stale read returned it.
 static std::int64_t ageMillis(const KeyFollower &copy) {
+  if (copy.confirmedAt() == TimePoint())
+    return -1;
   return toMillis(monotonicNow() - copy.confirmedAt());
 }
 
--- a/lib/Control/ListReader.cpp
+++ b/lib/Control/ListReader.cpp
@@ -20,7 +20,8 @@
 static constexpr std::size_t MaxLoggedKeys = 100;
 
 asio::awaitable<KvReply> ListReader::ask(Duration wait, Duration timeout) {
-  // A first read may be stale: watches and peers bring what followed.
+  // A first read may be stale: watches and peers bring what followed, as the
+  // list is one state of the store and has that state's revision.
   if (SeenAt.get() == 0)
     co_return co_await readAll(true, timeout);
   KvCall watch = KvWatchList{platform::EndpointKeyPrefix, SeenAt, wait};
@@ -29,19 +30,25 @@
     co_return co_await readAll(false, timeout);
   if (page.Code != ResultCode::Ok)
     co_return page;
-  for (const KvItem &it : page.Items)
+  bool hasChanged = false;
+  for (const KvItem &it : page.Items) {
+    // The list reflects all changes up to SeenAt.
+    if (it.At <= SeenAt)
+      continue;
     applyItem(it);
+    hasChanged = true;
+  }
   SeenAt = std::max(SeenAt, page.SeenAt);
-  if (page.Items.empty()) {
+  if (!hasChanged) {
     page.Code = ResultCode::NotFound;
     co_return page;
   }
-  co_return makeReply();
+  co_return makeReply(false);
 }
 
 asio::awaitable<KvReply> ListReader::readAll(bool mayBeStale,
                                              Duration timeout) {
-  KvCall call = KvList{platform::EndpointKeyPrefix, mayBeStale};
+  KvCall call = KvList{platform::EndpointKeyPrefix, mayBeStale, true};
   KvReply list = co_await Platform.ask(std::move(call), timeout);
   if (list.Code != ResultCode::Ok)
     co_return list;
@@ -49,7 +56,7 @@
   for (const KvItem &it : list.Items)
     applyItem(it);
   SeenAt = list.SeenAt;
-  co_return makeReply();
+  co_return makeReply(list.MayBeStale);
 }
 
 void ListReader::applyItem(const KvItem &item) {
@@ -74,13 +81,14 @@
                               .with("detail", record.error().Detail);
 }
 
-KvReply ListReader::makeReply() const {
+KvReply ListReader::makeReply(bool mayBeStale) const {
   std::vector<EndpointRecord> records;
   for (const auto &[key, record] : Records)
     records.push_back(record);
   KvReply reply;
   reply.At = SeenAt;
   reply.SeenAt = SeenAt;
+  reply.MayBeStale = mayBeStale;
   reply.Value = formatEndpoints(records);
   return reply;
 }
--- a/lib/Direct/EndpointList.cpp
+++ b/lib/Direct/EndpointList.cpp
@@ -30,7 +30,7 @@
       continue;
     present.insert(it.Id);
     names.insert(it.Name);
-    Tracked[it.Id] = {it, std::nullopt};
+    track(it);
   }
   // An endpoint with a successor under its name or at its address has exited.
   std::erase_if(Tracked, [&](const auto &it) {
@@ -47,6 +47,18 @@
     it->DropAt = now + (isMassLapse ? LapseGrace : MissingGrace);
 }
 
+/// An incarnation that leaves never returns to service, and a record never
+/// replaces a newer one of the same incarnation.
+void EndpointList::track(const EndpointRecord &record) {
+  TrackedEndpoint &tracked = Tracked[record.Id];
+  tracked.DropAt.reset();
+  if (record.ListedAt < tracked.Record.ListedAt)
+    return;
+  bool wasLeaving = tracked.Record.IsLeaving;
+  tracked.Record = record;
+  tracked.Record.IsLeaving = record.IsLeaving || wasLeaving;
+}
+
 bool EndpointList::onTimer(TimePoint now) {
   return std::erase_if(Tracked, [now](const auto &it) {
            return it.second.DropAt && *it.second.DropAt <= now;
--- a/lib/Direct/NodeRegistry.cpp
+++ b/lib/Direct/NodeRegistry.cpp
@@ -82,6 +82,8 @@
   IsReading = true;
   ReadAt = now + readInterval();
   ++Reads;
+  // Records of different ages do no harm: a vanished one is kept for longer
+  // than a stale read is old.
   return KvList{NodePrefix, true};
 }
 
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -9,6 +9,7 @@
 
 #include "ospreyspur/Platform/PlatformClient.h"
 
+#include "ospreyspur/Platform/ListSnapshot.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "ospreyspur/Support/Metrics.h"
 #include "platform/StoreWire.h"
@@ -26,6 +27,9 @@
 /// Most pages read for one list, in case the store always reports another page.
 static constexpr unsigned MaxPages = 200;
 
+/// Most calls for the changes that some pages of a list do not reflect yet.
+static constexpr unsigned MaxCatchUpCalls = 10;
+
 static constexpr const char *WatchOperation = "watch";
 
 static KvReply makeReply(ResultCode code) {
@@ -117,7 +121,10 @@
   if (code != ResultCode::Ok)
     co_return makeReply(code);
   Result<KvReply> reply = platform::readItem(response.value());
-  co_return reply ? reply.value() : makeReply(reply.error().Code);
+  if (!reply)
+    co_return makeReply(reply.error().Code);
+  reply.value().MayBeStale = call.MayBeStale;
+  co_return std::move(reply.value());
 }
 
 asio::awaitable<KvReply> PlatformClient::put(KvPut call, Duration timeout) {
@@ -202,9 +209,9 @@
 }
 
 asio::awaitable<KvReply> PlatformClient::list(KvList call, Duration timeout) {
-  KvReply reply;
+  ListSnapshot snapshot;
+  std::string last;
   for (unsigned i = 0; i < MaxPages; ++i) {
-    std::string last = reply.Items.empty() ? "" : reply.Items.back().Key;
     HttpRequest request =
         platform::makeList(call.Prefix, last, call.MayBeStale);
     Purpose purpose{"list", call.Prefix};
@@ -218,17 +225,52 @@
     Result<platform::StorePage> page = platform::readPage(response.value());
     if (!page)
       co_return makeReply(page.error().Code);
-    // The pages are not one snapshot, so a watch must continue after the first.
-    if (i == 0)
-      reply.SeenAt = page.value().SeenAt;
-    std::move(page.value().Items.begin(), page.value().Items.end(),
-              std::back_inserter(reply.Items));
-    if (!page.value().HasMore || page.value().Items.empty())
+    bool isLast = !page.value().HasMore || page.value().Items.empty();
+    if (!page.value().Items.empty())
+      last = page.value().Items.back().Key;
+    snapshot.addPage(std::move(page.value().Items), page.value().SeenAt);
+    if (isLast)
       break;
   }
+  KvReply reply;
+  reply.MayBeStale = call.MayBeStale;
+  if (call.MustBeSnapshot && !snapshot.isConsistent()) {
+    reply.Code = co_await catchUp(snapshot, call.Prefix, timeout);
+    reply.MayBeStale = false;
+    if (reply.Code == ResultCode::PlatformHistoryGone && call.MayBeStale) {
+      call.MayBeStale = false;
+      co_return co_await list(std::move(call), timeout);
+    }
+    if (reply.Code != ResultCode::Ok)
+      co_return reply;
+  }
+  reply.SeenAt = snapshot.revision();
+  reply.Items = snapshot.items();
   co_return reply;
 }
 
+/// Brings all pages of \p snapshot to one revision.
+asio::awaitable<ResultCode> PlatformClient::catchUp(ListSnapshot &snapshot,
+                                                    std::string prefix,
+                                                    Duration timeout) {
+  for (unsigned i = 0; i < MaxCatchUpCalls; ++i) {
+    KvWatchList missed{prefix, snapshot.revision(), Duration::zero()};
+    KvReply changes = co_await watchList(std::move(missed), timeout);
+    if (changes.Code != ResultCode::Ok)
+      co_return changes.Code;
+    LOG(INFO) << LogEvent("store.list_caught_up")
+                     .with("key", prefix)
+                     .with("from", snapshot.revision().get())
+                     .with("to", changes.SeenAt.get())
+                     .with("changes", changes.Items.size());
+    Measures.count("store_lists_caught_up_total");
+    snapshot.applyChanges(std::move(changes.Items), changes.SeenAt);
+    if (snapshot.isConsistent())
+      co_return ResultCode::Ok;
+  }
+  co_return ResultCode::PlatformBadAnswer;
+}
+
 asio::awaitable<KvReply> PlatformClient::watchList(KvWatchList call,
                                                    Duration timeout) {
   HttpRequest request = platform::makeWatch(call.Prefix, call.After, call.Wait);
--- a/unittests/FakeStoreServer.cpp
+++ b/unittests/FakeStoreServer.cpp
@@ -30,25 +30,30 @@
 }
 
 void FakeStoreServer::write(const std::string &key, const std::string &value) {
-  Items[key] = {value, ++Last};
+  History.push_back({++Last, key, value});
+  Changed.cancel();
+}
+
+void FakeStoreServer::remove(const std::string &key) {
+  History.push_back({++Last, key, std::nullopt});
   Changed.cancel();
 }
 
 asio::awaitable<void> FakeStoreServer::handle(HttpExchange &exchange) {
   std::string target(exchange.request().target());
   boost::urls::url_view url(target);
-  std::map<std::string, std::string> params;
+  Params params;
   for (const auto &it : url.params())
     params[std::string(it.key)] = it.value;
   json::object body;
   if (url.path() == "/ospreyspur/kv-range") {
-    body = format("items", params["prefix"], 0);
-  } else if (url.path() == "/ospreyspur/kv-watch") {
+    body = formatPage(params);
+  } else if (url.path() == "/ospreyspur/kv-watch" && !AreWatchesRefused) {
     ++Watches;
     std::uint64_t after = std::stoull(params["after"]);
     std::chrono::milliseconds wait(std::stoul(params["wait_ms"]));
     co_await awaitChange(params["prefix"], after, wait);
-    body = format("events", params["prefix"], after);
+    body = formatEvents(params["prefix"], after);
   } else {
     co_await exchange.respond(404, "application/json", "{}");
     co_return;
@@ -61,7 +66,7 @@
                                                    Duration wait) {
   TimePoint end = monotonicNow() + wait;
   auto hasChanged = [&] {
-    return !format("events", prefix, after)["events"].as_array().empty();
+    return !formatEvents(prefix, after)["events"].as_array().empty();
   };
   while (!hasChanged() && monotonicNow() < end) {
     asio::steady_timer timer(Changed.get_executor(), end - monotonicNow());
@@ -73,16 +78,71 @@
   }
 }
 
-json::object FakeStoreServer::format(const char *name,
-                                     const std::string &prefix,
-                                     std::uint64_t after) const {
+std::map<std::string, FakeStoreServer::Change>
+FakeStoreServer::itemsAt(std::uint64_t revision) const {
+  std::map<std::string, Change> out;
+  for (const Change &it : History) {
+    if (it.At > revision)
+      break;
+    if (it.Value)
+      out[it.Key] = it;
+    else
+      out.erase(it.Key);
+  }
+  return out;
+}
+
+static json::object formatItem(const std::string &key, std::uint64_t at,
+                               const std::string &value) {
+  return {{"key", key},
+          {"value", platform::encodeBase64(value)},
+          {"rev", at},
+          {"created", at},
+          {"lease", 0}};
+}
+
+json::object FakeStoreServer::formatPage(const Params &params) {
+  ++PagesRead;
+  auto paramOf = [&params](const char *name) {
+    auto it = params.find(name);
+    return it == params.end() ? std::string() : it->second;
+  };
+  std::string prefix = paramOf("prefix");
+  std::string after = paramOf("after");
+  unsigned number = after.empty() ? 0 : PageNumbers[after];
+  std::uint64_t revision = Last;
+  auto stale = StalePages.find(number);
+  if (paramOf("serializable") == "1" && stale != StalePages.end())
+    revision = stale->second.get();
   json::array items;
-  for (const auto &[key, item] : Items)
-    if (key.starts_with(prefix) && item.At > after)
-      items.push_back({{"key", key},
-                       {"value", platform::encodeBase64(item.Value)},
-                       {"rev", item.At},
-                       {"created", item.At},
-                       {"lease", 0}});
-  return {{name, std::move(items)}, {"store_revision", Last}};
+  bool hasMore = false;
+  std::string last;
+  for (const auto &[key, item] : itemsAt(revision)) {
+    if (!key.starts_with(prefix) || key <= after)
+      continue;
+    hasMore = items.size() == PageItems;
+    if (hasMore)
+      break;
+    items.push_back(formatItem(key, item.At, *item.Value));
+    last = key;
+  }
+  PageNumbers[last] = number + 1;
+  return {{"items", std::move(items)},
+          {"more_pages", hasMore},
+          {"store_revision", revision}};
+}
+
+json::object FakeStoreServer::formatEvents(const std::string &prefix,
+                                           std::uint64_t after) const {
+  json::array events;
+  for (const Change &it : History) {
+    if (!it.Key.starts_with(prefix) || it.At <= after)
+      continue;
+    if (it.Value)
+      events.push_back(formatItem(it.Key, it.At, *it.Value));
+    else
+      events.push_back(
+          json::object{{"key", it.Key}, {"rev", it.At}, {"removed", true}});
+  }
+  return {{"events", std::move(events)}, {"store_revision", Last}};
 }
