Read the present value of a lease that its holder doubts

A coordinator that misses reports suspends its lease until the store shows its own write. That read could be seconds old, so an agent could take a lease that had ended for its own and give orders beside its successor. A candidate's reads stay stale: its write has a condition. One read at full price for each suspension. The new test failed before (MayBeStale was true).

--- a/lib/Experts/LeaseHolder.cpp
+++ b/lib/Experts/LeaseHolder.cpp
@@ -34,7 +34,8 @@
     return KvPut{Key, Self, OtherRevision, Limits.Span};
   }
   if (!std::exchange(IsFree, false))
-    return KvGet{Key, true};
+    // A stale read could show this process's own lease after its end.
+    return KvGet{Key, SuspendedRevision.get() == 0};
   IsAcquiring = true;
   return KvPut{Key, Self, Revision(0), Limits.Span};
 }
--- a/unittests/Experts/LeaseHolderTest.cpp
+++ b/unittests/Experts/LeaseHolderTest.cpp
@@ -282,6 +282,21 @@
   }
 }
 
+TEST_CASE("a holder that doubts its lease does not take an old read for it") {
+  LeaseHolder holder("k", "a", LeaseLimits());
+  std::optional<KvCall> first = holder.nextCall(Start);
+  REQUIRE(first);
+  // A candidate's read may be stale, as its write has a condition.
+  CHECK(std::get<KvGet>(*first).MayBeStale);
+  holder.onReply({ResultCode::NotFound, {}, {}}, Start);
+  REQUIRE(holder.nextCall(Start));
+  holder.onReply({ResultCode::Ok, Revision(7), {}}, Start);
+  holder.suspend(Start + seconds(1));
+  std::optional<KvCall> call = holder.nextCall(Start + seconds(1));
+  REQUIRE(call);
+  CHECK_FALSE(std::get<KvGet>(*call).MayBeStale);
+}
+
 TEST_CASE("a group whose steps are slow is not taken for stalled") {
   StallWatch watch;
   RankStatus status;
