--- a/unittests/Experts/OneMapTest.cpp
+++ b/unittests/Experts/OneMapTest.cpp
@@ -35,6 +35,9 @@
   unsigned MessagePercent = 4;
   unsigned PlatformPercent = 10;
   unsigned LatePercent = 3;
+  /// Share of an agent's orders that its engine executes seconds late, without
+  /// a reply.
+  unsigned LateOrderPercent = 0;
 };
 
 /// A group of ranks with their agents on virtual time.
@@ -112,7 +115,7 @@
   }
 
   void endFaults() {
-    Rates = {0, 0, 0};
+    Rates = {0, 0, 0, 0};
     Scheduler.setLatePercent(0);
     OutageUntil = TimePoint();
     for (Agent &it : Agents)
@@ -222,6 +225,13 @@
     std::uint64_t incarnation = Agents[i].Incarnation;
     if (Scheduler.chance(Rates.MessagePercent))
       return;
+    if (Rates.LateOrderPercent > 0 &&
+        Scheduler.chance(Rates.LateOrderPercent)) {
+      Duration after = seconds(2) + Duration(Scheduler.below(10000000));
+      Scheduler.at(Scheduler.now() + after,
+                   [=, this] { Agents[i].Rank->handle(action.Order); });
+      return;
+    }
     Scheduler.runSoon([=, this] {
       RankReply rankReply = Agents[i].Rank->handle(action.Order);
       if (!Scheduler.chance(Rates.MessagePercent))
@@ -311,8 +321,8 @@
 
 /// Changes maps under faults, then ends the faults and waits for the last map.
 static void runFaultySeed(std::uint64_t seed, bool checksFences,
-                          std::uint64_t &switches) {
-  GroupSimulation simulation(seed, FaultRates(), checksFences);
+                          std::uint64_t &switches, FaultRates rates = {}) {
+  GroupSimulation simulation(seed, rates, checksFences);
   RandomScheduler &random = simulation.Scheduler;
   TimePoint begin = random.now();
   simulation.setTargetMap("map 0");
@@ -354,6 +364,17 @@
   CHECK(switches > Seeds / 4 * RankCount);
 }
 
+TEST_CASE("orders that engines execute seconds late leave one map in force") {
+  FaultRates rates;
+  rates.LateOrderPercent = 15;
+  std::uint64_t switches = 0;
+  for (std::uint64_t seed = 1; seed <= Seeds / 4; ++seed) {
+    INFO("seed ", seed);
+    runFaultySeed(seed, false, switches, rates);
+  }
+  CHECK(switches > Seeds / 4 * RankCount);
+}
+
 TEST_CASE("without faults a map comes into force") {
   GroupSimulation simulation(3, {0, 0, 0}, true);
   simulation.setTargetMap("first");
