Take an exception out that the invalidation of changes does not need

The last arm order of a change was repeated without end where tokens are not checked. The mutation that gives it up after 1.2 s was not caught, and rightly so: a rank is disarmed only after another one was invalidated, which already keeps going back and going forward apart.

StaleListTest has a case of its own for an entry that starts alone, since the mutation that mixes pages passed beside an informed peer; it fails with that mutation now.

--- a/include/ospreyspur/Experts/MapSwitch.h
+++ b/include/ospreyspur/Experts/MapSwitch.h
@@ -37,8 +37,7 @@
 //   version at the step that is held, which is released.
 // - A rank is disarmed only after another one was invalidated, since nobody can
 //   find every rank armed from then on: a change cannot be invalidated and go
-//   forward. For the same reason, an order to arm the coordinator's own rank,
-//   the last one, is repeated until it is answered.
+//   forward.
 //
 // None of this depends on who else sends orders, or on when one is executed.
 //
@@ -256,7 +255,6 @@
   void onRefused(unsigned tries, TimePoint now);
   void onPhaseDone(TimePoint now);
   bool isSuperseded(const RankStatus &status) const;
-  bool isArmingLast() const;
   void resolveUnchecked(TimePoint now);
   void beginInvalidating(TimePoint now);
   void advanceInvalidating(TimePoint now);
--- a/lib/Experts/MapArming.cpp
+++ b/lib/Experts/MapArming.cpp
@@ -112,11 +112,6 @@
   return false;
 }
 
-/// Whether the coordinator's own rank, the last one, has been ordered to arm.
-bool MapSwitch::isArmingLast() const {
-  return Phase == SwitchPhase::Arming && Stages.empty();
-}
-
 /// Disarms every rank for Version. All ranks have prepared that map, so none
 /// can be armed for another one.
 void MapSwitch::rollBack(TimePoint now) {
--- a/lib/Experts/MapSwitch.cpp
+++ b/lib/Experts/MapSwitch.cpp
@@ -342,7 +342,7 @@
     break;
   case SwitchPhase::Holding:
   case SwitchPhase::Arming:
-    if (age > Limits.PhaseTimeout && (ChecksFences || !isArmingLast()))
+    if (age > Limits.PhaseTimeout)
       rollBack(now);
     break;
   case SwitchPhase::Freezing:
--- a/unittests/Control/StaleListTest.cpp
+++ b/unittests/Control/StaleListTest.cpp
@@ -56,6 +56,8 @@
   bool HasList = false;
   /// Whether the endpoint may get requests, by the last list.
   bool IsReady = false;
+  /// Whether it was ever ready.
+  bool WasReady = false;
   /// How often it became ready after it was known not to be.
   unsigned Returns = 0;
 
@@ -81,6 +83,7 @@
     for (const ListedEndpoint &it : snapshot.Endpoints)
       if (it.Record.Name == LeavingName)
         IsReady = !it.Record.IsLeaving && !it.IsMissing;
+    WasReady = WasReady || IsReady;
     Returns += IsReady && !wasReady ? 1 : 0;
   }
 
@@ -162,6 +165,25 @@
   }
 }
 
+TEST_CASE(
+    "an entry that starts alone uses no page that is older than another") {
+  for (bool isRemoved : {false, true}) {
+    INFO("removed " << isRemoved);
+    StoreWithPages fleet("i-a");
+    Revision before = fleet.Store.revision();
+    if (isRemoved)
+      fleet.Store.remove(std::string(platform::EndpointKeyPrefix) +
+                         LeavingName);
+    else
+      fleet.writeEndpoint(LeavingName, 99, "draining");
+    fleet.Store.setStalePage(1, before);
+    TcpAddress own = findFreeAddress();
+    Entry started(fleet.Context, fleet.Store.address(), own, own, "first");
+    REQUIRE(fleet.runUntil([&] { return started.HasList; }, seconds(5)));
+    CHECK_FALSE(started.WasReady);
+  }
+}
+
 TEST_CASE("an entry that is refused the missing changes starts with what its "
           "peers know") {
   StoreWithPages fleet("i-a");
