--- a/unittests/Experts/LateOrderWalkTest.cpp
+++ b/unittests/Experts/LateOrderWalkTest.cpp
@@ -377,7 +377,8 @@
   checkWalk(true, {.Crashes = 1, .LostMessages = 1});
 }
 
-TEST_CASE("with fencing, a crash and a late order at any moment leave one map") {
+TEST_CASE(
+    "with fencing, a crash and a late order at any moment leave one map") {
   checkWalk(true, {.Crashes = 1, .LateOrders = 1});
 }
 
