Log what the end of a response without a length counted as

The hypotheses on cut responses could not be told apart: a check at such an end left nothing but a counter, and an end without a check left nothing. response.end_checked names the request, the endpoint's state in the list, what the check found, and whether the response counts as whole. No decision changes.

--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -95,14 +95,36 @@
                                    isSameIncarnation);
 }
 
-/// Whether \p endpoint has exited though it was not to leave.
-asio::awaitable<bool> DirectTraffic::hasCrashed(EndpointRecord endpoint) {
+/// The state of an endpoint in this entry's table, as a word for the log.
+static const char *wordOf(const EndpointState *state) {
+  if (!state)
+    return "unknown";
+  if (state->IsMissing)
+    return "missing";
+  return state->Record.IsLeaving ? "leaving" : "ready";
+}
+
+/// Whether the endpoint of \p call has exited though it was not to leave.
+asio::awaitable<bool> DirectTraffic::hasCrashed(const DirectCall &call,
+                                                EndpointRecord endpoint) {
+  std::string label = call.Request.Label;
   const EndpointState *state = Node.endpointTable().find(endpoint.Id);
+  const char *stateWord = wordOf(state);
   bool isPlanned = !state || state->Record.IsLeaving || state->IsMissing;
-  if (isPlanned)
-    co_return false;
-  EndpointLiveness liveness = co_await findLiveness(endpoint);
-  Measures.count("response_end_checks_total{fate=\"" +
-                 std::string(toString(liveness)) + "\"}");
-  co_return liveness == EndpointLiveness::Exited;
+  const char *fate = "unchecked";
+  bool isCut = false;
+  if (!isPlanned) {
+    EndpointLiveness liveness = co_await findLiveness(endpoint);
+    fate = toString(liveness);
+    isCut = liveness == EndpointLiveness::Exited;
+    Measures.count("response_end_checks_total{fate=\"" + std::string(fate) +
+                   "\"}");
+  }
+  LOG(INFO) << LogEvent("response.end_checked")
+                   .with("id", label)
+                   .with("endpoint", endpoint.Id.get())
+                   .with("state", stateWord)
+                   .with("fate", fate)
+                   .with("whole", !isCut);
+  co_return isCut;
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -273,7 +273,9 @@
                                std::optional<TimePoint> sentAt) {
     takePushback(order.Endpoint.Id, pushback, sentAt);
   };
-  auto hasCrashed = [this, &order] { return this->hasCrashed(order.Endpoint); };
+  auto hasCrashed = [this, &call, &order] {
+    return this->hasCrashed(call, order.Endpoint);
+  };
   TimePoint began = monotonicNow();
   DirectAttempt running(Pool, exchange, call, order,
                         {maySend, onHead, onData, onIdle, hasCrashed});
