Ask the endpoint itself whether a response without a length is whole

Cause: the connection of a crashed endpoint ends like that of one that has sent everything. What told the two apart was not who had sent the response, but what the list said (an endpoint that is leaving, missing or unknown was not asked at all) and whether anybody accepts a connection at the address.

Now only a reply of the incarnation that sent the response, to a query sent after its end, makes the response whole, whatever the list says. The query is addressed to it by name, so that any other process refuses it with 421: engines get a report request, which needs no slot, services a health check. Each start has a name of its own. Without such a reply within 1.5 s the response counts as cut off: the caller gets 502 or, if the request may be repeated, another endpoint's response; a stream is resumed or cut off. The query uses the connection of the check, where there were two before for engines that report an incarnation. Heads that reject a request are not checked any more, as no body of theirs is forwarded.

Ruled out: ends inside the responses' framing, which are found without a check (the comparison of the case, DirectTrafficTest); connections that are kept and still open as a proof (their end may be lost on the way).

UnframedResponseTest, on the code before: 22 of 24 cut responses and streams are whole for the caller (all but a crash of an endpoint that is ready), 16 whole ones arrive; now none of 24, and 17 whole ones, one of an endpoint that replies after 250 ms. Unit tests: 427 of 427, the known red apart.

--- a/include/ospreyspur/Direct/FleetConfig.h
+++ b/include/ospreyspur/Direct/FleetConfig.h
@@ -110,6 +110,8 @@
   /// endpoints are never cold.
   Duration ColdTime{};
   double ColdRequestsPerSecond = 0;
+  /// Path of the endpoints' health checks.
+  std::string HealthPath = "/health";
 };
 
 /// A workspace, looked up by key.
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -35,9 +35,9 @@
   /// Nothing was received for StartAttempt::MaxIdleTime. Called again each time
   /// that this period passes once more without data.
   std::function<void()> OnIdle;
-  /// Whether the endpoint has exited unexpectedly. Asked at the end of a
-  /// response that ends with its connection.
-  std::function<boost::asio::awaitable<bool>()> HasCrashed;
+  /// Whether the incarnation that sent the response is known to run after the
+  /// end of the response. Called if the response ends with its connection.
+  std::function<boost::asio::awaitable<bool>()> OutlivesResponse;
 };
 
 /// One attempt to run a request at one endpoint.
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -75,8 +75,8 @@
   boost::asio::awaitable<void> checkEndpoint(EndpointRecord endpoint);
   boost::asio::awaitable<EndpointLiveness>
   findLiveness(EndpointRecord endpoint);
-  boost::asio::awaitable<bool> hasCrashed(const DirectCall &call,
-                                          EndpointRecord endpoint);
+  boost::asio::awaitable<bool> outlivesResponse(const DirectCall &call,
+                                                StartAttempt order);
   void takeReport(const LoadReport &report);
   void takePushback(const EndpointId &id, const Pushback &pushback,
                     std::optional<TimePoint> sentAt);
--- a/include/ospreyspur/Process/LivenessCheck.h
+++ b/include/ospreyspur/Process/LivenessCheck.h
@@ -1,13 +1,14 @@
 //===- LivenessCheck.h - checks if an endpoint has exited -------*- C++ -*-===//
 //
-// Connects to an endpoint that cut off a response and finds out whether its
-// process has exited.
+// Connects to an endpoint that cut off a response, or whose response ended with
+// its connection, and finds out whether its process has exited.
 //
 //===----------------------------------------------------------------------===//
 
 #ifndef OSPREYSPUR_PROCESS_LIVENESSCHECK_H
 #define OSPREYSPUR_PROCESS_LIVENESSCHECK_H
 
+#include "ospreyspur/Http/HttpTypes.h"
 #include "ospreyspur/Quarantine/EndpointLiveness.h"
 #include "ospreyspur/Support/Address.h"
 #include "ospreyspur/Support/Time.h"
@@ -20,17 +21,22 @@
 
 namespace ospreyspur {
 
-/// Queries an endpoint whether it is still the same incarnation; empty if the
-/// endpoint does not report this.
-using IncarnationCheck =
-    std::function<boost::asio::awaitable<std::optional<bool>>()>;
+/// A query that tells an endpoint's incarnation from others at its address.
+struct IncarnationQuery {
+  HttpRequest Request;
+  /// Whether the expected incarnation wrote the response, whose body has been
+  /// read only if \p isComplete. Empty if the response does not tell, or not
+  /// without its body.
+  std::function<std::optional<bool>(const HttpResponse &, bool isComplete)>
+      IsExpected;
+};
 
 /// Whether the process of the endpoint at \p address has exited. Without
-/// \p isSameIncarnation, an endpoint that keeps a connection open counts as
-/// alive.
+/// \p query, any process that keeps a connection open counts as the endpoint;
+/// with it, the incarnation that is expected has to respond.
 boost::asio::awaitable<EndpointLiveness>
 checkLiveness(boost::asio::io_context &ioc, TcpAddress address,
-              IncarnationCheck isSameIncarnation = nullptr);
+              std::optional<IncarnationQuery> query = std::nullopt);
 
 /// The name of \p liveness in logs and metrics.
 const char *toString(EndpointLiveness liveness);
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -186,12 +186,13 @@
   co_return true;
 }
 
-/// Whether the endpoint crashed at the end of a response without a length or
-/// chunks: the connection of a cut response ends like that of a whole one.
+/// Whether a response without a length or chunks may have been cut off. The
+/// connection of an endpoint that crashes ends like that of one that has sent
+/// the whole response.
 asio::awaitable<bool> DirectAttempt::isCutAtEnd() {
   bool endsWithConnection =
       Response->need_eof() && Exchange.request().method() != http::verb::head;
-  if (!endsWithConnection || !co_await Handlers.HasCrashed())
+  if (!endsWithConnection || co_await Handlers.OutlivesResponse())
     co_return false;
   ClosedBy = ConnectionEnd::Endpoint;
   co_return true;
@@ -199,7 +200,10 @@
 
 asio::awaitable<AttemptEnd> DirectAttempt::forwardComplete() {
   std::string body;
-  bool isComplete = co_await readBody(body) && !co_await isCutAtEnd();
+  bool isComplete = co_await readBody(body);
+  // No body is forwarded of the other responses.
+  if (Head.Kind == ResponseKind::Own || Head.Kind == ResponseKind::Failed)
+    isComplete = isComplete && !co_await isCutAtEnd();
   switch (Head.Kind) {
   case ResponseKind::Full:
     if (isComplete)
--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -1,7 +1,9 @@
 //===- DirectLiveness.cpp - endpoint crashes during requests --------------===//
 //
-// The part of DirectTraffic that checks whether an endpoint has exited, handles
-// other entries' reports of crashes, and logs the resulting verdicts.
+// The part of DirectTraffic that checks whether an endpoint has exited, either
+// because it cut off a response or because nothing but the end of the
+// connection marks the end of a response. It also handles other entries'
+// reports of crashes, and logs the resulting verdicts.
 //
 //===----------------------------------------------------------------------===//
 
@@ -9,18 +11,27 @@
 
 #include "ospreyspur/Process/CrashLog.h"
 #include "ospreyspur/Process/LivenessCheck.h"
-#include "ospreyspur/Process/RankLink.h"
 #include "ospreyspur/Support/LogEvent.h"
+#include "platform/RankWire.h"
+#include "platform/RequestWire.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
 
+/// How long an endpoint may take to reply to a liveness check: less than this
+/// side waits for the reply.
+static constexpr Duration LivenessQueryTime = std::chrono::milliseconds(300);
+/// How long the caller of a response that may be cut off waits until the
+/// endpoint has been reached. A lost SYN packet alone takes a second.
+static constexpr Duration MaxEndCheckTime = std::chrono::milliseconds(1500);
+
 /// Logs each crash of an endpoint during a request and each new quarantine, and
 /// passes changes of the quarantine to ReportQuarantine.
 void DirectTraffic::logCrashes() {
@@ -72,6 +83,36 @@
   apply(Node.onChecked(endpoint.Id, liveness, monotonicNow()));
 }
 
+/// A query that tells the incarnation of \p endpoint from any other process at
+/// its address. Engines reply to a report request without a free slot.
+static IncarnationQuery makeQuery(const EndpointRecord &endpoint,
+                                  const FleetConfig &config) {
+  const ServiceRule *service = config.findService(endpoint.Service);
+  HttpRequest query =
+      endpoint.AnswersStatusQueries
+          ? platform::makeReportCall()
+          : platform::makeHealthCall(service ? service->HealthPath
+                                             : ServiceRule().HealthPath);
+  return {
+      platform::makeLivenessCheck(std::move(query), endpoint.Name,
+                                  LivenessQueryTime),
+      [endpoint](const HttpResponse &response,
+                 bool isComplete) -> std::optional<bool> {
+        if (!platform::isFromEndpoint(response, endpoint.Name))
+          return false;
+        bool isNameEnough = endpoint.Incarnation == EndpointIncarnation(0) ||
+                            !endpoint.AnswersStatusQueries;
+        if (isNameEnough)
+          return true;
+        if (!isComplete)
+          return std::nullopt;
+        Result<RankStatus> status = platform::readReport(response.body());
+        if (!status)
+          return std::nullopt;
+        return status.value().Incarnation.get() == endpoint.Incarnation.get();
+      }};
+}
+
 asio::awaitable<EndpointLiveness>
 DirectTraffic::findLiveness(EndpointRecord endpoint) {
   // If the endpoint reports no incarnation, has a rate limit, is in backoff or
@@ -81,18 +122,10 @@
       endpoint.AnswersStatusQueries &&
       endpoint.Incarnation != EndpointIncarnation(0) &&
       Node.acceptsStatusQueries(endpoint.Id, monotonicNow());
-  if (!reportsIncarnation)
-    co_return co_await checkLiveness(Context, endpoint.Address);
-  auto isSameIncarnation =
-      [this, &endpoint]() -> asio::awaitable<std::optional<bool>> {
-    RankLink link(Context, endpoint.Address);
-    Result<RankStatus> status = co_await link.readReport();
-    if (!status)
-      co_return std::nullopt;
-    co_return status.value().Incarnation.get() == endpoint.Incarnation.get();
-  };
-  co_return co_await checkLiveness(Context, endpoint.Address,
-                                   isSameIncarnation);
+  std::optional<IncarnationQuery> query;
+  if (reportsIncarnation)
+    query = makeQuery(endpoint, *Config);
+  co_return co_await checkLiveness(Context, endpoint.Address, std::move(query));
 }
 
 /// The state of an endpoint in this entry's table, as a word for the log.
@@ -104,27 +137,30 @@
   return state->Record.IsLeaving ? "leaving" : "ready";
 }
 
-/// Whether the endpoint of \p call has exited though it was not to leave.
-asio::awaitable<bool> DirectTraffic::hasCrashed(const DirectCall &call,
-                                                EndpointRecord endpoint) {
+/// Whether the endpoint of \p order still runs after the end of a response that
+/// ended with its connection, so that the response is whole. No state in the
+/// endpoint list replaces the endpoint's own reply: one that is leaving or has
+/// vanished from the list may crash as well, and what listens at its address
+/// may be another incarnation.
+asio::awaitable<bool> DirectTraffic::outlivesResponse(const DirectCall &call,
+                                                      StartAttempt order) {
+  const EndpointRecord &endpoint = order.Endpoint;
+  TimePoint begin = monotonicNow();
+  TimePoint end = std::min(order.Deadline, begin + MaxEndCheckTime);
   std::string label = call.Request.Label;
-  const EndpointState *state = Node.endpointTable().find(endpoint.Id);
-  const char *stateWord = wordOf(state);
-  bool isPlanned = !state || state->Record.IsLeaving || state->IsMissing;
-  const char *fate = "unchecked";
-  bool isCut = false;
-  if (!isPlanned) {
-    EndpointLiveness liveness = co_await findLiveness(endpoint);
-    fate = toString(liveness);
-    isCut = liveness == EndpointLiveness::Exited;
-    Measures.count("response_end_checks_total{fate=\"" + std::string(fate) +
-                   "\"}");
-  }
+  const char *state = wordOf(Node.endpointTable().find(endpoint.Id));
+  IncarnationQuery query = makeQuery(endpoint, *call.Request.Config);
+  EndpointLiveness liveness = EndpointLiveness::Unknown;
+  do
+    liveness = co_await checkLiveness(Context, endpoint.Address, query);
+  while (liveness == EndpointLiveness::Unknown && monotonicNow() < end);
+  Measures.count("response_end_checks_total{state=\"" + std::string(state) +
+                 "\",fate=\"" + toString(liveness) + "\"}");
   LOG(INFO) << LogEvent("response.end_checked")
                    .with("id", label)
                    .with("endpoint", endpoint.Id.get())
-                   .with("state", stateWord)
-                   .with("fate", fate)
-                   .with("whole", !isCut);
-  co_return isCut;
+                   .with("state", state)
+                   .with("fate", toString(liveness))
+                   .with("took_ms", toMillis(monotonicNow() - begin));
+  co_return liveness == EndpointLiveness::Alive;
 }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -273,12 +273,12 @@
                                std::optional<TimePoint> sentAt) {
     takePushback(order.Endpoint.Id, pushback, sentAt);
   };
-  auto hasCrashed = [this, &call, &order] {
-    return this->hasCrashed(call, order.Endpoint);
+  auto outlivesResponse = [this, &call, &order] {
+    return this->outlivesResponse(call, order);
   };
   TimePoint began = monotonicNow();
   DirectAttempt running(Pool, exchange, call, order,
-                        {maySend, onHead, onData, onIdle, hasCrashed});
+                        {maySend, onHead, onData, onIdle, outlivesResponse});
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
   Measures.set("requests_waiting", double(Node.waitingCount()));
--- a/lib/Process/LivenessCheck.cpp
+++ b/lib/Process/LivenessCheck.cpp
@@ -13,18 +13,26 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <array>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
 
 /// How long a connection attempt to an endpoint that cut off a response may
 /// take; inside a region a connection is established within milliseconds.
 static constexpr Duration CheckTimeout = std::chrono::milliseconds(300);
 
+/// How long an endpoint may take to respond to a query.
+static constexpr Duration QueryTimeout = std::chrono::milliseconds(400);
+static constexpr std::uint64_t MaxResponseBytes = 1U << 20U;
+
 /// How often an endpoint that accepts connections and closes them at once is
 /// checked, and the time between two checks. A connection that stays open for
 /// CheckInterval belongs to a running process: an exiting process closes all
@@ -40,37 +48,65 @@
 }
 
 /// Whether the other side keeps the connection for CheckInterval.
-static asio::awaitable<bool> staysOpen(boost::beast::tcp_stream &stream) {
+static asio::awaitable<bool> staysOpen(beast::tcp_stream &stream) {
   char byte = 0;
   stream.expires_after(CheckInterval);
   auto [ec, n] =
       co_await stream.async_read_some(asio::buffer(&byte, 1), AsTuple);
-  co_return ec == boost::beast::error::timeout;
+  co_return ec == beast::error::timeout;
+}
+
+/// Sends the query; empty if the response does not tell the incarnation.
+static asio::awaitable<std::optional<bool>>
+isExpectedIncarnation(beast::tcp_stream &stream,
+                      const IncarnationQuery &query) {
+  stream.expires_after(QueryTimeout);
+  auto [writeError, written] =
+      co_await http::async_write(stream, query.Request, AsTuple);
+  if (writeError)
+    co_return std::nullopt;
+  beast::flat_buffer buf;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(MaxResponseBytes);
+  auto [headError, headBytes] =
+      co_await http::async_read_header(stream, buf, parser, AsTuple);
+  if (headError)
+    co_return std::nullopt;
+  std::optional<bool> out = query.IsExpected(parser.get(), false);
+  if (out)
+    co_return out;
+  auto [bodyError, bodyBytes] =
+      co_await http::async_read(stream, buf, parser, AsTuple);
+  if (bodyError)
+    co_return std::nullopt;
+  co_return query.IsExpected(parser.get(), true);
 }
 
 asio::awaitable<EndpointLiveness>
 ospreyspur::checkLiveness(asio::io_context &ioc, TcpAddress address,
-                          IncarnationCheck isSameIncarnation) {
+                          std::optional<IncarnationQuery> query) {
   for (unsigned i = 0; i < MaxLivenessChecks; ++i) {
     if (i > 0)
       co_await sleepFor(ioc, CheckInterval);
-    boost::beast::tcp_stream stream(ioc);
+    beast::tcp_stream stream(ioc);
     stream.expires_after(CheckTimeout);
     auto [ec] = co_await stream.async_connect(address, AsTuple);
     if (ec == asio::error::connection_refused)
       co_return EndpointLiveness::Exited;
-    if (ec == boost::beast::error::timeout)
+    if (ec == beast::error::timeout)
       co_return EndpointLiveness::Unknown;
     if (ec)
       continue;
-    if (!isSameIncarnation) {
+    if (!query) {
       if (co_await staysOpen(stream))
         co_return EndpointLiveness::Alive;
       continue;
     }
-    std::optional<bool> isSame = co_await isSameIncarnation();
-    if (isSame)
-      co_return *isSame ? EndpointLiveness::Alive : EndpointLiveness::Exited;
+    std::optional<bool> isExpected =
+        co_await isExpectedIncarnation(stream, *query);
+    if (isExpected)
+      co_return *isExpected ? EndpointLiveness::Alive
+                            : EndpointLiveness::Exited;
   }
   co_return EndpointLiveness::Unknown;
 }
@@ -78,7 +114,7 @@
 asio::awaitable<void> ospreyspur::waitForClose(asio::io_context &ioc,
                                                TcpAddress address,
                                                Duration limit) {
-  boost::beast::tcp_stream stream(ioc);
+  beast::tcp_stream stream(ioc);
   stream.expires_after(CheckTimeout);
   auto [connectError] = co_await stream.async_connect(address, AsTuple);
   char byte = 0;
--- a/unittests/Process/DirectTrafficTest.cpp
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -347,7 +347,8 @@
 /// What UnframedEndpoints have in common.
 struct UnframedRun {
   StreamEnd End = StreamEnd::Whole;
-  /// The Last-Event-Id of each request; empty for one that starts the stream.
+  /// The Last-Event-Id of each request that runs; empty for one that starts the
+  /// stream.
   std::vector<std::string> Requests;
 };
 
@@ -367,6 +368,8 @@
   static constexpr std::string_view Head =
       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nReplica-Stamp: s\r\n"
       "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+  static constexpr std::string_view HealthResponse =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   static constexpr std::string_view FirstEvent = "id: 1\ndata: first\n\n";
   static constexpr std::string_view SecondEvent = "id: 2\ndata: second\n\n";
 
@@ -390,6 +393,11 @@
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
       co_return;
+    if (in.starts_with("GET /health")) {
+      co_await asio::async_write(socket, asio::buffer(HealthResponse),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+      co_return;
+    }
     std::size_t at = in.find(IdHeader);
     bool resumes = at != std::string::npos;
     std::string after =
