Let the name in a health check tell one start of an endpoint from the next

A restarted endpoint would have vouched for the response of the one before it.

So the name in the reply decides. An endpoint that treats checks like requests, and names itself nowhere, vouches by a signed response, as it runs nothing that is meant for another one. A rejection that tells neither is no proof; the check is repeated. Engines get health checks, too, as reports do not name them; those that report an incarnation are asked for that, as before.

UnframedResponseTest plays three ways of replying; PlatformWireTest has the cases of one reply.

--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -83,34 +83,37 @@
   apply(Node.onChecked(endpoint.Id, liveness, monotonicNow()));
 }
 
-/// A query that tells the incarnation of \p endpoint from any other process at
-/// its address. Engines reply to a report request without a free slot.
-static IncarnationQuery makeQuery(const EndpointRecord &endpoint,
-                                  const FleetConfig &config) {
+/// A query for the incarnation that \p endpoint reports.
+static IncarnationQuery makeReportQuery(const EndpointRecord &endpoint) {
+  return {platform::makeReportCall(),
+          [incarnation = endpoint.Incarnation.get()](
+              const HttpResponse &response,
+              bool isComplete) -> std::optional<bool> {
+            if (!isComplete)
+              return std::nullopt;
+            Result<RankStatus> status = platform::readReport(response.body());
+            if (!status)
+              return std::nullopt;
+            return status.value().Incarnation.get() == incarnation;
+          }};
+}
+
+/// A query for the name of \p endpoint. Each start of an endpoint has a name of
+/// its own, unless its record states an incarnation.
+static IncarnationQuery makeNameQuery(const EndpointRecord &endpoint,
+                                      const FleetConfig &config) {
   const ServiceRule *service = config.findService(endpoint.Service);
-  HttpRequest query =
-      endpoint.AnswersStatusQueries
-          ? platform::makeReportCall()
-          : platform::makeHealthCall(service ? service->HealthPath
-                                             : ServiceRule().HealthPath);
-  return {
-      platform::makeLivenessCheck(std::move(query), endpoint.Name,
-                                  LivenessQueryTime),
-      [endpoint](const HttpResponse &response,
-                 bool isComplete) -> std::optional<bool> {
-        if (!platform::isFromEndpoint(response, endpoint.Name))
-          return false;
-        bool isNameEnough = endpoint.Incarnation == EndpointIncarnation(0) ||
-                            !endpoint.AnswersStatusQueries;
-        if (isNameEnough)
-          return true;
-        if (!isComplete)
-          return std::nullopt;
-        Result<RankStatus> status = platform::readReport(response.body());
-        if (!status)
-          return std::nullopt;
-        return status.value().Incarnation.get() == endpoint.Incarnation.get();
-      }};
+  std::string path = service ? service->HealthPath : ServiceRule().HealthPath;
+  return {platform::makeHealthCall(path, endpoint.Name, LivenessQueryTime),
+          [name = endpoint.Name](const HttpResponse &response,
+                                 bool /*isComplete*/) {
+            return platform::isFromEndpoint(response, name);
+          }};
+}
+
+static bool reportsIncarnation(const EndpointRecord &endpoint) {
+  return endpoint.AnswersStatusQueries &&
+         endpoint.Incarnation != EndpointIncarnation(0);
 }
 
 asio::awaitable<EndpointLiveness>
@@ -118,13 +121,10 @@
   // If the endpoint reports no incarnation, has a rate limit, is in backoff or
   // is leaving, a connection is opened without a status query, which would
   // count as a request.
-  bool reportsIncarnation =
-      endpoint.AnswersStatusQueries &&
-      endpoint.Incarnation != EndpointIncarnation(0) &&
-      Node.acceptsStatusQueries(endpoint.Id, monotonicNow());
   std::optional<IncarnationQuery> query;
-  if (reportsIncarnation)
-    query = makeQuery(endpoint, *Config);
+  if (reportsIncarnation(endpoint) &&
+      Node.acceptsStatusQueries(endpoint.Id, monotonicNow()))
+    query = makeReportQuery(endpoint);
   co_return co_await checkLiveness(Context, endpoint.Address, std::move(query));
 }
 
@@ -149,7 +149,9 @@
   TimePoint end = std::min(order.Deadline, begin + MaxEndCheckTime);
   std::string label = call.Request.Label;
   const char *state = wordOf(Node.endpointTable().find(endpoint.Id));
-  IncarnationQuery query = makeQuery(endpoint, *call.Request.Config);
+  IncarnationQuery query = reportsIncarnation(endpoint)
+                               ? makeReportQuery(endpoint)
+                               : makeNameQuery(endpoint, *call.Request.Config);
   EndpointLiveness liveness = EndpointLiveness::Unknown;
   do
     liveness = co_await checkLiveness(Context, endpoint.Address, query);
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -25,7 +25,7 @@
     R"("backends":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
     R"("attempts":2,"resumable":true},{"name":"q","host":"h.example",)"
     R"("prefix":"/a/b/","kind":"safe","service":"t"}],)"
-    R"("services":[{"name":"s","max_conns":5,"engine":{"stride":6,)"
+    R"("services":[{"name":"s","health_path":"/up","max_conns":5,"engine":{"stride":6,)"
     R"("per_seq_ms":0.362,"sets":6,"experts":64,"placements":11,"spare":4}}],)"
     R"("limits":{"max_header_bytes":100,"idle_timeout_ms":9000},)"
     R"("tenants":[{"name":"w","api_keys":["k1","k2"],"priority":3}]})";
@@ -44,6 +44,7 @@
   CHECK(it.Routes[0].IsResumable);
   CHECK(it.Keys.at("k2").Priority == 3U);
   REQUIRE(it.findService(ServiceId("s")));
+  CHECK(it.findService(ServiceId("s"))->HealthPath == "/up");
   CHECK(it.findService(ServiceId("s"))->Engine->StepsPerIteration == 6);
   CHECK(it.Limits.IdleTimeout == std::chrono::seconds(9));
 }
@@ -361,3 +362,27 @@
     CHECK_FALSE(leavingOf(it).Malformed.empty());
   }
 }
+
+// Guards against an endpoint that vouches for a response of the process that
+// had its address before.
+TEST_CASE("a response to a health check tells which endpoint wrote it") {
+  auto isFrom = [](unsigned status, const char *header, const char *value) {
+    HttpResponse response;
+    response.result(status);
+    response.set(header, value);
+    return platform::isFromEndpoint(response, "e1");
+  };
+  CHECK(isFrom(200, "Replica-Id", "e1") == std::optional(true));
+  CHECK(isFrom(503, "Replica-Id", "e1") == std::optional(true));
+  CHECK(isFrom(200, "Replica-Id", "e2") == std::optional(false));
+  CHECK(isFrom(421, "Replica-Id", "e1") == std::optional(false));
+  CHECK(isFrom(421, "Not-Executed", "1") == std::optional(false));
+  CHECK(isFrom(200, "Replica-Stamp", "s") == std::optional(true));
+  CHECK(isFrom(503, "Not-Executed", "1") == std::nullopt);
+  CHECK(isFrom(200, "Server", "x") == std::nullopt);
+  HttpRequest check =
+      platform::makeHealthCall("/h", "e1", std::chrono::milliseconds(300));
+  CHECK(check.target() == "/h");
+  CHECK(check["Expect-Replica"] == "e1");
+  CHECK(check["Deadline-Ms"] == "300");
+}
--- a/unittests/Process/DirectTrafficTest.cpp
+++ b/unittests/Process/DirectTrafficTest.cpp
@@ -369,7 +369,7 @@
       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nReplica-Stamp: s\r\n"
       "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
   static constexpr std::string_view HealthResponse =
-      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      "HTTP/1.1 200 OK\r\nReplica-Stamp: s\r\nContent-Length: 0\r\n\r\n";
   static constexpr std::string_view FirstEvent = "id: 1\ndata: first\n\n";
   static constexpr std::string_view SecondEvent = "id: 2\ndata: second\n\n";
 
--- a/unittests/Process/UnframedEndpoint.h
+++ b/unittests/Process/UnframedEndpoint.h
@@ -25,6 +25,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace ospreyspur::test {
@@ -42,6 +43,17 @@
   Silence,
 };
 
+/// How an endpoint replies to health checks.
+enum class CheckReply : std::uint8_t {
+  /// It replies to all and states its name.
+  Named,
+  /// It treats them like requests: it rejects those that are meant for another
+  /// endpoint, and signs its responses to the others.
+  LikeRequests,
+  /// It rejects the first one because it is busy, and then replies as above.
+  BusyAtFirst,
+};
+
 /// An endpoint on one io_context's thread.
 class UnframedEndpoint {
 public:
@@ -57,10 +69,11 @@
 
   const tcp::endpoint &address() const { return Address; }
   const std::string &name() const { return Name; }
-  /// Number of requests that ran, liveness checks not counted.
+  /// Number of requests that ran, health checks not counted.
   unsigned runs() const { return Runs; }
-  /// How long the endpoint takes to reply to a liveness check.
+  /// How long the endpoint takes to reply to a health check.
   void setCheckDelay(Duration delay) { CheckDelay = delay; }
+  void setCheckReply(CheckReply reply) { Reply = reply; }
 
   void end(UnframedEnd how) {
     IsSilent = how == UnframedEnd::Silence;
@@ -84,6 +97,14 @@
   static constexpr auto AsTuple =
       boost::asio::as_tuple(boost::asio::use_awaitable);
 
+  static constexpr std::string_view Misdirected =
+      "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+  static constexpr std::string_view Busy =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  static constexpr std::string_view Signed =
+      "HTTP/1.1 200 OK\r\nReplica-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+
   void listen() {
     Acceptor.open(tcp::v4());
     Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
@@ -129,10 +150,14 @@
                                        const std::string &text) {
     std::string wanted = headerOf(text, "Expect-Replica");
     bool isOther = !wanted.empty() && wanted != Name;
-    if (isOther || text.starts_with("GET /health")) {
+    if (text.starts_with("GET /health")) {
       co_await replyToCheck(socket, isOther);
       co_return;
     }
+    if (isOther) {
+      co_await write(socket, std::string(Misdirected));
+      co_return;
+    }
     ++Runs;
     co_await write(socket, Head +
                                "Request-Id: " + headerOf(text, "Request-Id") +
@@ -148,9 +173,13 @@
     boost::asio::steady_timer timer(
         Context, IsSilent ? Duration(std::chrono::hours(1)) : CheckDelay);
     co_await timer.async_wait(AsTuple);
-    std::string status = isOther ? "421 Misdirected Request" : "200 OK";
-    co_await write(socket, "HTTP/1.1 " + status + "\r\nReplica-Id: " + Name +
-                               "\r\nContent-Length: 0\r\n\r\n");
+    if (Reply == CheckReply::BusyAtFirst && Checks++ == 0)
+      co_await write(socket, std::string(Busy));
+    else if (Reply == CheckReply::LikeRequests)
+      co_await write(socket, std::string(isOther ? Misdirected : Signed));
+    else
+      co_await write(socket, "HTTP/1.1 200 OK\r\nReplica-Id: " + Name +
+                                 "\r\nContent-Length: 0\r\n\r\n");
   }
 
   static boost::asio::awaitable<void> write(const Socket &socket,
@@ -168,6 +197,8 @@
   tcp::endpoint Address;
   boost::asio::steady_timer Ended{Context};
   Duration CheckDelay{};
+  CheckReply Reply = CheckReply::Named;
+  unsigned Checks = 0;
   bool IsSilent = false;
   bool SendsRest = false;
   unsigned Runs = 0;
--- a/unittests/Process/UnframedResponseTest.cpp
+++ b/unittests/Process/UnframedResponseTest.cpp
@@ -16,6 +16,7 @@
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
+using ospreyspur::test::CheckReply;
 using ospreyspur::test::UnframedEnd;
 using ospreyspur::test::UnframedEndpoint;
 using tcp = asio::ip::tcp;
@@ -30,6 +31,9 @@
 static constexpr std::array CutEnds = {
     UnframedEnd::Crash, UnframedEnd::CrashAndRestart, UnframedEnd::Silence};
 
+static constexpr std::array AllReplies = {
+    CheckReply::Named, CheckReply::LikeRequests, CheckReply::BusyAtFirst};
+
 static constexpr std::string_view LastChunk = "\r\n0\r\n\r\n";
 static constexpr std::string_view FirstEvent = "id: 1\ndata: first\n\n";
 static constexpr std::string_view SecondEvent = "id: 2\ndata: second\n\n";
@@ -150,45 +154,53 @@
          text.find(SecondEvent) != std::string::npos;
 }
 
+/// Calls \p check with a fixture for each state and reply.
+template <typename Check>
+static void checkAll(bool isStream, const Check &check) {
+  for (ListedAs state : AllStates)
+    for (CheckReply reply : AllReplies) {
+      CAPTURE(int(state));
+      CAPTURE(int(reply));
+      UnframedFixture fixture(isStream);
+      fixture.endpoint().setCheckReply(reply);
+      check(fixture, state);
+    }
+}
+
 // Whatever the entry knows of the endpoint, only a reply of the incarnation
 // that sent the response shows that it ended the response itself.
 TEST_CASE("part of a response without a length is never a success") {
-  for (ListedAs state : AllStates)
-    for (UnframedEnd end : CutEnds) {
-      CAPTURE(int(state));
-      CAPTURE(int(end));
-      UnframedFixture fixture(false);
+  for (UnframedEnd end : CutEnds) {
+    CAPTURE(int(end));
+    checkAll(false, [&](UnframedFixture &fixture, ListedAs state) {
       std::string text = fixture.call(state, end);
       CHECK_FALSE(isSuccess(text));
       CHECK(fixture.endpoint().runs() == 1);
-    }
+    });
+  }
 }
 
 TEST_CASE("part of a stream without a length has no end") {
-  for (ListedAs state : AllStates)
-    for (UnframedEnd end : CutEnds) {
-      CAPTURE(int(state));
-      CAPTURE(int(end));
-      UnframedFixture fixture(true);
+  for (UnframedEnd end : CutEnds) {
+    CAPTURE(int(end));
+    checkAll(true, [&](UnframedFixture &fixture, ListedAs state) {
       std::string text = fixture.call(state, end);
       CHECK(text.find(FirstEvent) != std::string::npos);
       CHECK_FALSE(text.ends_with(LastChunk));
       CHECK(fixture.endpoint().runs() == 1);
-    }
+    });
+  }
 }
 
 TEST_CASE("a whole response without a length is a success") {
-  for (ListedAs state : AllStates)
-    for (bool isStream : {false, true}) {
-      CAPTURE(int(state));
-      CAPTURE(isStream);
-      UnframedFixture fixture(isStream);
+  for (bool isStream : {false, true})
+    checkAll(isStream, [&](UnframedFixture &fixture, ListedAs state) {
       std::string text = fixture.call(state, UnframedEnd::Whole);
       CHECK(isSuccess(text));
       CHECK(hasBothEvents(text));
       CHECK(text.ends_with(LastChunk) == isStream);
       CHECK(fixture.endpoint().runs() == 1);
-    }
+    });
 }
 
 TEST_CASE("a whole response without a length is a success though its endpoint "
