Let agents watch whether their endpoint outlives a response without a length

What callers saw: nothing was reported; the case has no agents. What they would have seen: through an agent, part of a response that has neither a length nor chunks is a complete response whenever its endpoint crashes, also without any trouble beside it.

On this path endpoints have no names that change with each start, so a query could reach a restarted process. Instead the agent, which runs on the same host, keeps one idle connection to its endpoint open: all connections of a process close as it exits, so while this one lasts, the process is the same. An endpoint may close idle connections: the watch is then opened again, and stands for the runs whose own connections are open after that.

Ruled out: a new connection after the end (may be another process's), and one opened with the response's head (a short response has ended by then).

--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -53,11 +53,17 @@
   /// Cancels the pending operation; run() then closes the connection and
   /// returns.
   void stop();
+  /// Whether the run has a connection that the server has not closed.
+  bool isOpen() const;
+  /// Whether nothing but the end of the connection marked the end of the
+  /// response. A server that exits ends its connections in the same way.
+  bool hasEndedWithConnection() const { return HasEndedWithConnection; }
 
 private:
   friend class HttpClient;
   boost::beast::tcp_stream *Stream = nullptr;
   bool IsStopped = false;
+  bool HasEndedWithConnection = false;
 };
 
 /// A client of one server.
--- a/include/ospreyspur/Process/AgentTraffic.h
+++ b/include/ospreyspur/Process/AgentTraffic.h
@@ -10,6 +10,7 @@
 
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Http/HttpClient.h"
+#include "ospreyspur/Process/EndpointWatch.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Rpc/PeerServer.h"
 #include "ospreyspur/Support/Metrics.h"
@@ -69,7 +70,16 @@
                                    std::shared_ptr<HttpRunHandle> handle);
   boost::asio::awaitable<void> awaitExit();
   void takePushback(RequestId id, const HttpResponseHead &head);
+  boost::asio::awaitable<ResultCode> classifyEnd(RequestId id);
   boost::asio::awaitable<ResultCode> classifyFailure(RequestId id);
+  void onWatchReplaced(WatchNumber lost, WatchNumber current);
+
+  /// A request at the endpoint.
+  struct Run {
+    std::shared_ptr<HttpRunHandle> Handle;
+    /// The watch that has lasted since the run began; 0 if none has.
+    WatchNumber Watch = WatchNumber(0);
+  };
 
   boost::asio::io_context &Context;
   const AgentSettings &Settings;
@@ -78,9 +88,10 @@
   TcpAddress EndpointAddress;
   bool IsAwaitingExit = false;
   HttpClient Endpoint;
+  EndpointWatch Watch;
   NodeTimer Timer;
   ControlHandlers Control;
-  std::map<RequestId, std::shared_ptr<HttpRunHandle>> Runs;
+  std::map<RequestId, Run> Runs;
   PeerServer Server;
 };
 
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <poll.h>
+
 #include <array>
 
 using namespace ospreyspur;
@@ -31,6 +33,13 @@
     Stream->cancel();
 }
 
+bool HttpRunHandle::isOpen() const {
+  if (!Stream || !Stream->socket().is_open())
+    return false;
+  pollfd state{Stream->socket().native_handle(), POLLRDHUP, 0};
+  return ::poll(&state, 1, 0) == 0;
+}
+
 HttpClient::HttpClient(asio::io_context &ioc, TcpAddress server)
     : Context(ioc), Server(std::move(server)) {}
 
@@ -165,5 +174,6 @@
     if (ec && ec != http::error::need_buffer)
       co_return classifyFailure(ec);
   }
+  handle->HasEndedWithConnection = parser.need_eof();
   co_return ResultCode::Ok;
 }
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -41,7 +41,12 @@
     : Context(ioc), Settings(settings), Measures(metrics),
       Node(EndpointId(settings.EndpointName), incarnation, std::move(key),
            settings.Limits, seed),
-      EndpointAddress(endpoint), Endpoint(ioc, std::move(endpoint)),
+      EndpointAddress(endpoint), Endpoint(ioc, endpoint),
+      Watch(ioc, std::move(endpoint),
+            {[this] { return !Runs.empty(); },
+             [this](WatchNumber lost, WatchNumber current) {
+               onWatchReplaced(lost, current);
+             }}),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }),
       Server({[this](LinkId link, std::vector<Message> messages) {
                 asio::post(Context,
@@ -103,7 +108,7 @@
 
 void AgentTraffic::perform(StartRun action) {
   auto handle = std::make_shared<HttpRunHandle>();
-  Runs[action.Id] = handle;
+  Runs[action.Id].Handle = handle;
   Measures.count("runs_total");
   asio::co_spawn(Context, run(std::move(action), handle), asio::detached);
 }
@@ -112,7 +117,7 @@
   auto it = Runs.find(action.Id);
   if (it == Runs.end())
     return;
-  it->second->stop();
+  it->second.Handle->stop();
   Runs.erase(it);
 }
 
@@ -149,8 +154,13 @@
   sink.OnData = [this, id](std::string_view data) {
     apply(Node.onRunData(id, data, monotonicNow()));
   };
+  co_await Watch.open();
+  if (auto it = Runs.find(id); it != Runs.end())
+    it->second.Watch = Watch.current();
   ResultCode code = co_await Endpoint.run(std::move(request), sink, handle,
                                           Settings.EndpointIdle);
+  if (code == ResultCode::Ok && handle->hasEndedWithConnection())
+    code = co_await classifyEnd(id);
   if (code == ResultCode::EndpointFailed && Runs.contains(id))
     code = co_await classifyFailure(id);
   // If the run was stopped, it has been erased and its end reported already.
@@ -201,6 +211,31 @@
     apply(Node.onEndpointExited(monotonicNow()));
 }
 
+/// Returns Ok if the endpoint has not exited since the run \p id began, so that
+/// the end of the connection was the end of its response; otherwise
+/// EndpointFailed.
+asio::awaitable<ResultCode> AgentTraffic::classifyEnd(RequestId id) {
+  auto it = Runs.find(id);
+  if (it == Runs.end())
+    co_return ResultCode::Ok;
+  bool isWhole = co_await Watch.outlasts(it->second.Watch);
+  Measures.count(isWhole ? "response_end_checks_total{fate=\"alive\"}"
+                         : "response_end_checks_total{fate=\"unknown\"}");
+  LOG(INFO) << LogEvent("response.end_checked")
+                   .with("endpoint", Settings.EndpointName)
+                   .with("request", toHeader(id))
+                   .with("fate", isWhole ? "alive" : "unknown");
+  co_return isWhole ? ResultCode::Ok : ResultCode::EndpointFailed;
+}
+
+/// Lets the new watch stand for the lost one in all runs whose connection is
+/// open now, after the new watch was accepted: they are at the same process.
+void AgentTraffic::onWatchReplaced(WatchNumber lost, WatchNumber current) {
+  for (auto &[id, run] : Runs)
+    if (run.Watch == lost && run.Handle->isOpen())
+      run.Watch = current;
+}
+
 /// Checks whether the endpoint has exited or only closed the connection of the
 /// request \p id.
 asio::awaitable<ResultCode> AgentTraffic::classifyFailure(RequestId id) {
--- a/unittests/Process/UnframedEndpoint.h
+++ b/unittests/Process/UnframedEndpoint.h
@@ -75,6 +75,15 @@
   void setCheckDelay(Duration delay) { CheckDelay = delay; }
   void setCheckReply(CheckReply reply) { Reply = reply; }
 
+  /// Closes the connections on which nothing was received.
+  void closeIdle() {
+    boost::system::error_code ec;
+    for (const Socket &it : std::exchange(Idle, {})) {
+      Open.erase(it);
+      it->close(ec);
+    }
+  }
+
   void end(UnframedEnd how) {
     IsSilent = how == UnframedEnd::Silence;
     SendsRest = how == UnframedEnd::Whole;
@@ -120,6 +129,7 @@
         co_return;
       auto kept = std::make_shared<tcp::socket>(std::move(socket));
       Open.insert(kept);
+      Idle.insert(kept);
       boost::asio::co_spawn(Context, serve(kept), boost::asio::detached);
     }
   }
@@ -138,6 +148,7 @@
     std::string text;
     auto [ec, n] = co_await boost::asio::async_read_until(
         *socket, boost::asio::dynamic_buffer(text), "\r\n\r\n", AsTuple);
+    Idle.erase(socket);
     if (!ec)
       co_await respond(socket, text);
     if (Open.erase(socket) == 1) {
@@ -203,6 +214,7 @@
   bool SendsRest = false;
   unsigned Runs = 0;
   std::set<Socket> Open;
+  std::set<Socket> Idle;
 };
 
 } // namespace ospreyspur::test
