Test that an old page of the list does not spread to other entries

The test makes its other change before the informed entry has read the list, so the list of that entry has the revision of the newest page already, and nothing newer is offered to it.

In the new case the other change follows once the entry is informed. With the old reading put back it fails on the informed entry where the endpoint was removed (it returns to service there); where the endpoint leaves, the rule that an incarnation never stops leaving protects the informed entry also then. The earlier cases are unchanged. Passes on the code as it is: a test only.

--- a/unittests/Control/StaleListTest.cpp
+++ b/unittests/Control/StaleListTest.cpp
@@ -127,10 +127,21 @@
 };
 } // namespace
 
+/// When something else than the list changes, so that the newer page has a
+/// higher revision than the change of the list.
+enum class OtherChange : std::uint8_t {
+  /// The informed entry's list has this revision, too.
+  AtOnce,
+  /// Once the informed entry has its list, so that its list has a lower one.
+  Later,
+};
+
 /// An entry knows that the endpoint leaves; another one starts, to whom page
 /// \p stalePage of the list is shown as it was before.
-static void startBesideInformedEntry(bool isRemoved, const char *others,
-                                     unsigned stalePage) {
+static void
+startBesideInformedEntry(bool isRemoved, const std::string &others,
+                         unsigned stalePage,
+                         OtherChange otherChange = OtherChange::AtOnce) {
   INFO("removed " << isRemoved << ", others " << others << ", stale page "
                   << stalePage);
   StoreWithPages fleet(others);
@@ -143,9 +154,11 @@
     fleet.Store.remove(std::string(platform::EndpointKeyPrefix) + LeavingName);
   else
     fleet.writeEndpoint(LeavingName, 99, "draining");
-  // Another change, so that the newer page has a higher revision.
-  fleet.Store.write("other", "");
+  if (otherChange == OtherChange::AtOnce)
+    fleet.Store.write("other", "");
   REQUIRE(fleet.runUntil([&] { return !informed.IsReady; }, seconds(5)));
+  if (otherChange == OtherChange::Later)
+    fleet.Store.write("other", "");
   fleet.Store.setStalePage(stalePage, before);
   Entry started(fleet.Context, fleet.Store.address(), second, first, "second");
   REQUIRE(fleet.runUntil([&] { return started.HasList; }, seconds(5)));
@@ -165,6 +178,15 @@
   }
 }
 
+// Guards against a list that spreads to entries which know better: it counts as
+// newer than theirs if it has the revision of its newest page.
+TEST_CASE("an old page of the list does not spread to other entries") {
+  for (bool isRemoved : {false, true}) {
+    startBesideInformedEntry(isRemoved, "i-a", 1, OtherChange::Later);
+    startBesideInformedEntry(isRemoved, "i-zz", 0, OtherChange::Later);
+  }
+}
+
 TEST_CASE(
     "an entry that starts alone uses no page that is older than another") {
   for (bool isRemoved : {false, true}) {
