Confirm a copy that only a stale read returned

What callers could see: an entry that starts may read a list of one page that is seconds old, and take an endpoint for ready that left before. An entry that watches the store learns of the changes with its first watch; one that does not used such a copy for 4 to 6 s if no peer replied, as the stale read counted as a check of the store. That is longer than the three seconds after which an entry counts as in touch.

Now a copy that nobody has confirmed is read again, not stale, after one and a half rounds (1.2 to 2.4 s after the start, by the rounds' times); until then peers may confirm it. Watchers, whose first watch confirmed nothing until it ended after up to 6 s, ask once without a wait, so that they can confirm the copies of others early.

Ruled out: reading the first list not stale, or its changes at once, at every entry: one counted call an entry and key at a common start.

GossipTest "a copy that nobody has confirmed is read again soon": 25 entries without peers that reply; before, 50 of 50 copies are unconfirmed after 2.5 s, now none.

--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -112,15 +112,20 @@
 }
 
 /// Watchers keep a watch open on each key; other nodes read a key once if their
-/// copy is too old.
+/// copy is too old. A copy from a stale read is brought up to date by watchers
+/// at once, and by other nodes if no peer has confirmed it soon.
 void GossipNode::callStore(TimePoint now) {
   for (SharedKey key : SharedKeys) {
     KeyFollower &follower = copyOf(key);
-    bool isOld = now - follower.checkedAt() >= maxAge() + OwnAgeJitter ||
-                 follower.revision().get() == 0;
+    bool isConfirmed = follower.confirmedAt() != TimePoint();
+    // Peers have a round to confirm a copy.
+    Duration age =
+        isConfirmed ? maxAge() + OwnAgeJitter : Limits.Interval * 3 / 2;
+    bool isOld =
+        now - follower.checkedAt() >= age || follower.revision().get() == 0;
     if (!isWatcher() && !isOld)
       continue;
-    Duration wait = isWatcher() ? watchWait() : Duration::zero();
+    Duration wait = isWatcher() && isConfirmed ? watchWait() : Duration::zero();
     std::optional<KvCall> call = follower.nextCall(wait, now);
     if (!call)
       continue;
--- a/unittests/Config/GossipSimulation.cpp
+++ b/unittests/Config/GossipSimulation.cpp
@@ -320,7 +320,9 @@
     loseWatch(watch, TcpKeepAlive::UnackedTimeout);
     return;
   }
-  const KvReply &value = Values.at(watch.Call.Key);
+  KvReply value = Values.at(watch.Call.Key);
+  // A first read may be stale; see ListReader.
+  value.MayBeStale = watch.Call.After == Revision(0);
   if (value.At > watch.Call.After) {
     reply(watch, value);
     return;
--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -244,6 +244,47 @@
   CHECK(follower.nextCall(seconds(1), now));
 }
 
+// Guards against an entry that starts with an old list, knows no peer that
+// replies, and sends requests to endpoints that left long before.
+TEST_CASE("a copy that nobody has confirmed is read again soon") {
+  constexpr Duration ReadAgainLimit = milliseconds(2500);
+  std::vector<EndpointView> peers;
+  for (char it = 'a'; it < 'z'; ++it)
+    peers.push_back({EndpointId(std::string(1, it)),
+                     {},
+                     DataCentreId("x"),
+                     std::string(1, it),
+                     {},
+                     false});
+  for (const EndpointView &own : peers) {
+    CAPTURE(own.Id.get());
+    GossipNode node({own.Id, own.DataCentre}, makeDirectGossipLimits(), 1);
+    node.setPeers(peers);
+    TimePoint begin{std::chrono::hours(1)};
+    auto answer = [&](auto &&self, const GossipActions &actions,
+                      TimePoint now) -> void {
+      for (const GossipAction &it : actions) {
+        const auto *call = std::get_if<CallKeyValueStoreForGossip>(&it);
+        if (!call)
+          continue;
+        const auto &watch = std::get<KvWatch>(call->Request.Call);
+        bool isFirst = watch.After == Revision(0);
+        if (!isFirst && watch.Wait > Duration::zero())
+          continue; // Held by the store.
+        KvReply reply{isFirst ? ResultCode::Ok : ResultCode::NotFound,
+                      Revision(5), "v"};
+        reply.MayBeStale = isFirst;
+        self(self, node.onKvReply(call->Request.Id, reply, now), now);
+      }
+    };
+    for (TimePoint now = begin; now < begin + ReadAgainLimit;
+         now = node.nextTimer())
+      answer(answer, node.onTimer(now), now);
+    for (SharedKey key : SharedKeys)
+      CHECK(node.copy(key).confirmedAt() >= begin);
+  }
+}
+
 TEST_CASE("a watcher that coalesces updates has a timer for its next call") {
   GossipNode node({EndpointId("a"), DataCentreId("x")},
                   makeDirectGossipLimits(), 1);
