Pause between checks of an endpoint that does not say its name

A full endpoint rejects health checks without stating its name. Now there are 250 ms between two rounds of three, 20 checks at most.

--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -10,13 +10,16 @@
 #include "ospreyspur/Process/DirectTraffic.h"
 
 #include "ospreyspur/Process/CrashLog.h"
+#include "ospreyspur/Process/HostTimer.h"
 #include "ospreyspur/Process/LivenessCheck.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/RankWire.h"
 #include "platform/RequestWire.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -31,6 +34,8 @@
 /// How long the caller of a response that may be cut off waits until the
 /// endpoint has been reached. A lost SYN packet alone takes a second.
 static constexpr Duration MaxEndCheckTime = std::chrono::milliseconds(1500);
+/// Time between two such checks, so that they don't add to an overload.
+static constexpr Duration EndCheckPause = std::chrono::milliseconds(250);
 
 /// Logs each crash of an endpoint during a request and each new quarantine, and
 /// passes changes of the quarantine to ReportQuarantine.
@@ -152,10 +157,13 @@
   IncarnationQuery query = reportsIncarnation(endpoint)
                                ? makeReportQuery(endpoint)
                                : makeNameQuery(endpoint, *call.Request.Config);
-  EndpointLiveness liveness = EndpointLiveness::Unknown;
-  do
+  EndpointLiveness liveness =
+      co_await checkLiveness(Context, endpoint.Address, query);
+  while (liveness == EndpointLiveness::Unknown && monotonicNow() < end) {
+    HostTimer timer(Context, EndCheckPause);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     liveness = co_await checkLiveness(Context, endpoint.Address, query);
-  while (liveness == EndpointLiveness::Unknown && monotonicNow() < end);
+  }
   Measures.count("response_end_checks_total{state=\"" + std::string(state) +
                  "\",fate=\"" + toString(liveness) + "\"}");
   LOG(INFO) << LogEvent("response.end_checked")
--- a/unittests/Process/UnframedEndpoint.h
+++ b/unittests/Process/UnframedEndpoint.h
@@ -50,8 +50,10 @@
   /// It treats them like requests: it rejects those that are meant for another
   /// endpoint, and signs its responses to the others.
   LikeRequests,
-  /// It rejects the first one because it is busy, and then replies as above.
+  /// It rejects the first one because it is busy, and then states its name.
   BusyAtFirst,
+  /// It rejects all because it is busy.
+  Busy,
 };
 
 /// An endpoint on one io_context's thread.
@@ -69,6 +71,8 @@
 
   const tcp::endpoint &address() const { return Address; }
   const std::string &name() const { return Name; }
+  /// Number of health checks that it rejected because it was busy.
+  unsigned rejectedChecks() const { return RejectedChecks; }
   /// Number of requests that ran, health checks not counted.
   unsigned runs() const { return Runs; }
   /// How long the endpoint takes to reply to a health check.
@@ -108,7 +112,7 @@
 
   static constexpr std::string_view Misdirected =
       "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
-  static constexpr std::string_view Busy =
+  static constexpr std::string_view Rejected =
       "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
       "Content-Length: 0\r\n\r\n";
   static constexpr std::string_view Signed =
@@ -184,8 +188,11 @@
     boost::asio::steady_timer timer(
         Context, IsSilent ? Duration(std::chrono::hours(1)) : CheckDelay);
     co_await timer.async_wait(AsTuple);
-    if (Reply == CheckReply::BusyAtFirst && Checks++ == 0)
-      co_await write(socket, std::string(Busy));
+    bool isBusy = Reply == CheckReply::Busy ||
+                  (Reply == CheckReply::BusyAtFirst && RejectedChecks == 0);
+    RejectedChecks += isBusy ? 1 : 0;
+    if (isBusy)
+      co_await write(socket, std::string(Rejected));
     else if (Reply == CheckReply::LikeRequests)
       co_await write(socket, std::string(isOther ? Misdirected : Signed));
     else
@@ -209,7 +216,7 @@
   boost::asio::steady_timer Ended{Context};
   Duration CheckDelay{};
   CheckReply Reply = CheckReply::Named;
-  unsigned Checks = 0;
+  unsigned RejectedChecks = 0;
   bool IsSilent = false;
   bool SendsRest = false;
   unsigned Runs = 0;
--- a/unittests/Process/UnframedResponseTest.cpp
+++ b/unittests/Process/UnframedResponseTest.cpp
@@ -211,3 +211,14 @@
   CHECK(isSuccess(text));
   CHECK(hasBothEvents(text));
 }
+
+// Guards against checks that add to the load of an endpoint which is full.
+TEST_CASE("an endpoint that rejects health checks gets few of them") {
+  constexpr unsigned MostChecks = 20;
+  UnframedFixture fixture(false);
+  fixture.endpoint().setCheckReply(CheckReply::Busy);
+  std::string text = fixture.call(ListedAs::Ready, UnframedEnd::Whole);
+  CHECK_FALSE(isSuccess(text));
+  CHECK(fixture.endpoint().rejectedChecks() >= 3);
+  CHECK(fixture.endpoint().rejectedChecks() <= MostChecks);
+}
