Bound chunk headers and trailers of requests

Callers saw an entry end: it ran out of memory. A chunked body was followed by trailers without end.

Cause: Beast's parser keeps a chunk's size and extensions, and the whole block of trailers, in the read buffer until they are complete. Its limits count the headers and the body, not these, and the buffer had no size. Ruled out: the header limit applies to trailers, too (it does not; parse_chunk_header looks for the end of the block first); the body limit (only a chunk's data counts).

The buffer is now as large as headers may be. What does not fit is refused with 431. So trailers and chunk headers have the limit that headers have.

--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -260,7 +260,7 @@
 static unsigned statusOfReadError(const boost::system::error_code &ec) {
   if (ec == http::error::body_limit)
     return 413;
-  if (ec == http::error::header_limit)
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
     return 431;
   if (ec == beast::error::timeout)
     return 0;
@@ -270,6 +270,10 @@
   return 0;
 }
 
+/// Size of the read buffer beyond the limit on headers, so that the parser sees
+/// headers that exceed the limit.
+static constexpr std::size_t BufferMargin = 1U << 10U;
+
 static constexpr std::string_view ContinueResponse =
     "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -290,6 +294,9 @@
   beast::flat_buffer buf;
   for (bool isOpen = true; isOpen;) {
     http::request_parser<http::string_body> parser;
+    // The parser buffers a chunk's size and extensions and all trailers until
+    // they are complete, and its own limits do not count them.
+    buf.max_size(shared->Limits.MaxHeaderBytes + BufferMargin);
     parser.header_limit(
         static_cast<std::uint32_t>(shared->Limits.MaxHeaderBytes));
     parser.body_limit(shared->Limits.MaxBodyBytes);
