Do not take trailers for headers

A caller that sent "Host" only as a trailer chose the route by it; a trailer "Request-Id" reached the endpoint as a second id, any other one as a header of the request. So the digest, the log and the refusal could name another request than the one that the endpoint ran.

Cause: Beast's parser adds trailers to the message's fields. The headers are now kept as they were before the body was read; trailers are dropped, as RFC 9112 allows.

--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -312,8 +312,17 @@
     if (!ec && !parser.is_done() && expectsContinue(parser.get()))
       ec = std::get<0>(co_await asio::async_write(
           stream, asio::buffer(ContinueResponse), AsTuple));
+    if (!ec && !parser.is_header_done())
+      ec = std::get<0>(
+          co_await http::async_read_header(stream, buf, parser, AsTuple));
+    // The parser adds trailers to the headers.
+    std::optional<http::request_header<>> headers;
+    if (!ec && parser.chunked())
+      headers = parser.get().base();
     if (!ec && !parser.is_done())
       ec = std::get<0>(co_await http::async_read(stream, buf, parser, AsTuple));
+    if (headers)
+      parser.get().base() = std::move(*headers);
     HttpRequest request = parser.release();
     HttpExchange exchange(stream, request, shared->Limits);
     if (shared->ClosesAfterResponses)
