Refuse ambiguous requests, and keep callers from setting our headers

What callers could do, each by one request (traced by hand before, unit tests now; on the code before they do not compile or fail): - "Connection: close, Request-Id" took the id out of what the endpoint got. Its sound response without the id then counted as a failure of the endpoint. - Two values of Request-Id, Host, Deadline-Ms, Token-Count, Model and others passed through; this process reads the first, an endpoint may read another. - Expect-Version of no endpoint: each answers 421, the sign that another endpoint lives there, so sound endpoints were taken out one after the other. - Request-Priority put a request before all others. - Accept-Encoding: an encoded response is not the endpoint's body and counted as its failure. - Deadline-Ms overflowed to 0: the request ran and its caller got 502. Token counts near 2^32 entered sums of 32 bits.

Ambiguous requests get 1001 (400) before they are sent. Headers that only this system sets are dropped, encodings other than identity are not asked for, times and token counts are cut (an hour, 4 million).

The request to an endpoint no longer copies the body, which it did for each attempt.

--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -77,7 +77,7 @@
 }
 
 asio::awaitable<bool> DirectAttempt::send() {
-  HttpRequest request = platform::makeEndpointRequest(
+  platform::EndpointRequest request = platform::makeEndpointRequest(
       Exchange.request(),
       {Order.Endpoint.Name, Call.Request.Workspace,
        Order.Deadline - monotonicNow(), Call.Events.lastId()});
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -150,6 +150,8 @@
       Config->findRoute(headers.Host, target.substr(0, target.find('?')));
   if (!out.Route)
     return Error{ResultCode::NotFound, ""};
+  if (!platform::isUnambiguous(request))
+    return Error{ResultCode::BadRequest, ""};
   out.Priority = out.Route->Priority;
   auto workspace = Config->Keys.find(headers.Key);
   bool isKnown = workspace != Config->Keys.end();
--- a/unittests/Platform/PlatformWireTest.cpp
+++ b/unittests/Platform/PlatformWireTest.cpp
@@ -229,10 +229,10 @@
   CHECK(caller.TimeLeft == std::chrono::seconds(8));
   CHECK(caller.Tokens.Prompt == 1460);
   CHECK(caller.Tokens.Output == 80);
-  HttpRequest out = platform::makeEndpointRequest(
+  platform::EndpointRequest out = platform::makeEndpointRequest(
       request, {"i-1", WorkspaceId("w"), std::chrono::milliseconds(700), "12"});
   CHECK(std::string(out.target()) == "/a/x?y=1");
-  CHECK(out.body() == "body");
+  CHECK(std::string(out.body().data(), out.body().size()) == "body");
   CHECK(std::string(out["Request-Id"]) == "abc");
   CHECK(std::string(out["Deadline-Ms"]) == "700");
   CHECK(std::string(out["Tenant"]) == "w");
@@ -243,6 +243,67 @@
   CHECK(out.find("Authorization") == out.end());
 }
 
+// Whoever reads another one of two values takes the request for another one.
+TEST_CASE("a request with two values of a header that has one is ambiguous") {
+  CHECK(platform::isUnambiguous(makeRequest()));
+  for (const char *name : {"Request-Id", "Host", "Deadline-Ms", "Token-Count",
+                           "Model", "Last-Event-Id", "Authorization"}) {
+    CAPTURE(name);
+    HttpRequest request = makeRequest();
+    request.set(name, "1");
+    CHECK(platform::isUnambiguous(request));
+    request.insert(name, "2");
+    CHECK_FALSE(platform::isUnambiguous(request));
+  }
+}
+
+// An endpoint that does not get the id answers without one, and its sound
+// response then counts as a failure of the endpoint.
+TEST_CASE("a request that has its own headers dropped is ambiguous") {
+  for (const char *name :
+       {"request-id", "Host", "Model", "Prompt-Prefix", "Content-Type"}) {
+    CAPTURE(name);
+    HttpRequest request = makeRequest();
+    request.insert("Connection", std::string("close, ") + name);
+    CHECK_FALSE(platform::isUnambiguous(request));
+  }
+  HttpRequest request = makeRequest();
+  request.insert("Connection", "X-Other");
+  CHECK(platform::isUnambiguous(request));
+}
+
+TEST_CASE("numbers of callers are cut to a range without overflow") {
+  HttpRequest request = makeRequest();
+  request.set("Deadline-Ms", "9223372036854775807");
+  request.set("Token-Count", "4294967295,4294967295");
+  platform::CallerHeaders caller = platform::readCaller(request);
+  CHECK(caller.TimeLeft == platform::MaxTimeLeft);
+  CHECK(caller.Tokens.Prompt == platform::MaxTokens);
+  CHECK(caller.Tokens.Output == platform::MaxTokens);
+  request.set("Deadline-Ms", "9223372036854775808");
+  CHECK_FALSE(platform::readCaller(request).TimeLeft);
+}
+
+// Endpoints answer a version that they do not have like a request for another
+// endpoint, and would then be taken for replaced.
+TEST_CASE("callers cannot set the headers of this system") {
+  HttpRequest request = makeRequest();
+  request.insert("Expect-Version", "99");
+  request.insert("Expect-Replica", "i-9");
+  request.insert("Request-Priority", "0");
+  request.insert("Tenant", "other");
+  request.insert("Accept-Encoding", "gzip");
+  platform::EndpointRequest out = platform::makeEndpointRequest(
+      request, {"i-1", WorkspaceId("w"), std::chrono::seconds(1), ""});
+  CHECK(out.find("Expect-Version") == out.end());
+  CHECK(out.find("Request-Priority") == out.end());
+  CHECK(out.count("Expect-Replica") == 1);
+  CHECK(std::string(out["Expect-Replica"]) == "i-1");
+  CHECK(out.count("Tenant") == 1);
+  CHECK(std::string(out["Tenant"]) == "w");
+  CHECK(std::string(out["Accept-Encoding"]) == "identity");
+}
+
 static ResponseKind verdictOf(unsigned status,
                               std::initializer_list<const char *> headers) {
   HttpResponse response;
