Reject requests that have no time left

A request with Deadline-Ms 0 was sent to an endpoint with a deadline in the past, and its attempt was ended at once: the caller got 502, though nothing could have come of it. The unit test "a request without time left is not sent" guards against it.

--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -57,6 +57,11 @@
     return takeActions();
   }
   Arrivals.onRequest(call.Service, now);
+  // An endpoint would get no time for it either.
+  if (left <= Duration::zero()) {
+    end(call, ResultCode::DeadlineBeforeStart, Duration::zero());
+    return takeActions();
+  }
   startOrWait(call, now);
   return takeActions();
 }
--- a/unittests/Direct/DirectNodeTest.cpp
+++ b/unittests/Direct/DirectNodeTest.cpp
@@ -294,3 +294,15 @@
   REQUIRE(only<StartAttempt>(fixture.end(1, AttemptEnd::Lost)));
   CHECK(only<StartAttempt>(fixture.end(1, AttemptEnd::NeverSent)));
 }
+
+TEST_CASE("a request without time left is not sent") {
+  NodeFixture fixture(2, makeRoute(RequestKind::OnceOnly, 2));
+  DirectRequest request;
+  request.Id = CallId(1);
+  request.Config = fixture.Config;
+  request.Route = &fixture.Config->Routes.front();
+  request.TimeLeft = Duration::zero();
+  DirectActions actions = fixture.Node.onCall(std::move(request), fixture.Now);
+  CHECK(codeOf(actions) == ResultCode::DeadlineBeforeStart);
+  CHECK(fixture.Node.waitingCount() == 0);
+}
