Keep values in log lines short and printable

A caller's id, target or host went into log lines as it was: up to the limit on headers for each value, with bytes that a terminal takes as commands. 2,000 lines may wait for a slow reader of the log, so callers could make a process keep 2,000 times 16 KiB and more. Values are cut to 512 bytes, and bytes that are not printable ASCII become question marks, line ends blanks. Test: "values in log lines are short and printable".

--- a/include/ospreyspur/Support/LogEvent.h
+++ b/include/ospreyspur/Support/LogEvent.h
@@ -1,7 +1,9 @@
 //===- LogEvent.h - one key=value line for each event -----------*- C++ -*-===//
 //
 // Builds the text of one log line: "event=name key=value ...". Values with
-// spaces, quotes or line ends are quoted, so that a line stays one line.
+// spaces or quotes are quoted. Values may come from clients: long ones are cut,
+// and bytes that are not printable are replaced, so that a line stays one line
+// and terminals show it as it is.
 //
 //===----------------------------------------------------------------------===//
 
@@ -25,12 +27,12 @@
   template <typename T> LogEvent &with(std::string_view key, const T &value) {
     std::ostringstream buf;
     buf << value;
-    std::string text = buf.str();
+    std::string text = makePrintable(buf.str());
     Text << ' ' << key << '=';
-    if (text.find_first_of(" \"\n\r=") == std::string::npos)
+    if (text.find_first_of(" \"=") == std::string::npos)
       Text << text;
     else
-      Text << std::quoted(replaceLineEnds(text));
+      Text << std::quoted(text);
     return *this;
   }
 
@@ -39,11 +41,22 @@
   }
 
 private:
-  /// Returns \p text with blanks for line ends, as an event is one line.
-  static std::string replaceLineEnds(std::string text) {
-    for (char &it : text)
-      if (it == '\n' || it == '\r')
-        it = ' ';
+  static constexpr std::size_t MaxValueBytes = 512;
+  static constexpr std::string_view CutMark = "...";
+
+  /// Returns \p text, cut to MaxValueBytes and with blanks for line ends and
+  /// question marks for other bytes that are not printable ASCII.
+  static std::string makePrintable(std::string text) {
+    if (text.size() > MaxValueBytes) {
+      text.resize(MaxValueBytes);
+      text += CutMark;
+    }
+    for (char &it : text) {
+      bool isLineEnd = it == '\n' || it == '\r';
+      bool isPrintable = it >= ' ' && it <= '~';
+      if (!isPrintable)
+        it = isLineEnd ? ' ' : '?';
+    }
     return text;
   }
 
--- a/unittests/Support/LogWriterTest.cpp
+++ b/unittests/Support/LogWriterTest.cpp
@@ -69,3 +69,17 @@
   out << LogEvent("e").with("detail", "first\nsecond\r\nthird");
   CHECK(out.str() == "event=e detail=\"first second  third\"");
 }
+
+// A line of a client's choice could end the line, clear the terminal or fill
+// the memory for lines.
+TEST_CASE("values in log lines are short and printable") {
+  std::ostringstream os;
+  os << LogEvent("e")
+            .with("a", "x\ny\rz")
+            .with("b", std::string("\x1b[2J\x9b\x7f\0", 7))
+            .with("c", std::string(100000, 'c'));
+  std::string line = os.str();
+  CHECK(line.starts_with("event=e a=\"x y z\" b=?[2J??? c=ccc"));
+  CHECK(line.size() < 1000);
+  CHECK(line.ends_with("ccc..."));
+}
