Bound connections by the descriptors of the process

Callers saw: 300 connections that send nothing, half a head or half a body took all descriptors of a process. One core spun, as accept failed and was called again at once, and with the descriptors went the readiness probe, the store and the connections to endpoints.

Cause: each HTTP server accepted 4,096 connections, whatever the process may have; an accepted connection over that was closed without a word; nothing chose which connection to give up.

Now the limits of the machine are settings (process.memory_mb, process.max_descriptors; by default 256 MB and the kernel's limit), and ClientLimits divides them: callers, each other listener, links. When a listener is full, the connection that has waited for longest for a request, or the rest of one, is closed (ConnectionTable, a state machine): a client that sends its request at once is served beside any number of silent ones. If all connections have a request that is handled, a new one gets 503, 2019, before anything is read, so "not run" is true. When accept fails, a waiting connection is given up and accept is tried again after 20 ms. Kernel buffers of accepted connections are 32 KiB each way, as unread bytes count as memory. Headers have a time limit of their own (header_timeout_ms and a quarter). Each refusal is counted (clients_refused_total) and logged at most ten times a second; 400, 413 and 431 carry a number and the request's id, and unread input is discarded for up to a second, so that the response is not lost to a reset.

--- a/include/ospreyspur/Config/Settings.h
+++ b/include/ospreyspur/Config/Settings.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_CONFIG_SETTINGS_H
 #define OSPREYSPUR_CONFIG_SETTINGS_H
 
+#include "ospreyspur/Config/MachineLimits.h"
 #include "ospreyspur/Direct/RetryWindow.h"
 #include "ospreyspur/Experts/ExpertPlanner.h"
 #include "ospreyspur/Routing/AgentNode.h"
@@ -37,6 +38,7 @@
   /// Longest duration of a planned stop, including its announcement; then it no
   /// longer waits for requests in flight.
   Duration StopLimit{};
+  MachineLimits Machine;
 };
 
 /// Settings of `ospreyspur entry`.
@@ -95,6 +97,7 @@
   Duration WriteTimeout = std::chrono::seconds(5);
   /// HMAC key of the request digests; must be the same at all entries.
   std::string DigestKey;
+  MachineLimits Machine;
 
   /// Address for load reports from the other entries: the host of LinkListen
   /// with the first of the peer ports.
@@ -123,6 +126,7 @@
   double LinkMbps = 0;
   /// Whether ranks refuse an order whose fencing token is lower than one seen.
   bool ChecksFences = true;
+  MachineLimits Machine;
 
   /// Address for links from the other agents: Host with the first of the peer
   /// ports.
--- a/include/ospreyspur/Http/HttpServer.h
+++ b/include/ospreyspur/Http/HttpServer.h
@@ -9,6 +9,7 @@
 #define OSPREYSPUR_HTTP_HTTPSERVER_H
 
 #include "ospreyspur/Http/HttpExchange.h"
+#include "ospreyspur/Http/ListenerContext.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -24,7 +25,7 @@
 class HttpServer {
 public:
   HttpServer(boost::asio::io_context &ioc, HttpLimits limits,
-             HttpHandler handler);
+             HttpHandler handler, ListenerContext context = {});
 
   /// Binds to the address without listening. Errors: SettingInvalid.
   Result<void> bind(const TcpAddress &address);
@@ -53,9 +54,10 @@
   /// have not received their first request yet.
   std::size_t busyCount() const;
 
-private:
+  /// What the server's connections share.
   struct SharedState;
 
+private:
   boost::asio::awaitable<void> acceptLoop();
   void admit(boost::asio::ip::tcp::socket socket);
   static boost::asio::awaitable<void>
--- a/include/ospreyspur/Http/HttpTypes.h
+++ b/include/ospreyspur/Http/HttpTypes.h
@@ -25,8 +25,12 @@
   std::size_t MaxHeaderBytes = 16U << 10U;
   std::size_t MaxBodyBytes = 1U << 20U;
   std::size_t MaxConnections = 4096;
-  /// Time limit for reading a complete request, including the wait for the
-  /// first byte.
+  /// Size of the kernel's buffers of a connection, in bytes, each way; 0 for
+  /// the system's default. Data that is not read fills them.
+  int SocketBufferBytes = 0;
+  /// Time limit for reading the headers of a request, from their first byte.
+  Duration HeaderTimeout = std::chrono::seconds(15);
+  /// Time limit for the wait for a request, and for reading its body.
   Duration ReadTimeout = std::chrono::seconds(15);
   /// Time limit for each write to a client.
   Duration WriteTimeout = std::chrono::seconds(10);
--- a/include/ospreyspur/Process/AdminServer.h
+++ b/include/ospreyspur/Process/AdminServer.h
@@ -9,6 +9,7 @@
 #ifndef OSPREYSPUR_PROCESS_ADMINSERVER_H
 #define OSPREYSPUR_PROCESS_ADMINSERVER_H
 
+#include "ospreyspur/Config/ClientLimits.h"
 #include "ospreyspur/Config/ConfigWriter.h"
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Control/ControlPlane.h"
@@ -24,8 +25,8 @@
 class AdminServer {
 public:
   AdminServer(boost::asio::io_context &ioc, const CommonSettings &settings,
-              ControlPlane &control, PlatformClient &platform,
-              Metrics &metrics);
+              ControlPlane &control, PlatformClient &platform, Metrics &metrics,
+              const ClientLimits &limits);
 
   /// Starts to accept connections. Errors: SettingInvalid.
   Result<void> start();
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -8,6 +8,7 @@
 #ifndef OSPREYSPUR_PROCESS_DIRECTTRAFFIC_H
 #define OSPREYSPUR_PROCESS_DIRECTTRAFFIC_H
 
+#include "ospreyspur/Config/ClientLimits.h"
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Control/DirectControl.h"
 #include "ospreyspur/Direct/DirectNode.h"
@@ -97,6 +98,8 @@
   boost::asio::io_context &Context;
   const DirectSettings &Settings;
   Metrics &Measures;
+  /// Bounds on what callers can make this process hold.
+  ClientLimits Bounds;
   OnQuarantine ReportQuarantine;
   /// The last quarantine change that was passed to ReportQuarantine.
   std::uint64_t LastReportedChange = 0;
--- a/include/ospreyspur/Process/MetricsServer.h
+++ b/include/ospreyspur/Process/MetricsServer.h
@@ -7,6 +7,7 @@
 #ifndef OSPREYSPUR_PROCESS_METRICSSERVER_H
 #define OSPREYSPUR_PROCESS_METRICSSERVER_H
 
+#include "ospreyspur/Config/ClientLimits.h"
 #include "ospreyspur/Http/HttpServer.h"
 #include "ospreyspur/Support/Metrics.h"
 
@@ -17,7 +18,9 @@
 /// Serves the metrics of one process on one io_context's thread.
 class MetricsServer {
 public:
-  MetricsServer(boost::asio::io_context &ioc, const Metrics &metrics);
+  /// \p limits are the bounds on all clients of the process.
+  MetricsServer(boost::asio::io_context &ioc, Metrics &metrics,
+                const ClientLimits &limits);
 
   /// Listens on \p address. Errors: SettingInvalid.
   Result<void> listen(const std::string &address);
@@ -25,7 +28,7 @@
 private:
   boost::asio::awaitable<void> serve(HttpExchange &exchange);
 
-  const Metrics &Measures;
+  Metrics &Measures;
   HttpServer Server;
 };
 
--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -17,6 +17,23 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+static MachineLimits readMachine(SettingsReader &reader) {
+  constexpr std::uint64_t BytesPerMegabyte = 1'000'000;
+  constexpr std::uint64_t DefaultMegabytes =
+      MachineLimits::DefaultMemoryBytes / BytesPerMegabyte;
+  MachineLimits out;
+  out.MemoryBytes =
+      BytesPerMegabyte *
+      reader.readNumber("process.memory_mb", DefaultMegabytes, 64, 1'000'000,
+                        "memory of this process, MB; bounds what all clients "
+                        "together can make it hold");
+  out.Descriptors = reader.readNumber(
+      "process.max_descriptors", 0, 0, 10'000'000,
+      "descriptors of this process, which bound the connections of clients; "
+      "0 for the kernel's limit");
+  return out;
+}
+
 static CommonSettings readCommon(SettingsReader &reader) {
   CommonSettings out;
   out.DataCentre = reader.readText("process.data_centre",
@@ -40,6 +57,7 @@
   out.StopLimit = reader.readMillis(
       "process.stop_limit_ms", seconds(30), milliseconds(0), hours(1),
       "how long a planned stop may take; then what is in flight is cut");
+  out.Machine = readMachine(reader);
   return out;
 }
 
@@ -214,6 +232,7 @@
       "direct.digest_key", "",
       "key of the digests by which requests that end endpoints are known; the "
       "same at all entries");
+  out.Machine = readMachine(reader);
   return out;
 }
 
@@ -241,6 +260,7 @@
   out.ChecksFences =
       reader.readFlag("rank.checks_fences", true,
                       "whether ranks refuse orders with a lower fencing token");
+  out.Machine = readMachine(reader);
   return out;
 }
 
--- a/lib/Process/AdminServer.cpp
+++ b/lib/Process/AdminServer.cpp
@@ -7,6 +7,7 @@
 #include "ospreyspur/Process/AdminServer.h"
 
 #include "ospreyspur/Http/CallerApi.h"
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Support/Digest.h"
 #include "ospreyspur/Support/LogEvent.h"
 
@@ -30,6 +31,8 @@
 static constexpr Duration WriteDeadline = std::chrono::seconds(5);
 static constexpr Duration CallTimeout = std::chrono::seconds(1);
 static constexpr std::size_t ChangeIdLength = 24;
+/// Largest object of the configuration that operators can write.
+static constexpr std::size_t MaxObjectBytes = 1U << 20U;
 
 static std::string drawChangeId() {
   std::random_device source;
@@ -39,11 +42,13 @@
 
 AdminServer::AdminServer(asio::io_context &ioc, const CommonSettings &settings,
                          ControlPlane &control, PlatformClient &platform,
-                         Metrics &metrics)
+                         Metrics &metrics, const ClientLimits &limits)
     : Settings(settings), Control(control), Platform(platform),
       Measures(metrics),
-      Server(ioc, HttpLimits(),
-             [this](HttpExchange &exchange) { return handle(exchange); }) {}
+      Server(
+          ioc, makeServiceLimits(limits, MaxObjectBytes),
+          [this](HttpExchange &exchange) { return handle(exchange); },
+          makeServiceContext("admin", limits, metrics)) {}
 
 Result<void> AdminServer::start() {
   Result<TcpAddress> address = parseAddress(Settings.AdminListen);
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -8,6 +8,7 @@
 #include "ospreyspur/Process/AdminServer.h"
 #include "ospreyspur/Process/AgentGroup.h"
 #include "ospreyspur/Process/AgentTraffic.h"
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/PlannedStop.h"
 #include "ospreyspur/Process/ProcessThreads.h"
 #include "ospreyspur/Process/Roles.h"
@@ -90,7 +91,8 @@
             {Self, DataCentreId(settings.Common.DataCentre)},
             settings.Common.Peers, std::random_device{}(),
             makeControlHandlers()),
-      Admin(Threads.control(), settings.Common, Plane, Platform, Measures),
+      Admin(Threads.control(), settings.Common, Plane, Platform, Measures,
+            findClientLimits(settings.Common.Machine, CallerAccess::None)),
       Stop(Threads.control(),
            {settings.Common.StopNotice, settings.Common.StopLimit},
            makeStopHandlers()) {
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -7,6 +7,7 @@
 
 #include "ospreyspur/Control/DirectControl.h"
 #include "ospreyspur/Process/DirectTraffic.h"
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/MetricsServer.h"
 #include "ospreyspur/Process/PlannedStop.h"
 #include "ospreyspur/Process/ProcessThreads.h"
@@ -35,6 +36,7 @@
   void reload(SettingsReader &reader);
 
   const DirectSettings &Settings;
+  const ClientLimits Limits;
   ProcessThreads Threads;
   Metrics Measures;
   DirectTraffic Traffic;
@@ -49,6 +51,7 @@
 
 DirectProcess::DirectProcess(const DirectSettings &settings)
     : Settings(settings),
+      Limits(findClientLimits(settings.Machine, CallerAccess::Listener)),
       Traffic(Threads.traffic(), settings, Measures, std::random_device{}(),
               [this](std::vector<RequestDigest> quarantined,
                      std::vector<RequestDigest> cleared) {
@@ -62,9 +65,11 @@
                 Threads.postToTraffic(
                     [this, it = std::move(it)] { Traffic.setSnapshot(it); });
               }),
-      Ready(Threads.control(), HttpLimits(),
-            [this](HttpExchange &it) { return respondReady(it); }),
-      Exporter(Threads.control(), Measures),
+      Ready(
+          Threads.control(), makeServiceLimits(Limits, NoBodyBytes),
+          [this](HttpExchange &it) { return respondReady(it); },
+          makeServiceContext("ready", Limits, Measures)),
+      Exporter(Threads.control(), Measures, Limits),
       Stop(Threads.control(), {settings.StopNotice, settings.StopLimit},
            makeStopHandlers()),
       Watch(Threads.control(), settings.File,
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -8,6 +8,7 @@
 
 #include "ospreyspur/Process/DirectAttempt.h"
 #include "ospreyspur/Process/DirectLog.h"
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/RankLink.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/RequestWire.h"
@@ -42,29 +43,41 @@
   return limits;
 }
 
-/// The server closes idle connections a quarter later than the configured idle
-/// timeout, so that no caller reuses a connection just as the server closes it.
+/// The server waits a quarter longer than the configured timeouts, so that no
+/// caller reuses a connection just as the server closes it.
 static HttpLimits makeHttpLimits(const CallerLimits &limits,
+                                 const ClientLimits &bounds,
                                  Duration writeTimeout) {
-  HttpLimits out;
+  HttpLimits out = makeCallerLimits(bounds);
   out.WriteTimeout = writeTimeout;
   out.MaxHeaderBytes = limits.MaxHeaderBytes;
   out.MaxBodyBytes = limits.MaxBodyBytes;
+  out.HeaderTimeout = limits.HeaderTimeout + limits.HeaderTimeout / 4;
   out.ReadTimeout = limits.IdleTimeout + limits.IdleTimeout / 4;
   return out;
 }
 
+static ListenerContext makeContext(const ClientLimits &bounds,
+                                   Metrics &metrics) {
+  ListenerContext out = makeCallerContext(bounds, 1, metrics);
+  out.IdHeader = platform::RequestIdHeader;
+  return out;
+}
+
 DirectTraffic::DirectTraffic(asio::io_context &ioc,
                              const DirectSettings &settings, Metrics &metrics,
                              std::uint64_t seed, OnQuarantine onQuarantine)
     : Context(ioc), Settings(settings), Measures(metrics),
+      Bounds(findClientLimits(settings.Machine, CallerAccess::Listener)),
       ReportQuarantine(std::move(onQuarantine)),
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed,
            settings.Name),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
       PoolTimer(ioc), StartTimer(ioc),
-      Server(ioc, makeHttpLimits(CallerLimits(), settings.WriteTimeout),
-             [this](HttpExchange &it) { return handle(it); }),
+      Server(
+          ioc, makeHttpLimits(CallerLimits(), Bounds, settings.WriteTimeout),
+          [this](HttpExchange &it) { return handle(it); },
+          makeContext(Bounds, metrics)),
       Loads(ioc, {[this] {
                     TimePoint now = monotonicNow();
                     logSharing();
@@ -108,7 +121,8 @@
 void DirectTraffic::setSnapshot(
     const std::shared_ptr<const DirectSnapshot> &snapshot) {
   Config = snapshot->Config;
-  Server.setLimits(makeHttpLimits(Config->Limits, Settings.WriteTimeout));
+  Server.setLimits(
+      makeHttpLimits(Config->Limits, Bounds, Settings.WriteTimeout));
   Node.setEndpoints(snapshot->Endpoints);
   Node.setColdEndpoints(snapshot->Endpoints, *Config, monotonicNow());
   logColdEndpoints();
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -7,6 +7,7 @@
 #include "ospreyspur/Control/ControlPlane.h"
 #include "ospreyspur/Process/AdminServer.h"
 #include "ospreyspur/Process/EntryTraffic.h"
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/PlannedStop.h"
 #include "ospreyspur/Process/ProcessThreads.h"
 #include "ospreyspur/Process/Roles.h"
@@ -53,7 +54,8 @@
             {EndpointId(), DataCentreId(settings.Common.DataCentre)},
             settings.Common.Peers, std::random_device{}(),
             makeControlHandlers()),
-      Admin(Threads.control(), settings.Common, Plane, Platform, Measures),
+      Admin(Threads.control(), settings.Common, Plane, Platform, Measures,
+            findClientLimits(settings.Common.Machine, CallerAccess::Listener)),
       Stop(Threads.control(),
            {settings.Common.StopNotice, settings.Common.StopLimit},
            makeStopHandlers()) {}
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -9,6 +9,7 @@
 
 #include "ospreyspur/Http/CallerApi.h"
 #include "ospreyspur/Process/CrashLog.h"
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Support/LogEvent.h"
 
 #include <boost/asio/post.hpp>
@@ -20,6 +21,8 @@
 namespace asio = boost::asio;
 
 static constexpr Duration ClaimCallTimeout = std::chrono::milliseconds(400);
+/// A body is in the request, in the node and in messages to an agent.
+static constexpr std::size_t BodyCopies = 3;
 static constexpr std::string_view EventStream = "text/event-stream";
 
 EntryTraffic::EntryTraffic(asio::io_context &ioc, const EntrySettings &settings,
@@ -28,8 +31,14 @@
     : Context(ioc), Settings(settings), Measures(metrics),
       Node(DataCentreId(settings.Common.DataCentre), settings.Limits, seed,
            settings.DigestKey),
-      Server(ioc, HttpLimits(),
-             [this](HttpExchange &exchange) { return handle(exchange); }),
+      Server(
+          ioc,
+          makeCallerLimits(findClientLimits(settings.Common.Machine,
+                                            CallerAccess::Listener)),
+          [this](HttpExchange &exchange) { return handle(exchange); },
+          makeCallerContext(
+              findClientLimits(settings.Common.Machine, CallerAccess::Listener),
+              BodyCopies, metrics)),
       Platform(ioc, std::move(platform), metrics),
       Quarantine(ioc, Platform, seed,
                  [this](const std::vector<RequestDigest> &restored) {
--- a/lib/Process/MetricsServer.cpp
+++ b/lib/Process/MetricsServer.cpp
@@ -6,13 +6,16 @@
 
 #include "ospreyspur/Process/MetricsServer.h"
 
+#include "ospreyspur/Process/ListenerLimits.h"
+
 using namespace ospreyspur;
 
-MetricsServer::MetricsServer(boost::asio::io_context &ioc,
-                             const Metrics &metrics)
-    : Measures(metrics), Server(ioc, HttpLimits(), [this](HttpExchange &it) {
-        return serve(it);
-      }) {}
+MetricsServer::MetricsServer(boost::asio::io_context &ioc, Metrics &metrics,
+                             const ClientLimits &limits)
+    : Measures(metrics), Server(
+                             ioc, makeServiceLimits(limits, NoBodyBytes),
+                             [this](HttpExchange &it) { return serve(it); },
+                             makeServiceContext("metrics", limits, metrics)) {}
 
 Result<void> MetricsServer::listen(const std::string &address) {
   Result<TcpAddress> parsed = parseAddress(address);
--- a/lib/Process/RankRole.cpp
+++ b/lib/Process/RankRole.cpp
@@ -4,6 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/MetricsServer.h"
 #include "ospreyspur/Process/RankAgent.h"
 #include "ospreyspur/Process/Roles.h"
@@ -20,7 +21,8 @@
 Result<void> ospreyspur::runRank(const RankSettings &settings) {
   boost::asio::io_context ioc(1);
   Metrics measures;
-  MetricsServer exporter(ioc, measures);
+  MetricsServer exporter(
+      ioc, measures, findClientLimits(settings.Machine, CallerAccess::None));
   RankAgent agent(ioc, settings, measures, std::random_device{}());
   Result<void> started = agent.start();
   if (started && !settings.MetricsListen.empty())
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -1,14 +1,16 @@
-//===- HttpServerTest.cpp - stopping and disconnects ----------------------===//
+//===- HttpServerTest.cpp - stopping, disconnects and limits --------------===//
 //
 // Guards against incomplete responses and reset connections when a server stops
-// accepting, and against undetected disconnects. Uses loopback sockets, and
-// each step waits for the previous one.
+// accepting, against undetected disconnects, and against clients that make a
+// server hold more than its limits. Uses loopback sockets, and each step waits
+// for the previous one.
 //
 //===----------------------------------------------------------------------===//
 
 #include "FreeAddress.h"
 
 #include "ospreyspur/Http/HttpServer.h"
+#include "ospreyspur/Support/ByteBudget.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -163,3 +165,123 @@
     ioc.run_one();
   CHECK(isDetected);
 }
+
+/// Returns the response to \p text of a server with the limits \p limits.
+static std::string respondTo(const HttpLimits &limits, const std::string &text,
+                             const HttpHandler &handler,
+                             ListenerContext context = {}) {
+  asio::io_context ioc;
+  tcp::endpoint address = test::findFreeAddress();
+  HttpServer server(ioc, limits, handler, std::move(context));
+  REQUIRE(server.listen(address));
+  tcp::socket client(ioc);
+  client.connect(address);
+  // The server may close the connection before it has read all.
+  asio::async_write(client, asio::buffer(text),
+                    [](boost::system::error_code, std::size_t) {});
+  std::string out;
+  asio::async_read(client, asio::dynamic_buffer(out),
+                   [&](boost::system::error_code, std::size_t) { ioc.stop(); });
+  ioc.run();
+  return out;
+}
+
+static const std::string ChunkedHead =
+    "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    "Transfer-Encoding: chunked\r\nX-Kept: 1\r\n\r\n";
+
+// Trailers that count as headers choose the route, the key or the id of a
+// request after the headers have been checked.
+TEST_CASE("trailers do not become headers") {
+  std::string seen;
+  std::string response =
+      respondTo(HttpLimits(),
+                ChunkedHead + "3\r\nabc\r\n0\r\nHost: other\r\nX-T: 1\r\n\r\n",
+                [&](HttpExchange &exchange) -> asio::awaitable<void> {
+                  for (const auto &it : exchange.request())
+                    seen += std::string(it.name_string()) + '=' +
+                            std::string(it.value()) + ';';
+                  seen += exchange.request().body();
+                  co_await exchange.respond(200, "text/plain", "whole");
+                });
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(seen ==
+        "Host=h;Connection=close;Transfer-Encoding=chunked;X-Kept=1;abc");
+}
+
+TEST_CASE("chunk headers and trailers without end are refused") {
+  std::string endless(1U << 20U, '0');
+  for (const std::string &part : {std::string("1\r\nx\r\n0\r\nX-T: "),
+                                  std::string("1;e="), std::string()}) {
+    std::string response =
+        respondTo(HttpLimits(), ChunkedHead + part + endless, sendResponse);
+    CHECK(response.starts_with("HTTP/1.1 431"));
+    CHECK(response.ends_with("chunk headers are too large\n"));
+  }
+}
+
+TEST_CASE("a connection whose headers do not arrive in time is closed") {
+  HttpLimits limits;
+  limits.HeaderTimeout = std::chrono::milliseconds(20);
+  std::string response =
+      respondTo(limits, "GET / HTTP/1.1\r\nHost:", sendResponse);
+  CHECK(response.empty());
+}
+
+// Silent connections must not keep a client out that sends its request.
+TEST_CASE("a connection that waits is closed when there are too many") {
+  asio::io_context ioc;
+  tcp::endpoint address = test::findFreeAddress();
+  HttpLimits limits;
+  limits.MaxConnections = 4;
+  HttpServer server(ioc, limits, sendResponse);
+  REQUIRE(server.listen(address));
+  std::vector<tcp::socket> silent;
+  for (int i = 0; i < 20; ++i) {
+    silent.emplace_back(ioc).connect(address);
+    ioc.poll();
+  }
+  tcp::socket client(ioc);
+  client.connect(address);
+  asio::write(client, asio::buffer(std::string(
+                          "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")));
+  std::string out;
+  asio::async_read(client, asio::dynamic_buffer(out),
+                   [&](boost::system::error_code, std::size_t) { ioc.stop(); });
+  ioc.run();
+  CHECK(out.starts_with("HTTP/1.1 200"));
+}
+
+// No response may say that a request did not run if it is running.
+TEST_CASE("a connection is refused only if all others have running requests") {
+  asio::io_context ioc;
+  tcp::endpoint address = test::findFreeAddress();
+  HttpLimits limits;
+  limits.MaxConnections = 2;
+  asio::steady_timer timer(ioc, std::chrono::hours(1));
+  int running = 0;
+  HttpServer server(ioc, limits,
+                    [&](HttpExchange &exchange) -> asio::awaitable<void> {
+                      ++running;
+                      boost::system::error_code ec;
+                      co_await timer.async_wait(
+                          asio::redirect_error(asio::use_awaitable, ec));
+                      co_await sendResponse(exchange);
+                    });
+  REQUIRE(server.listen(address));
+  std::vector<tcp::socket> clients;
+  for (int i = 0; i < 2; ++i) {
+    clients.emplace_back(ioc).connect(address);
+    asio::write(clients.back(), asio::buffer(Request));
+  }
+  while (running < 2)
+    ioc.run_one();
+  tcp::socket late(ioc);
+  late.connect(address);
+  std::string out;
+  asio::async_read(late, asio::dynamic_buffer(out),
+                   [&](boost::system::error_code, std::size_t) { ioc.stop(); });
+  ioc.run();
+  CHECK(out.starts_with("HTTP/1.1 503"));
+  CHECK(running == 2);
+}
