Bound the memory of all requests of a process

Callers saw a process grow by what many clients send together: 48 bodies of 4 MB, each inside the limits, that are held open or wait for an endpoint.

Cause: the limit on a body holds for a connection, the memory for the process.

--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -26,6 +26,10 @@
 /// Size of the read buffer beyond the limit on headers, so that the parser sees
 /// headers that exceed the limit.
 static constexpr std::size_t BufferMargin = 1U << 10U;
+/// Memory of a request beside its headers and its body.
+static constexpr std::size_t RequestOverheadBytes = 4U << 10U;
+/// How often the headers of a request are in memory while it is handled.
+static constexpr std::size_t HeaderCopies = 2;
 /// After a refusal, input is read and discarded for this time and up to this
 /// size: closing a connection with unread data resets it, and the client may
 /// then lose the response.
@@ -62,6 +66,14 @@
   return beast::iequals(request[http::field::expect], "100-continue");
 }
 
+/// Returns the memory that the headers of \p request take up.
+static std::size_t headerBytes(const HttpRequest &request) {
+  std::size_t n = request.target().size();
+  for (const auto &it : request)
+    n += it.name_string().size() + it.value().size() + sizeof(it);
+  return n;
+}
+
 HttpConnection::HttpConnection(std::shared_ptr<HttpServer::SharedState> server,
                                asio::ip::tcp::socket socket)
     : Server(std::move(server)), Stream(std::move(socket)),
@@ -96,6 +108,18 @@
     --Server->Busy;
 }
 
+/// Takes memory for the request. If there is none left, clients that have kept
+/// the server waiting for longer than this one lose theirs.
+bool HttpConnection::reserve(std::size_t n) {
+  while (!RequestBytes.grow(n)) {
+    std::optional<ConnectionId> longest = Server->Table.longestReading();
+    if (!longest || *longest == Id)
+      return false;
+    Server->evict(*longest, "memory");
+  }
+  return true;
+}
+
 asio::awaitable<void> HttpConnection::run() {
   for (bool isOpen = true; isOpen;) {
     Parser parser;
@@ -174,6 +198,9 @@
   ErrorCode ec = co_await awaitFirstBytes(parser);
   if (!ec && !parser.is_header_done())
     ec = co_await readHeaders(parser);
+  if (!ec &&
+      !reserve(RequestOverheadBytes + HeaderCopies * headerBytes(parser.get())))
+    ec = make_error_code(boost::system::errc::not_enough_memory);
   if (!ec && !parser.is_done())
     ec = co_await readBody(parser);
   co_return ec;
@@ -218,8 +245,12 @@
     headers = parser.get().base();
   parser.eager(true);
   while (!ec && !parser.is_done()) {
+    std::size_t before = parser.get().body().size();
     ec = std::get<0>(
         co_await http::async_read_some(Stream, Buffer, parser, AsTuple));
+    std::size_t added = parser.get().body().size() - before;
+    if (!ec && !reserve(Server->Context.BodyCopies * added))
+      ec = make_error_code(boost::system::errc::not_enough_memory);
   }
   if (headers)
     parser.get().base() = std::move(*headers);
--- a/lib/Http/HttpConnection.h
+++ b/lib/Http/HttpConnection.h
@@ -50,6 +50,7 @@
   boost::asio::awaitable<ErrorCode> readBody(Parser &parser);
   boost::asio::awaitable<void> refuse(HttpExchange &exchange, ErrorCode ec);
   boost::asio::awaitable<void> discardInput();
+  bool reserve(std::size_t n);
   void setBusy(bool isBusy);
 
   std::shared_ptr<HttpServer::SharedState> Server;
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -228,6 +228,25 @@
   CHECK(response.empty());
 }
 
+TEST_CASE("requests that exceed the memory for all requests are refused") {
+  ListenerContext context;
+  context.IdHeader = "X-Id";
+  context.RequestBytes = std::make_shared<ByteBudget>(64U << 10U);
+  std::string head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                     "X-Id: 7\r\nContent-Length: ";
+  std::string large(80000, 'x');
+  std::string response = respondTo(HttpLimits(), head + "80000\r\n\r\n" + large,
+                                   sendResponse, context);
+  CHECK(response.starts_with("HTTP/1.1 503"));
+  CHECK(response.find("Retry-After: 0.1\r\n") != std::string::npos);
+  CHECK(response.find("X-Id: 7\r\n") != std::string::npos);
+  CHECK(context.RequestBytes->used() == 0);
+  response =
+      respondTo(HttpLimits(), head + "3\r\n\r\nabc", sendResponse, context);
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(context.RequestBytes->used() == 0);
+}
+
 // Silent connections must not keep a client out that sends its request.
 TEST_CASE("a connection that waits is closed when there are too many") {
   asio::io_context ioc;
