Bound the memory of all responses of a process

24 callers that asked for 12 MB each and read nothing made an entry hold 371 MB.

Cause: a response that is no event stream is read completely before it is forwarded, so that a retry can replace a broken one; up to 16 MB each, without a bound on the sum.

Ways weighed: refuse (the request has run, so nothing true can be said), wait for memory (all may wait for each other), or stop holding.

--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -12,6 +12,7 @@
 #include "ospreyspur/Http/HttpExchange.h"
 #include "ospreyspur/Process/DirectCall.h"
 #include "ospreyspur/Process/HostTimer.h"
+#include "ospreyspur/Support/ByteReservation.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -44,7 +45,9 @@
 class DirectAttempt {
 public:
   DirectAttempt(EndpointPool &pool, HttpExchange &exchange, DirectCall &call,
-                const StartAttempt &order, AttemptHandlers handlers);
+                const StartAttempt &order,
+                std::shared_ptr<ByteBudget> responseBytes,
+                AttemptHandlers handlers);
 
   /// Runs the attempt until it ends.
   boost::asio::awaitable<AttemptEnd> run();
@@ -59,7 +62,13 @@
   boost::asio::awaitable<EndpointPool::Connection> open();
   boost::asio::awaitable<bool> send();
   boost::asio::awaitable<bool> readHead();
-  boost::asio::awaitable<bool> readBody(std::string &body);
+  /// How reading a body into memory ended.
+  enum class BodyEnd : std::uint8_t { Complete, Broken, NoMemory };
+
+  boost::asio::awaitable<BodyEnd> readBody(std::string &body);
+  boost::asio::awaitable<bool> skipBody();
+  boost::asio::awaitable<AttemptEnd> forwardInParts(std::string body);
+  AttemptEnd endUnread();
   boost::asio::awaitable<bool> isCutAtEnd();
   boost::asio::awaitable<AttemptEnd> forwardComplete();
   boost::asio::awaitable<AttemptEnd> forwardEvents();
@@ -92,6 +101,8 @@
   EndpointResponse Head;
   ConnectionEnd ClosedBy = ConnectionEnd::Ours;
   HttpResponse CallerHead;
+  /// Memory of the response while it is held.
+  ByteReservation HeldBytes;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -100,6 +100,8 @@
   Metrics &Measures;
   /// Bounds on what callers can make this process hold.
   ClientLimits Bounds;
+  /// For responses that are held until they are complete.
+  std::shared_ptr<ByteBudget> ResponseBytes;
   OnQuarantine ReportQuarantine;
   /// The last quarantine change that was passed to ReportQuarantine.
   std::uint64_t LastReportedChange = 0;
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -1,8 +1,9 @@
 //===- DirectAttempt.cpp - one request at one endpoint --------------------===//
 //
 // Responses other than event streams are read completely before they are
-// forwarded, so that a broken one can still be replaced by a retry. Events are
-// forwarded one by one.
+// forwarded, so that a broken one can still be replaced by a retry. While the
+// process holds as many bytes of responses as it may, further ones are
+// forwarded as they arrive. Events are forwarded one by one.
 //
 //===----------------------------------------------------------------------===//
 
@@ -34,9 +35,10 @@
 
 DirectAttempt::DirectAttempt(EndpointPool &pool, HttpExchange &exchange,
                              DirectCall &call, const StartAttempt &order,
+                             std::shared_ptr<ByteBudget> responseBytes,
                              AttemptHandlers handlers)
     : Pool(pool), Exchange(exchange), Call(call), Order(order),
-      Handlers(std::move(handlers)) {}
+      Handlers(std::move(handlers)), HeldBytes(std::move(responseBytes)) {}
 
 asio::awaitable<AttemptEnd> DirectAttempt::run() {
   Connection = co_await open();
@@ -113,8 +115,7 @@
       CallerHead = platform::makeCallerResponseHead(head);
       co_return true;
     }
-    std::string ignored;
-    if (!co_await readBody(ignored))
+    if (!co_await skipBody())
       co_return false;
   }
   co_return false;
@@ -175,12 +176,24 @@
   co_return ec;
 }
 
-asio::awaitable<bool> DirectAttempt::readBody(std::string &body) {
+asio::awaitable<DirectAttempt::BodyEnd>
+DirectAttempt::readBody(std::string &body) {
   while (!Response->is_done()) {
     std::string data;
     auto ec = co_await readSome(data);
     body += data;
     if (ec || body.size() > MaxResponseBytes)
+      co_return BodyEnd::Broken;
+    if (!HeldBytes.grow(data.size()))
+      co_return BodyEnd::NoMemory;
+  }
+  co_return BodyEnd::Complete;
+}
+
+asio::awaitable<bool> DirectAttempt::skipBody() {
+  while (!Response->is_done()) {
+    std::string data;
+    if (co_await readSome(data))
       co_return false;
   }
   co_return true;
@@ -200,7 +213,11 @@
 
 asio::awaitable<AttemptEnd> DirectAttempt::forwardComplete() {
   std::string body;
-  bool isComplete = co_await readBody(body);
+  BodyEnd bodyEnd = co_await readBody(body);
+  bool isComplete = bodyEnd == BodyEnd::Complete;
+  if (bodyEnd == BodyEnd::NoMemory && Head.Kind == ResponseKind::Own &&
+      !Exchange.hasBegun())
+    co_return co_await forwardInParts(std::move(body));
   // No body is forwarded of the other responses.
   if (Head.Kind == ResponseKind::Own || Head.Kind == ResponseKind::Failed)
     isComplete = isComplete && !co_await isCutAtEnd();
@@ -232,18 +249,44 @@
   co_return AttemptEnd::Complete;
 }
 
+/// Forwards a response as it arrives; \p body is what has arrived. A retry can
+/// no longer replace it if it breaks.
+asio::awaitable<AttemptEnd> DirectAttempt::forwardInParts(std::string body) {
+  if (!co_await forward(std::move(body)))
+    co_return endUnread();
+  HeldBytes.reset();
+  while (!Response->is_done()) {
+    std::string data;
+    auto ec = co_await readSome(data);
+    if (!data.empty() && !co_await forward(std::move(data)))
+      co_return endUnread();
+    if (ec)
+      co_return abortAttempt();
+  }
+  if (co_await isCutAtEnd())
+    co_return abortAttempt();
+  keepConnection();
+  Call.Status = Head.Status;
+  co_await Exchange.endStream();
+  co_return AttemptEnd::Complete;
+}
+
+/// The result of an attempt whose response the caller does not read, which is
+/// not the endpoint's fault.
+AttemptEnd DirectAttempt::endUnread() {
+  if (!Call.IsCallerGone)
+    Call.Inbox.post(CallerGone{Call.Request.Id});
+  Call.IsCallerGone = true;
+  return AttemptEnd::BrokeOff;
+}
+
 asio::awaitable<AttemptEnd> DirectAttempt::forwardEvents() {
   while (!Response->is_done()) {
     std::string data;
     auto ec = co_await readSome(data);
     std::string events = Call.Events.add(data);
-    if (!events.empty() && !co_await forward(std::move(events))) {
-      // The caller reads no more data, which is not the endpoint's fault.
-      if (!Call.IsCallerGone)
-        Call.Inbox.post(CallerGone{Call.Request.Id});
-      Call.IsCallerGone = true;
-      co_return AttemptEnd::BrokeOff;
-    }
+    if (!events.empty() && !co_await forward(std::move(events)))
+      co_return endUnread();
     if (ec)
       co_return abortAttempt();
   }
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -10,6 +10,7 @@
 #include "ospreyspur/Process/DirectLog.h"
 #include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/RankLink.h"
+#include "ospreyspur/Support/ByteBudget.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/RequestWire.h"
 
@@ -69,6 +70,7 @@
                              std::uint64_t seed, OnQuarantine onQuarantine)
     : Context(ioc), Settings(settings), Measures(metrics),
       Bounds(findClientLimits(settings.Machine, CallerAccess::Listener)),
+      ResponseBytes(std::make_shared<ByteBudget>(Bounds.ResponseBytes)),
       ReportQuarantine(std::move(onQuarantine)),
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed,
            settings.Name),
@@ -293,7 +295,7 @@
     return this->outlivesResponse(call, order);
   };
   TimePoint began = monotonicNow();
-  DirectAttempt running(Pool, exchange, call, order,
+  DirectAttempt running(Pool, exchange, call, order, ResponseBytes,
                         {maySend, onHead, onData, onIdle, outlivesResponse});
   AttemptEnd end = co_await running.run();
   Measures.count("attempts_total{end=\"" + std::string(wordOf(end)) + "\"}");
