Notice that a client leaves which has sent more data

The watch for a disconnect looked once: a client that had sent another request (pipelining) and then closed its connection was not noticed, and the endpoint went on working for nobody. Behind unread data the socket stays readable, so the end of the connection is now asked for (POLLRDHUP) five times a second. Test: "a client that has sent more and then disconnects is detected".

--- a/include/ospreyspur/Http/HttpExchange.h
+++ b/include/ospreyspur/Http/HttpExchange.h
@@ -11,6 +11,8 @@
 #include "ospreyspur/Http/HttpTypes.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <functional>
@@ -51,8 +53,7 @@
   /// of \p head.
   boost::asio::awaitable<bool> beginStream(const HttpResponse &head);
   /// Calls \p onDisconnect once if the client closes its connection before the
-  /// handler has returned. A client that has sent data after this request is
-  /// not watched.
+  /// handler has returned.
   void watchDisconnect(std::function<void()> onDisconnect);
   /// Sends a part of a streamed response.
   boost::asio::awaitable<bool> writeStream(std::string data);
@@ -76,10 +77,17 @@
 
   /// Shared with the wait for the socket, which may outlive the exchange.
   struct DisconnectWatch {
+    explicit DisconnectWatch(boost::beast::tcp_stream &stream)
+        : Timer(stream.get_executor()) {}
+
     bool IsOn = true;
     std::function<void()> OnDisconnect;
+    boost::asio::steady_timer Timer;
   };
 
+  static void pollDisconnect(const std::shared_ptr<DisconnectWatch> &watch,
+                             boost::asio::ip::tcp::socket &socket);
+
   boost::beast::tcp_stream &Stream;
   const HttpRequest &Request;
   const HttpLimits &Limits;
--- a/lib/Http/HttpExchange.cpp
+++ b/lib/Http/HttpExchange.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -22,6 +23,10 @@
 namespace http = boost::beast::http;
 
 static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// Interval between two checks whether a client that has sent data after its
+/// request has closed its connection.
+static constexpr Duration DisconnectPollInterval =
+    std::chrono::milliseconds(200);
 
 HttpExchange::HttpExchange(beast::tcp_stream &stream,
                            const HttpRequest &request, const HttpLimits &limits)
@@ -31,6 +36,7 @@
   if (!Watch)
     return;
   Watch->IsOn = false;
+  Watch->Timer.cancel();
   boost::system::error_code ignored;
   Stream.socket().cancel(ignored);
 }
@@ -44,16 +50,36 @@
 }
 
 void HttpExchange::watchDisconnect(std::function<void()> onDisconnect) {
-  Watch = std::make_shared<DisconnectWatch>();
+  Watch = std::make_shared<DisconnectWatch>(Stream);
   Watch->OnDisconnect = std::move(onDisconnect);
   auto &socket = Stream.socket();
   socket.async_wait(asio::socket_base::wait_read,
                     [watch = Watch, &socket](boost::system::error_code ec) {
-                      if (!ec && watch->IsOn && isClosedByPeer(socket))
+                      if (ec || !watch->IsOn)
+                        return;
+                      if (isClosedByPeer(socket))
                         watch->OnDisconnect();
+                      else
+                        pollDisconnect(watch, socket);
                     });
 }
 
+/// Watches a client that has sent data after its request. That data is not read
+/// before the response is complete, so the socket stays readable.
+void HttpExchange::pollDisconnect(const std::shared_ptr<DisconnectWatch> &watch,
+                                  asio::ip::tcp::socket &socket) {
+  watch->Timer.expires_after(DisconnectPollInterval);
+  watch->Timer.async_wait([watch, &socket](boost::system::error_code ec) {
+    if (ec || !watch->IsOn)
+      return;
+    pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    if (::poll(&state, 1, 0) != 0)
+      watch->OnDisconnect();
+    else
+      pollDisconnect(watch, socket);
+  });
+}
+
 std::string HttpExchange::header(std::string_view name) const {
   auto it = Request.find(beast::string_view(name.data(), name.size()));
   return it == Request.end() ? std::string() : std::string(it->value());
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -304,3 +304,33 @@
   CHECK(out.starts_with("HTTP/1.1 503"));
   CHECK(running == 2);
 }
+
+TEST_CASE("a client that has sent more and then disconnects is detected") {
+  asio::io_context ioc;
+  bool isDetected = false;
+  tcp::endpoint address = test::findFreeAddress();
+  HttpServer server(ioc, HttpLimits(),
+                    [&](HttpExchange &exchange) -> asio::awaitable<void> {
+                      asio::steady_timer timer(ioc, std::chrono::seconds(30));
+                      exchange.watchDisconnect([&] {
+                        isDetected = true;
+                        timer.cancel();
+                      });
+                      boost::system::error_code ec;
+                      co_await timer.async_wait(
+                          asio::redirect_error(asio::use_awaitable, ec));
+                      exchange.abort();
+                    });
+  REQUIRE(server.listen(address));
+  tcp::socket client(ioc);
+  client.connect(address);
+  asio::write(client, asio::buffer(Request));
+  asio::write(client, asio::buffer(Request));
+  ioc.poll();
+  client.close();
+  asio::steady_timer limit(ioc, std::chrono::seconds(20));
+  limit.async_wait([&](boost::system::error_code) { ioc.stop(); });
+  while (!isDetected && !ioc.stopped())
+    ioc.run_one();
+  CHECK(isDetected);
+}
