Guard the links between processes

Anybody could end an agent or an entry at its link address within a second: streams and resets without end (1.6 to 3.4 GB), header fields (492 to 835 MB), pings whose answers are not read, half messages (627 to 961 MB). 300 silent connections took all descriptors, after which gRPC accepted no link any more, for good.

The limit on streams holds only once the client has acknowledged it; the quota does not count what grows here.

Now our own listener accepts, with a bound on links, and gets room by closing the link that has sent no message for longest, first those that never sent one. What a client sends passes a guard (LinkGuard, a state machine without I/O) on its way to gRPC, which has the other end of a socket pair: streams, control frames and header blocks are limited to what processes of this system send; messages to 8 MiB, incomplete ones by a budget for all links. Small buffers each way hold up a client that does not read.

--- a/include/ospreyspur/Process/ListenerLimits.h
+++ b/include/ospreyspur/Process/ListenerLimits.h
@@ -10,6 +10,7 @@
 #include "ospreyspur/Config/ClientLimits.h"
 #include "ospreyspur/Http/HttpTypes.h"
 #include "ospreyspur/Http/ListenerContext.h"
+#include "ospreyspur/Rpc/LinkListener.h"
 
 #include <string>
 
@@ -22,6 +23,9 @@
 /// descriptors, the kernel's limit applies.
 ClientLimits findClientLimits(MachineLimits machine, CallerAccess callers);
 
+/// Limits of the listener for links.
+LinkLimits makeLinkLimits(const ClientLimits &limits);
+
 /// Limits of the listener for callers.
 HttpLimits makeCallerLimits(const ClientLimits &limits);
 
--- a/include/ospreyspur/Rpc/PeerServer.h
+++ b/include/ospreyspur/Rpc/PeerServer.h
@@ -7,6 +7,7 @@
 #ifndef OSPREYSPUR_RPC_PEERSERVER_H
 #define OSPREYSPUR_RPC_PEERSERVER_H
 
+#include "ospreyspur/Rpc/LinkListener.h"
 #include "ospreyspur/Rpc/Messages.h"
 #include "ospreyspur/Support/Result.h"
 
@@ -26,7 +27,10 @@
 /// Accepts links on one address.
 class PeerServer {
 public:
-  explicit PeerServer(PeerServerHandlers handlers);
+  /// \p metrics count what is refused; null for none.
+  explicit PeerServer(PeerServerHandlers handlers,
+                      const LinkLimits &limits = {},
+                      Metrics *metrics = nullptr);
   ~PeerServer();
 
   /// Listens on \p address ("ip:port"). Errors: SettingInvalid.
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -6,6 +6,7 @@
 
 #include "ospreyspur/Process/RankAgent.h"
 
+#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Rpc/Codec.h"
 #include "ospreyspur/Support/LogEvent.h"
 
@@ -91,7 +92,10 @@
                     onMessage(from, it);
                 });
               },
-              [](LinkId) {}}),
+              [](LinkId) {}},
+             makeLinkLimits(
+                 findClientLimits(settings.Machine, CallerAccess::None)),
+             &metrics),
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
                     onCoordinatorMessage(from, message);
                   },
--- /dev/null
+++ b/lib/Rpc/LinkListener.cpp
@@ -0,0 +1,159 @@
+//===- LinkListener.cpp - accepts connections for links -------------------===//
+//
+// See LinkListener.h.
+//
+//===----------------------------------------------------------------------===//
+
+#include "ospreyspur/Rpc/LinkListener.h"
+
+#include "GuardedLink.h"
+
+#include "ospreyspur/Support/LogEvent.h"
+#include "ospreyspur/Support/Metrics.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <utility>
+
+using namespace ospreyspur;
+namespace asio = boost::asio;
+using asio::local::stream_protocol;
+
+static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Size of the kernel's buffers of a connection, each way.
+static constexpr int SocketBufferBytes = 256 << 10;
+/// Pause after the kernel could not accept a connection.
+static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
+/// Pause after a connection was closed to make room for another one; gRPC
+/// closes its end of the socket pair meanwhile.
+static constexpr Duration EvictionDelay = std::chrono::milliseconds(2);
+/// Seconds between two log lines about refused clients.
+static constexpr double RefusalLogInterval = 0.1;
+
+LinkListener::State::State(asio::io_context &ioc, const LinkLimits &limits,
+                           Metrics *metrics, OnConnection onConnection)
+    : Context(ioc), Acceptor(ioc), Limits(limits), Measures(metrics),
+      HandOver(std::move(onConnection)),
+      MessageBytes(std::make_shared<ByteBudget>(limits.MessageBytes)) {}
+
+void LinkListener::State::evict(GuardedLink &link, std::string_view reason) {
+  if (Measures)
+    Measures->count("clients_refused_total{listener=\"link\",reason=\"" +
+                    std::string(reason) + "\"}");
+  LOG_EVERY_T(INFO, RefusalLogInterval)
+      << LogEvent("client.refused")
+             .with("listener", "link")
+             .with("reason", reason)
+             .with("client", link.client())
+             .with("connections", Links.size())
+             .with("message_bytes", MessageBytes->used());
+  link.close();
+}
+
+GuardedLink *LinkListener::State::findExpendable() const {
+  auto it = std::min_element(
+      Links.begin(), Links.end(), [](const auto &a, const auto &b) {
+        return std::tuple(a.first->isProven(), a.first->provenAt()) <
+               std::tuple(b.first->isProven(), b.first->provenAt());
+      });
+  return it == Links.end() ? nullptr : it->first;
+}
+
+GuardedLink *LinkListener::State::findLongestMessage() const {
+  GuardedLink *out = nullptr;
+  for (const auto &[link, owner] : Links)
+    if (link->messageSince() &&
+        (!out || *link->messageSince() < *out->messageSince()))
+      out = link;
+  return out;
+}
+
+LinkListener::LinkListener(asio::io_context &ioc, const LinkLimits &limits,
+                           Metrics *metrics, OnConnection onConnection)
+    : Shared(std::make_shared<State>(ioc, limits, metrics,
+                                     std::move(onConnection))) {}
+
+LinkListener::~LinkListener() { close(); }
+
+Result<void> LinkListener::listen(const TcpAddress &address) {
+  auto &acceptor = Shared->Acceptor;
+  boost::system::error_code ec;
+  acceptor.open(address.protocol(), ec);
+  if (!ec)
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    acceptor.set_option(
+        asio::socket_base::receive_buffer_size(SocketBufferBytes), ec);
+  if (!ec)
+    acceptor.set_option(asio::socket_base::send_buffer_size(SocketBufferBytes),
+                        ec);
+  if (!ec)
+    acceptor.bind(address, ec);
+  if (!ec)
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return Error{ResultCode::SettingInvalid,
+                 "cannot listen on " + address.address().to_string() + ":" +
+                     std::to_string(address.port()) + ": " + ec.message()};
+  asio::co_spawn(Shared->Context, acceptLoop(Shared), asio::detached);
+  return boost::outcome_v2::success();
+}
+
+void LinkListener::close() {
+  boost::system::error_code ignored;
+  Shared->Acceptor.close(ignored);
+  for (const auto &[link, owner] : std::map(Shared->Links))
+    link->close();
+}
+
+/// Hands one end of a socket pair over and copies between the other one and
+/// \p client.
+static boost::system::error_code
+admit(const std::shared_ptr<LinkListener::State> &state,
+      asio::ip::tcp::socket client) {
+  stream_protocol::socket own(state->Context);
+  stream_protocol::socket other(state->Context);
+  boost::system::error_code ec;
+  asio::local::connect_pair(own, other, ec);
+  if (!ec)
+    other.native_non_blocking(true, ec);
+  if (ec)
+    return ec;
+  state->HandOver(other.release());
+  auto link = std::make_shared<GuardedLink>(state, std::move(client),
+                                            std::move(own), monotonicNow());
+  state->Links.emplace(link.get(), link);
+  link->start();
+  return {};
+}
+
+asio::awaitable<void> LinkListener::acceptLoop(std::shared_ptr<State> state) {
+  asio::steady_timer timer(state->Context);
+  while (state->Acceptor.is_open()) {
+    auto [ec, socket] = co_await state->Acceptor.async_accept(AsTuple);
+    if (ec == asio::error::operation_aborted)
+      break;
+    bool isFull = state->Links.size() >= state->Limits.Connections;
+    if (!ec && isFull)
+      state->evict(*state->findExpendable(), "connections");
+    if (!ec)
+      ec = admit(state, std::move(socket));
+    // Most likely no descriptor is left.
+    if (GuardedLink *link = ec ? state->findExpendable() : nullptr)
+      state->evict(*link, "descriptors");
+    if (!ec && !isFull)
+      continue;
+    timer.expires_after(ec ? AcceptRetryDelay : EvictionDelay);
+    co_await timer.async_wait(AsTuple);
+  }
+}
--- a/lib/Rpc/PeerServer.cpp
+++ b/lib/Rpc/PeerServer.cpp
@@ -1,33 +1,42 @@
 //===- PeerServer.cpp - gRPC callback server ------------------------------===//
 //
 // Each link has one reactor. A reactor deletes itself in OnDone, after which
-// gRPC does not call it again.
+// gRPC does not call it again. A thread of its own accepts connections and
+// guards them.
 //
 //===----------------------------------------------------------------------===//
 
 #include "ospreyspur/Rpc/PeerServer.h"
 
+#include "ospreyspur/Rpc/LinkGuard.h"
 #include "ospreyspur/Rpc/LinkWriter.h"
 
 #include "generated/peer.grpc.pb.h"
 
+#include <boost/asio/post.hpp>
 #include <grpcpp/grpcpp.h>
 
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <thread>
 
 using namespace ospreyspur;
 
-static constexpr int MaxEnvelopeBytes = 64 << 20;
 /// Clients ping more rarely (LinkKeepAlive).
 static constexpr int MinPingIntervalMs = 500;
 /// A link that has fallen silent is given up by its client, which may not be
 /// able to close it. The server then must, or descriptors would run out.
 static constexpr int KeepaliveMs = 10000;
 static constexpr int KeepaliveTimeoutMs = 3000;
+/// How long a connection without a stream is kept.
+static constexpr int UnusedConnectionMs = 30000;
 static constexpr auto StopGrace = std::chrono::milliseconds(500);
 
+using ConnectionAcceptor = grpc::experimental::ExternalConnectionAcceptor;
+using ConnectionType =
+    grpc::ServerBuilder::experimental_type::ExternalConnectionType;
+
 namespace {
 using ServerReactor = grpc::ServerBidiReactor<wire::Envelope, wire::Envelope>;
 
@@ -87,7 +96,16 @@
 
 class PeerServer::Impl final : public wire::Peer::CallbackService {
 public:
-  explicit Impl(PeerServerHandlers handlers) : Handlers(std::move(handlers)) {}
+  Impl(PeerServerHandlers handlers, const LinkLimits &limits, Metrics *metrics)
+      : Handlers(std::move(handlers)),
+        Listener(Context, limits, metrics, [this](int fd) { handOver(fd); }) {}
+
+  void handOver(int fd) {
+    ConnectionAcceptor::NewConnectionParameters parameters;
+    parameters.listener_fd = -1;
+    parameters.fd = fd;
+    Acceptor->HandleNewConnection(&parameters);
+  }
 
   ServerReactor *Link(grpc::CallbackServerContext * /*context*/) override {
     std::lock_guard lock(Mutex);
@@ -112,28 +130,40 @@
   std::uint64_t LastLink = 0;
   std::map<LinkId, ServerLink *> Links;
   std::unique_ptr<grpc::Server> Server;
+  std::unique_ptr<ConnectionAcceptor> Acceptor;
+  boost::asio::io_context Context{1};
+  LinkListener Listener;
+  std::thread Thread;
 };
 
-PeerServer::PeerServer(PeerServerHandlers handlers)
-    : Pimpl(std::make_unique<Impl>(std::move(handlers))) {}
+PeerServer::PeerServer(PeerServerHandlers handlers, const LinkLimits &limits,
+                       Metrics *metrics)
+    : Pimpl(std::make_unique<Impl>(std::move(handlers), limits, metrics)) {}
 
 PeerServer::~PeerServer() { stop(); }
 
 Result<void> PeerServer::listen(const std::string &address) {
+  Result<TcpAddress> parsed = parseAddress(address);
+  if (!parsed)
+    return parsed.error();
   grpc::ServerBuilder builder;
-  int port = 0;
-  builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
-  builder.SetMaxReceiveMessageSize(MaxEnvelopeBytes);
-  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  Pimpl->Acceptor = builder.experimental().AddExternalConnectionAcceptor(
+      ConnectionType::FROM_FD, grpc::InsecureServerCredentials());
+  builder.SetMaxReceiveMessageSize(MaxLinkMessageBytes);
+  builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS,
+                             UnusedConnectionMs);
   builder.AddChannelArgument(
       GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, MinPingIntervalMs);
   builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMs);
   builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
   builder.RegisterService(Pimpl.get());
   Pimpl->Server = builder.BuildAndStart();
-  if (!Pimpl->Server || port == 0)
+  if (!Pimpl->Server)
     return Error{ResultCode::SettingInvalid, "cannot listen on " + address};
-  return boost::outcome_v2::success();
+  Result<void> listening = Pimpl->Listener.listen(parsed.value());
+  if (listening)
+    Pimpl->Thread = std::thread([this] { Pimpl->Context.run(); });
+  return listening;
 }
 
 void PeerServer::send(LinkId link, const Message &message) {
@@ -148,5 +178,11 @@
     return;
   Pimpl->Server->Shutdown(std::chrono::system_clock::now() + StopGrace);
   Pimpl->Server->Wait();
+  boost::asio::post(Pimpl->Context, [this] {
+    Pimpl->Listener.close();
+    Pimpl->Context.stop();
+  });
+  if (Pimpl->Thread.joinable())
+    Pimpl->Thread.join();
   Pimpl->Server.reset();
 }
