Bound what forged load reports make an entry keep

Datagrams of anybody are load reports. Names of senders were kept for an hour, up to 64 KB each: 685 MB of 128 within seconds. Reported numbers near 2^32 entered sums of 32 bits.

Names are limited to 256 bytes, entries that are not listed to 2,048, senders whose loads are kept to 4,096, rows of a report to 4,096, and numbers are cut. ForgedReportTest and direct/reports/forged-reports; the latter failed before.

--- a/include/ospreyspur/Direct/EndpointTable.h
+++ b/include/ospreyspur/Direct/EndpointTable.h
@@ -154,6 +154,8 @@
   static constexpr double MinSlowdown = 1.5;
   /// Age at which another entry's load report no longer counts.
   static constexpr Duration MaxPeerLoadAge = std::chrono::seconds(1);
+  /// Entries whose reports are kept; the rest is ignored.
+  static constexpr std::size_t MaxPeers = 4096;
 
   // Commands.
 
--- a/include/ospreyspur/Direct/FleetSize.h
+++ b/include/ospreyspur/Direct/FleetSize.h
@@ -26,7 +26,8 @@
 public:
   // Commands.
 
-  /// The entry \p name has sent a report.
+  /// The entry \p name has sent a report. Does nothing if too many entries that
+  /// are not listed have reported.
   void onReport(const std::string &name, TimePoint now);
   /// The report that was passed to onReport() says that the entry \p name has
   /// no callers.
@@ -52,6 +53,9 @@
   /// Entries that have neither reported nor been listed for this time are
   /// dropped. The time is longer than any window.
   static constexpr Duration RetentionTime = std::chrono::hours(1);
+  /// Names that are kept beside the listed ones; no fleet has as many entries
+  /// that have just started or ended.
+  static constexpr std::size_t MaxUnlisted = 2048;
   /// Upper bound on the time between sending and receiving a report.
   static constexpr Duration MaxReportDelay = std::chrono::seconds(1);
 
--- a/lib/Direct/EndpointLoads.cpp
+++ b/lib/Direct/EndpointLoads.cpp
@@ -16,6 +16,8 @@
                                 const std::vector<EndpointLoad> &loads,
                                 TimePoint now) {
   expirePeerLoads(now);
+  if (Peers.size() >= MaxPeers && !Peers.contains(peer))
+    return;
   auto [at, isNew] = Peers.try_emplace(peer, PeerLoads.end());
   if (isNew) {
     at->second =
--- a/lib/Direct/FleetSize.cpp
+++ b/lib/Direct/FleetSize.cpp
@@ -12,6 +12,9 @@
 using namespace ospreyspur;
 
 void FleetSize::onReport(const std::string &name, TimePoint now) {
+  bool isNew = !Listed.contains(name) && !SeenAt.contains(name);
+  if (isNew && SeenAt.size() >= MaxUnlisted + Listed.size())
+    return;
   SeenAt[name] = now;
   IdleAt.erase(name);
   if (now - PrunedAt < RetentionTime)
--- a/lib/Rpc/LoadCodec.cpp
+++ b/lib/Rpc/LoadCodec.cpp
@@ -18,6 +18,10 @@
 /// Bounds on what a damaged or malicious report can make this entry keep.
 static constexpr int MaxRates = 64;
 static constexpr int MaxLeaving = 64;
+static constexpr int MaxLoads = 4096;
+static constexpr std::size_t MaxNameBytes = 256;
+static constexpr unsigned MaxRunning = 1U << 16U;
+static constexpr unsigned MaxPendingTokens = 1U << 26U;
 static constexpr Duration MaxAge = std::chrono::hours(1);
 
 static std::uint64_t encodeAge(Duration age) {
@@ -90,15 +94,28 @@
              : 0;
 }
 
+static std::vector<EndpointLoad> decodeLoads(const wire::LoadReport &in) {
+  std::vector<EndpointLoad> out;
+  for (int i = 0; i < std::min(in.loads_size(), MaxLoads); ++i) {
+    const wire::EndpointLoad &it = in.loads(i);
+    if (it.endpoint().size() <= MaxNameBytes)
+      out.push_back({EndpointId(it.endpoint()),
+                     std::min(it.running(), MaxRunning),
+                     std::min(it.unread(), MaxPendingTokens),
+                     sanitizeSlowdown(it.pace())});
+  }
+  return out;
+}
+
 std::optional<LoadReport> ospreyspur::decodeLoad(std::string_view bytes) {
   wire::LoadReport in;
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     return std::nullopt;
+  if (in.node().size() > MaxNameBytes)
+    return std::nullopt;
   LoadReport out;
   out.Node = in.node();
-  for (const wire::EndpointLoad &it : in.loads())
-    out.Loads.push_back({EndpointId(it.endpoint()), it.running(), it.unread(),
-                         sanitizeSlowdown(it.pace())});
+  out.Loads = decodeLoads(in);
   out.Crashes = decodeCrashes(in);
   for (int i = 0; i < std::min(in.replaced_size(), MaxReplaced); ++i)
     out.Replaced.emplace_back(in.replaced(i));
