Bound the buffers for responses of endpoints and the store

An endpoint is no client, but the address in a row of the list can be anybody's. The buffers are now 64 and 128 KiB, above the limits on heads. By reading; no test of its own.

--- a/include/ospreyspur/Http/EndpointPool.h
+++ b/include/ospreyspur/Http/EndpointPool.h
@@ -25,7 +25,12 @@
 
 /// A connection to one endpoint.
 struct EndpointConnection {
-  explicit EndpointConnection(boost::asio::io_context &ioc) : Stream(ioc) {}
+  /// Bounds what the limits on heads and bodies do not count: chunk headers and
+  /// trailers.
+  static constexpr std::size_t MaxBufferBytes = 128U << 10U;
+
+  explicit EndpointConnection(boost::asio::io_context &ioc)
+      : Stream(ioc), Buffer(MaxBufferBytes) {}
 
   boost::beast::tcp_stream Stream;
   boost::beast::flat_buffer Buffer;
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -26,6 +26,8 @@
 static constexpr std::size_t MaxIdleConnections = 32;
 static constexpr std::size_t ReadBytes = 16U << 10U;
 static constexpr std::uint64_t MaxResponseBytes = 64U << 20U;
+/// Bounds what the parser's limits do not count: chunk headers and trailers.
+static constexpr std::size_t MaxBufferBytes = 64U << 10U;
 
 void HttpRunHandle::stop() {
   IsStopped = true;
@@ -97,7 +99,7 @@
     isLost = writeError != beast::error::timeout;
     co_return Error{ResultCode::PlatformTimeout, writeError.message()};
   }
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(MaxBufferBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(MaxResponseBytes);
   auto [readError, got] =
@@ -149,7 +151,7 @@
   if (writeError)
     co_return classifyFailure(writeError);
 
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(MaxBufferBytes);
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(MaxResponseBytes);
   parser.skip(request.method() == http::verb::head);
--- a/lib/Process/LivenessCheck.cpp
+++ b/lib/Process/LivenessCheck.cpp
@@ -32,6 +32,8 @@
 /// How long an endpoint may take to respond to a query.
 static constexpr Duration QueryTimeout = std::chrono::milliseconds(400);
 static constexpr std::uint64_t MaxResponseBytes = 1U << 20U;
+/// Bounds what the parser's limits do not count: chunk headers and trailers.
+static constexpr std::size_t MaxBufferBytes = 64U << 10U;
 
 /// How often an endpoint that accepts connections and closes them at once is
 /// checked, and the time between two checks. A connection that stays open for
@@ -65,7 +67,7 @@
       co_await http::async_write(stream, query.Request, AsTuple);
   if (writeError)
     co_return std::nullopt;
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(MaxBufferBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(MaxResponseBytes);
   auto [headError, headBytes] =
