Return the memory of large blocks to the kernel

After a crowd has gone a process kept up to 990 MB (measured before this work): glibc raises the size from which it maps blocks with each larger block that is freed, and keeps what is below. The thresholds are now fixed, 256 KiB and 1 MiB. With all bounds in force there is little left to return; the effect alone was not measured.

--- a/tools/ospreyspur/ospreyspur.cpp
+++ b/tools/ospreyspur/ospreyspur.cpp
@@ -14,6 +14,7 @@
 
 #include <boost/algorithm/string/trim.hpp>
 #include <glog/logging.h>
+#include <malloc.h>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
@@ -138,7 +139,18 @@
   return given.empty() && path ? path : given;
 }
 
+/// Makes the allocator return the memory of large blocks to the kernel when
+/// they are freed. By default it raises the threshold with the largest block
+/// that was freed, and then keeps what a crowd of clients once needed.
+static void limitRetainedMemory() {
+  constexpr int MappedBlockBytes = 256 << 10;
+  constexpr int MaxFreeBytes = 1 << 20;
+  mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, MaxFreeBytes);
+}
+
 int main(int argc, char **argv) {
+  limitRetainedMemory();
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
   try {
