Relay guarded links over loopback, and evict only for want of descriptors

Coordinators lost their lease every five seconds and few maps changed. So neither the guard nor the copy nor the thread is the cause, but the socket pair: on the platform's machines data written to one is noticed late.

A failed accept other than for want of descriptors closes no other connection.

--- a/include/ospreyspur/Rpc/LinkListener.h
+++ b/include/ospreyspur/Rpc/LinkListener.h
@@ -2,7 +2,8 @@
 //
 // Accepts connections in place of gRPC, which has no limit on their number and
 // stops accepting for good once descriptors have run out. What a client sends
-// passes a LinkGuard; gRPC gets the other end of a socket pair.
+// passes a LinkGuard; gRPC gets the other end of a connection inside the
+// process.
 //
 //===----------------------------------------------------------------------===//
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -159,10 +159,10 @@
     }
     if (ec == asio::error::operation_aborted)
       continue;
-    // Most likely no descriptor is left; a client that waits gives one up.
-    shared->recordRefusal("descriptors", 0, {}, "");
-    if (auto id = shared->Table.longestWaiting())
-      shared->evict(*id, "descriptors");
+    shared->recordRefusal("accept", 0, {}, "");
+    std::optional<ConnectionId> longest = shared->Table.longestWaiting();
+    if (ec == asio::error::no_descriptors && longest)
+      shared->evict(*longest, "descriptors");
     timer.expires_after(AcceptRetryDelay);
     co_await timer.async_wait(AsTuple);
   }
--- a/lib/Rpc/GuardedLink.cpp
+++ b/lib/Rpc/GuardedLink.cpp
@@ -30,13 +30,13 @@
 
 GuardedLink::GuardedLink(std::shared_ptr<LinkListener::State> listener,
                          asio::ip::tcp::socket client,
-                         asio::local::stream_protocol::socket server,
-                         TimePoint now)
+                         asio::ip::tcp::socket server, TimePoint now)
     : Listener(std::move(listener)), Client(std::move(client)),
       Server(std::move(server)), Guard(now),
       MessageBytes(Listener->MessageBytes), ProvenAt(now) {
   boost::system::error_code ignored;
   Client.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Server.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
 void GuardedLink::start() {
--- a/lib/Rpc/GuardedLink.h
+++ b/lib/Rpc/GuardedLink.h
@@ -14,7 +14,6 @@
 #include "ospreyspur/Support/ByteReservation.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/local/stream_protocol.hpp>
 
 #include <map>
 #include <memory>
@@ -40,6 +39,8 @@
 
   boost::asio::io_context &Context;
   boost::asio::ip::tcp::acceptor Acceptor;
+  /// Accepts the connections of this process to itself.
+  boost::asio::ip::tcp::acceptor LocalAcceptor;
   LinkLimits Limits;
   Metrics *Measures;
   OnConnection HandOver;
@@ -52,8 +53,7 @@
 public:
   GuardedLink(std::shared_ptr<LinkListener::State> listener,
               boost::asio::ip::tcp::socket client,
-              boost::asio::local::stream_protocol::socket server,
-              TimePoint now);
+              boost::asio::ip::tcp::socket server, TimePoint now);
 
   /// Starts to copy in both directions.
   void start();
@@ -77,7 +77,7 @@
 
   std::shared_ptr<LinkListener::State> Listener;
   boost::asio::ip::tcp::socket Client;
-  boost::asio::local::stream_protocol::socket Server;
+  boost::asio::ip::tcp::socket Server;
   LinkGuard Guard;
   ByteReservation MessageBytes;
   TimePoint ProvenAt;
--- a/lib/Rpc/LinkListener.cpp
+++ b/lib/Rpc/LinkListener.cpp
@@ -14,7 +14,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/local/connect_pair.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
@@ -26,7 +25,7 @@
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
-using asio::local::stream_protocol;
+using asio::ip::tcp;
 
 static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
@@ -35,15 +34,15 @@
 /// Pause after the kernel could not accept a connection.
 static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
 /// Pause after a connection was closed to make room for another one; gRPC
-/// closes its end of the socket pair meanwhile.
+/// closes its end meanwhile.
 static constexpr Duration EvictionDelay = std::chrono::milliseconds(2);
 /// Seconds between two log lines about refused clients.
 static constexpr double RefusalLogInterval = 0.1;
 
 LinkListener::State::State(asio::io_context &ioc, const LinkLimits &limits,
                            Metrics *metrics, OnConnection onConnection)
-    : Context(ioc), Acceptor(ioc), Limits(limits), Measures(metrics),
-      HandOver(std::move(onConnection)),
+    : Context(ioc), Acceptor(ioc), LocalAcceptor(ioc), Limits(limits),
+      Measures(metrics), HandOver(std::move(onConnection)),
       MessageBytes(std::make_shared<ByteBudget>(limits.MessageBytes)) {}
 
 void LinkListener::State::evict(GuardedLink &link, std::string_view reason) {
@@ -101,6 +100,15 @@
     acceptor.bind(address, ec);
   if (!ec)
     acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  auto &local = Shared->LocalAcceptor;
+  if (!ec)
+    local.open(tcp::v4(), ec);
+  if (!ec)
+    local.bind({asio::ip::address_v4::loopback(), 0}, ec);
+  if (!ec)
+    local.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec)
+    local.non_blocking(true, ec);
   if (ec)
     return Error{ResultCode::SettingInvalid,
                  "cannot listen on " + address.address().to_string() + ":" +
@@ -112,22 +120,35 @@
 void LinkListener::close() {
   boost::system::error_code ignored;
   Shared->Acceptor.close(ignored);
+  Shared->LocalAcceptor.close(ignored);
   for (const auto &[link, owner] : std::map(Shared->Links))
     link->close();
 }
 
-/// Hands one end of a socket pair over and copies between the other one and
-/// \p client.
+/// Connects \p own and \p other over loopback.
 static boost::system::error_code
-admit(const std::shared_ptr<LinkListener::State> &state,
-      asio::ip::tcp::socket client) {
-  stream_protocol::socket own(state->Context);
-  stream_protocol::socket other(state->Context);
+connectPair(tcp::acceptor &acceptor, tcp::socket &own, tcp::socket &other) {
   boost::system::error_code ec;
-  asio::local::connect_pair(own, other, ec);
+  own.connect(acceptor.local_endpoint(), ec);
+  if (!ec)
+    acceptor.accept(other, ec);
+  // Other processes of this host may connect, too.
+  while (!ec && other.remote_endpoint(ec) != own.local_endpoint()) {
+    other.close(ec);
+    acceptor.accept(other, ec);
+  }
   if (!ec)
     other.native_non_blocking(true, ec);
-  if (ec)
+  return ec;
+}
+
+/// Hands one end of a connection over and copies between the other one and
+/// \p client.
+static boost::system::error_code
+admit(const std::shared_ptr<LinkListener::State> &state, tcp::socket client) {
+  tcp::socket own(state->Context);
+  tcp::socket other(state->Context);
+  if (auto ec = connectPair(state->LocalAcceptor, own, other))
     return ec;
   state->HandOver(other.release());
   auto link = std::make_shared<GuardedLink>(state, std::move(client),
@@ -148,8 +169,9 @@
       state->evict(*state->findExpendable(), "connections");
     if (!ec)
       ec = admit(state, std::move(socket));
-    // Most likely no descriptor is left.
-    if (GuardedLink *link = ec ? state->findExpendable() : nullptr)
+    bool isOutOfDescriptors = ec == asio::error::no_descriptors;
+    GuardedLink *link = isOutOfDescriptors ? state->findExpendable() : nullptr;
+    if (link)
       state->evict(*link, "descriptors");
     if (!ec && !isFull)
       continue;
--- a/unittests/Config/ClientLimitsTest.cpp
+++ b/unittests/Config/ClientLimitsTest.cpp
@@ -27,7 +27,7 @@
         CAPTURE(descriptors);
         ClientLimits limits = makeClientLimits({memory, descriptors}, callers);
         // A caller's request may need a connection to an endpoint; a link needs
-        // a socket pair; there are up to three other listeners.
+        // two more sockets; there are up to three other listeners.
         std::size_t used =
             limits.LinkConnections * 3 + limits.ServiceConnections * 3;
         if (callers == CallerAccess::Listener)
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -196,7 +196,8 @@
   std::string seen;
   std::string response =
       respondTo(HttpLimits(),
-                ChunkedHead + "3\r\nabc\r\n0\r\nHost: other\r\nX-T: 1\r\n\r\n",
+                std::string(ChunkedHead) +
+                    "3\r\nabc\r\n0\r\nHost: other\r\nX-T: 1\r\n\r\n",
                 [&](HttpExchange &exchange) -> asio::awaitable<void> {
                   for (const auto &it : exchange.request())
                     seen += std::string(it.name_string()) + '=' +
