Keep data that has arrived when the limit on headers becomes lower

By reading: the read buffer's size follows max_header_bytes. If the operators lower it while more than that has arrived behind a request, the size fell below the data, which Beast asserts not to happen; the process would have ended. A client that sends requests ahead could bring that about beside any such change. The unit test "limits that become lower apply to data that has arrived" was written with the fix and not run without it.

process.memory_mb may be as low as 16, so that no machine is refused.

--- a/lib/Config/Settings.cpp
+++ b/lib/Config/Settings.cpp
@@ -24,7 +24,7 @@
   MachineLimits out;
   out.MemoryBytes =
       BytesPerMegabyte *
-      reader.readNumber("process.memory_mb", DefaultMegabytes, 64, 1'000'000,
+      reader.readNumber("process.memory_mb", DefaultMegabytes, 16, 1'000'000,
                         "memory of this process, MB; bounds what all clients "
                         "together can make it hold");
   out.Descriptors = reader.readNumber(
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <tuple>
@@ -192,7 +193,8 @@
   const HttpLimits &limits = Server->Limits;
   // The parser buffers a chunk's size and extensions and all trailers until
   // they are complete, and its own limits do not count them.
-  Buffer.max_size(limits.MaxHeaderBytes + BufferMargin);
+  Buffer.max_size(
+      std::max(limits.MaxHeaderBytes + BufferMargin, Buffer.size()));
   parser.header_limit(static_cast<std::uint32_t>(limits.MaxHeaderBytes));
   parser.body_limit(limits.MaxBodyBytes);
   ErrorCode ec = co_await awaitFirstBytes(parser);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -223,6 +223,34 @@
   }
 }
 
+// What has arrived may be more than the new limit allows.
+TEST_CASE("limits that become lower apply to data that has arrived") {
+  asio::io_context ioc;
+  tcp::endpoint address = test::findFreeAddress();
+  HttpLimits lower;
+  lower.MaxHeaderBytes = 512;
+  HttpServer *current = nullptr;
+  HttpServer server(ioc, HttpLimits(),
+                    [&](HttpExchange &exchange) -> asio::awaitable<void> {
+                      current->setLimits(lower);
+                      co_await sendResponse(exchange);
+                    });
+  current = &server;
+  REQUIRE(server.listen(address));
+  tcp::socket client(ioc);
+  client.connect(address);
+  std::string text(Request);
+  text += "GET / HTTP/1.1\r\nX-Long: ";
+  text += std::string(8000, 'x');
+  asio::write(client, asio::buffer(text));
+  std::string out;
+  asio::async_read(client, asio::dynamic_buffer(out),
+                   [&](boost::system::error_code, std::size_t) { ioc.stop(); });
+  ioc.run();
+  CHECK(out.starts_with("HTTP/1.1 200"));
+  CHECK(out.find("HTTP/1.1 431") != std::string::npos);
+}
+
 TEST_CASE("a connection whose headers do not arrive in time is closed") {
   HttpLimits limits;
   limits.HeaderTimeout = std::chrono::milliseconds(20);
