Trust the hosts of a group's ranks with links that are not guarded

A coordinator that gets the report of a rank of its own group now trusts the host that it came from: the guarded link is closed, and the next one goes to gRPC directly, within the bound on links.

--- a/include/ospreyspur/Rpc/LinkListener.h
+++ b/include/ospreyspur/Rpc/LinkListener.h
@@ -3,7 +3,8 @@
 // Accepts connections in place of gRPC, which has no limit on their number and
 // stops accepting for good once descriptors have run out. What a client sends
 // passes a LinkGuard; gRPC gets the other end of a connection inside the
-// process.
+// process. Connections of trusted hosts go to gRPC without a guard: a
+// coordinator has a busy link of each rank, and the copy costs processor time.
 //
 //===----------------------------------------------------------------------===//
 
@@ -17,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -44,7 +46,10 @@
 
   /// Listens on \p address. Errors: SettingInvalid.
   Result<void> listen(const TcpAddress &address);
-  /// Accepts no more connections and closes those that are open.
+  /// Accepts connections of the host of a guarded link without a guard from now
+  /// on, and closes that link. \p port is the link's port inside the process.
+  void trust(std::uint16_t port);
+  /// Accepts no more connections and closes those that are guarded.
   void close();
 
   /// What the connections share.
--- a/include/ospreyspur/Rpc/PeerServer.h
+++ b/include/ospreyspur/Rpc/PeerServer.h
@@ -39,6 +39,11 @@
   /// Sends \p message on \p link; drops the message if the link has closed.
   void send(LinkId link, const Message &message);
 
+  /// The peer of \p link has shown that it is a process of this system: further
+  /// links of its host are not guarded. Closes the link if it is guarded; the
+  /// peer then opens another one.
+  void trust(LinkId link);
+
   /// Stops listening and closes all links; waits until they have ended, for up
   /// to 500 ms.
   void stop();
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -396,10 +396,12 @@
   if (Result<TcpAddress> address = parseAddress(status.Endpoint))
     DirectReads.onAgentReport(status.Rank, address.value(), now);
   Consent.onReport(status.Rank, now);
-  if (from)
+  if (from) {
     Links[status.Rank] = *from;
-  else
+    Server.trust(*from);
+  } else {
     Links.erase(status.Rank);
+  }
   if (!status.SampledCounts.empty())
     Demand.add(status.SampledCounts, now);
   apply(Switch.onStatus(status.Rank, status, now, now));
--- a/lib/Rpc/GuardedLink.cpp
+++ b/lib/Rpc/GuardedLink.cpp
@@ -55,9 +55,14 @@
   Listener->Links.erase(this);
 }
 
-std::string GuardedLink::client() const {
+asio::ip::address GuardedLink::client() const {
   boost::system::error_code ec;
-  return Client.remote_endpoint(ec).address().to_string();
+  return Client.remote_endpoint(ec).address();
+}
+
+std::uint16_t GuardedLink::port() const {
+  boost::system::error_code ec;
+  return Server.local_endpoint(ec).port();
 }
 
 asio::awaitable<void> GuardedLink::copyRequests() {
--- a/lib/Rpc/GuardedLink.h
+++ b/lib/Rpc/GuardedLink.h
@@ -15,10 +15,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
+#include <vector>
 
 namespace ospreyspur {
 
@@ -37,6 +40,16 @@
   /// The link whose incomplete large message began first; null if none has one.
   GuardedLink *findLongestMessage() const;
 
+  /// A socket that gRPC owns. The number identifies it once the descriptor
+  /// belongs to another file.
+  struct OwnedSocket {
+    int Descriptor;
+    std::uint64_t Inode;
+  };
+
+  /// Number of sockets that gRPC owns and has not closed.
+  std::size_t countOwned();
+
   boost::asio::io_context &Context;
   boost::asio::ip::tcp::acceptor Acceptor;
   /// Accepts the connections of this process to itself.
@@ -46,6 +59,9 @@
   OnConnection HandOver;
   std::shared_ptr<ByteBudget> MessageBytes;
   std::map<GuardedLink *, std::shared_ptr<GuardedLink>> Links;
+  std::set<boost::asio::ip::address> TrustedHosts;
+  /// The connections of trusted hosts.
+  std::vector<OwnedSocket> Owned;
 };
 
 /// One connection; all functions run on the listener's thread.
@@ -65,8 +81,10 @@
   TimePoint provenAt() const { return ProvenAt; }
   /// When the incomplete large message began; empty if there is none.
   std::optional<TimePoint> messageSince() const { return MessageSince; }
-  /// The client's address, for the log.
-  std::string client() const;
+  /// The client's address.
+  boost::asio::ip::address client() const;
+  /// The port of this process's end inside the process.
+  std::uint16_t port() const;
 
 private:
   boost::asio::awaitable<void> copyRequests();
--- a/lib/Rpc/LinkListener.cpp
+++ b/lib/Rpc/LinkListener.cpp
@@ -18,6 +18,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
+#include <sys/stat.h>
+
 #include <algorithm>
 #include <string>
 #include <tuple>
@@ -53,12 +55,20 @@
       << LogEvent("client.refused")
              .with("listener", "link")
              .with("reason", reason)
-             .with("client", link.client())
+             .with("client", link.client().to_string())
              .with("connections", Links.size())
              .with("message_bytes", MessageBytes->used());
   link.close();
 }
 
+std::size_t LinkListener::State::countOwned() {
+  std::erase_if(Owned, [](const OwnedSocket &it) {
+    struct stat status {};
+    return ::fstat(it.Descriptor, &status) != 0 || status.st_ino != it.Inode;
+  });
+  return Owned.size();
+}
+
 GuardedLink *LinkListener::State::findExpendable() const {
   auto it = std::min_element(
       Links.begin(), Links.end(), [](const auto &a, const auto &b) {
@@ -117,6 +127,18 @@
   return boost::outcome_v2::success();
 }
 
+void LinkListener::trust(std::uint16_t port) {
+  for (const auto &[link, owner] : Shared->Links)
+    if (link->port() == port) {
+      Shared->TrustedHosts.insert(link->client());
+      LOG(INFO) << LogEvent("link.trusted")
+                       .with("host", link->client().to_string())
+                       .with("hosts", Shared->TrustedHosts.size());
+      link->close();
+      return;
+    }
+}
+
 void LinkListener::close() {
   boost::system::error_code ignored;
   Shared->Acceptor.close(ignored);
@@ -142,10 +164,29 @@
   return ec;
 }
 
-/// Hands one end of a connection over and copies between the other one and
-/// \p client.
+/// Hands the connection of a trusted host over.
+static boost::system::error_code handOver(LinkListener::State &state,
+                                          tcp::socket client) {
+  boost::system::error_code ec;
+  client.set_option(tcp::no_delay(true), ec);
+  client.native_non_blocking(true, ec);
+  struct stat status {};
+  if (ec || ::fstat(client.native_handle(), &status) != 0)
+    return ec;
+  state.Owned.push_back({client.native_handle(), status.st_ino});
+  state.HandOver(client.release());
+  return {};
+}
+
+/// Hands a connection over, or one end of another one and copies between its
+/// other end and \p client.
 static boost::system::error_code
 admit(const std::shared_ptr<LinkListener::State> &state, tcp::socket client) {
+  boost::system::error_code ignored;
+  bool isTrusted =
+      state->TrustedHosts.contains(client.remote_endpoint(ignored).address());
+  if (isTrusted)
+    return handOver(*state, std::move(client));
   tcp::socket own(state->Context);
   tcp::socket other(state->Context);
   if (auto ec = connectPair(state->LocalAcceptor, own, other))
@@ -164,10 +205,12 @@
     auto [ec, socket] = co_await state->Acceptor.async_accept(AsTuple);
     if (ec == asio::error::operation_aborted)
       break;
-    bool isFull = state->Links.size() >= state->Limits.Connections;
-    if (!ec && isFull)
-      state->evict(*state->findExpendable(), "connections");
-    if (!ec)
+    bool isFull =
+        state->Links.size() + state->countOwned() >= state->Limits.Connections;
+    GuardedLink *expendable = state->findExpendable();
+    if (!ec && isFull && expendable)
+      state->evict(*expendable, "connections");
+    if (!ec && (!isFull || expendable))
       ec = admit(state, std::move(socket));
     bool isOutOfDescriptors = ec == asio::error::no_descriptors;
     GuardedLink *link = isOutOfDescriptors ? state->findExpendable() : nullptr;
--- a/lib/Rpc/PeerServer.cpp
+++ b/lib/Rpc/PeerServer.cpp
@@ -17,8 +17,11 @@
 #include <grpcpp/grpcpp.h>
 
 #include <atomic>
+#include <cstdlib>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <thread>
 
 using namespace ospreyspur;
@@ -45,8 +48,19 @@
 
 class ServerLink final : public ServerReactor {
 public:
-  ServerLink(LinkId id, const PeerServerHandlers &handlers, DoneHandler onDone)
-      : Id(id), Handlers(handlers), Done(std::move(onDone)), Writer(*this) {}
+  ServerLink(LinkId id, std::string peer, const PeerServerHandlers &handlers,
+             DoneHandler onDone)
+      : Id(id), Peer(std::move(peer)), Handlers(handlers),
+        Done(std::move(onDone)), Writer(*this) {}
+
+  /// The port of the client's end, which is this process's own if the link is
+  /// guarded; empty if this was called before.
+  std::optional<std::uint16_t> takePort() {
+    if (std::exchange(IsPortTaken, true))
+      return std::nullopt;
+    return static_cast<std::uint16_t>(
+        std::strtoul(Peer.c_str() + Peer.rfind(':') + 1, nullptr, 10));
+  }
 
   void start() { StartRead(&Incoming); }
 
@@ -86,6 +100,9 @@
 
 private:
   LinkId Id;
+  /// The client's address as gRPC writes it, "ipv4:ip:port".
+  std::string Peer;
+  bool IsPortTaken = false;
   const PeerServerHandlers &Handlers;
   DoneHandler Done;
   LinkWriter<ServerLink> Writer;
@@ -107,11 +124,11 @@
     Acceptor->HandleNewConnection(&parameters);
   }
 
-  ServerReactor *Link(grpc::CallbackServerContext * /*context*/) override {
+  ServerReactor *Link(grpc::CallbackServerContext *context) override {
     std::lock_guard lock(Mutex);
     LinkId id(++LastLink);
     auto onDone = [this](LinkId gone) { forget(gone); };
-    auto *link = new ServerLink(id, Handlers, onDone);
+    auto *link = new ServerLink(id, context->peer(), Handlers, onDone);
     Links.emplace(id, link);
     link->start();
     return link;
@@ -173,6 +190,17 @@
     it->second->send(message);
 }
 
+void PeerServer::trust(LinkId link) {
+  std::lock_guard lock(Pimpl->Mutex);
+  auto it = Pimpl->Links.find(link);
+  if (it == Pimpl->Links.end())
+    return;
+  if (std::optional<std::uint16_t> port = it->second->takePort())
+    boost::asio::post(Pimpl->Context, [this, number = *port] {
+      Pimpl->Listener.trust(number);
+    });
+}
+
 void PeerServer::stop() {
   if (!Pimpl->Server)
     return;
