--- a/include/ospreyspur/Config/ClientLimits.h
+++ b/include/ospreyspur/Config/ClientLimits.h
@@ -20,14 +20,10 @@
   /// Size of the kernel's buffers of a client's connection, each way.
   static constexpr int SocketBufferBytes = 32 << 10;
 
-  /// Connections of callers.
+  /// Connections of callers; 0 without a listener for callers.
   std::size_t CallerConnections = 0;
   /// Connections of each of the other HTTP listeners.
   std::size_t ServiceConnections = 0;
-  /// Connections of other processes.
-  std::size_t LinkConnections = 0;
-  /// Incomplete messages of other processes, beside small ones.
-  std::size_t LinkMessageBytes = 0;
   /// Requests that are being read or handled.
   std::size_t RequestBytes = 0;
   /// Responses that are held until they are complete or written.
--- a/include/ospreyspur/Process/ListenerLimits.h
+++ b/include/ospreyspur/Process/ListenerLimits.h
@@ -10,7 +10,6 @@
 #include "ospreyspur/Config/ClientLimits.h"
 #include "ospreyspur/Http/HttpTypes.h"
 #include "ospreyspur/Http/ListenerContext.h"
-#include "ospreyspur/Rpc/LinkListener.h"
 
 #include <string>
 
@@ -23,9 +22,6 @@
 /// descriptors, the kernel's limit applies.
 ClientLimits findClientLimits(MachineLimits machine, CallerAccess callers);
 
-/// Limits of the listener for links.
-LinkLimits makeLinkLimits(const ClientLimits &limits);
-
 /// Limits of the listener for callers.
 HttpLimits makeCallerLimits(const ClientLimits &limits);
 
--- a/include/ospreyspur/Rpc/LinkWriter.h
+++ b/include/ospreyspur/Rpc/LinkWriter.h
@@ -14,7 +14,6 @@
 #include "generated/peer.pb.h"
 
 #include <cstddef>
-#include <deque>
 #include <mutex>
 #include <utility>
 
@@ -23,9 +22,6 @@
 /// Bytes that may be queued on one link before the peer is treated as too slow.
 inline constexpr std::size_t MaxPendingLinkBytes = 32U << 20U;
 
-/// An envelope of this size gets no more messages.
-inline constexpr std::size_t MaxEnvelopeBytes = 1U << 20U;
-
 /// The sending side of one stream. \p Reactor is the stream's gRPC reactor.
 template <typename Reactor> class LinkWriter {
 public:
@@ -37,15 +33,9 @@
     std::lock_guard lock(Mutex);
     if (IsClosed || PendingBytes > MaxPendingLinkBytes)
       return false;
-    if (Pending.empty() || LastEnvelopeBytes > MaxEnvelopeBytes) {
-      Pending.emplace_back();
-      LastEnvelopeBytes = 0;
-    }
-    wire::Message *added = Pending.back().add_messages();
+    wire::Message *added = Pending.add_messages();
     encode(message, *added);
-    std::size_t n = added->ByteSizeLong();
-    LastEnvelopeBytes += n;
-    PendingBytes += n;
+    PendingBytes += added->ByteSizeLong();
     startWrite();
     return true;
   }
@@ -68,25 +58,20 @@
 
 private:
   void startWrite() {
-    if (IsWriting || IsClosed || Pending.empty())
+    if (IsWriting || IsClosed || Pending.messages_size() == 0)
       return;
-    Writing.Swap(&Pending.front());
-    Pending.pop_front();
-    std::size_t n = 0;
-    for (const wire::Message &it : Writing.messages())
-      n += it.ByteSizeLong();
-    PendingBytes -= n;
+    Writing.Swap(&Pending);
+    Pending.Clear();
+    PendingBytes = 0;
     IsWriting = true;
     Stream.StartWrite(&Writing);
   }
 
   Reactor &Stream;
   std::mutex Mutex;
-  /// Envelopes to be written; messages are added to the last one.
-  std::deque<wire::Envelope> Pending;
+  wire::Envelope Pending;
   wire::Envelope Writing;
   std::size_t PendingBytes = 0;
-  std::size_t LastEnvelopeBytes = 0;
   bool IsWriting = false;
   bool IsClosed = false;
 };
--- a/include/ospreyspur/Rpc/PeerServer.h
+++ b/include/ospreyspur/Rpc/PeerServer.h
@@ -7,7 +7,6 @@
 #ifndef OSPREYSPUR_RPC_PEERSERVER_H
 #define OSPREYSPUR_RPC_PEERSERVER_H
 
-#include "ospreyspur/Rpc/LinkListener.h"
 #include "ospreyspur/Rpc/Messages.h"
 #include "ospreyspur/Support/Result.h"
 
@@ -27,10 +26,7 @@
 /// Accepts links on one address.
 class PeerServer {
 public:
-  /// \p metrics count what is refused; null for none.
-  explicit PeerServer(PeerServerHandlers handlers,
-                      const LinkLimits &limits = {},
-                      Metrics *metrics = nullptr);
+  explicit PeerServer(PeerServerHandlers handlers);
   ~PeerServer();
 
   /// Listens on \p address ("ip:port"). Errors: SettingInvalid.
@@ -39,11 +35,6 @@
   /// Sends \p message on \p link; drops the message if the link has closed.
   void send(LinkId link, const Message &message);
 
-  /// The peer of \p link has shown that it is a process of this system: further
-  /// links of its host are not guarded. Closes the link if it is guarded; the
-  /// peer then opens another one.
-  void trust(LinkId link);
-
   /// Stops listening and closes all links; waits until they have ended, for up
   /// to 500 ms.
   void stop();
--- a/lib/Config/ClientLimits.cpp
+++ b/lib/Config/ClientLimits.cpp
@@ -17,10 +17,6 @@
 static constexpr std::size_t SocketParts = 32;
 static constexpr std::size_t CallerParts = 12;
 static constexpr std::size_t ServiceParts = 1;
-static constexpr std::size_t LinkParts = 4;
-static constexpr std::size_t LinkPartsWithoutCallers = 16;
-/// Two of them connect this process's end to gRPC.
-static constexpr std::size_t SocketsPerLink = 3;
 static constexpr std::size_t MaxServiceConnections = 32;
 /// Memory of a connection beside its requests: unread data in the kernel's
 /// buffer, the read buffer and the state of the connection.
@@ -29,7 +25,6 @@
 /// Parts of the memory for connections, requests and responses, each.
 static constexpr std::size_t MemoryShare = 5;
 static constexpr std::size_t ServiceMemoryShare = 32;
-static constexpr std::size_t LinkMemoryShare = 8;
 
 ClientLimits ospreyspur::makeClientLimits(const MachineLimits &machine,
                                           CallerAccess callers) {
@@ -38,16 +33,12 @@
       descriptors - std::min(FileDescriptors, descriptors / 4);
   std::size_t share = machine.MemoryBytes / MemoryShare;
   ClientLimits out;
-  out.CallerConnections =
-      std::max<std::size_t>(1, std::min(sockets * CallerParts / SocketParts,
-                                        share / ConnectionBytes));
+  if (callers == CallerAccess::Listener)
+    out.CallerConnections =
+        std::max<std::size_t>(1, std::min(sockets * CallerParts / SocketParts,
+                                          share / ConnectionBytes));
   out.ServiceConnections = std::clamp<std::size_t>(
       sockets * ServiceParts / SocketParts, 1, MaxServiceConnections);
-  std::size_t linkParts =
-      callers == CallerAccess::None ? LinkPartsWithoutCallers : LinkParts;
-  out.LinkConnections = std::max<std::size_t>(
-      1, sockets * linkParts / SocketParts / SocketsPerLink);
-  out.LinkMessageBytes = machine.MemoryBytes / LinkMemoryShare;
   out.RequestBytes = share;
   out.ResponseBytes = share;
   out.ServiceBytes = machine.MemoryBytes / ServiceMemoryShare;
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -9,7 +9,6 @@
 
 #include "ospreyspur/Direct/EndpointDocument.h"
 #include "ospreyspur/Direct/EndpointSubset.h"
-#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Support/LogEvent.h"
 #include "platform/ConfigWire.h"
 #include "platform/EndpointWire.h"
@@ -80,10 +79,7 @@
               },
               [this](LinkId link) {
                 asio::post(Context, [this, link] { Node.onLinkDown(link); });
-              }},
-             makeLinkLimits(
-                 findClientLimits(settings.Machine, CallerAccess::Listener)),
-             &metrics),
+              }}),
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
                     onPeerReply(from, message);
                   },
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -8,7 +8,6 @@
 #include "ospreyspur/Process/AgentTraffic.h"
 
 #include "ospreyspur/Http/HeaderValues.h"
-#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Process/LivenessCheck.h"
 #include "ospreyspur/Process/PushbackLog.h"
 #include "ospreyspur/Support/LogEvent.h"
@@ -60,10 +59,7 @@
                   apply(Node.onLinkDown(link, monotonicNow()));
                   Control.OnLinkDown(link);
                 });
-              }},
-             makeLinkLimits(
-                 findClientLimits(settings.Common.Machine, CallerAccess::None)),
-             &metrics) {}
+              }}) {}
 
 Result<void> AgentTraffic::start() {
   apply(Node.onTimer(monotonicNow()));
--- a/lib/Process/ListenerLimits.cpp
+++ b/lib/Process/ListenerLimits.cpp
@@ -33,10 +33,6 @@
   return makeClientLimits(machine, callers);
 }
 
-LinkLimits ospreyspur::makeLinkLimits(const ClientLimits &limits) {
-  return {limits.LinkConnections, limits.LinkMessageBytes};
-}
-
 HttpLimits ospreyspur::makeCallerLimits(const ClientLimits &limits) {
   HttpLimits out;
   out.MaxConnections = limits.CallerConnections;
--- a/lib/Process/RankAgent.cpp
+++ b/lib/Process/RankAgent.cpp
@@ -6,7 +6,6 @@
 
 #include "ospreyspur/Process/RankAgent.h"
 
-#include "ospreyspur/Process/ListenerLimits.h"
 #include "ospreyspur/Rpc/Codec.h"
 #include "ospreyspur/Support/LogEvent.h"
 
@@ -92,10 +91,7 @@
                     onMessage(from, it);
                 });
               },
-              [](LinkId) {}},
-             makeLinkLimits(
-                 findClientLimits(settings.Machine, CallerAccess::None)),
-             &metrics),
+              [](LinkId) {}}),
       Peers(ioc, {[this](const EndpointId &from, const Message &message) {
                     onCoordinatorMessage(from, message);
                   },
@@ -396,12 +392,10 @@
   if (Result<TcpAddress> address = parseAddress(status.Endpoint))
     DirectReads.onAgentReport(status.Rank, address.value(), now);
   Consent.onReport(status.Rank, now);
-  if (from) {
+  if (from)
     Links[status.Rank] = *from;
-    Server.trust(*from);
-  } else {
+  else
     Links.erase(status.Rank);
-  }
   if (!status.SampledCounts.empty())
     Demand.add(status.SampledCounts, now);
   apply(Switch.onStatus(status.Rank, status, now, now));
--- a/lib/Rpc/PeerClient.cpp
+++ b/lib/Rpc/PeerClient.cpp
@@ -23,7 +23,7 @@
 
 using namespace ospreyspur;
 
-static constexpr int MaxReceivedBytes = 64 << 20;
+static constexpr int MaxEnvelopeBytes = 64 << 20;
 static constexpr int FirstReconnectMs = 100;
 static constexpr int MaxReconnectMs = 1000;
 
@@ -101,7 +101,7 @@
   Impl(std::string address, PeerClientHandlers handlers)
       : Address(std::move(address)), Handlers(std::move(handlers)) {
     grpc::ChannelArguments args;
-    args.SetMaxReceiveMessageSize(MaxReceivedBytes);
+    args.SetMaxReceiveMessageSize(MaxEnvelopeBytes);
     args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
     args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS,
                 static_cast<int>(toMillis(LinkKeepAlive::IdleTime)));
