Read responses in one place, by one rule for what a response is

Callers saw: a response with status 000 of an endpoint in trouble arrived as a response, with the endpoint's marks. The same held for every status from 001 to 099 and from 600 to 999, for 101, for folded lines (a field whose name begins with a blank), and for transfer codings other than chunks, whose body was not the endpoint's.

Cause: four readers, each Beast's parser with its own settings, and nothing behind the parser. It takes any three digits for a status, joins folded lines, and reads to the end of the connection where it does not know a coding. Health checks also used a head whose body was cut.

Now ResponseReader is the only reader: attempts of the direct path, calls (store, ranks, operators' commands), runs of agents and health checks. It checks the lines of the head against the grammar before anything of it is used, and the framing: one length, or chunks and no other coding, or the end of the connection. A health check counts only if its response is whole.

Ruled out: names with blanks or control bytes after their first byte, values with control bytes, differing lengths and broken chunks were refused before; their tests stay. The parser's table of token bytes ends three entries early, so that 0xfd to 0xff in a name read past it; such a name no longer reaches the parser.

--- a/include/ospreyspur/Http/EndpointPool.h
+++ b/include/ospreyspur/Http/EndpointPool.h
@@ -25,8 +25,7 @@
 
 /// A connection to one endpoint.
 struct EndpointConnection {
-  /// Bounds what the limits on heads and bodies do not count: chunk headers and
-  /// trailers.
+  /// Bounds heads, chunk headers and trailers.
   static constexpr std::size_t MaxBufferBytes = 128U << 10U;
 
   explicit EndpointConnection(boost::asio::io_context &ioc)
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -10,13 +10,11 @@
 
 #include "ospreyspur/Direct/EndpointResponse.h"
 #include "ospreyspur/Http/HttpExchange.h"
+#include "ospreyspur/Http/ResponseReader.h"
 #include "ospreyspur/Process/DirectCall.h"
 #include "ospreyspur/Process/HostTimer.h"
 #include "ospreyspur/Support/ByteReservation.h"
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 #include <functional>
 #include <memory>
 
@@ -56,9 +54,6 @@
   ConnectionEnd connectionEnd() const { return ClosedBy; }
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
   boost::asio::awaitable<EndpointPool::Connection> open();
   boost::asio::awaitable<bool> send();
   boost::asio::awaitable<bool> readHead();
@@ -97,7 +92,7 @@
   /// response is written to the caller.
   std::optional<TimePoint> ReadingSince;
   TimePoint SentAt;
-  std::optional<Parser> Response;
+  std::optional<ResponseReader> Reader;
   EndpointResponse Head;
   ConnectionEnd ClosedBy = ConnectionEnd::Ours;
   HttpResponse CallerHead;
--- a/include/ospreyspur/Process/LivenessCheck.h
+++ b/include/ospreyspur/Process/LivenessCheck.h
@@ -24,11 +24,9 @@
 /// A query that tells an endpoint's incarnation from others at its address.
 struct IncarnationQuery {
   HttpRequest Request;
-  /// Whether the expected incarnation wrote the response, whose body has been
-  /// read only if \p isComplete. Empty if the response does not tell, or not
-  /// without its body.
-  std::function<std::optional<bool>(const HttpResponse &, bool isComplete)>
-      IsExpected;
+  /// Whether the expected incarnation wrote the response. Empty if the response
+  /// does not tell.
+  std::function<std::optional<bool>(const HttpResponse &)> IsExpected;
 };
 
 /// Whether the process of the endpoint at \p address has exited. Without
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -6,6 +6,7 @@
 
 #include "ospreyspur/Http/HttpClient.h"
 
+#include "ospreyspur/Http/ResponseReader.h"
 #include "ospreyspur/Http/TcpKeepAlive.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -15,8 +16,6 @@
 
 #include <poll.h>
 
-#include <array>
-
 using namespace ospreyspur;
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -24,10 +23,7 @@
 
 static constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr std::size_t MaxIdleConnections = 32;
-static constexpr std::size_t ReadBytes = 16U << 10U;
-static constexpr std::uint64_t MaxResponseBytes = 64U << 20U;
-/// Bounds what the parser's limits do not count: chunk headers and trailers.
-static constexpr std::size_t MaxBufferBytes = 64U << 10U;
+static constexpr ResponseLimits Limits;
 
 void HttpRunHandle::stop() {
   IsStopped = true;
@@ -99,17 +95,19 @@
     isLost = writeError != beast::error::timeout;
     co_return Error{ResultCode::PlatformTimeout, writeError.message()};
   }
-  beast::flat_buffer buf(MaxBufferBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(MaxResponseBytes);
-  auto [readError, got] =
-      co_await http::async_read(*stream, buf, parser, AsTuple);
+  beast::flat_buffer buf(ResponseReader::bufferBytes(Limits));
+  ResponseReader reader(*stream, buf, request.method(), Limits);
+  HttpResponse response;
+  boost::system::error_code readError = co_await reader.readHead();
+  if (!readError) {
+    response.base() = reader.head();
+    readError = co_await reader.readRest(response.body());
+  }
   if (readError) {
-    isLost = readError != beast::error::timeout && !parser.got_some();
+    isLost = readError != beast::error::timeout && !reader.hasReceived();
     co_return Error{ResultCode::PlatformTimeout, readError.message()};
   }
-  HttpResponse response = parser.release();
-  if (response.keep_alive() && Idle.size() < MaxIdleConnections) {
+  if (reader.mayKeepConnection() && Idle.size() < MaxIdleConnections) {
     stream->expires_never();
     Idle.push_back({std::move(stream), monotonicNow()});
   }
@@ -151,31 +149,26 @@
   if (writeError)
     co_return classifyFailure(writeError);
 
-  beast::flat_buffer buf(MaxBufferBytes);
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(MaxResponseBytes);
-  parser.skip(request.method() == http::verb::head);
+  beast::flat_buffer buf(ResponseReader::bufferBytes(Limits));
+  ResponseReader reader(stream, buf, request.method(), Limits);
   stream.expires_after(idle);
-  auto [headError, headBytes] =
-      co_await http::async_read_header(stream, buf, parser, AsTuple);
-  if (headError || handle->IsStopped)
-    co_return handle->IsStopped ? ResultCode::AnswerBroken
-                                : classifyFailure(headError);
-  sink.OnHead({parser.get().result_int(), parser.get()});
-  std::array<char, ReadBytes> data{};
-  while (!parser.is_done()) {
-    parser.get().body().data = data.data();
-    parser.get().body().size = data.size();
+  boost::system::error_code ec = co_await reader.readHead();
+  if (handle->IsStopped)
+    co_return ResultCode::AnswerBroken;
+  if (ec)
+    co_return classifyFailure(ec);
+  sink.OnHead({reader.head().result_int(), reader.head()});
+  while (!reader.isDone()) {
+    std::string data;
     stream.expires_after(idle);
-    auto [ec, n] = co_await http::async_read_some(stream, buf, parser, AsTuple);
+    ec = co_await reader.readSome(data);
     if (handle->IsStopped)
       co_return ResultCode::AnswerBroken;
-    std::size_t filled = data.size() - parser.get().body().size;
-    if (filled > 0)
-      sink.OnData(std::string_view(data.data(), filled));
-    if (ec && ec != http::error::need_buffer)
+    if (!data.empty())
+      sink.OnData(data);
+    if (ec)
       co_return classifyFailure(ec);
   }
-  handle->HasEndedWithConnection = parser.need_eof();
+  handle->HasEndedWithConnection = reader.endsWithConnection();
   co_return ResultCode::Ok;
 }
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -16,7 +16,6 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <array>
 
 using namespace ospreyspur;
 namespace asio = boost::asio;
@@ -29,9 +28,9 @@
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// Responses to other requests that are skipped on one connection.
 static constexpr unsigned MaxForeignResponses = 2;
-static constexpr std::size_t ReadBytes = 16U << 10U;
-static constexpr std::size_t MaxResponseBytes = 16U << 20U;
-static constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
+static constexpr ResponseLimits Limits{64U << 10U, 16U << 20U};
+static_assert(ResponseReader::bufferBytes(Limits) <=
+              EndpointConnection::MaxBufferBytes);
 
 DirectAttempt::DirectAttempt(EndpointPool &pool, HttpExchange &exchange,
                              DirectCall &call, const StartAttempt &order,
@@ -92,20 +91,17 @@
 
 /// Reads response heads until one belongs to this request.
 asio::awaitable<bool> DirectAttempt::readHead() {
+  Reader.emplace(Connection->Stream, Connection->Buffer,
+                 Exchange.request().method(), Limits);
   for (unsigned i = 0; i <= MaxForeignResponses; ++i) {
-    Response.emplace();
-    Response->body_limit(MaxResponseBytes);
-    Response->header_limit(MaxHeadBytes);
-    Response->skip(Exchange.request().method() == http::verb::head);
     ReadingSince = monotonicNow();
-    auto [ec, n] = co_await http::async_read_header(
-        Connection->Stream, Connection->Buffer, *Response, AsTuple);
+    boost::system::error_code ec = co_await Reader->readHead();
     ReadingSince.reset();
     recordError(ec);
     if (ec)
       co_return false;
     HttpResponse head;
-    head.base() = Response->get().base();
+    head.base() = Reader->head();
     Head = platform::parseEndpointResponse(head, Call.Request.Label);
     Call.LastPushback = Head.ReceivedPushback;
     if (Head.Kind != ResponseKind::OtherIncarnation)
@@ -160,29 +156,20 @@
 
 asio::awaitable<boost::system::error_code>
 DirectAttempt::readSome(std::string &data) {
-  std::array<char, ReadBytes> bytes;
-  auto &body = Response->get().body();
-  body.data = bytes.data();
-  body.size = bytes.size();
-  body.more = true;
   ReadingSince = monotonicNow();
-  auto [ec, n] = co_await http::async_read_some(
-      Connection->Stream, Connection->Buffer, *Response, AsTuple);
+  boost::system::error_code ec = co_await Reader->readSome(data);
   ReadingSince.reset();
   recordError(ec);
-  data.assign(bytes.data(), bytes.size() - body.size);
-  if (ec == http::error::need_buffer)
-    ec = {};
   co_return ec;
 }
 
 asio::awaitable<DirectAttempt::BodyEnd>
 DirectAttempt::readBody(std::string &body) {
-  while (!Response->is_done()) {
+  while (!Reader->isDone()) {
     std::string data;
     auto ec = co_await readSome(data);
     body += data;
-    if (ec || body.size() > MaxResponseBytes)
+    if (ec)
       co_return BodyEnd::Broken;
     if (!HeldBytes.grow(data.size()))
       co_return BodyEnd::NoMemory;
@@ -191,7 +178,7 @@
 }
 
 asio::awaitable<bool> DirectAttempt::skipBody() {
-  while (!Response->is_done()) {
+  while (!Reader->isDone()) {
     std::string data;
     if (co_await readSome(data))
       co_return false;
@@ -203,9 +190,10 @@
 /// connection of an endpoint that crashes ends like that of one that has sent
 /// the whole response.
 asio::awaitable<bool> DirectAttempt::isCutAtEnd() {
-  bool endsWithConnection =
-      Response->need_eof() && Exchange.request().method() != http::verb::head;
-  if (!endsWithConnection || co_await Handlers.OutlivesResponse())
+  if (!Reader->endsWithConnection())
+    co_return false;
+  bool outlivesResponse = co_await Handlers.OutlivesResponse();
+  if (outlivesResponse)
     co_return false;
   ClosedBy = ConnectionEnd::Endpoint;
   co_return true;
@@ -255,7 +243,7 @@
   if (!co_await forward(std::move(body)))
     co_return endUnread();
   HeldBytes.reset();
-  while (!Response->is_done()) {
+  while (!Reader->isDone()) {
     std::string data;
     auto ec = co_await readSome(data);
     if (!data.empty() && !co_await forward(std::move(data)))
@@ -281,7 +269,7 @@
 }
 
 asio::awaitable<AttemptEnd> DirectAttempt::forwardEvents() {
-  while (!Response->is_done()) {
+  while (!Reader->isDone()) {
     std::string data;
     auto ec = co_await readSome(data);
     std::string events = Call.Events.add(data);
@@ -338,9 +326,7 @@
 }
 
 void DirectAttempt::keepConnection() {
-  bool isClean = Response->is_done() && Response->keep_alive() &&
-                 Connection->Buffer.size() == 0;
-  if (!isClean)
+  if (!Reader->mayKeepConnection())
     return;
   Call.Connection = nullptr;
   Pool.keep(Order.Endpoint.Id, std::move(Connection), Head.KeepAlive,
--- a/lib/Process/DirectLiveness.cpp
+++ b/lib/Process/DirectLiveness.cpp
@@ -92,10 +92,7 @@
 static IncarnationQuery makeReportQuery(const EndpointRecord &endpoint) {
   return {platform::makeReportCall(),
           [incarnation = endpoint.Incarnation.get()](
-              const HttpResponse &response,
-              bool isComplete) -> std::optional<bool> {
-            if (!isComplete)
-              return std::nullopt;
+              const HttpResponse &response) -> std::optional<bool> {
             Result<RankStatus> status = platform::readReport(response.body());
             if (!status)
               return std::nullopt;
@@ -110,8 +107,7 @@
   const ServiceRule *service = config.findService(endpoint.Service);
   std::string path = service ? service->HealthPath : ServiceRule().HealthPath;
   return {platform::makeHealthCall(path, endpoint.Name, LivenessQueryTime),
-          [name = endpoint.Name](const HttpResponse &response,
-                                 bool /*isComplete*/) {
+          [name = endpoint.Name](const HttpResponse &response) {
             return platform::isFromEndpoint(response, name);
           }};
 }
--- a/lib/Process/LivenessCheck.cpp
+++ b/lib/Process/LivenessCheck.cpp
@@ -9,6 +9,7 @@
 
 #include "ospreyspur/Process/LivenessCheck.h"
 
+#include "ospreyspur/Http/ResponseReader.h"
 #include "ospreyspur/Process/HostTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -31,9 +32,7 @@
 
 /// How long an endpoint may take to respond to a query.
 static constexpr Duration QueryTimeout = std::chrono::milliseconds(400);
-static constexpr std::uint64_t MaxResponseBytes = 1U << 20U;
-/// Bounds what the parser's limits do not count: chunk headers and trailers.
-static constexpr std::size_t MaxBufferBytes = 64U << 10U;
+static constexpr ResponseLimits Limits{16U << 10U, 1U << 20U};
 
 /// How often an endpoint that accepts connections and closes them at once is
 /// checked, and the time between two checks. A connection that stays open for
@@ -67,21 +66,17 @@
       co_await http::async_write(stream, query.Request, AsTuple);
   if (writeError)
     co_return std::nullopt;
-  beast::flat_buffer buf(MaxBufferBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(MaxResponseBytes);
-  auto [headError, headBytes] =
-      co_await http::async_read_header(stream, buf, parser, AsTuple);
-  if (headError)
-    co_return std::nullopt;
-  std::optional<bool> out = query.IsExpected(parser.get(), false);
-  if (out)
-    co_return out;
-  auto [bodyError, bodyBytes] =
-      co_await http::async_read(stream, buf, parser, AsTuple);
-  if (bodyError)
+  beast::flat_buffer buf(ResponseReader::bufferBytes(Limits));
+  ResponseReader reader(stream, buf, query.Request.method(), Limits);
+  HttpResponse response;
+  boost::system::error_code ec = co_await reader.readHead();
+  if (!ec) {
+    response.base() = reader.head();
+    ec = co_await reader.readRest(response.body());
+  }
+  if (ec)
     co_return std::nullopt;
-  co_return query.IsExpected(parser.get(), true);
+  co_return query.IsExpected(response);
 }
 
 asio::awaitable<EndpointLiveness>
