Skip interim responses instead of taking them for final ones

Callers saw: an endpoint's 100 or 103 arrived as the response to the request (status 100 through an agent; 502 on the direct path, where a signed one arrived with its status), and the sound response after it was lost.

Cause: Beast's parser ends a message with status 1xx at its head, and the readers took each message for the final one.

ResponseReader now reads on until a response that is not an interim one. The heads of all of them count against one limit; a broken interim response is a broken response, and 101 stays one, as no other protocol was asked for.

--- a/include/ospreyspur/Http/ResponseReader.h
+++ b/include/ospreyspur/Http/ResponseReader.h
@@ -1,8 +1,9 @@
 //===- ResponseReader.h - reads responses from a connection -----*- C++ -*-===//
 //
 // The only place where responses are read, whether from endpoints, ranks, the
-// store or other processes. It accepts what ResponseSyntax.h calls a response.
-// The caller bounds the time: by a timeout of the stream, or by closing it.
+// store or other processes. It accepts what ResponseSyntax.h calls a response
+// and skips interim responses. The caller bounds the time: by a timeout of the
+// stream, or by closing it.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,7 +27,7 @@
 
 /// Limits on the size of one response.
 struct ResponseLimits {
-  /// The status line and all fields.
+  /// The status line and all fields, those of interim responses included.
   std::size_t HeadBytes = 64U << 10U;
   /// The body without what frames it.
   std::uint64_t BodyBytes = 64U << 20U;
@@ -50,8 +51,9 @@
                  boost::beast::http::verb method, ResponseLimits limits)
       : Stream(stream), Buffer(buf), Method(method), Limits(limits) {}
 
-  /// Reads the head of the next response. Errors: those of the stream and of
-  /// Beast's parser; end_of_stream if the connection closed before a response.
+  /// Reads the head of the next response that is not an interim one. Errors:
+  /// those of the stream and of Beast's parser; end_of_stream if the connection
+  /// closed before a response.
   boost::asio::awaitable<ErrorCode> readHead();
 
   /// Reads part of the body into \p data, until isDone(). Errors: as above;
@@ -94,6 +96,9 @@
   ResponseLimits Limits;
   std::optional<BodyParser> Parser;
   boost::beast::http::response_header<> Head;
+  /// Bytes of the heads that were read for the current response, those of
+  /// interim responses included.
+  std::size_t HeadBytes = 0;
   /// Bytes of the current head that have been checked, whole lines only.
   std::size_t CheckedBytes = 0;
   bool IsHeadChecked = false;
--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -31,10 +31,17 @@
 }
 
 asio::awaitable<ResponseReader::ErrorCode> ResponseReader::readHead() {
-  ErrorCode ec = co_await receiveHead();
-  if (!ec)
-    ec = parseHead();
-  co_return ec;
+  HeadBytes = 0;
+  for (;;) {
+    ErrorCode ec = co_await receiveHead();
+    if (!ec)
+      ec = parseHead();
+    if (ec)
+      co_return ec;
+    auto status = http::to_status_class(Head.result_int());
+    if (status != http::status_class::informational)
+      co_return ErrorCode();
+  }
 }
 
 /// Receives until the buffer begins with a checked head.
@@ -45,7 +52,7 @@
     ErrorCode ec = checkLines();
     if (ec || IsHeadChecked)
       co_return ec;
-    if (Buffer.size() >= Limits.HeadBytes)
+    if (HeadBytes + Buffer.size() >= Limits.HeadBytes)
       co_return http::error::header_limit;
     bool isEmpty = Buffer.size() == 0;
     ec = co_await receive();
@@ -85,7 +92,8 @@
 
 /// Parses the checked head at the start of the buffer.
 ResponseReader::ErrorCode ResponseReader::parseHead() {
-  if (CheckedBytes > Limits.HeadBytes)
+  HeadBytes += CheckedBytes;
+  if (HeadBytes > Limits.HeadBytes)
     return http::error::header_limit;
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.HeadBytes) + 1);
--- a/unittests/ResponseCorpus.h
+++ b/unittests/ResponseCorpus.h
@@ -195,7 +195,10 @@
           {"a request", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
           {"a body only", "ok"},
           {"a status line only", "HTTP/1.1 200 OK\r\n"},
-          {"half a head", "HTTP/1.1 200 OK\r\n" + responseMarks()}};
+          {"half a head", "HTTP/1.1 200 OK\r\n" + responseMarks()},
+          {"an interim response only", "HTTP/1.1 100 Continue\r\n\r\n"},
+          {"a broken interim response",
+           "HTTP/1.1 100 Continue\r\nX-A : 1\r\n\r\n" + framed()}};
 }
 
 /// Bytes from whose head nothing may be used.
@@ -263,6 +266,11 @@
   add("not modified",
       makeResponse("HTTP/1.1 304 Not Modified", "Content-Length: 7\r\n", ""),
       304, "");
+  add("an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + framed());
+  add("interim responses with fields",
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nReplica-Stamp: t\r\n\r\n"
+      "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 Any\r\n\r\n" +
+          framed());
   return out;
 }
 
