--- a/include/ospreyspur/Http/ResponseReader.h
+++ b/include/ospreyspur/Http/ResponseReader.h
@@ -2,8 +2,8 @@
 //
 // The only place where responses are read, whether from endpoints, ranks, the
 // store or other processes. It accepts what ResponseSyntax.h calls a response
-// and skips interim responses. The caller bounds the time: by a timeout of the
-// stream, or by closing it.
+// and skips interim responses, and bounds the size of all that it reads. The caller
+// bounds the time: by a timeout of the stream, or by closing it.
 //
 //===----------------------------------------------------------------------===//
 
@@ -29,7 +29,7 @@
 struct ResponseLimits {
   /// The status line and all fields, those of interim responses included.
   std::size_t HeadBytes = 64U << 10U;
-  /// The body without what frames it.
+  /// The body. Chunk headers and trailers may together be as large.
   std::uint64_t BodyBytes = 64U << 20U;
 };
 
@@ -103,6 +103,8 @@
   std::size_t CheckedBytes = 0;
   bool IsHeadChecked = false;
   bool HasReceived = false;
+  /// Bytes of the chunk headers and trailers of the current response.
+  std::uint64_t FramingBytes = 0;
 };
 
 } // namespace ospreyspur
--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -99,6 +99,7 @@
   Parser->header_limit(static_cast<std::uint32_t>(Limits.HeadBytes) + 1);
   Parser->body_limit(Limits.BodyBytes);
   Parser->skip(Method == http::verb::head);
+  FramingBytes = 0;
   ErrorCode ec;
   Parser->put(asio::buffer(Buffer.cdata(), CheckedBytes), ec);
   Buffer.consume(CheckedBytes);
@@ -127,9 +128,13 @@
   for (;;) {
     ErrorCode ec = http::error::need_more;
     if (Buffer.size() > 0) {
+      std::size_t room = Parser->get().body().size;
       std::size_t n = Parser->put(Buffer.cdata(), ec);
       Buffer.consume(n);
+      FramingBytes += n - (room - Parser->get().body().size);
     }
+    if (FramingBytes > Limits.BodyBytes)
+      co_return http::error::body_limit;
     if (ec == http::error::need_buffer)
       co_return ErrorCode();
     if (ec != http::error::need_more)
