Bound the time of an agent's run, and read small chunks together

An endpoint that sends a byte now and then held a run of an agent, and its slot, without a bound: each wait was limited, the run was not, and a run that must not be repeated is not stopped when its callers have left. A response of 64 MB in chunks of a byte was read, and sent on, a byte at a time.

A run now ends after an hour, the longest deadline that a caller may set. The reader takes all chunks that have arrived in one step.

--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -47,6 +47,14 @@
   std::function<void(std::string_view data)> OnData;
 };
 
+/// Limits on the time of a run().
+struct RunTimeouts {
+  /// Of each wait for the server.
+  Duration Idle{};
+  /// Of the whole run, from the connection attempt on.
+  Duration Total{};
+};
+
 /// Stops a run() early.
 class HttpRunHandle {
 public:
@@ -83,11 +91,10 @@
   /// Returns Ok if the response was complete, EndpointUnreachable if the
   /// request was not sent because the connection was not established or the run
   /// was stopped, EndpointFailed if the server closed or reset the connection
-  /// before the response was complete, and AnswerBroken otherwise. \p idle is
-  /// the timeout of each wait for the server.
+  /// before the response was complete, and AnswerBroken otherwise.
   boost::asio::awaitable<ResultCode> run(HttpRequest request, HttpSink sink,
                                          std::shared_ptr<HttpRunHandle> handle,
-                                         Duration idle);
+                                         RunTimeouts timeouts);
 
 private:
   using Stream = std::unique_ptr<boost::beast::tcp_stream>;
--- a/include/ospreyspur/Http/ResponseReader.h
+++ b/include/ospreyspur/Http/ResponseReader.h
@@ -84,7 +84,8 @@
 
   boost::asio::awaitable<ErrorCode> receiveHead();
   boost::asio::awaitable<ErrorCode> receive();
-  boost::asio::awaitable<ErrorCode> parseBody();
+  boost::asio::awaitable<ErrorCode> receiveBody();
+  ErrorCode parseBody();
   ErrorCode checkLines();
   ErrorCode checkLine(std::string_view line);
   ErrorCode parseHead();
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -16,6 +16,8 @@
 
 #include <poll.h>
 
+#include <algorithm>
+
 using namespace ospreyspur;
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -128,7 +130,7 @@
 
 asio::awaitable<ResultCode>
 HttpClient::run(HttpRequest request, HttpSink sink,
-                std::shared_ptr<HttpRunHandle> handle, Duration idle) {
+                std::shared_ptr<HttpRunHandle> handle, RunTimeouts timeouts) {
   request.keep_alive(false);
   request.prepare_payload();
   beast::tcp_stream stream(Context);
@@ -138,7 +140,11 @@
   } registration{*handle};
   handle->Stream = &stream;
 
-  stream.expires_after(idle);
+  TimePoint end = monotonicNow() + timeouts.Total;
+  auto startTimeout = [&] {
+    stream.expires_after(std::min(timeouts.Idle, end - monotonicNow()));
+  };
+  startTimeout();
   auto [connectError] = co_await stream.async_connect(Server, AsTuple);
   if (connectError || handle->IsStopped)
     co_return ResultCode::EndpointUnreachable;
@@ -151,7 +157,7 @@
 
   beast::flat_buffer buf(ResponseReader::bufferBytes(Limits));
   ResponseReader reader(stream, buf, request.method(), Limits);
-  stream.expires_after(idle);
+  startTimeout();
   boost::system::error_code ec = co_await reader.readHead();
   if (handle->IsStopped)
     co_return ResultCode::AnswerBroken;
@@ -160,7 +166,7 @@
   sink.OnHead({reader.head().result_int(), reader.head()});
   while (!reader.isDone()) {
     std::string data;
-    stream.expires_after(idle);
+    startTimeout();
     ec = co_await reader.readSome(data);
     if (handle->IsStopped)
       co_return ResultCode::AnswerBroken;
--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -123,30 +123,25 @@
   co_return ec;
 }
 
-/// Parses what the buffer holds, and receives more only if that is too little.
-asio::awaitable<ResponseReader::ErrorCode> ResponseReader::parseBody() {
-  for (;;) {
-    ErrorCode ec = http::error::need_more;
-    if (Buffer.size() > 0) {
-      std::size_t room = Parser->get().body().size;
-      std::size_t n = Parser->put(Buffer.cdata(), ec);
-      Buffer.consume(n);
-      FramingBytes += n - (room - Parser->get().body().size);
-    }
-    if (FramingBytes > Limits.BodyBytes)
-      co_return http::error::body_limit;
-    if (ec == http::error::need_buffer)
-      co_return ErrorCode();
-    if (ec != http::error::need_more)
-      co_return ec;
-    ec = co_await receive();
-    if (ec == asio::error::eof) {
-      Parser->put_eof(ec);
-      co_return ec;
-    }
-    if (ec)
-      co_return ec;
-  }
+/// Parses part of what the buffer holds; need_more if that is too little.
+ResponseReader::ErrorCode ResponseReader::parseBody() {
+  if (Buffer.size() == 0)
+    return http::error::need_more;
+  ErrorCode ec;
+  std::size_t room = Parser->get().body().size;
+  std::size_t n = Parser->put(Buffer.cdata(), ec);
+  Buffer.consume(n);
+  FramingBytes += n - (room - Parser->get().body().size);
+  if (FramingBytes > Limits.BodyBytes)
+    return http::error::body_limit;
+  return ec == http::error::need_buffer ? ErrorCode() : ec;
+}
+
+asio::awaitable<ResponseReader::ErrorCode> ResponseReader::receiveBody() {
+  ErrorCode ec = co_await receive();
+  if (ec == asio::error::eof)
+    Parser->put_eof(ec);
+  co_return ec;
 }
 
 asio::awaitable<ResponseReader::ErrorCode>
@@ -157,8 +152,17 @@
   body.size = bytes.size();
   body.more = true;
   ErrorCode ec;
-  while (!ec && body.size == bytes.size() && !isDone())
-    ec = co_await parseBody();
+  // Takes all that has arrived, as chunks may be small.
+  while (!ec && body.size > 0 && !isDone()) {
+    ec = parseBody();
+    if (ec != http::error::need_more)
+      continue;
+    if (body.size < bytes.size()) {
+      ec = {};
+      break;
+    }
+    ec = co_await receiveBody();
+  }
   data.assign(bytes.data(), bytes.size() - body.size);
   // The parser adds trailers to the fields.
   if (!ec && isDone())
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -28,6 +28,9 @@
 /// time gets requests again.
 static constexpr Duration MaxLeavingTime = std::chrono::minutes(10);
 
+/// The longest deadline that a caller may set: nobody waits longer.
+static constexpr Duration MaxRunTime = std::chrono::hours(1);
+
 static constexpr char ResumeHeader[] = "Ospreyspur-Resume-Offset";
 static constexpr char PriorityHeader[] = "Ospreyspur-Priority";
 static constexpr char RequestIdHeader[] = "Ospreyspur-Request-Id";
@@ -157,8 +160,9 @@
   co_await Watch.open();
   if (auto it = Runs.find(id); it != Runs.end())
     it->second.Watch = Watch.current();
-  ResultCode code = co_await Endpoint.run(std::move(request), sink, handle,
-                                          Settings.EndpointIdle);
+  RunTimeouts timeouts{Settings.EndpointIdle, MaxRunTime};
+  ResultCode code =
+      co_await Endpoint.run(std::move(request), sink, handle, timeouts);
   if (code == ResultCode::Ok && handle->hasEndedWithConnection())
     code = co_await classifyEnd(id);
   if (code == ResultCode::EndpointFailed && Runs.contains(id))
--- a/unittests/Http/BrokenResponseClientTest.cpp
+++ b/unittests/Http/BrokenResponseClientTest.cpp
@@ -50,6 +50,13 @@
   asio::io_context &context() { return Context; }
   const TcpAddress &address() const { return Endpoint.address(); }
   unsigned runs() const { return Script.Runs; }
+  std::size_t repeatedBytes() const { return Script.RepeatedBytes; }
+  /// Whether the client closes its connection within a short time.
+  bool isClosed() {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(50));
+    return Script.Closed == 1;
+  }
 
 private:
   asio::io_context Context;
@@ -97,14 +104,15 @@
 };
 } // namespace
 
-static Streamed stream(RawServer &server) {
+static Streamed stream(RawServer &server, Duration total = Timeout) {
   Streamed out;
   HttpClient client(server.context(), server.address());
   HttpSink sink;
   sink.OnHead = [&](const HttpResponseHead &head) { out.Status = head.Status; };
   sink.OnData = [&](std::string_view data) { out.Body += data; };
-  out.Code = server.await(client.run(
-      makeRequest(), sink, std::make_shared<HttpRunHandle>(), Timeout));
+  out.Code = server.await(client.run(makeRequest(), sink,
+                                     std::make_shared<HttpRunHandle>(),
+                                     RunTimeouts{Timeout, total}));
   return out;
 }
 
@@ -138,6 +146,40 @@
   }
 }
 
+// Each part arrives within the time limit of a wait for the server.
+TEST_CASE("a run and a call end at a bound of time") {
+  constexpr Duration Total = std::chrono::milliseconds(300);
+  for (const EndlessResponse &it : endlessResponses()) {
+    CAPTURE(it.Name);
+    RawReply reply{it.Bytes, it.Repeated.substr(0, 8),
+                   std::chrono::milliseconds(10)};
+    TimePoint began = monotonicNow();
+    RawServer streaming(reply);
+    CHECK(stream(streaming, Total).Code == ResultCode::AnswerBroken);
+    RawServer calling(reply);
+    HttpClient client(calling.context(), calling.address());
+    CHECK_FALSE(calling.await(client.call(makeRequest(), Total)));
+    CHECK(monotonicNow() - began < 2 * Timeout);
+    CHECK(streaming.isClosed());
+    CHECK(calling.isClosed());
+  }
+}
+
+TEST_CASE("a run and a call end at a bound of size") {
+  constexpr std::size_t MaxSentBytes = 160U << 20U;
+  constexpr Duration Total = seconds(4);
+  for (const EndlessResponse &it : endlessResponses()) {
+    CAPTURE(it.Name);
+    RawServer streaming({it.Bytes, it.Repeated});
+    CHECK(stream(streaming, Total).Code == ResultCode::AnswerBroken);
+    RawServer calling({it.Bytes, it.Repeated});
+    HttpClient client(calling.context(), calling.address());
+    CHECK_FALSE(calling.await(client.call(makeRequest(), Total)));
+    CHECK(streaming.repeatedBytes() < MaxSentBytes);
+    CHECK(calling.repeatedBytes() < MaxSentBytes);
+  }
+}
+
 static EndpointLiveness check(RawServer &server) {
   IncarnationQuery query{platform::makeHealthCall("/health", "e0", Timeout),
                          [](const HttpResponse &response) {
