Keep no response that was too large

Callers saw: after an endpoint's body without an end, its agent turned away other requests with 503 (2004), until the part that it had read expired minutes later.

Cause: the ledger keeps the part of a response that reached its bound like a whole one, so that it is full.

The part is dropped at the end of the run. Nobody can use it: an entry that asks for it hears that the response is forgotten, and its caller had been cut off.

Evidence: test/run-endpoint-faults agent/endless, real processes.

--- a/include/ospreyspur/Ledger/Ledger.h
+++ b/include/ospreyspur/Ledger/Ledger.h
@@ -74,7 +74,8 @@
   /// can never start afterwards.
   void withdraw(RequestId id, ResultCode reason, TimePoint now);
 
-  /// Records the end of the run; the response remains available for attaching.
+  /// Records the end of the run; the response remains available for attaching
+  /// unless it was too large.
   void finish(RequestId id, ResultCode code, TimePoint now);
 
   /// Appends to the response of a running request. Errors: AnswerTooLarge if
--- a/lib/Ledger/Ledger.cpp
+++ b/lib/Ledger/Ledger.cpp
@@ -118,6 +118,9 @@
   if (it->Repeatable)
     it->DropResponseAt = now + Limits.RepeatableResponseRetention;
   schedule(id.Sequence, it->DropResponseAt);
+  // A part of a response serves nobody, and this one leaves no room for others.
+  if (code == ResultCode::AnswerTooLarge)
+    dropResponse(*it);
 }
 
 void Ledger::expire(TimePoint now) {
--- a/test/hostile/deployment.py
+++ b/test/hostile/deployment.py
@@ -155,8 +155,11 @@
         wait_for(lambda: can_connect(self.store))
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
         put = {"key": key, "lease": 0}
-        put["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+        put["value"] = base64.b64encode(value).decode()
         body = json.dumps({"expect_rev": [], "puts": [put], "remove": []}).encode()
         url = f"http://{address_of(self.store)}/ospreyspur/kv-txn"
         with urllib.request.urlopen(url, data=body, timeout=START_LIMIT_S):
@@ -283,7 +286,7 @@
 class AgentPath(Deployment):
     """An entry, an agent and a plain service, for the path through agents."""
 
-    def __init__(self, target):
+    def __init__(self, target, agent_settings="", process_settings=""):
         super().__init__()
         ports = {it: free_port() for it in ("callers", "entry-admin", "admin", "link")}
         self.endpoint = Endpoint()
@@ -297,7 +300,7 @@
         self.start_store(
             "ospreyspur/config=" + self.write("config.json", json.dumps(config)),
             "platform/hosts=" + self.write("hosts.json", json.dumps(hosts)))
-        limits = machine_settings()
+        limits = machine_settings() + process_settings
         agent = self.write("agent.ini", f"""[process]
 data_centre = a
 platform = {address_of(self.store)}
@@ -306,7 +309,7 @@
 endpoint_name = fleet-1
 listen = {address_of(ports["link"])}
 endpoint = {address_of(self.endpoint.port)}
-""")
+{agent_settings}""")
         entry = self.write("entry.ini", f"""[process]
 data_centre = a
 platform = {address_of(self.store)}
@@ -332,8 +335,8 @@
 
 
 class EntryDeployment(AgentPath):
-    def __init__(self):
-        super().__init__("entry")
+    def __init__(self, **options):
+        super().__init__("entry", **options)
 
 
 class AgentDeployment(AgentPath):
