Bound the time and the memory that an event without an end takes

An event that does not end is held back up to the bound of a response, 16 MB. Each part of it was searched from its start, so that it took the traffic thread's whole time until the deadline and never reached the bound; and its memory was not counted.

Only new data is searched now. What is held beyond 64 KB is taken from the budget for responses; an attempt for which there is none ends like any other whose response is broken.

--- a/include/ospreyspur/Direct/EventSplitter.h
+++ b/include/ospreyspur/Direct/EventSplitter.h
@@ -25,6 +25,8 @@
 
   /// Whether an incomplete event is buffered.
   bool hasIncompleteEvent() const { return !Incomplete.empty(); }
+  /// Bytes of the incomplete event that is buffered.
+  std::size_t bufferedBytes() const { return Incomplete.size(); }
   /// Returns the id of the last complete event that has one; empty if none has.
   const std::string &lastId() const { return LastId; }
 
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -69,6 +69,7 @@
   boost::asio::awaitable<AttemptEnd> forwardEvents();
   boost::asio::awaitable<bool> forward(std::string events);
   boost::asio::awaitable<boost::system::error_code> readSome(std::string &data);
+  bool holdIncompleteEvent();
   AttemptEnd abortAttempt() const;
   void recordError(const boost::system::error_code &ec);
   void startIdleTimer(Duration pause);
--- a/lib/Direct/EventSplitter.cpp
+++ b/lib/Direct/EventSplitter.cpp
@@ -6,8 +6,13 @@
 
 #include "ospreyspur/Direct/EventSplitter.h"
 
+#include <algorithm>
+
 using namespace ospreyspur;
 
+/// Length of the longest end of an event.
+static constexpr std::size_t MaxEndBytes = std::string_view("\n\r\n").size();
+
 /// Returns the length of the complete events at the start of \p text.
 static std::size_t completeLength(std::string_view text) {
   std::size_t lf = text.rfind("\n\n");
@@ -19,8 +24,13 @@
 }
 
 std::string EventSplitter::add(std::string_view data) {
+  // The end of an event is in the new data or begins right before it.
+  std::size_t begin =
+      Incomplete.size() - std::min(Incomplete.size(), MaxEndBytes - 1);
   Incomplete.append(data);
-  std::size_t n = completeLength(Incomplete);
+  std::size_t n = completeLength(std::string_view(Incomplete).substr(begin));
+  if (n > 0)
+    n += begin;
   std::string complete = Incomplete.substr(0, n);
   Incomplete.erase(0, n);
   recordIds(complete);
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -29,6 +29,8 @@
 /// Responses to other requests that are skipped on one connection.
 static constexpr unsigned MaxForeignResponses = 2;
 static constexpr ResponseLimits Limits{64U << 10U, 16U << 20U};
+/// An incomplete event up to this size is not counted as held memory.
+static constexpr std::size_t MaxUncountedEventBytes = 64U << 10U;
 static_assert(ResponseReader::bufferBytes(Limits) <=
               EndpointConnection::MaxBufferBytes);
 
@@ -275,7 +277,7 @@
     std::string events = Call.Events.add(data);
     if (!events.empty() && !co_await forward(std::move(events)))
       co_return endUnread();
-    if (ec)
+    if (ec || !holdIncompleteEvent())
       co_return abortAttempt();
   }
   if (Call.Events.hasIncompleteEvent() || co_await isCutAtEnd())
@@ -288,6 +290,16 @@
   co_return AttemptEnd::Complete;
 }
 
+/// Takes memory for an incomplete event that is large; false if there is none.
+bool DirectAttempt::holdIncompleteEvent() {
+  std::size_t n = Call.Events.bufferedBytes();
+  if (n <= MaxUncountedEventBytes) {
+    HeldBytes.reset();
+    return true;
+  }
+  return n <= HeldBytes.held() || HeldBytes.grow(n - HeldBytes.held());
+}
+
 asio::awaitable<bool> DirectAttempt::forward(std::string events) {
   Handlers.OnData();
   if (!Exchange.hasBegun() && !co_await Exchange.beginStream(CallerHead))
--- a/unittests/Process/EndlessResponseTest.cpp
+++ b/unittests/Process/EndlessResponseTest.cpp
@@ -20,6 +20,7 @@
 static constexpr Duration Deadline = seconds(2);
 /// How long after its deadline a caller may still wait.
 static constexpr Duration Slack = milliseconds(500);
+static constexpr std::size_t MaxBodyBytes = 16U << 20U;
 /// A body of the largest size, as much framing, and what the kernel buffers.
 static constexpr std::size_t MaxSentBytes = 48U << 20U;
 /// A head of the largest size, and what the kernel buffers if the sender
@@ -98,9 +99,13 @@
                      "\r\ndata: ";
   for (Duration pause : {Duration(), Duration(milliseconds(20))}) {
     CAPTURE(toMillis(pause));
-    std::string part(pause > Duration() ? 16 : 4096, 'x');
+    bool isSlow = pause > Duration::zero();
+    std::string part(isSlow ? 16 : 4096, 'x');
     EndlessCall called = call(RequestKind::Stream, {head, part, pause});
     checkFailure(called);
     CHECK(called.Script.RepeatedBytes < MaxSentBytes);
+    // A fast one ends at the bound of size, well before the deadline.
+    if (!isSlow)
+      CHECK(called.Script.RepeatedBytes > MaxBodyBytes);
   }
 }
