Give every request taken during a planned stop its response

Operators saw: in a planned stop in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them ones that must not be repeated.

Here: (1) an entry of the path through agents refused no request during a stop. One that arrived on a connection opened before was passed on up to the end. (2) On both paths a request still running at the limit was cut off, also where it had been taken as late as 1.9 s after SIGTERM and had a deadline beyond the limit. (3) A notice longer than the limit would have taken requests up to the very end.

Now an entry of either path refuses requests as not run (2010) once the notice is over. No deadline of a request, known or new, lies later than 0.3 s before the limit: a request that waits is then told that it did not run, one that was passed on that its outcome is unknown, and an endpoint is told how much time it really has. A notice takes at most a third of the limit.

Ruled out: the backlog of the listening socket and connections whose first request is on its way; HttpServerTest covers both, and the direct path refused late requests.

Evidence: test/run-endpoint-faults direct/planned-stop and agent/planned-stop, real processes in calm: requests on new, opened and used connections at twelve times of the grace, that take 0.05, 1 and 6 s and must not be repeated. StopSequenceTest has the notice and the time of the last response.

--- a/include/ospreyspur/Direct/DirectNode.h
+++ b/include/ospreyspur/Direct/DirectNode.h
@@ -87,6 +87,8 @@
   void setRetries(const RetryLimits &limits) { Retries.setLimits(limits); }
   /// Takes a new request, whose id must be unused.
   DirectActions onCall(DirectRequest request, TimePoint now);
+  /// From now on no request, new or known, has a deadline after \p latest.
+  DirectActions limitDeadlines(TimePoint latest);
   /// The first byte of the response arrived.
   DirectActions onFirstByte(CallId id, TimePoint now);
   /// Events of the response arrived after onFirstByte().
@@ -319,6 +321,7 @@
   /// Running mean of the time to first byte, by service.
   std::map<ServiceId, Duration> FirstByteTimes;
   std::map<CallId, CallState> Calls;
+  std::optional<TimePoint> LatestDeadline;
   /// Calls that wait for an endpoint, most urgent priority first, then oldest
   /// first.
   std::set<std::tuple<unsigned, TimePoint, CallId>> Waiting;
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -15,6 +15,7 @@
 #include "ospreyspur/Http/EndpointPool.h"
 #include "ospreyspur/Http/HttpServer.h"
 #include "ospreyspur/Process/DirectCall.h"
+#include "ospreyspur/Process/HostTimer.h"
 #include "ospreyspur/Process/LoadExchange.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Support/Metrics.h"
@@ -48,8 +49,8 @@
   void onProcessStarted() { Node.onProcessStarted(monotonicNow()); }
   void setRetries(const RetryLimits &limits) { Node.setRetries(limits); }
   /// From now on responses close their connections, so that callers connect to
-  /// another entry.
-  void announceStop() { Server.closeAfterResponses(); }
+  /// another entry. Requests that have not ended at \p respondBy end then.
+  void announceStop(TimePoint respondBy);
   /// Refuses further requests; requests in flight continue.
   void stopAccepting();
   std::size_t busyCount() const { return Server.busyCount(); }
@@ -93,6 +94,7 @@
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
   void closeUnused();
+  void stopAttempts();
   void beginAccepting();
 
   boost::asio::io_context &Context;
@@ -112,6 +114,7 @@
   EndpointPool Pool;
   boost::asio::steady_timer PoolTimer;
   boost::asio::steady_timer StartTimer;
+  HostTimer StopTimer;
   HttpServer Server;
   LoadExchange Loads;
   std::shared_ptr<const FleetConfig> Config;
--- a/include/ospreyspur/Process/EntryTraffic.h
+++ b/include/ospreyspur/Process/EntryTraffic.h
@@ -37,10 +37,12 @@
   void setSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
 
   /// From now on responses close their connections; requests are still served.
-  void announceStop() { Server.closeAfterResponses(); }
+  /// Those that have not ended at \p respondBy end then.
+  void announceStop(TimePoint respondBy);
 
-  /// Accepts no new connections; requests already received are served.
-  void stopAccepting() { Server.stopAccepting(); }
+  /// Accepts no new connections and refuses further requests; requests already
+  /// received are served.
+  void stopAccepting();
 
   /// Number of connections that have a request being read or handled or that
   /// have not received their first request yet.
@@ -49,6 +51,7 @@
 private:
   using Inbox = Mailbox<EntryAction>;
 
+  Result<CallerRequest> readRequest(const HttpRequest &request) const;
   boost::asio::awaitable<void> handle(HttpExchange &exchange);
   boost::asio::awaitable<void> writeResponse(HttpExchange &exchange,
                                              Inbox &inbox, CallId id);
@@ -74,6 +77,7 @@
   std::map<CallId, Inbox *> Inboxes;
   std::uint64_t LastCall = 0;
   bool IsAccepting = false;
+  bool IsDraining = false;
 };
 
 } // namespace ospreyspur
--- a/include/ospreyspur/Process/PlannedStop.h
+++ b/include/ospreyspur/Process/PlannedStop.h
@@ -22,8 +22,9 @@
 public:
   /// Callbacks into the process; called on the control thread.
   struct Handlers {
-    /// Announces to others that the process will stop.
-    std::function<void()> Announce;
+    /// Announces to others that the process will stop. Requests that have not
+    /// ended at the argument are to get their final response then.
+    std::function<void(TimePoint)> Announce;
     /// Stops accepting new requests.
     std::function<void()> Close;
     /// Passes the progress of the stop to its argument.
--- a/include/ospreyspur/Routing/EntryNode.h
+++ b/include/ospreyspur/Routing/EntryNode.h
@@ -92,6 +92,8 @@
 
   /// A request arrived. Its id must be new.
   EntryActions onCall(CallerRequest request, TimePoint now);
+  /// From now on no request, new or known, has a deadline after \p latest.
+  EntryActions limitDeadlines(TimePoint latest);
   /// The caller disconnected.
   EntryActions onCallerGone(CallId id, TimePoint now);
   /// A message arrived from the agent of \p from.
@@ -197,6 +199,7 @@
   /// entry may attach to one request.
   AttemptNumber LastAttempt{0};
   std::map<CallId, Call> Calls;
+  std::optional<TimePoint> LatestDeadline;
   /// Several calls may attach to one request.
   std::multimap<RequestId, CallId> CallsByRequest;
   std::unordered_map<KvCallId, CallId> CallsByKv;
--- a/include/ospreyspur/Support/StopSequence.h
+++ b/include/ospreyspur/Support/StopSequence.h
@@ -12,6 +12,8 @@
 
 #include "ospreyspur/Support/Time.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstddef>
 
 namespace ospreyspur {
@@ -39,9 +41,11 @@
 /// Decides when a stopping process enters the next phase.
 class StopSequence {
 public:
-  /// Announces for at most \p notice and ends at most \p limit after begin().
+  /// Announces for at most \p notice, and for at most a third of \p limit, so
+  /// that work which was accepted last has time to end. Ends at most \p limit
+  /// after begin().
   StopSequence(Duration notice, Duration limit)
-      : Notice(notice), Limit(limit) {}
+      : Notice(std::min(notice, limit / 3)), Limit(limit) {}
 
   /// Begins the stop; a second call has no effect.
   void begin(TimePoint now);
@@ -50,8 +54,16 @@
   void advance(StopProgress progress, TimePoint now);
 
   StopPhase phase() const { return Phase; }
+  /// When requests that have not ended get their final response. Valid after
+  /// begin().
+  TimePoint respondBy() const {
+    return Began + Limit - std::min(ResponseTime, Limit / 4);
+  }
 
 private:
+  /// The time that final responses take.
+  static constexpr Duration ResponseTime = std::chrono::milliseconds(300);
+
   Duration Notice;
   Duration Limit;
   TimePoint Began;
--- a/lib/Direct/DirectNode.cpp
+++ b/lib/Direct/DirectNode.cpp
@@ -42,6 +42,8 @@
   call.Arrived = now;
   Duration left =
       std::min(request.TimeLeft.value_or(route.Timeout), route.Timeout);
+  if (LatestDeadline)
+    left = std::min(left, *LatestDeadline - now);
   call.Deadline = now + left;
   call.OnTimeUntil = now + partOf(route.Target, Limits.OnTimePart);
   call.WaitUntil =
@@ -66,6 +68,15 @@
   return takeActions();
 }
 
+DirectActions DirectNode::limitDeadlines(TimePoint latest) {
+  LatestDeadline = latest;
+  for (auto &[id, call] : Calls) {
+    call.Deadline = std::min(call.Deadline, latest);
+    call.WaitUntil = std::min(call.WaitUntil, latest);
+  }
+  return takeActions();
+}
+
 DirectActions DirectNode::onFirstByte(CallId id, TimePoint now) {
   auto it = Calls.find(id);
   if (it == Calls.end() || !it->second.Current || it->second.HasFirstByte)
--- a/lib/Process/AgentRole.cpp
+++ b/lib/Process/AgentRole.cpp
@@ -128,7 +128,7 @@
 
 PlannedStop::Handlers AgentProcess::makeStopHandlers() {
   PlannedStop::Handlers handlers;
-  handlers.Announce = [this] {
+  handlers.Announce = [this](TimePoint /*respondBy*/) {
     IsStopping = true;
     Admin.setStopping();
     Threads.postToTraffic([this] { Traffic.setLeaving(true); });
--- a/lib/Process/DirectRole.cpp
+++ b/lib/Process/DirectRole.cpp
@@ -93,9 +93,10 @@
 
 PlannedStop::Handlers DirectProcess::makeStopHandlers() {
   PlannedStop::Handlers handlers;
-  handlers.Announce = [this] {
+  handlers.Announce = [this](TimePoint respondBy) {
     IsStopping = true;
-    Threads.postToTraffic([this] { Traffic.announceStop(); });
+    Threads.postToTraffic(
+        [this, respondBy] { Traffic.announceStop(respondBy); });
   };
   handlers.Close = [this] {
     Threads.postToTraffic([this] { Traffic.stopAccepting(); });
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -75,7 +75,7 @@
       Node(DataCentreId(settings.DataCentre), makeLimits(settings), seed,
            settings.Name),
       Timer(ioc, [this] { apply(Node.onTimer(monotonicNow())); }), Pool(ioc),
-      PoolTimer(ioc), StartTimer(ioc),
+      PoolTimer(ioc), StartTimer(ioc), StopTimer(ioc),
       Server(
           ioc, makeHttpLimits(CallerLimits(), Bounds, settings.WriteTimeout),
           [this](HttpExchange &it) { return handle(it); },
@@ -147,6 +147,24 @@
   beginAccepting();
 }
 
+void DirectTraffic::announceStop(TimePoint respondBy) {
+  Server.closeAfterResponses();
+  apply(Node.limitDeadlines(respondBy));
+  StopTimer.expires_at(respondBy);
+  StopTimer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      stopAttempts();
+  });
+}
+
+/// Closes the connections of attempts that began before the deadlines were
+/// limited. Their requests then end, as their deadlines have passed.
+void DirectTraffic::stopAttempts() {
+  for (const auto &[id, call] : Calls)
+    if (call->Connection)
+      call->Connection->Stream.close();
+}
+
 void DirectTraffic::stopAccepting() {
   IsDraining = true;
   Server.stopAccepting();
--- a/lib/Process/EntryRole.cpp
+++ b/lib/Process/EntryRole.cpp
@@ -73,9 +73,10 @@
 
 PlannedStop::Handlers EntryProcess::makeStopHandlers() {
   PlannedStop::Handlers handlers;
-  handlers.Announce = [this] {
+  handlers.Announce = [this](TimePoint respondBy) {
     Admin.setStopping();
-    Threads.postToTraffic([this] { Traffic.announceStop(); });
+    Threads.postToTraffic(
+        [this, respondBy] { Traffic.announceStop(respondBy); });
   };
   handlers.Close = [this] {
     Threads.postToTraffic([this] { Traffic.stopAccepting(); });
--- a/lib/Process/EntryTraffic.cpp
+++ b/lib/Process/EntryTraffic.cpp
@@ -21,6 +21,9 @@
 namespace asio = boost::asio;
 
 static constexpr Duration ClaimCallTimeout = std::chrono::milliseconds(400);
+/// Retry-After sent by an entry that is stopping: short, as another entry takes
+/// the next attempt.
+static constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(20);
 /// A body is in the request, in the node and in messages to an agent.
 static constexpr std::size_t BodyCopies = 3;
 static constexpr std::string_view EventStream = "text/event-stream";
@@ -78,14 +81,31 @@
                       .with("detail", accepting.error().Detail);
 }
 
+void EntryTraffic::announceStop(TimePoint respondBy) {
+  Server.closeAfterResponses();
+  apply(Node.limitDeadlines(respondBy));
+}
+
+void EntryTraffic::stopAccepting() {
+  IsDraining = true;
+  Server.stopAccepting();
+}
+
+Result<CallerRequest>
+EntryTraffic::readRequest(const HttpRequest &request) const {
+  if (IsDraining)
+    return Error{ResultCode::ProcessStopping, ""};
+  return parseCallerRequest(request, *Snapshot, Settings.DefaultDeadline);
+}
+
 asio::awaitable<void> EntryTraffic::handle(HttpExchange &exchange) {
   TimePoint began = monotonicNow();
-  Result<CallerRequest> request = parseCallerRequest(
-      exchange.request(), *Snapshot, Settings.DefaultDeadline);
+  Result<CallerRequest> request = readRequest(exchange.request());
   if (!request) {
     ResultCode code = request.error().Code;
     finishCall(CallId(0), code, began);
-    co_await exchange.respond(makeErrorResponse(code, Duration::zero()));
+    co_await exchange.respond(makeErrorResponse(
+        code, IsDraining ? StoppingRetryAfter : Duration::zero()));
     co_return;
   }
   CallId id(++LastCall);
--- a/lib/Process/PlannedStop.cpp
+++ b/lib/Process/PlannedStop.cpp
@@ -32,7 +32,7 @@
 void PlannedStop::begin() {
   LOG(INFO) << LogEvent("stop.begin");
   Sequence.begin(monotonicNow());
-  Calls.Announce();
+  Calls.Announce(Sequence.respondBy());
   poll();
 }
 
--- a/lib/Routing/EntryNode.cpp
+++ b/lib/Routing/EntryNode.cpp
@@ -32,6 +32,8 @@
   Call &call = Calls[id];
   call.Request = std::move(request);
   call.Deadline = now + call.Request.Deadline;
+  if (LatestDeadline)
+    call.Deadline = std::min(call.Deadline, *LatestDeadline);
   call.Timer = call.Deadline;
   Timers.emplace(call.Timer, id);
   if (Calls.size() > Limits.MaxCalls) {
@@ -69,6 +71,17 @@
   return takeActions();
 }
 
+EntryActions EntryNode::limitDeadlines(TimePoint latest) {
+  LatestDeadline = latest;
+  for (auto &[id, call] : Calls) {
+    call.Deadline = std::min(call.Deadline, latest);
+    Timers.erase({call.Timer, id});
+    call.Timer = std::min(call.Timer, call.Deadline);
+    Timers.emplace(call.Timer, id);
+  }
+  return takeActions();
+}
+
 void EntryNode::startProbing(Call &call, TimePoint now) {
   if (mustDefer(call, now)) {
     defer(call, now);
--- a/test/standin/Load.cpp
+++ b/test/standin/Load.cpp
@@ -82,8 +82,9 @@
       record.FirstMs = millisSince(began);
     body.append(data);
   };
+  RunTimeouts timeouts{IdleTimeout, std::chrono::hours(1)};
   ResultCode code = co_await client.run(
-      std::move(request), sink, std::make_shared<HttpRunHandle>(), IdleTimeout);
+      std::move(request), sink, std::make_shared<HttpRunHandle>(), timeouts);
   record.TotalMs = millisSince(began);
   if (code == ResultCode::EndpointUnreachable)
     record.Outcome = "unreachable";
--- a/unittests/Support/StopSequenceTest.cpp
+++ b/unittests/Support/StopSequenceTest.cpp
@@ -39,6 +39,22 @@
   CHECK(stop.phase() == StopPhase::Ended);
 }
 
+TEST_CASE("a notice leaves time for the work that was accepted last") {
+  StopSequence stop(seconds(60), seconds(30));
+  stop.begin(Start);
+  stop.advance(Busy, Start + seconds(10));
+  CHECK(stop.phase() == StopPhase::Draining);
+}
+
+TEST_CASE("requests get their final response before the limit") {
+  for (seconds limit : {seconds(1), seconds(8), seconds(30)}) {
+    StopSequence stop(seconds(0), limit);
+    stop.begin(Start);
+    CHECK(stop.respondBy() < Start + limit);
+    CHECK(stop.respondBy() >= Start + limit / 2);
+  }
+}
+
 TEST_CASE("a stop ends at its limit with work in flight") {
   StopSequence stop(seconds(60), seconds(30));
   stop.begin(Start);
