Hold the heads that agents report to the same rule

Callers would see: an agent of a version without the rule for responses, which runs beside new entries during an update, reports status 000 or a content type with line ends, and the entry writes it into its response.

The entry checks the status and the content type of a reported head by the functions that the reader of responses uses (HttpSyntax.h). A head that fails counts as a broken response: the run is cancelled, and the request ends as one whose outcome is unknown, or runs elsewhere if it may be repeated.

--- a/lib/Http/ResponseSyntax.cpp
+++ b/lib/Http/ResponseSyntax.cpp
@@ -7,6 +7,8 @@
 
 #include "ospreyspur/Http/ResponseSyntax.h"
 
+#include "ospreyspur/Support/HttpSyntax.h"
+
 #include <boost/algorithm/string.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -23,8 +25,6 @@
 static constexpr std::string_view VersionPrefix = "HTTP/1.";
 static constexpr std::size_t StatusOffset = VersionPrefix.size() + 2;
 static constexpr std::size_t StatusDigits = 3;
-static constexpr unsigned FirstStatus = 100;
-static constexpr unsigned LastStatus = 599;
 
 static bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -38,19 +38,9 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
 }
 
-/// Whether \p c may be in a reason phrase or in the value of a field.
-static bool isTextChar(char c) {
-  auto byte = static_cast<unsigned char>(c);
-  return c == '\t' || (byte >= ' ' && byte != 0x7f);
-}
-
-static bool isText(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), isTextChar);
-}
-
 bool ospreyspur::mayBeginStatusLine(std::string_view text) {
   std::size_t n = std::min(text.size(), VersionPrefix.size());
-  return text.substr(0, n) == VersionPrefix.substr(0, n) && isText(text);
+  return text.substr(0, n) == VersionPrefix.substr(0, n) && isFieldText(text);
 }
 
 ErrorCode ospreyspur::checkStatusLine(std::string_view line) {
@@ -70,16 +60,17 @@
   unsigned status = 0;
   for (char c : rest.substr(0, StatusDigits))
     status = 10 * status + static_cast<unsigned>(c - '0');
-  if (status < FirstStatus || status > LastStatus)
+  if (!isStatus(status))
     return http::error::bad_status;
-  return isText(rest) ? ErrorCode() : http::error::bad_reason;
+  return isFieldText(rest) ? ErrorCode() : http::error::bad_reason;
 }
 
 ErrorCode ospreyspur::checkFieldLine(std::string_view line) {
   std::size_t colon = line.find(':');
   if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
     return http::error::bad_field;
-  return isText(line.substr(colon + 1)) ? ErrorCode() : http::error::bad_value;
+  return isFieldText(line.substr(colon + 1)) ? ErrorCode()
+                                             : http::error::bad_value;
 }
 
 /// Returns the elements of the list in all fields called \p name.
--- a/lib/Routing/EntryMessages.cpp
+++ b/lib/Routing/EntryMessages.cpp
@@ -8,6 +8,8 @@
 
 #include "ospreyspur/Routing/EntryNode.h"
 
+#include "ospreyspur/Support/HttpSyntax.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -88,6 +90,12 @@
   Call *call = findCurrent(msg.Id, msg.Attempt);
   if (!call)
     return;
+  if (!isFinalStatus(msg.Status) || !isFieldText(msg.ContentType)) {
+    send(call->Permit->Endpoint, Cancel{msg.Id, msg.Attempt});
+    Finish broken{msg.Id, msg.Attempt, 0, ResultCode::AnswerBroken, {}};
+    onRunFailed(*call, broken, now);
+    return;
+  }
   setStageTimer(*call, Limits.StallTimeout, now);
   if (call->HasHead)
     return;
