Skip odd hosts of the host list and use the rest

Here: the host list of the path through agents is one row; a single host that is no object, or has a field of another type, made the whole list unreadable, so that no later change of it came into force. A host without a name, or with an address of its agent that is none (a port out of range), was used.

Each such host is skipped and logged (host.unreadable, up to 20 a list).

Deep nesting and numbers that are too large are errors of the parser and ended no process, on the code before as well.

--- a/include/ospreyspur/Config/ConfigDocument.h
+++ b/include/ospreyspur/Config/ConfigDocument.h
@@ -83,9 +83,15 @@
 /// \p document as JSON; parseConfig() reads it back.
 std::string formatConfig(const ConfigDocument &document);
 
-/// Parses the platform's host list \p text and returns its endpoints. Errors:
-/// PlatformBadAnswer.
-Result<std::vector<EndpointView>> parseHosts(std::string_view text);
+/// The platform's host list.
+struct HostList {
+  std::vector<EndpointView> Endpoints;
+  /// Why each unreadable host was skipped.
+  std::vector<std::string> Skipped;
+};
+
+/// Parses the platform's host list \p text. Errors: PlatformBadAnswer.
+Result<HostList> parseHosts(std::string_view text);
 
 /// Builds the snapshot that traffic threads route by from \p document and
 /// \p endpoints, with the workspace priorities in force at \p nowUnix, in
--- a/lib/Config/ConfigDocument.cpp
+++ b/lib/Config/ConfigDocument.cpp
@@ -8,6 +8,7 @@
 #include "ospreyspur/Config/ConfigDocument.h"
 
 #include "ospreyspur/Config/EventSchedule.h"
+#include "ospreyspur/Support/Address.h"
 
 #include <boost/json.hpp>
 
@@ -245,21 +246,27 @@
   out.Address = textOr(in, "agent", "", "host");
   out.Group = GroupId(textOr(in, "group", "", "host"));
   out.IsLeaving = textOr(in, "state", "live", "host") != "live";
+  Result<TcpAddress> address = parseAddress(out.Address);
+  bool hasBadAddress =
+      !out.Address.empty() && (!address || address.value().port() == 0);
+  if (out.Id.get().empty() || hasBadAddress)
+    throw BadField{"host '" + out.Id.get() +
+                   "': no endpoint or an invalid address of its agent"};
   return out;
 }
 
-Result<std::vector<EndpointView>>
-ospreyspur::parseHosts(std::string_view text) {
+Result<HostList> ospreyspur::parseHosts(std::string_view text) {
   boost::system::error_code ec;
   json::value in = json::parse(json::string_view(text.data(), text.size()), ec);
   if (ec || !in.is_array())
     return Error{ResultCode::PlatformBadAnswer, "the host list is no array"};
-  std::vector<EndpointView> out;
-  try {
-    for (const json::value &it : in.get_array())
-      out.push_back(readHost(asObject(it, "host")));
-  } catch (const BadField &error) {
-    return Error{ResultCode::PlatformBadAnswer, error.Detail};
+  HostList out;
+  for (const json::value &it : in.get_array()) {
+    try {
+      out.Endpoints.push_back(readHost(asObject(it, "host")));
+    } catch (const BadField &error) {
+      out.Skipped.push_back(error.Detail);
+    }
   }
   return out;
 }
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -20,6 +20,9 @@
 /// this time.
 static constexpr Duration UnusedLinkTimeout = std::chrono::seconds(10);
 
+/// Unreadable hosts of one list that are logged.
+static constexpr std::size_t MaxLoggedHosts = 20;
+
 ControlPlane::ControlPlane(boost::asio::io_context &ioc,
                            PlatformClient &platform, const GossipIdentity &self,
                            const std::vector<std::string> &peers,
@@ -136,14 +139,21 @@
 
 void ControlPlane::applyHosts() {
   const KeyFollower &copy = Node.copy(SharedKey::Hosts);
-  Result<std::vector<EndpointView>> endpoints = parseHosts(copy.value());
-  if (!endpoints) {
+  Result<HostList> hosts = parseHosts(copy.value());
+  if (!hosts) {
     LOG(ERROR) << LogEvent("hosts.unreadable")
                       .with("revision", copy.revision().get())
-                      .with("detail", endpoints.error().Detail);
+                      .with("detail", hosts.error().Detail);
     return;
   }
-  Endpoints = std::move(endpoints.value());
+  std::vector<std::string> &skipped = hosts.value().Skipped;
+  if (skipped.size() > MaxLoggedHosts)
+    skipped.resize(MaxLoggedHosts);
+  for (const std::string &it : skipped)
+    LOG(ERROR) << LogEvent("host.unreadable")
+                      .with("revision", copy.revision().get())
+                      .with("detail", it);
+  Endpoints = std::move(hosts.value().Endpoints);
   HostsInForce = copy.revision();
   setPeers(Endpoints);
   LOG(INFO) << LogEvent("hosts.in_force")
--- a/unittests/Config/GossipSimulation.cpp
+++ b/unittests/Config/GossipSimulation.cpp
@@ -368,5 +368,5 @@
     ++Violations;
   seen = copy.revision();
   if (action.Key == SharedKey::Hosts)
-    Nodes[i].Machine->setPeers(parseHosts(copy.value()).value());
+    Nodes[i].Machine->setPeers(parseHosts(copy.value()).value().Endpoints);
 }
