Pass no unreadable configuration on to other entries

An entry that watches the store took an unreadable configuration as the newest value and passed it on. Entries in service kept the one before it, but one that started meanwhile got the unreadable one from its peers, and rejected all requests. A value that begins with a list was taken for drained data centres.

The reader skips such a value and logs it (config.unreadable), so that the copy that entries share stays the last readable one.

The start of an entry beside an unreadable row is not a test of its own.

--- a/include/ospreyspur/Control/ConfigReader.h
+++ b/include/ospreyspur/Control/ConfigReader.h
@@ -29,6 +29,7 @@
 
 private:
   boost::asio::awaitable<KvReply> readAll(bool mayBeStale, Duration timeout);
+  void applyItem(const KvItem &item);
   KvReply makeReply(bool hasChanged, Revision at) const;
 
   PlatformClient &Platform;
--- a/lib/Control/ConfigReader.cpp
+++ b/lib/Control/ConfigReader.cpp
@@ -7,8 +7,11 @@
 #include "ospreyspur/Control/ConfigReader.h"
 
 #include "ospreyspur/Config/KeyFollower.h"
+#include "ospreyspur/Support/LogEvent.h"
 #include "platform/ConfigWire.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 using namespace ospreyspur;
@@ -38,7 +41,7 @@
     // State reflects all changes up to SeenAt.
     if (it.At <= SeenAt)
       continue;
-    platform::applyOperatorItem(it, State);
+    applyItem(it);
     last = std::max(last, it.At);
   }
   SeenAt = std::max(SeenAt, page.SeenAt);
@@ -51,10 +54,11 @@
   KvReply list = co_await Platform.ask(std::move(call), timeout);
   if (list.Code != ResultCode::Ok)
     co_return list;
-  OperatorState before = std::exchange(State, {});
+  OperatorState before = State;
+  State.Drained.clear();
   Revision newest;
   for (const KvItem &it : list.Items) {
-    platform::applyOperatorItem(it, State);
+    applyItem(it);
     newest = std::max(newest, it.At);
   }
   SeenAt = list.SeenAt;
@@ -64,6 +68,23 @@
   co_return reply;
 }
 
+/// Skips a configuration that cannot be read, so that the one before it stays
+/// in force and is the one that peers get.
+void ConfigReader::applyItem(const KvItem &item) {
+  if (item.Key == platform::ConfigDocumentKey && !item.IsRemoved) {
+    Result<FleetConfig> config = platform::readConfig(item.Value);
+    if (!config) {
+      LOG(ERROR) << LogEvent("config.unreadable")
+                        .with("revision", item.At.get())
+                        .with("code",
+                              static_cast<unsigned>(config.error().Code))
+                        .with("detail", config.error().Detail);
+      return;
+    }
+  }
+  platform::applyOperatorItem(item, State);
+}
+
 KvReply ConfigReader::makeReply(bool hasChanged, Revision at) const {
   KvReply reply;
   reply.SeenAt = SeenAt;
