Skip records of processes that name no address, and log them

It was counted among those that share limits and subsets, and links to a host name were tried, which asks for a name to be looked up. Skipped records left no line.

A record needs a name, an address for links, and none or a valid one for reports. Skipped keys are logged once each, up to 100 (node.unreadable).

--- a/include/ospreyspur/Direct/NodeRegistry.h
+++ b/include/ospreyspur/Direct/NodeRegistry.h
@@ -15,7 +15,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ospreyspur {
@@ -49,6 +51,7 @@
   static constexpr std::size_t UsualFleet = 64;
   /// How long a vanished record is kept.
   static constexpr Duration VanishedGrace = std::chrono::seconds(10);
+  static constexpr std::size_t MaxSkippedKeys = 100;
   /// Bounds of the delay before a failed write is retried.
   static constexpr Duration MinRetryDelay = std::chrono::milliseconds(250);
   static constexpr Duration MaxRetryDelay = std::chrono::seconds(2);
@@ -67,6 +70,12 @@
   /// first time.
   bool onRead(const KvReply &reply, TimePoint now);
 
+  /// Returns the keys of unreadable records that were not returned before; each
+  /// key once, and up to \c MaxSkippedKeys in all.
+  std::vector<std::string> takeSkippedKeys() {
+    return std::exchange(NewlySkipped, {});
+  }
+
   // Queries.
 
   const NodeRecord &self() const { return Self; }
@@ -97,6 +106,8 @@
     TimePoint SeenAt;
   };
   std::map<std::string, Known> Nodes;
+  std::set<std::string> Skipped;
+  std::vector<std::string> NewlySkipped;
 };
 
 } // namespace ospreyspur
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -115,6 +115,8 @@
         updatePeers();
         publish();
       }
+      for (const std::string &it : Registry.takeSkippedKeys())
+        LOG(ERROR) << LogEvent("node.unreadable").with("key", it);
       RegistryTimer.set(Registry.nextTimer());
     });
   RegistryTimer.set(Registry.nextTimer());
--- a/lib/Direct/NodeRegistry.cpp
+++ b/lib/Direct/NodeRegistry.cpp
@@ -6,6 +6,8 @@
 
 #include "ospreyspur/Direct/NodeRegistry.h"
 
+#include "ospreyspur/Support/Address.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -22,6 +24,11 @@
                                       {"loads", node.LoadAddress}});
 }
 
+static bool isReachable(const std::string &address) {
+  Result<TcpAddress> parsed = parseAddress(address);
+  return parsed && parsed.value().port() != 0;
+}
+
 static std::optional<NodeRecord> parseNode(const KvItem &item) {
   boost::system::error_code ec;
   json::value body = json::parse(item.Value, ec);
@@ -33,9 +40,12 @@
     return it && it->is_string() ? std::string(it->get_string())
                                  : std::string();
   };
-  return NodeRecord{item.Key.substr(sizeof(NodePrefix) - 1),
-                    DataCentreId(textOf("data_centre")), textOf("links"),
-                    textOf("loads")};
+  NodeRecord out{item.Key.substr(sizeof(NodePrefix) - 1),
+                 DataCentreId(textOf("data_centre")), textOf("links"),
+                 textOf("loads")};
+  bool isValid = !out.Name.empty() && isReachable(out.LinkAddress) &&
+                 (out.LoadAddress.empty() || isReachable(out.LoadAddress));
+  return isValid ? std::optional(std::move(out)) : std::nullopt;
 }
 
 std::string NodeRegistry::ownKey() const { return NodePrefix + Self.Name; }
@@ -93,9 +103,14 @@
     return false;
   bool hasChanged = !std::exchange(HasRead, true);
   for (const KvItem &item : reply.Items) {
+    if (item.Key == ownKey())
+      continue;
     std::optional<NodeRecord> node = parseNode(item);
-    if (!node || node->Name == Self.Name)
+    if (!node) {
+      if (Skipped.size() < MaxSkippedKeys && Skipped.insert(item.Key).second)
+        NewlySkipped.push_back(item.Key);
       continue;
+    }
     Known &known = Nodes[node->Name];
     hasChanged = hasChanged || known.Record != *node;
     known = {std::move(*node), now};
