Log why bytes of an endpoint are no response

On call saw of a broken response only that its request ended with 4004 or ran elsewhere. Each such attempt and run now has a line (response.broken: request, endpoint, detail) and is counted (broken_responses_total); calls to the store and to ranks had the detail in their lines already.

Evidence: the lines of BrokenResponseTest and test/run-endpoint-faults; no test checks their text.

--- a/include/ospreyspur/Http/HttpClient.h
+++ b/include/ospreyspur/Http/HttpClient.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -66,12 +67,16 @@
   /// Whether nothing but the end of the connection marked the end of the
   /// response. A server that exits ends its connections in the same way.
   bool hasEndedWithConnection() const { return HasEndedWithConnection; }
+  /// Why the bytes received are no response; empty if they are one, or if the
+  /// run ended for another reason.
+  const std::string &syntaxError() const { return SyntaxError; }
 
 private:
   friend class HttpClient;
   boost::beast::tcp_stream *Stream = nullptr;
   bool IsStopped = false;
   bool HasEndedWithConnection = false;
+  std::string SyntaxError;
 };
 
 /// A client of one server.
--- a/include/ospreyspur/Http/ResponseReader.h
+++ b/include/ospreyspur/Http/ResponseReader.h
@@ -2,8 +2,8 @@
 //
 // The only place where responses are read, whether from endpoints, ranks, the
 // store or other processes. It accepts what ResponseSyntax.h calls a response
-// and skips interim responses, and bounds the size of all that it reads. The caller
-// bounds the time: by a timeout of the stream, or by closing it.
+// and skips interim responses, and bounds the size of all that it reads. The
+// caller bounds the time: by a timeout of the stream, or by closing it.
 //
 //===----------------------------------------------------------------------===//
 
@@ -44,6 +44,10 @@
     return 2 * limits.HeadBytes;
   }
 
+  /// Whether \p ec says that the bytes received are no response, rather than
+  /// that the connection ended.
+  static bool isSyntaxError(const ErrorCode &ec);
+
   /// Reads from \p stream by way of \p buf, whose maximum size is at least
   /// bufferBytes(). \p method is that of the request.
   ResponseReader(boost::beast::tcp_stream &stream,
--- a/include/ospreyspur/Process/DirectAttempt.h
+++ b/include/ospreyspur/Process/DirectAttempt.h
@@ -52,6 +52,9 @@
   /// Whether the endpoint closed the connection early. Ours also if the
   /// connection is still open. Valid once run() has returned.
   ConnectionEnd connectionEnd() const { return ClosedBy; }
+  /// Why the bytes received are no response; empty if they are one, or if the
+  /// attempt ended for another reason. Valid once run() has returned.
+  const std::string &syntaxError() const { return SyntaxError; }
 
 private:
   boost::asio::awaitable<EndpointPool::Connection> open();
@@ -96,6 +99,7 @@
   std::optional<ResponseReader> Reader;
   EndpointResponse Head;
   ConnectionEnd ClosedBy = ConnectionEnd::Ours;
+  std::string SyntaxError;
   HttpResponse CallerHead;
   /// Memory of the response while it is held.
   ByteReservation HeldBytes;
--- a/include/ospreyspur/Process/DirectTraffic.h
+++ b/include/ospreyspur/Process/DirectTraffic.h
@@ -90,6 +90,8 @@
   void logUnread(const DirectCall &call);
   static void logEarlyClose(const DirectCall &call, const StartAttempt &order,
                             AttemptEnd end, Duration ran);
+  void logBrokenResponse(const DirectCall &call, const StartAttempt &order,
+                         const std::string &detail);
   void logCrashes();
   void onCallerGone(CallId id);
   void finish(const DirectCall &call, ResultCode code);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -161,6 +161,8 @@
   boost::system::error_code ec = co_await reader.readHead();
   if (handle->IsStopped)
     co_return ResultCode::AnswerBroken;
+  if (ResponseReader::isSyntaxError(ec))
+    handle->SyntaxError = ec.message();
   if (ec)
     co_return classifyFailure(ec);
   sink.OnHead({reader.head().result_int(), reader.head()});
@@ -172,6 +174,8 @@
       co_return ResultCode::AnswerBroken;
     if (!data.empty())
       sink.OnData(data);
+    if (ResponseReader::isSyntaxError(ec))
+      handle->SyntaxError = ec.message();
     if (ec)
       co_return classifyFailure(ec);
   }
--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -25,6 +25,13 @@
 static constexpr std::size_t ReadBytes = 16U << 10U;
 static constexpr std::string_view LineEnd = "\r\n";
 
+bool ResponseReader::isSyntaxError(const ErrorCode &ec) {
+  static const auto &Category =
+      make_error_code(http::error::bad_field).category();
+  return ec.category() == Category && ec != http::error::end_of_stream &&
+         ec != http::error::partial_message;
+}
+
 std::string_view ResponseReader::buffered() const {
   auto data = Buffer.cdata();
   return {static_cast<const char *>(data.data()), data.size()};
--- a/lib/Process/AgentTraffic.cpp
+++ b/lib/Process/AgentTraffic.cpp
@@ -163,6 +163,13 @@
   RunTimeouts timeouts{Settings.EndpointIdle, MaxRunTime};
   ResultCode code =
       co_await Endpoint.run(std::move(request), sink, handle, timeouts);
+  if (!handle->syntaxError().empty()) {
+    Measures.count("broken_responses_total");
+    LOG(WARNING) << LogEvent("response.broken")
+                        .with("endpoint", Settings.EndpointName)
+                        .with("request", toHeader(id))
+                        .with("detail", handle->syntaxError());
+  }
   if (code == ResultCode::Ok && handle->hasEndedWithConnection())
     code = co_await classifyEnd(id);
   if (code == ResultCode::EndpointFailed && Runs.contains(id))
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -308,13 +308,15 @@
   co_return isSent && !Call.IsCallerGone;
 }
 
-/// Records if \p ec shows that the endpoint closed or reset the connection. A
-/// connection closed by this process gives other errors.
+/// Records if \p ec shows that the endpoint closed or reset the connection, or
+/// sent no response. A connection closed by this process gives other errors.
 void DirectAttempt::recordError(const boost::system::error_code &ec) {
   if (ec == asio::error::eof || ec == asio::error::connection_reset ||
       ec == asio::error::broken_pipe || ec == http::error::end_of_stream ||
       ec == http::error::partial_message)
     ClosedBy = ConnectionEnd::Endpoint;
+  if (ResponseReader::isSyntaxError(ec))
+    SyntaxError = ec.message();
 }
 
 /// The result of an attempt without a usable complete response. Drops a partial
--- a/lib/Process/DirectLog.cpp
+++ b/lib/Process/DirectLog.cpp
@@ -59,6 +59,20 @@
                    .with("ms", toMillis(monotonicNow() - call.Arrived));
 }
 
+/// Logs one line for each attempt whose endpoint sent bytes that are no
+/// response.
+void DirectTraffic::logBrokenResponse(const DirectCall &call,
+                                      const StartAttempt &order,
+                                      const std::string &detail) {
+  Measures.count("broken_responses_total");
+  LOG(WARNING) << LogEvent("response.broken")
+                      .with("id", call.Request.Label)
+                      .with("endpoint", order.Endpoint.Id.get())
+                      .with("number", order.Number)
+                      .with("ms", toMillis(monotonicNow() - call.Arrived))
+                      .with("detail", detail);
+}
+
 /// Logs one line for each attempt whose endpoint closed the connection before
 /// its response was complete.
 void DirectTraffic::logEarlyClose(const DirectCall &call,
--- a/lib/Process/DirectTraffic.cpp
+++ b/lib/Process/DirectTraffic.cpp
@@ -331,6 +331,8 @@
                                ? toMillis(*call.LastPushback.Backoff)
                                : -1)
                      .with("number", order.Number);
+  if (!running.syntaxError().empty())
+    logBrokenResponse(call, order, running.syntaxError());
   if (running.connectionEnd() == ConnectionEnd::Endpoint)
     logEarlyClose(call, order, end, monotonicNow() - began);
   call.IsResponseSent = end == AttemptEnd::Complete;
