--- a/unittests/Process/BrokenResponseTest.cpp
+++ b/unittests/Process/BrokenResponseTest.cpp
@@ -92,6 +92,34 @@
   }
 }
 
+// Each of these statements alone would decide what the caller is told.
+TEST_CASE("a response that contradicts itself is a failure of this system") {
+  for (const std::string &headers :
+       {std::string("Not-Executed: 1\r\n"),
+        std::string("Request-Id: other\r\n"),
+        std::string("Request-Id: {id}\r\nRequest-Id: other\r\n")}) {
+    CAPTURE(headers);
+    Received received =
+        call(RequestKind::OnceOnly, {{{framed("HTTP/1.1 200 OK", headers)}}});
+    CHECK(received.hasStatus(502));
+    CHECK_FALSE(received.hasMarks());
+    CHECK(received.Runs == 1);
+  }
+}
+
+TEST_CASE("a request that an endpoint has rejected is reported as not run") {
+  for (const char *line :
+       {"HTTP/1.1 503 Service Unavailable", "HTTP/1.1 429 Too Many Requests"}) {
+    CAPTURE(std::string(line));
+    Received received =
+        call(RequestKind::OnceOnly,
+             {{{framed(line, "Not-Executed: 1\r\n")}, {framed()}}});
+    CHECK(received.hasStatus(503));
+    CHECK_FALSE(received.hasMarks());
+    CHECK(received.Runs == 1);
+  }
+}
+
 TEST_CASE("an unusual but sound response reaches its caller") {
   for (const SoundResponse &it : soundResponses()) {
     CAPTURE(it.Sent.Name);
