--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -26,9 +26,8 @@
 static constexpr std::string_view LineEnd = "\r\n";
 
 bool ResponseReader::isSyntaxError(const ErrorCode &ec) {
-  static const auto &Category =
-      make_error_code(http::error::bad_field).category();
-  return ec.category() == Category && ec != http::error::end_of_stream &&
+  const auto &category = make_error_code(http::error::bad_field).category();
+  return ec.category() == category && ec != http::error::end_of_stream &&
          ec != http::error::partial_message;
 }
 
--- a/unittests/Control/OddRowTest.cpp
+++ b/unittests/Control/OddRowTest.cpp
@@ -387,7 +387,8 @@
       replaced(good, R"("s")", nested(20))};
   for (const std::string &it : odd) {
     CAPTURE(it);
-    auto hosts = parseHosts("[" + it + "," + good + "]");
+    auto hosts = parseHosts(
+        std::string("[").append(it).append(",").append(good).append("]"));
     REQUIRE(hosts);
     REQUIRE(hosts.value().Endpoints.size() == 1);
     CHECK(hosts.value().Endpoints.front().Id == EndpointId("e"));
--- a/unittests/Process/BrokenResponseTest.cpp
+++ b/unittests/Process/BrokenResponseTest.cpp
@@ -69,7 +69,7 @@
     Received received =
         call(RequestKind::Repeatable, {{{it.Bytes}, {framed()}}});
     CHECK(received.hasStatus(200));
-    CHECK(received.body() == ResponseBody);
+    CHECK(received.body() == responseBody());
     CHECK(received.Runs == 2);
   }
 }
--- a/unittests/ResponseCorpus.h
+++ b/unittests/ResponseCorpus.h
@@ -29,7 +29,7 @@
 };
 
 /// The body of the responses that have one.
-inline const std::string ResponseBody = "ok";
+inline std::string responseBody() { return "ok"; }
 
 /// The headers by which an endpoint marks a response as its own.
 inline std::string responseMarks() {
@@ -41,7 +41,7 @@
 /// line end, followed by \p body.
 inline std::string makeResponse(const std::string &statusLine,
                                 const std::string &headers,
-                                const std::string &body = ResponseBody) {
+                                const std::string &body = responseBody()) {
   return statusLine + "\r\n" + responseMarks() + headers + "\r\n" + body;
 }
 
@@ -222,7 +222,7 @@
   std::vector<SoundResponse> out;
   auto add = [&out](const std::string &name, const std::string &bytes,
                     unsigned status = 200,
-                    const std::string &body = ResponseBody) {
+                    const std::string &body = responseBody()) {
     out.push_back({{name, bytes}, status, body});
   };
   for (unsigned status : {200, 203, 226, 299, 300, 399, 400, 404, 418, 499})
