Read the chunks of a stream one at a time on the direct path

Cause, as far as it was traced: the new reader returned all chunks that had arrived together. The entry counts parts of a response and measures the time between them, so that two events in one part make a group look slower than it is.

Attempts take one chunk at a time again; runs of agents and calls still take what has arrived. The head is also moved out of the parser instead of copied; the two were not measured apart.

--- a/include/ospreyspur/Http/ResponseReader.h
+++ b/include/ospreyspur/Http/ResponseReader.h
@@ -61,9 +61,14 @@
   boost::asio::awaitable<ErrorCode> readHead();
 
   /// Reads part of the body into \p data, until isDone(). Errors: as above;
-  /// \p data is valid in any case.
+  /// \p data is valid in any case. Takes all that has arrived, as chunks may be
+  /// small.
   boost::asio::awaitable<ErrorCode> readSome(std::string &data);
 
+  /// Like readSome(), but takes data of one chunk only, for callers that
+  /// measure the time between chunks.
+  boost::asio::awaitable<ErrorCode> readChunk(std::string &data);
+
   /// Reads the rest of the body. Errors: as above.
   boost::asio::awaitable<ErrorCode> readRest(std::string &body);
 
@@ -89,6 +94,7 @@
   boost::asio::awaitable<ErrorCode> receiveHead();
   boost::asio::awaitable<ErrorCode> receive();
   boost::asio::awaitable<ErrorCode> receiveBody();
+  boost::asio::awaitable<ErrorCode> readData(std::string &data, bool readsOn);
   ErrorCode parseBody();
   ErrorCode checkLines();
   ErrorCode checkLine(std::string_view line);
--- a/lib/Http/ResponseReader.cpp
+++ b/lib/Http/ResponseReader.cpp
@@ -111,7 +111,7 @@
   Buffer.consume(CheckedBytes);
   if (ec)
     return ec;
-  Head = Parser->get().base();
+  Head = std::move(Parser->get().base());
   // This side asks for no other protocol.
   if (Head.result() == http::status::switching_protocols)
     return http::error::bad_status;
@@ -150,32 +150,45 @@
   co_return ec;
 }
 
+/// Reads until there is data, and then on as far as \p readsOn and the buffer
+/// allow.
 asio::awaitable<ResponseReader::ErrorCode>
-ResponseReader::readSome(std::string &data) {
+ResponseReader::readData(std::string &data, bool readsOn) {
   std::array<char, ReadBytes> bytes;
   auto &body = Parser->get().body();
   body.data = bytes.data();
   body.size = bytes.size();
   body.more = true;
   ErrorCode ec;
-  // Takes all that has arrived, as chunks may be small.
   while (!ec && body.size > 0 && !isDone()) {
     ec = parseBody();
-    if (ec != http::error::need_more)
-      continue;
-    if (body.size < bytes.size()) {
+    bool hasData = body.size < bytes.size();
+    if (ec == http::error::need_more && !hasData)
+      ec = co_await receiveBody();
+    else if (ec == http::error::need_more)
       ec = {};
+    else if (!hasData || readsOn)
+      continue;
+    if (hasData)
       break;
-    }
-    ec = co_await receiveBody();
   }
   data.assign(bytes.data(), bytes.size() - body.size);
-  // The parser adds trailers to the fields.
+  // The parser has put trailers in place of the fields.
   if (!ec && isDone())
     ec = checkFieldNames(Parser->get());
   co_return ec;
 }
 
+asio::awaitable<ResponseReader::ErrorCode>
+ResponseReader::readChunk(std::string &data) {
+  co_return co_await readData(data, false);
+}
+
+asio::awaitable<ResponseReader::ErrorCode>
+ResponseReader::readSome(std::string &data) {
+  co_return co_await readData(data, true);
+}
+
 asio::awaitable<ResponseReader::ErrorCode>
 ResponseReader::readRest(std::string &body) {
   while (!isDone()) {
--- a/lib/Process/DirectAttempt.cpp
+++ b/lib/Process/DirectAttempt.cpp
@@ -159,7 +159,7 @@
 asio::awaitable<boost::system::error_code>
 DirectAttempt::readSome(std::string &data) {
   ReadingSince = monotonicNow();
-  boost::system::error_code ec = co_await Reader->readSome(data);
+  boost::system::error_code ec = co_await Reader->readChunk(data);
   ReadingSince.reset();
   recordError(ec);
   co_return ec;
