Log where an entry gets its copies from, and its own reads of the store

The lines that exist say when a version came into force and how long a lost call was waited for. They do not say who an entry's parent was, whether it tried others, nor that it read the store itself since nobody had confirmed its copy, so that "it did not notice", "it tried dead parents" and "its last resort came late" look the same.

copies.source: the store or the parent, at each change. copy.unconfirmed: an own read, with the age of the copy and the parent.

--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -117,6 +117,8 @@
   bool isReady() const;
   /// Whether this node is one of its data centre's watchers of the store.
   bool isWatcher() const;
+  /// The agent that this node subscribes to; a watcher has none.
+  const std::optional<EndpointId> &parent() const { return Parent; }
   /// The copy of \p key.
   const KeyFollower &copy(SharedKey key) const;
 
--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -66,6 +66,7 @@
   bool wasHeld(TimePoint now) const { return now - CalledAt >= CalledWait / 2; }
   /// Whether the store itself has replied at least once.
   bool hasReadStore() const { return HasReadStore; }
+  const std::string &key() const { return Key; }
   /// The copy's revision; 0 until there is a value.
   Revision revision() const { return At; }
   /// The copy.
--- a/include/ospreyspur/Control/ControlPlane.h
+++ b/include/ospreyspur/Control/ControlPlane.h
@@ -11,6 +11,7 @@
 
 #include "ospreyspur/Config/ConfigDocument.h"
 #include "ospreyspur/Config/GossipNode.h"
+#include "ospreyspur/Control/GossipLog.h"
 #include "ospreyspur/Platform/PlatformClient.h"
 #include "ospreyspur/Process/NodeTimer.h"
 #include "ospreyspur/Process/PeerLinks.h"
@@ -84,6 +85,7 @@
   PlatformClient &Platform;
   ControlHandlers Handlers;
   GossipNode Node;
+  GossipLog Log{Node};
   NodeTimer Timer;
   boost::asio::system_timer EventTimer;
   /// 0 until a value could be parsed.
--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -13,6 +13,7 @@
 #include "ospreyspur/Config/GossipNode.h"
 #include "ospreyspur/Config/Settings.h"
 #include "ospreyspur/Control/ConfigReader.h"
+#include "ospreyspur/Control/GossipLog.h"
 #include "ospreyspur/Control/ListReader.h"
 #include "ospreyspur/Control/QuarantineSync.h"
 #include "ospreyspur/Direct/EndpointList.h"
@@ -111,6 +112,7 @@
   ListReader Reader;
   ConfigReader ConfigSource;
   GossipNode Node;
+  GossipLog Log{Node};
   NodeRegistry Registry;
   QuarantineSync Quarantine;
   std::vector<RequestDigest> Restored;
--- a/lib/Control/ControlPlane.cpp
+++ b/lib/Control/ControlPlane.cpp
@@ -62,6 +62,7 @@
   // Replies of peers can make the node ready without a new copy.
   if (!HasPublished)
     publish();
+  Log.logSource();
   Timer.set(Node.nextTimer());
 }
 
@@ -86,6 +87,9 @@
   auto onReply = [this, id](const KvReply &reply) {
     apply(Node.onKvReply(id, reply, monotonicNow()));
   };
+  const auto &watch = std::get<KvWatch>(action.Request.Call);
+  bool isConfig = watch.Key == Node.copy(SharedKey::Config).key();
+  Log.logRead(isConfig ? SharedKey::Config : SharedKey::Hosts, monotonicNow());
   Platform.call(action.Request.Call, CallTimeout, onReply);
 }
 
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -136,6 +136,7 @@
 void DirectControl::apply(const GossipActions &actions) {
   for (const GossipAction &action : actions)
     std::visit([this](const auto &it) { perform(it); }, action);
+  Log.logSource();
   Timer.set(Node.nextTimer());
 }
 
@@ -163,6 +164,7 @@
   };
   const auto &watch = std::get<KvWatch>(action.Request.Call);
   bool isList = watch.Key == platform::EndpointKeyPrefix;
+  Log.logRead(isList ? SharedKey::Hosts : SharedKey::Config, monotonicNow());
   auto ask = [this, isList, wait = watch.Wait,
               onReply]() -> asio::awaitable<void> {
     if (isList)
