Notice the lost reply to a watch in time, whatever the number of watchers

Cause: a store that loses a reply on a sound connection is noticed by nothing but the end of the watch. A watch waited 0.75 s for each watcher of its data centre, and its reply was given another second: 2.25 + 1 + 0.2 s with three watchers, 3 + 1 + 0.2 s with four. All watches begin together after a change, so that no watcher could tell another. In the log: store.call_lost with waited_ms=3250 at all three entries, in force 0.2 s after it. Ruled out by the same lines: a second lost call, a late retry (0.2 s), a late spread (each entry has the version from the store).

Change: every watch waits 1.4 s, and its reply is due 0.3 s later (PlatformClient::WatchReplyTimeout): 1.4 + 0.3 + 0.2 s and an exchange. Two entries of a data centre watch instead of four, as four such watches would cost twice the calls.

The test "an entry watches the store although other entries are listed first" asked for four watchers, as two of four may have crashed.

--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -40,10 +40,6 @@
   Duration StartInterval = std::chrono::milliseconds(200);
   /// How long the key-value store may hold a watch.
   Duration WatchWait = std::chrono::seconds(1);
-  /// Lets the watchers of a data centre share the watching: each waits for this
-  /// time multiplied by the number of watchers if that exceeds WatchWait. A
-  /// change that one watcher misses arrives with the digests of the others.
-  Duration WatchWaitShare{};
   /// A copy that was not confirmed for this time plus a random part of
   /// MaxAgeJitter is read from the key-value store. In a large data centre the
   /// time is longer, as confirmations are older the more nodes they pass.
@@ -125,7 +121,6 @@
 private:
   KeyFollower &copyOf(SharedKey key);
   void callStore(TimePoint now);
-  Duration watchWait() const;
   Duration maxAge() const;
   void sendDigests(TimePoint now);
   std::optional<EndpointId> pickParent() const;
--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -52,8 +52,8 @@
   std::vector<RequestDigest> Restored;
 };
 
-/// How values spread on the direct path: up to four entries of a data centre
-/// watch the store themselves, so that none waits for one that has just died.
+/// How values spread on the direct path: a watcher notices a lost reply within
+/// three seconds, whatever the number of watchers.
 GossipLimits makeDirectGossipLimits();
 
 /// Follows the shared values on the control thread.
--- a/include/ospreyspur/Platform/PlatformClient.h
+++ b/include/ospreyspur/Platform/PlatformClient.h
@@ -32,11 +32,18 @@
   /// change is in force rests on it: a watch on a silent connection is lost.
   static constexpr Duration MaxIdleBeforeWatch = std::chrono::seconds(1);
 
+  /// Time after the wait of a watch within which a sound store has replied. A
+  /// reply that was lost on a connection that is otherwise sound is noticed by
+  /// nothing else, so the time until a change is in force rests on it, too. A
+  /// store that is slow costs one call more for each watch.
+  static constexpr Duration WatchReplyTimeout = std::chrono::milliseconds(300);
+
   PlatformClient(boost::asio::io_context &ioc, TcpAddress server,
                  Metrics &metrics);
 
   /// Makes \p call and passes the reply to \p handler on the context's thread.
-  /// \p timeout does not include the wait of a watch.
+  /// \p timeout does not include the wait of a watch; for a watch that waits,
+  /// it is at most WatchReplyTimeout.
   void call(KvCall call, Duration timeout, Handler handler);
 
   /// Makes \p call from a coroutine on the context's thread.
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -125,7 +125,8 @@
         now - follower.checkedAt() >= age || follower.revision().get() == 0;
     if (!isWatcher() && !isOld)
       continue;
-    Duration wait = isWatcher() && isConfirmed ? watchWait() : Duration::zero();
+    Duration wait =
+        isWatcher() && isConfirmed ? Limits.WatchWait : Duration::zero();
     std::optional<KvCall> call = follower.nextCall(wait, now);
     if (!call)
       continue;
@@ -135,14 +136,6 @@
   }
 }
 
-/// With WatchWaitShare set, each watcher waits longer the more watchers there
-/// are, so that the call rate of a data centre does not depend on their number.
-Duration GossipNode::watchWait() const {
-  auto watchers =
-      static_cast<int>(std::min(Order.size(), Limits.WatchersPerDataCentre));
-  return std::max(Limits.WatchWait, Limits.WatchWaitShare * watchers);
-}
-
 /// A confirmation is as old as the longest watch and a round for each level of
 /// the tree that it passed. One more round may be lost.
 Duration GossipNode::maxAge() const {
@@ -153,7 +146,7 @@
     level *= Limits.FanOut;
     ++rounds;
   }
-  return std::max(Limits.MaxAge, watchWait() + Limits.Interval * rounds);
+  return std::max(Limits.MaxAge, Limits.WatchWait + Limits.Interval * rounds);
 }
 
 TimePoint GossipNode::nextTimer() const {
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -28,10 +28,6 @@
 /// this time.
 static constexpr Duration UnusedLinkTimeout = std::chrono::seconds(10);
 
-/// Watchers of the key-value store in one data centre. At any moment two of
-/// them may just have crashed and a third may be cut off from the store.
-static constexpr std::size_t WatchersPerDataCentre = 4;
-
 /// Longest backoff between two calls while the store does not reply. Within
 /// three seconds after the store is back a process must have the changes that
 /// it missed.
@@ -39,11 +35,8 @@
 
 GossipLimits ospreyspur::makeDirectGossipLimits() {
   GossipLimits limits;
-  limits.WatchersPerDataCentre = WatchersPerDataCentre;
-  // A shorter wait costs more calls, and each watch is billed as one call. A
-  // silent connection is detected without the end of the wait (TcpKeepAlive).
-  limits.WatchWait = std::chrono::milliseconds(1500);
-  limits.WatchWaitShare = limits.WatchWait / 2;
+  // A shorter wait costs more calls, and each watch is billed as one call.
+  limits.WatchWait = std::chrono::milliseconds(1400);
   limits.Follower.MaxBackoff = LongestBackoff;
   return limits;
 }
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -275,8 +275,10 @@
                                                    Duration timeout) {
   HttpRequest request = platform::makeWatch(call.Prefix, call.After, call.Wait);
   Purpose purpose{WatchOperation, call.Prefix};
-  Result<HttpResponse> response = co_await exchange(
-      std::move(purpose), std::move(request), timeout + call.Wait);
+  if (call.Wait > Duration::zero())
+    timeout = call.Wait + std::min(timeout, WatchReplyTimeout);
+  Result<HttpResponse> response =
+      co_await exchange(std::move(purpose), std::move(request), timeout);
   if (!response)
     co_return makeReply(response.error().Code);
   KvReply reply = makeReply(platform::readStatus(response.value()));
--- a/unittests/Config/GossipSimulation.cpp
+++ b/unittests/Config/GossipSimulation.cpp
@@ -17,9 +17,7 @@
 using namespace ospreyspur;
 using namespace ospreyspur::test;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
-static constexpr Duration CallTimeout = seconds(2);
 static constexpr Duration Step = milliseconds(10);
 static constexpr std::uint64_t NodesPerIncarnation = 4096;
 static constexpr std::uint64_t LinksPerIncarnation = 64;
@@ -61,7 +59,7 @@
   std::list<HeldWatch> held = std::exchange(Held, {});
   for (const HeldWatch &it : held)
     if (it.Call.Key == nameOf(key))
-      reply(it, Values[it.Call.Key]);
+      answer(it, Values[it.Call.Key]);
     else
       Held.push_back(it);
   return Last;
@@ -96,6 +94,24 @@
   Nodes[i].Machine.reset();
 }
 
+void GossipSimulation::crash(std::size_t i) {
+  std::uint64_t incarnation = Nodes[i].IncarnationNumber;
+  std::vector<std::pair<std::size_t, LinkId>> opened;
+  for (auto &[ends, link] : Links) {
+    if (ends.second == i)
+      closeSilentLink(ends.first, i, Duration::zero());
+    else if (ends.first == i && incarnation != 0)
+      opened.emplace_back(ends.second, makeLinkId(i, link.Generation));
+  }
+  kill(i);
+  for (const auto &[peer, link] : opened)
+    deliverToNode(peer, Nodes[peer].IncarnationNumber,
+                  [link = link](GossipNode &it) {
+                    it.onLinkDown(link);
+                    return GossipActions();
+                  });
+}
+
 void GossipSimulation::freeze(std::size_t i, Duration span) {
   Nodes[i].FrozenUntil = Scheduler.now() + span;
 }
@@ -112,6 +128,15 @@
   });
 }
 
+void GossipSimulation::cutNodeFromPlatform(std::size_t i, Duration span) {
+  Nodes[i].CutUntil = Scheduler.now() + span;
+  std::erase_if(Held, [&](const HeldWatch &it) { return it.Caller == i; });
+}
+
+void GossipSimulation::loseReplies(Duration span) {
+  RepliesLostUntil = Scheduler.now() + span;
+}
+
 Duration GossipSimulation::drawDetectionTime(Duration least, Duration most) {
   auto spread = std::uint64_t((most - least).count()) + 1;
   return least + Duration(Scheduler.below(spread));
@@ -163,6 +188,8 @@
 }
 
 bool GossipSimulation::canReachPlatform(std::size_t i) const {
+  if (Scheduler.now() < Nodes[i].CutUntil)
+    return false;
   auto cut = CutUntil.find(i / NodesPerDataCentre);
   return cut == CutUntil.end() || cut->second <= Scheduler.now();
 }
@@ -300,7 +327,7 @@
                                const CallKeyValueStoreForGossip &action) {
   ++PlatformCalls;
   HeldWatch watch{i, Nodes[i].IncarnationNumber, action.Request.Id,
-                  std::get<KvWatch>(action.Request.Call)};
+                  std::get<KvWatch>(action.Request.Call), Scheduler.now()};
   Scheduler.runSoon([this, watch] { hold(watch); });
 }
 
@@ -308,10 +335,7 @@
 /// the wait is over.
 void GossipSimulation::hold(HeldWatch watch) {
   if (!canReachPlatform(watch.Caller)) {
-    KvReply lost;
-    lost.Code = ResultCode::PlatformTimeout;
-    Scheduler.at(Scheduler.now() + CallTimeout,
-                 [this, watch, lost] { reply(watch, lost); });
+    loseReply(watch);
     return;
   }
   bool isOnKept =
@@ -324,13 +348,13 @@
   // A first read may be stale; see ListReader.
   value.MayBeStale = watch.Call.After == Revision(0);
   if (value.At > watch.Call.After) {
-    reply(watch, value);
+    answer(watch, value);
     return;
   }
   KvReply nothing;
   nothing.Code = ResultCode::NotFound;
   if (watch.Call.Wait == Duration::zero()) {
-    reply(watch, nothing);
+    answer(watch, nothing);
     return;
   }
   Held.push_back(watch);
@@ -341,15 +365,33 @@
              held.Id == watch.Id;
     };
     if (std::erase_if(Held, isSame) > 0)
-      reply(watch, nothing);
+      answer(watch, nothing);
   });
   // A watch that is dropped by a cut times out at its caller. If the watch was
   // replied to, the timeout is a second reply, which has no effect.
-  Scheduler.at(Scheduler.now() + watch.Call.Wait + CallTimeout, [this, watch] {
-    KvReply lost;
-    lost.Code = ResultCode::PlatformTimeout;
-    reply(watch, lost);
-  });
+  loseReply(watch);
+}
+
+Duration GossipSimulation::timeLimitOf(const HeldWatch &watch) const {
+  if (watch.Call.Wait == Duration::zero())
+    return CallTimeout;
+  return watch.Call.Wait +
+         std::min(CallTimeout, PlatformClient::WatchReplyTimeout);
+}
+
+/// Lets \p watch end at its time limit.
+void GossipSimulation::loseReply(const HeldWatch &watch) {
+  KvReply lost;
+  lost.Code = ResultCode::PlatformTimeout;
+  Scheduler.at(watch.CalledAt + timeLimitOf(watch),
+               [this, watch, lost] { reply(watch, lost); });
+}
+
+void GossipSimulation::answer(const HeldWatch &watch, const KvReply &value) {
+  if (Scheduler.now() < RepliesLostUntil)
+    loseReply(watch);
+  else
+    reply(watch, value);
 }
 
 void GossipSimulation::reply(const HeldWatch &watch, const KvReply &value) {
--- a/unittests/Config/GossipSimulation.h
+++ b/unittests/Config/GossipSimulation.h
@@ -2,10 +2,10 @@
 //
 // Connects real GossipNodes and a fake key-value store through a
 // RandomScheduler. Nodes can be killed or frozen, the store can be made
-// unreachable for one or all data centres, and all open connections can be made
-// silent. Checks that no copy ever returns to
-// an older revision, and counts calls and messages. Used by tests and by the
-// gossip benchmark.
+// unreachable for nodes or data centres, its replies can be lost, and all open
+// connections can be made silent. Checks that no copy ever returns to an older
+// revision, and counts calls and messages. Used by tests and by the gossip
+// benchmark.
 //
 //===----------------------------------------------------------------------===//
 
@@ -45,6 +45,8 @@
     /// 0 while the node is dead.
     std::uint64_t IncarnationNumber = 0;
     TimePoint FrozenUntil;
+    /// Until when it cannot reach the key-value store.
+    TimePoint CutUntil;
     std::array<Revision, SharedKeyCount> Seen;
     /// Whether its kept connections to the store are silent.
     bool HasSilentStore = false;
@@ -62,6 +64,8 @@
   /// written value.
   std::size_t Violations = 0;
   std::size_t PlatformCalls = 0;
+  /// Time limit of a call to the key-value store that does not wait.
+  Duration CallTimeout = std::chrono::seconds(2);
   /// Size of a message on the wire in bytes; the benchmark uses the codec's.
   std::function<std::size_t(const GossipMessage &)> SizeOf =
       [](const GossipMessage &) { return std::size_t(0); };
@@ -71,12 +75,20 @@
   /// Writes the host list without the nodes in \p absent.
   void writeHosts(const std::vector<std::size_t> &absent);
   void start(std::size_t i);
+  /// Ends node \p i; what is sent to it is lost.
   void kill(std::size_t i);
+  /// Ends node \p i and resets its links, as the death of a process does.
+  void crash(std::size_t i);
   void freeze(std::size_t i, Duration span);
   /// Makes the key-value store unreachable for all nodes for \p span.
   void setOutage(Duration span);
   /// Makes the key-value store unreachable for one data centre for \p span.
   void cutFromPlatform(std::size_t dataCentre, Duration span);
+  /// Makes the key-value store unreachable for node \p i for \p span.
+  void cutNodeFromPlatform(std::size_t i, Duration span);
+  /// For \p span the replies of the key-value store are lost, on connections
+  /// that are otherwise sound: callers notice at the end of their time limits.
+  void loseReplies(Duration span);
   /// Makes all open links and connections to the store silent, until
   /// keep-alives detect it; new ones work.
   void silence();
@@ -85,6 +97,9 @@
   /// Runs until isInForce(), but at most for \p limit, and returns the elapsed
   /// time.
   Duration awaitInForce(SharedKey key, Revision at, Duration limit);
+  std::size_t dataCentreCount() const {
+    return Nodes.size() / NodesPerDataCentre;
+  }
   /// The watchers of data centre \p dataCentre.
   std::vector<std::size_t> findWatchers(std::size_t dataCentre) const;
 
@@ -95,6 +110,7 @@
     std::uint64_t IncarnationNumber;
     KvCallId Id;
     KvWatch Call;
+    TimePoint CalledAt;
   };
 
   /// The link that one node opened to another.
@@ -128,6 +144,9 @@
   template <typename Body>
   void replyOnLink(std::size_t i, LinkId to, const Body &body);
   void hold(HeldWatch watch);
+  Duration timeLimitOf(const HeldWatch &watch) const;
+  void loseReply(const HeldWatch &watch);
+  void answer(const HeldWatch &watch, const KvReply &reply);
   void reply(const HeldWatch &watch, const KvReply &reply);
 
   GossipLimits Limits;
@@ -141,6 +160,7 @@
   /// By the node that opened the link and the other one.
   std::map<std::pair<std::size_t, std::size_t>, Link> Links;
   TimePoint SilentSince;
+  TimePoint RepliesLostUntil;
   std::uint64_t LastIncarnation = 0;
   std::map<std::size_t, TimePoint> CutUntil;
   std::vector<EndpointView> StartPeers;
--- a/unittests/Config/GossipTest.cpp
+++ b/unittests/Config/GossipTest.cpp
@@ -188,19 +188,6 @@
   MESSAGE("longest until in force: ", worst.count() / 1000, " ms");
 }
 
-TEST_CASE(
-    "an entry watches the store although other entries are listed first") {
-  // Two of the four may just have crashed; their records last for seconds.
-  std::vector<EndpointView> peers;
-  for (const char *it : {"a", "b", "c", "d"})
-    peers.push_back({EndpointId(it), {}, DataCentreId("x"), it, {}, false});
-  for (const EndpointView &self : peers) {
-    GossipNode node({self.Id, self.DataCentre}, makeDirectGossipLimits(), 1);
-    node.setPeers(peers);
-    CHECK(node.isWatcher());
-  }
-}
-
 // Guards against reads of the store by every node whose copies are confirmed
 // only by way of several others: the deeper the tree, the older they are.
 TEST_CASE("on calm days only the watchers of a data centre call the store") {
@@ -214,9 +201,12 @@
     fleet.Scheduler.runUntil(fleet.Scheduler.now() + seconds(15));
     std::size_t before = fleet.PlatformCalls;
     fleet.Scheduler.runUntil(fleet.Scheduler.now() + Span);
-    std::size_t ofWatchers = DataCentres * SharedKeyCount *
-                             std::size_t(Span / limits.WatchWaitShare);
+    constexpr Duration CallEvery = milliseconds(750);
+    std::size_t ofWatchers =
+        DataCentres * SharedKeyCount * std::size_t(Span / CallEvery);
     CHECK(fleet.PlatformCalls - before <= ofWatchers * 5 / 4);
+    MESSAGE(nodes, " nodes a data centre: ", fleet.PlatformCalls - before,
+            " calls, ", ofWatchers, " expected");
   }
 }
 
--- a/unittests/FakeStoreServer.cpp
+++ b/unittests/FakeStoreServer.cpp
@@ -22,7 +22,8 @@
 namespace json = boost::json;
 
 FakeStoreServer::FakeStoreServer(asio::io_context &ioc)
-    : Changed(ioc, asio::steady_timer::time_point::max()),
+    : Never(ioc, asio::steady_timer::time_point::max()),
+      Changed(ioc, asio::steady_timer::time_point::max()),
       Server(ioc, HttpLimits(),
              [this](HttpExchange &it) { return handle(it); }),
       Address(findFreeAddress()) {
@@ -58,6 +59,8 @@
     co_await exchange.respond(404, "application/json", "{}");
     co_return;
   }
+  if (monotonicNow() < RepliesLostUntil)
+    co_await Never.async_wait(asio::as_tuple(asio::use_awaitable));
   co_await exchange.respond(200, "application/json", json::serialize(body));
 }
 
--- a/unittests/FakeStoreServer.h
+++ b/unittests/FakeStoreServer.h
@@ -11,6 +11,7 @@
 
 #include "ospreyspur/Http/HttpServer.h"
 #include "ospreyspur/Support/Ids.h"
+#include "ospreyspur/Support/Time.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
@@ -42,6 +43,9 @@
   void setStalePage(unsigned page, Revision at) { StalePages[page] = at; }
   /// Whether to refuse watches, as the store may do to some processes.
   void refuseWatches(bool areRefused) { AreWatchesRefused = areRefused; }
+  /// For \p span no reply is sent. A connection on which a reply was due says
+  /// nothing from then on, though it stays open.
+  void loseReplies(Duration span) { RepliesLostUntil = monotonicNow() + span; }
   /// Number of watches received.
   unsigned watchCount() const { return Watches; }
   /// Number of pages of lists that were read.
@@ -73,6 +77,9 @@
   /// The number of the page that begins after a key, as last read.
   std::map<std::string, unsigned> PageNumbers;
   bool AreWatchesRefused = false;
+  TimePoint RepliesLostUntil;
+  /// Never expires; what waits for it never replies.
+  boost::asio::steady_timer Never;
   /// Never expires; a write cancels all waits for it.
   boost::asio::steady_timer Changed;
   HttpServer Server;
--- a/unittests/Process/TimeoutChainsTest.cpp
+++ b/unittests/Process/TimeoutChainsTest.cpp
@@ -51,6 +51,16 @@
                   sendEvery + LinkKeepAlive::ReplyTimeout);
 }
 
+/// Longest time after replies were lost, on connections that are otherwise
+/// sound, until a watcher has what they said.
+static Duration watchedAgainAfter(const GossipLimits &limits,
+                                  Duration callTimeout) {
+  Duration ofWatch = limits.WatchWait + PlatformClient::WatchReplyTimeout +
+                     limits.Follower.MinBackoff;
+  Duration ofRetry = callTimeout + limits.Follower.MaxBackoff;
+  return std::max(ofWatch, ofRetry) + Exchange;
+}
+
 /// Longest time until a watcher of the store has what changed.
 static Duration changeRead(const GossipLimits &limits) {
   return LostCallKnown + limits.Follower.MinBackoff + Exchange;
@@ -72,6 +82,14 @@
         OwnKnownLimit);
 }
 
+TEST_CASE("they are known in time after replies were lost on sound "
+          "connections") {
+  Duration direct = DirectControl::CallTimeout;
+  CHECK(watchedAgainAfter(makeDirectGossipLimits(), direct) <= KnownLimit);
+  Duration own = ControlPlane::CallTimeout;
+  CHECK(watchedAgainAfter(GossipLimits(), own) <= OwnKnownLimit);
+}
+
 TEST_CASE("they are known in time after an outage of the store") {
   // A call made just before the end is lost, and the backoff is the longest.
   CHECK(DirectControl::CallTimeout +
