Let every entry look for itself in time, whoever fell silent above it

Cause: what an entry knows came from the processes above it, and its own read, the last resort, was due 4 to 6 s after a confirmation that was itself as old as a watch and the rounds down the tree. Ruled out: that the loss goes unnoticed.

Change: the end of each watch confirms the copies, confirmations are pushed down the tree, and an entry without one for the time of a watch, 0.25 s and 0.05 s a level reads the store (1.7 to 1.8 s with up to 30 entries a data centre). No other process is part of that sum, so that kills, freezes, cuts and lost replies may come in any number and order. A refused or orphaned subscriber tries four parents a round.

TimeoutChainsTest has the sums for each size: at most 2.0 s of 2 s, after lost replies 2.7 s of 3 s, and our own path's below 8 s.

--- a/include/ospreyspur/Config/GossipMessages.h
+++ b/include/ospreyspur/Config/GossipMessages.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace ospreyspur {
@@ -37,6 +38,15 @@
   Duration Age{};
 };
 
+/// Shows the receiver of a digest when that digest was sent, however long it
+/// was under way or waited in a suspended process.
+struct DigestEcho {
+  /// GossipDigest::SentAt of the receiver's own last digest on the link.
+  Duration SentAt{};
+  /// Time since that digest arrived.
+  Duration Age{};
+};
+
 /// The states of all of a node's copies, in the order of SharedKeys.
 struct GossipDigest {
   std::array<CopyState, SharedKeyCount> Copies;
@@ -44,6 +54,10 @@
   /// ends after GossipLimits::SubscriptionTime without another such digest. In
   /// a reply: whether the receiver is subscribed.
   bool IsSubscription = false;
+  /// The sender's clock, in whole milliseconds.
+  Duration SentAt{};
+  /// Only in a reply; its ages are of no use without it.
+  std::optional<DigestEcho> Echo = std::nullopt;
 };
 
 /// One value.
--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -5,11 +5,13 @@
 // of each data centre (GossipLimits::WatchersPerDataCentre) watch the store.
 // The other nodes subscribe to one another along a tree that each node derives
 // from the host list. Every node also exchanges digests with a random peer in
-// most rounds, so that a broken tree delays updates but does not lose them. A
-// node whose copies were not confirmed for GossipLimits::MaxAge reads the store
-// itself.
+// most rounds, so that a broken tree delays updates but does not lose them.
 //
 // Copies carry the store's revision; a copy is replaced only by a higher one.
+// They also carry the time at which the store was last known to hold them: each
+// watch that ends confirms them, and subscribers receive the confirmations. A
+// node that receives none in time reads the store itself, whoever failed above
+// it: how late a change can be depends on no other node.
 //
 //===----------------------------------------------------------------------===//
 
@@ -41,10 +43,23 @@
   /// How long the key-value store may hold a watch.
   Duration WatchWait = std::chrono::seconds(1);
   /// A copy that was not confirmed for this time plus a random part of
-  /// MaxAgeJitter is read from the key-value store. In a large data centre the
-  /// time is longer, as confirmations are older the more nodes they pass.
+  /// MaxAgeJitter is read from the key-value store. The time is at least that
+  /// of a watch, ConfirmationMargin and LevelDelay for each level of the tree.
   Duration MaxAge = std::chrono::seconds(4);
   Duration MaxAgeJitter = std::chrono::seconds(2);
+  /// By how much the confirmations of two successive watches may be further
+  /// apart than WatchWait.
+  Duration ConfirmationMargin = std::chrono::milliseconds(250);
+  /// Time in which a node reads the store and confirms the copies of its
+  /// subscribers, so that a level of the tree reads only what the level above
+  /// did not confirm.
+  Duration LevelDelay = std::chrono::milliseconds(50);
+  /// Bounds of the time after a failed call within which a node that does not
+  /// watch the store makes no other.
+  Duration MinReadRetryDelay = std::chrono::milliseconds(1000);
+  Duration MaxReadRetryDelay = std::chrono::milliseconds(1500);
+  /// The copies are confirmed together if their watches end within this time.
+  Duration ConfirmationDelay = std::chrono::milliseconds(20);
   /// A subscription ends after this time without a subscribing digest.
   Duration SubscriptionTime = std::chrono::milliseconds(3500);
   /// Number of children of one agent in the tree.
@@ -54,6 +69,9 @@
   std::size_t WatchersPerDataCentre = 2;
   /// Digests without a reply after which a node subscribes to another agent.
   unsigned MaxMisses = 2;
+  /// Agents that a node tries in one round if they refuse its subscription or
+  /// nothing listens at their addresses.
+  unsigned MaxParentsPerRound = 4;
   /// A node that is not a watcher picks its random peer from another data
   /// centre in one of this many rounds; a watcher always does.
   unsigned RemotePeerOneIn = 10;
@@ -100,7 +118,8 @@
   GossipActions onPeerReply(const EndpointId &from, const GossipUpdate &update,
                             TimePoint now);
   /// Handles the loss of the link that this node opened to \p peer. If \p peer
-  /// is the parent, another digest is sent on a new link, once a round.
+  /// is the parent, another digest is sent on a new link; if that is lost in
+  /// the same round, the node subscribes to another agent.
   GossipActions onPeerDown(const EndpointId &peer, TimePoint now);
   /// Ends the subscription of a link that another node opened and that closed.
   void onLinkDown(LinkId link) { Subscribers.erase(link); }
@@ -113,6 +132,9 @@
   bool isReady() const;
   /// Whether this node is one of its data centre's watchers of the store.
   bool isWatcher() const;
+  /// The longest time between two confirmations of a copy while all is well.
+  /// After it a node that does not watch the store reads the copy there.
+  Duration maxAge() const;
   /// The agent that this node subscribes to; a watcher has none.
   const std::optional<EndpointId> &parent() const { return Parent; }
   /// The copy of \p key.
@@ -120,18 +142,38 @@
 
 private:
   KeyFollower &copyOf(SharedKey key);
+  bool hasDelayedCall(TimePoint now) const;
   void callStore(TimePoint now);
-  Duration maxAge() const;
+  void readStore(TimePoint now);
+  void call(SharedKey key, Duration wait, TimePoint now);
+  std::size_t level() const;
+  TimePoint readDueAt(const KeyFollower &follower) const;
+  bool isReadHeldBack(TimePoint now) const;
+  std::optional<TimePoint> nextCallAt(const KeyFollower &follower) const;
+  void scheduleConfirmation(TimePoint now);
+  void confirmSubscribers(TimePoint now);
   void sendDigests(TimePoint now);
   std::optional<EndpointId> pickParent() const;
+  void subscribeToNextParent(TimePoint now);
   std::optional<EndpointId> pickRandomPeer();
   GossipDigest makeDigest(bool isSubscription, TimePoint now) const;
-  bool subscribe(LinkId link, TimePoint now);
+  bool subscribe(LinkId link, const GossipDigest &digest, TimePoint now);
   GossipUpdate makeUpdate(SharedKey key, TimePoint now) const;
   void confirmFrom(const GossipDigest &digest, TimePoint now);
-  bool applyUpdate(const GossipUpdate &update, TimePoint now);
+  bool hasNewConfirmation() const;
+  bool applyUpdate(const GossipUpdate &update);
   void announce(SharedKey key, std::optional<LinkId> except, TimePoint now);
+  Duration watchWait(const KeyFollower &follower, TimePoint now) const;
   GossipActions takeActions();
+  void noteInput(TimePoint now);
+
+  /// A link on which another node subscribes.
+  struct Subscription {
+    TimePoint Until;
+    /// When the last digest arrived, and what it said of its own time.
+    TimePoint HeardAt;
+    Duration SentAt{};
+  };
 
   GossipIdentity Self;
   GossipLimits Limits;
@@ -147,16 +189,31 @@
   std::vector<EndpointId> Order;
   std::vector<EndpointId> RemotePeers;
   std::optional<std::size_t> OwnIndex;
-  std::map<LinkId, TimePoint> Subscribers;
+  std::map<LinkId, Subscription> Subscribers;
   std::set<EndpointId> PeersReplied;
   /// Number of agents skipped because they did not reply or had no free
   /// subscription.
   std::size_t ParentShift = 0;
   unsigned Misses = 0;
+  /// Number of agents tried in this round.
+  unsigned ParentsTried = 0;
   std::optional<EndpointId> Parent;
   /// Whether the parent's link was lost in this round.
   bool HasLostParent = false;
   TimePoint NextRound;
+  /// When the subscribers' copies are confirmed; unset if there is nothing to
+  /// confirm.
+  std::optional<TimePoint> ConfirmAt;
+  /// The confirmations that subscribers received last.
+  std::array<TimePoint, SharedKeyCount> ConfirmedToSubscribers;
+  /// Whether the last call to the key-value store failed. A node that is ready
+  /// and does not watch the store then makes none before \c RetryReadAt.
+  bool HasReadFailed = false;
+  TimePoint RetryReadAt;
+  /// When the last input was handled, and when the last one before those that
+  /// waited together with it. The input of now arrived after the latter.
+  TimePoint HandledAt;
+  TimePoint ArrivedAfter;
   std::uint64_t LastKvCall = 0;
   std::unordered_map<KvCallId, SharedKey> CallsInFlight;
   GossipActions Out;
--- a/include/ospreyspur/Config/KeyFollower.h
+++ b/include/ospreyspur/Config/KeyFollower.h
@@ -34,6 +34,9 @@
   /// An update that follows the previous one by at least this time is not part
   /// of a burst; the store is called again at once.
   Duration BurstGap = std::chrono::seconds(1);
+  /// Longest time for which the reply of a sound store is under way. A reply
+  /// that arrived shows the store as it was this long before, or later.
+  Duration MaxReplyDelay = std::chrono::milliseconds(50);
 };
 
 /// Follows one key.
@@ -48,8 +51,12 @@
   /// replies again is then known sooner.
   std::optional<KvCall> nextCall(Duration wait, TimePoint now);
 
-  /// Takes the reply to the call of nextCall(). True if the copy changed.
-  bool onReply(const KvReply &reply, TimePoint now);
+  /// Takes the reply to the call of nextCall(), which arrived after
+  /// \p arrivedAfter. True if the copy changed.
+  bool onReply(const KvReply &reply, TimePoint arrivedAfter, TimePoint now);
+  bool onReply(const KvReply &reply, TimePoint now) {
+    return onReply(reply, now, now);
+  }
 
   /// Takes a value from a peer; the store is known to have held the value at
   /// \p confirmed. True if the value was newer than the copy.
@@ -64,6 +71,8 @@
   /// Whether a reply at \p now shows that the store held the last call for at
   /// least half of the time that it was asked to.
   bool wasHeld(TimePoint now) const { return now - CalledAt >= CalledWait / 2; }
+  /// Whether a call of nextCall() has not been replied to yet.
+  bool isCalling() const { return HasCallInFlight; }
   /// Whether the store itself has replied at least once.
   bool hasReadStore() const { return HasReadStore; }
   const std::string &key() const { return Key; }
@@ -79,6 +88,8 @@
 
 private:
   void recordUpdate(TimePoint now);
+  TimePoint shownAt(const KvReply &reply, TimePoint arrivedAfter,
+                    TimePoint now) const;
 
   std::string Key;
   FollowerLimits Limits;
--- a/include/ospreyspur/Control/DirectControl.h
+++ b/include/ospreyspur/Control/DirectControl.h
@@ -52,8 +52,8 @@
   std::vector<RequestDigest> Restored;
 };
 
-/// How values spread on the direct path: a watcher notices a lost reply within
-/// three seconds, whatever the number of watchers.
+/// How values spread on the direct path: a change is in force at an entry
+/// within two seconds, whichever other processes were killed or are frozen.
 GossipLimits makeDirectGossipLimits();
 
 /// Follows the shared values on the control thread.
--- a/include/ospreyspur/Platform/KeyValue.h
+++ b/include/ospreyspur/Platform/KeyValue.h
@@ -106,6 +106,9 @@
   Revision SeenAt = Revision(0);
   /// Whether the reply may show the store as it was seconds before the call.
   bool MayBeStale = false;
+  /// Whether the reply is to a watch whose wait was over: until then nothing
+  /// changed.
+  bool HasWaitedInVain = false;
   /// Filled by KvList and KvWatchList.
   std::vector<KvItem> Items = {};
 };
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -102,66 +102,137 @@
   return peer;
 }
 
+/// Inputs in quick succession may have waited together for a process that was
+/// suspended.
+void GossipNode::noteInput(TimePoint now) {
+  if (now - HandledAt > Limits.Follower.MaxReplyDelay)
+    ArrivedAfter = HandledAt;
+  HandledAt = now;
+}
+
 GossipActions GossipNode::onTimer(TimePoint now) {
+  noteInput(now);
   std::erase_if(Subscribers,
-                [now](const auto &it) { return it.second <= now; });
-  callStore(now);
+                [now](const auto &it) { return it.second.Until <= now; });
+  // A store that does not hold watches is called once a round.
+  if (!isWatcher() || now >= NextRound || hasDelayedCall(now))
+    callStore(now);
   if (now >= NextRound)
     sendDigests(now);
+  if (ConfirmAt && now >= *ConfirmAt)
+    confirmSubscribers(now);
   return takeActions();
 }
 
-/// Watchers keep a watch open on each key; other nodes read a key once if their
-/// copy is too old. A copy from a stale read is brought up to date by watchers
-/// at once, and by other nodes if no peer has confirmed it soon.
+/// Whether a call was put off until now.
+bool GossipNode::hasDelayedCall(TimePoint now) const {
+  return std::any_of(Copies.begin(), Copies.end(), [now](const auto &it) {
+    return it.delayedUntil() && *it.delayedUntil() <= now;
+  });
+}
+
+/// Watchers keep a watch open on each key.
 void GossipNode::callStore(TimePoint now) {
+  if (!isWatcher()) {
+    readStore(now);
+    return;
+  }
   for (SharedKey key : SharedKeys) {
-    KeyFollower &follower = copyOf(key);
-    bool isConfirmed = follower.confirmedAt() != TimePoint();
-    // Peers have a round to confirm a copy.
-    Duration age =
-        isConfirmed ? maxAge() + OwnAgeJitter : Limits.Interval * 3 / 2;
-    bool isOld =
-        now - follower.checkedAt() >= age || follower.revision().get() == 0;
-    if (!isWatcher() && !isOld)
-      continue;
-    Duration wait =
-        isWatcher() && isConfirmed ? Limits.WatchWait : Duration::zero();
-    std::optional<KvCall> call = follower.nextCall(wait, now);
-    if (!call)
-      continue;
-    KvCallId id(++LastKvCall);
-    CallsInFlight.emplace(id, key);
-    Out.push_back(CallKeyValueStoreForGossip{{id, std::move(*call)}});
+    call(key, watchWait(copyOf(key), now), now);
   }
 }
 
-/// A confirmation is as old as the longest watch and a round for each level of
-/// the tree that it passed. One more round may be lost.
+/// A watch ends in time for the next confirmation. One that follows an update
+/// is shorter by the age of the confirmation that the update brought.
+Duration GossipNode::watchWait(const KeyFollower &follower,
+                               TimePoint now) const {
+  if (follower.confirmedAt() == TimePoint())
+    return Duration::zero();
+  Duration age = now - follower.confirmedAt();
+  if (age <= Limits.Follower.MaxReplyDelay)
+    return Limits.WatchWait;
+  return Limits.WatchWait - std::min(age, Limits.WatchWait / 2);
+}
+
+/// Reads the copies that nobody has confirmed in time.
+void GossipNode::readStore(TimePoint now) {
+  for (SharedKey key : SharedKeys)
+    if (now >= readDueAt(copyOf(key)) && !isReadHeldBack(now))
+      call(key, Duration::zero(), now);
+}
+
+/// Whether a reply in flight may tell that the store does not reply, or one has
+/// just done so.
+bool GossipNode::isReadHeldBack(TimePoint now) const {
+  return isReady() &&
+         (!CallsInFlight.empty() || (HasReadFailed && now < RetryReadAt));
+}
+
+void GossipNode::call(SharedKey key, Duration wait, TimePoint now) {
+  std::optional<KvCall> call = copyOf(key).nextCall(wait, now);
+  if (!call)
+    return;
+  KvCallId id(++LastKvCall);
+  CallsInFlight.emplace(id, key);
+  Out.push_back(CallKeyValueStoreForGossip{{id, std::move(*call)}});
+}
+
+/// The level of this node in the tree; watchers are at level 0.
+std::size_t GossipNode::level() const {
+  std::size_t watchers = std::max<std::size_t>(Limits.WatchersPerDataCentre, 1);
+  std::size_t index = OwnIndex.value_or(Order.empty() ? 0 : Order.size() - 1);
+  // A node without a place subscribes to a leaf.
+  std::size_t level = OwnIndex ? 0 : 1;
+  for (; index >= watchers; index = (index - watchers) / Limits.FanOut)
+    ++level;
+  return level;
+}
+
 Duration GossipNode::maxAge() const {
-  std::size_t level = std::max<std::size_t>(Limits.WatchersPerDataCentre, 1);
-  std::size_t reached = level;
-  int rounds = 2;
-  for (; reached < Order.size(); reached += level) {
-    level *= Limits.FanOut;
-    ++rounds;
-  }
-  return std::max(Limits.MaxAge, Limits.WatchWait + Limits.Interval * rounds);
+  Duration expected = Limits.WatchWait + Limits.ConfirmationMargin +
+                      Limits.LevelDelay * level();
+  return std::max(Limits.MaxAge, expected) + OwnAgeJitter;
+}
+
+/// When a node that does not watch the store reads the value of \p follower.
+TimePoint GossipNode::readDueAt(const KeyFollower &follower) const {
+  if (follower.revision() == Revision(0))
+    return follower.hasReadStore() ? follower.checkedAt() + Limits.StartInterval
+                                   : TimePoint();
+  bool isConfirmed = follower.confirmedAt() != TimePoint();
+  // Peers have a round to confirm a copy that may be stale.
+  return follower.checkedAt() +
+         (isConfirmed ? maxAge() : Limits.Interval * 3 / 2);
 }
 
 TimePoint GossipNode::nextTimer() const {
-  TimePoint next = NextRound;
-  if (!isWatcher())
-    return next;
+  TimePoint next = std::min(NextRound, ConfirmAt.value_or(NextRound));
   for (const KeyFollower &it : Copies)
-    next = std::min(next, it.delayedUntil().value_or(next));
+    next = std::min(next, nextCallAt(it).value_or(next));
   return next;
 }
 
+/// When a call for \p follower is due; no value while one is in flight, or if
+/// an event other than a timer brings the next one.
+std::optional<TimePoint>
+GossipNode::nextCallAt(const KeyFollower &follower) const {
+  if (follower.isCalling())
+    return std::nullopt;
+  if (isWatcher())
+    return follower.delayedUntil();
+  TimePoint due = std::max(readDueAt(follower),
+                           follower.delayedUntil().value_or(TimePoint()));
+  if (!isReadHeldBack(due))
+    return due;
+  // The reply to the call in flight brings the next one.
+  return CallsInFlight.empty() ? std::optional(RetryReadAt) : std::nullopt;
+}
+
 void GossipNode::sendDigests(TimePoint now) {
   Duration interval = isReady() ? Limits.Interval : Limits.StartInterval;
   auto jitter = interval.count() * JitterPercent / 100;
   HasLostParent = false;
+  ParentsTried = 0;
   NextRound = now + interval - Duration(jitter) +
               drawJitter(Duration(2 * jitter), Random);
   if (Misses >= Limits.MaxMisses) {
@@ -177,9 +248,24 @@
     Out.push_back(SendDigestTo{*peer, makeDigest(false, now)});
 }
 
+/// Subscribes to another agent at once, unless that is left to the next round.
+void GossipNode::subscribeToNextParent(TimePoint now) {
+  if (++ParentsTried > Limits.MaxParentsPerRound) {
+    Misses = Limits.MaxMisses;
+    return;
+  }
+  ++ParentShift;
+  Parent = pickParent();
+  Misses = 1;
+  if (Parent)
+    Out.push_back(SendDigestTo{*Parent, makeDigest(true, now)});
+}
+
 GossipDigest GossipNode::makeDigest(bool isSubscription, TimePoint now) const {
   GossipDigest digest;
   digest.IsSubscription = isSubscription;
+  digest.SentAt =
+      std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch());
   for (SharedKey key : SharedKeys) {
     const KeyFollower &follower = copy(key);
     digest.Copies[static_cast<std::size_t>(key)] = {
@@ -197,38 +283,78 @@
 
 /// A peer with the same revision may have a more recent confirmation of it.
 void GossipNode::confirmFrom(const GossipDigest &digest, TimePoint now) {
+  if (!digest.Echo)
+    return;
+  TimePoint sentAt(digest.Echo->SentAt + digest.Echo->Age);
+  sentAt = std::min(sentAt, now);
   for (SharedKey key : SharedKeys) {
     const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
-    copyOf(key).confirm(theirs.At, now - theirs.Age);
+    copyOf(key).confirm(theirs.At, sentAt - theirs.Age);
+  }
+}
+
+/// Whether a copy was confirmed after subscribers were last told. A difference
+/// within half of their margin can wait.
+bool GossipNode::hasNewConfirmation() const {
+  return std::any_of(SharedKeys.begin(), SharedKeys.end(), [this](auto key) {
+    TimePoint told = ConfirmedToSubscribers[static_cast<std::size_t>(key)];
+    return copy(key).confirmedAt() - told >= Limits.ConfirmationMargin / 2;
+  });
+}
+
+void GossipNode::scheduleConfirmation(TimePoint now) {
+  ConfirmAt = std::min(ConfirmAt.value_or(TimePoint::max()),
+                       now + Limits.ConfirmationDelay);
+}
+
+/// Tells subscribers when the store was last known to hold the copies.
+void GossipNode::confirmSubscribers(TimePoint now) {
+  ConfirmAt.reset();
+  for (SharedKey key : SharedKeys)
+    ConfirmedToSubscribers[static_cast<std::size_t>(key)] =
+        copy(key).confirmedAt();
+  for (const auto &[link, subscription] : Subscribers) {
+    GossipDigest digest = makeDigest(true, now);
+    digest.Echo = DigestEcho{subscription.SentAt, now - subscription.HeardAt};
+    Out.push_back(ReplyDigest{link, digest});
   }
 }
 
-bool GossipNode::applyUpdate(const GossipUpdate &update, TimePoint now) {
-  return copyOf(update.Key)
-      .offer(update.State.At, update.Value, now - update.State.Age);
+/// Without an echo, the age of \p update is of no use. A digest follows.
+bool GossipNode::applyUpdate(const GossipUpdate &update) {
+  return copyOf(update.Key).offer(update.State.At, update.Value, TimePoint());
 }
 
 /// Reports that the copy of \p key has changed and sends it to subscribers.
 void GossipNode::announce(SharedKey key, std::optional<LinkId> except,
                           TimePoint now) {
   Out.push_back(CopyChanged{key});
-  for (const auto &[link, until] : Subscribers)
+  for (const auto &[link, subscription] : Subscribers)
     if (link != except)
       Out.push_back(ReplyUpdate{link, makeUpdate(key, now)});
 }
 
 GossipActions GossipNode::onKvReply(KvCallId id, const KvReply &reply,
                                     TimePoint now) {
+  noteInput(now);
   auto it = CallsInFlight.find(id);
   if (it == CallsInFlight.end())
     return takeActions();
   SharedKey key = it->second;
   CallsInFlight.erase(it);
-  if (copyOf(key).onReply(reply, now))
+  HasReadFailed =
+      reply.Code != ResultCode::Ok && reply.Code != ResultCode::NotFound;
+  if (HasReadFailed)
+    RetryReadAt =
+        now + Limits.MinReadRetryDelay +
+        drawJitter(Limits.MaxReadRetryDelay - Limits.MinReadRetryDelay, Random);
+  if (copyOf(key).onReply(reply, ArrivedAfter, now))
     announce(key, std::nullopt, now);
+  if (!HasReadFailed)
+    scheduleConfirmation(now);
   // If the store did not hold the watch, the next call waits for the next
   // round.
-  if (isWatcher() && (reply.Code == ResultCode::Ok || copyOf(key).wasHeld(now)))
+  if (!isWatcher() || reply.Code == ResultCode::Ok || copyOf(key).wasHeld(now))
     callStore(now);
   return takeActions();
 }
@@ -236,44 +362,53 @@
 /// Starts or extends a subscription. False if the limit has been reached. A
 /// subscriber that missed a round may have subscribed again on another link, so
 /// its place may be taken.
-bool GossipNode::subscribe(LinkId link, TimePoint now) {
+bool GossipNode::subscribe(LinkId link, const GossipDigest &digest,
+                           TimePoint now) {
   bool isKnown = Subscribers.contains(link);
   if (!isKnown && Subscribers.size() >= Limits.MaxSubscribers) {
-    auto oldest = std::min_element(
-        Subscribers.begin(), Subscribers.end(),
-        [](const auto &a, const auto &b) { return a.second < b.second; });
-    TimePoint heardAt = oldest->second - Limits.SubscriptionTime;
-    if (now - heardAt < Limits.Interval * 3 / 2)
+    auto oldest = std::min_element(Subscribers.begin(), Subscribers.end(),
+                                   [](const auto &a, const auto &b) {
+                                     return a.second.HeardAt < b.second.HeardAt;
+                                   });
+    if (now - oldest->second.HeardAt < Limits.Interval * 3 / 2)
       return false;
     Subscribers.erase(oldest);
   }
-  Subscribers[link] = now + Limits.SubscriptionTime;
+  Subscribers[link] = {now + Limits.SubscriptionTime, now, digest.SentAt};
   return true;
 }
 
 GossipActions GossipNode::onMessage(LinkId from, const GossipDigest &digest,
                                     TimePoint now) {
-  bool isSubscribed = digest.IsSubscription && subscribe(from, now);
-  confirmFrom(digest, now);
+  noteInput(now);
+  bool isSubscribed = digest.IsSubscription && subscribe(from, digest, now);
   for (SharedKey key : SharedKeys) {
     const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
     if (theirs.At < copy(key).revision())
       Out.push_back(ReplyUpdate{from, makeUpdate(key, now)});
   }
   // The reply also shows a sender with newer copies which of them to send.
-  Out.push_back(ReplyDigest{from, makeDigest(isSubscribed, now)});
+  GossipDigest reply = makeDigest(isSubscribed, now);
+  reply.Echo = DigestEcho{digest.SentAt, Duration::zero()};
+  Out.push_back(ReplyDigest{from, reply});
   return takeActions();
 }
 
 GossipActions GossipNode::onMessage(LinkId from, const GossipUpdate &update,
                                     TimePoint now) {
-  if (applyUpdate(update, now))
+  noteInput(now);
+  if (applyUpdate(update))
     announce(update.Key, from, now);
   return takeActions();
 }
 
 GossipActions GossipNode::onPeerDown(const EndpointId &peer, TimePoint now) {
-  if (peer == Parent && !std::exchange(HasLostParent, true))
+  noteInput(now);
+  if (peer != Parent)
+    return takeActions();
+  if (std::exchange(HasLostParent, true))
+    subscribeToNextParent(now);
+  else
     Out.push_back(SendDigestTo{peer, makeDigest(true, now)});
   return takeActions();
 }
@@ -281,12 +416,15 @@
 GossipActions GossipNode::onPeerReply(const EndpointId &from,
                                       const GossipDigest &digest,
                                       TimePoint now) {
-  // A parent that accepts no more subscribers counts as one that does not
-  // reply.
-  if (from == Parent)
-    Misses = digest.IsSubscription ? 0 : Limits.MaxMisses;
+  noteInput(now);
   PeersReplied.insert(from);
   confirmFrom(digest, now);
+  if (from == Parent && hasNewConfirmation())
+    confirmSubscribers(now);
+  if (from == Parent && digest.IsSubscription)
+    Misses = 0;
+  else if (from == Parent)
+    subscribeToNextParent(now);
   for (SharedKey key : SharedKeys) {
     const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
     if (theirs.At < copy(key).revision())
@@ -298,7 +436,8 @@
 GossipActions GossipNode::onPeerReply(const EndpointId & /*from*/,
                                       const GossipUpdate &update,
                                       TimePoint now) {
-  if (applyUpdate(update, now))
+  noteInput(now);
+  if (applyUpdate(update))
     announce(update.Key, std::nullopt, now);
   return takeActions();
 }
--- a/lib/Config/KeyFollower.cpp
+++ b/lib/Config/KeyFollower.cpp
@@ -21,7 +21,8 @@
   return KvWatch{Key, std::max(SeenAt, At), CalledWait};
 }
 
-bool KeyFollower::onReply(const KvReply &reply, TimePoint now) {
+bool KeyFollower::onReply(const KvReply &reply, TimePoint arrivedAfter,
+                          TimePoint now) {
   HasCallInFlight = false;
   bool isNewer = reply.Code == ResultCode::Ok;
   // NotFound means that the store has no newer value.
@@ -34,19 +35,29 @@
   HasReadStore = true;
   ReadAt = CalledAt;
   SeenAt = std::max(SeenAt, reply.SeenAt);
-  // The store held the value at or after the time of the call, unless the reply
-  // is stale, which confirms nothing.
+  // A stale reply confirms nothing.
   if (isNewer) {
     recordUpdate(now);
     return offer(reply.At, reply.Value,
-                 reply.MayBeStale ? TimePoint() : CalledAt);
+                 reply.MayBeStale ? TimePoint()
+                                  : shownAt(reply, arrivedAfter, now));
   }
   if (reply.MayBeStale)
     return false;
-  confirm(RevisionAtCall, CalledAt);
+  confirm(RevisionAtCall, shownAt(reply, arrivedAfter, now));
   return false;
 }
 
+/// The time as of which \p reply shows the store. It may have waited for this
+/// process since it arrived.
+TimePoint KeyFollower::shownAt(const KvReply &reply, TimePoint arrivedAfter,
+                               TimePoint now) const {
+  TimePoint end = CalledAt + CalledWait;
+  if (reply.HasWaitedInVain)
+    return std::min(end, now);
+  return std::clamp(arrivedAfter - Limits.MaxReplyDelay, CalledAt, end);
+}
+
 void KeyFollower::recordUpdate(TimePoint now) {
   bool isIsolated = !UpdatedAt || now - *UpdatedAt >= Limits.BurstGap;
   UpdatedAt = now;
--- a/lib/Control/ConfigReader.cpp
+++ b/lib/Control/ConfigReader.cpp
@@ -45,7 +45,9 @@
     last = std::max(last, it.At);
   }
   SeenAt = std::max(SeenAt, page.SeenAt);
-  co_return makeReply(State != before, last);
+  KvReply reply = makeReply(State != before, last);
+  reply.HasWaitedInVain = page.HasWaitedInVain;
+  co_return reply;
 }
 
 asio::awaitable<KvReply> ConfigReader::readAll(bool mayBeStale,
--- a/lib/Control/DirectControl.cpp
+++ b/lib/Control/DirectControl.cpp
@@ -37,6 +37,9 @@
   GossipLimits limits;
   // A shorter wait costs more calls, and each watch is billed as one call.
   limits.WatchWait = std::chrono::milliseconds(1400);
+  // Confirmations are due at the end of each watch.
+  limits.MaxAge = Duration::zero();
+  limits.MaxAgeJitter = Duration::zero();
   limits.Follower.MaxBackoff = LongestBackoff;
   return limits;
 }
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -198,6 +198,7 @@
     co_return page;
   KvReply reply = makeReply(ResultCode::NotFound);
   reply.SeenAt = page.SeenAt;
+  reply.HasWaitedInVain = page.HasWaitedInVain;
   for (KvItem &it : page.Items) {
     if (it.Key != call.Key || it.IsRemoved)
       continue;
@@ -289,5 +290,6 @@
     co_return makeReply(page.error().Code);
   reply.SeenAt = page.value().SeenAt;
   reply.Items = std::move(page.value().Items);
+  reply.HasWaitedInVain = reply.Items.empty();
   co_return reply;
 }
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -283,6 +283,11 @@
   for (const CopyState &it : in.Copies)
     put(it, *out->add_copies());
   out->set_is_subscription(in.IsSubscription);
+  out->set_sent_ms(toMillis(in.SentAt));
+  if (!in.Echo)
+    return;
+  out->set_echo_sent_ms(toMillis(in.Echo->SentAt));
+  out->set_echo_age_ms(toMillis(in.Echo->Age));
 }
 
 static std::optional<Message> get(const wire::GossipDigest &in) {
@@ -292,6 +297,10 @@
   for (std::size_t i = 0; i < SharedKeyCount; ++i)
     out.Copies[i] = get(in.copies(static_cast<int>(i)));
   out.IsSubscription = in.is_subscription();
+  out.SentAt = std::chrono::milliseconds(in.sent_ms());
+  if (in.has_echo_sent_ms())
+    out.Echo = DigestEcho{std::chrono::milliseconds(in.echo_sent_ms()),
+                          std::chrono::milliseconds(in.echo_age_ms())};
   return out;
 }
 
--- a/unittests/Config/GossipSimulation.cpp
+++ b/unittests/Config/GossipSimulation.cpp
@@ -357,6 +357,7 @@
     answer(watch, nothing);
     return;
   }
+  nothing.HasWaitedInVain = true;
   Held.push_back(watch);
   Scheduler.at(Scheduler.now() + watch.Call.Wait, [this, watch, nothing] {
     auto isSame = [&](const HeldWatch &held) {
--- a/unittests/Config/InForceTest.cpp
+++ b/unittests/Config/InForceTest.cpp
@@ -157,3 +157,143 @@
         fleet.checkInForce();
       }
 }
+
+/// Draws who is struck: the watchers and a share of the others.
+static std::vector<std::size_t> drawStruck(TroubledFleet &fleet) {
+  RandomScheduler &random = fleet.Scheduler;
+  std::set<std::size_t> out;
+  std::size_t dataCentres = fleet.dataCentreCount();
+  if (random.chance(60))
+    for (std::size_t d = 0; d < dataCentres; ++d)
+      for (std::size_t it : fleet.findWatchers(d))
+        out.insert(it);
+  auto percent = static_cast<unsigned>(random.below(80));
+  for (std::size_t i = 0; i < fleet.Nodes.size(); ++i)
+    if (random.chance(percent))
+      out.insert(i);
+  return {out.begin(), out.end()};
+}
+
+/// Lets one to three troubles begin at drawn moments around the change, which
+/// is made \p lead from now.
+static void drawTroubles(TroubledFleet &fleet, Duration lead) {
+  RandomScheduler &random = fleet.Scheduler;
+  auto draw = [&random](unsigned ms) { return milliseconds(random.below(ms)); };
+  for (std::uint64_t n = 1 + random.below(3); n > 0; --n) {
+    Duration at = draw(unsigned(toMillis(lead)) + 2500);
+    Duration span = milliseconds(50) + draw(6000);
+    std::vector<std::size_t> struck = drawStruck(fleet);
+    switch (random.below(4)) {
+    case 0:
+      fleet.after(lead - milliseconds(1500) + draw(3000),
+                  [&fleet, loss = milliseconds(50) + draw(500)] {
+                    fleet.troubleStore(loss);
+                  });
+      break;
+    case 1:
+      fleet.after(at, [&fleet, struck] {
+        fleet.note("kill", struck.size(), seconds(5));
+        for (std::size_t it : struck)
+          fleet.crashNode(it);
+      });
+      fleet.after(at + seconds(5), [&fleet, struck] {
+        for (std::size_t it : struck)
+          fleet.restartNode(it);
+      });
+      break;
+    case 2:
+      fleet.after(at, [&fleet, struck, span] {
+        fleet.note("freeze", struck.size(), span);
+        for (std::size_t it : struck)
+          fleet.freezeNode(it, span);
+      });
+      break;
+    default:
+      fleet.after(at, [&fleet, struck, span] {
+        fleet.note("cut off", struck.size(), span);
+        for (std::size_t it : struck)
+          fleet.cutNode(it, span);
+      });
+    }
+  }
+}
+
+TEST_CASE("a change is in force in time under any two or three troubles") {
+  constexpr std::uint64_t Seeds = 600;
+  constexpr Duration Lead = seconds(4);
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    std::size_t entries = 1 + seed % MostEntries;
+    TroubledFleet fleet(seed, {1 + seed % 3, entries, 0});
+    fleet.after(Lead, [&fleet] { fleet.change(); });
+    drawTroubles(fleet, Lead);
+    fleet.Scheduler.runUntil(fleet.Scheduler.now() + Lead);
+    fleet.checkInForce();
+  }
+}
+
+/// Calls to the store by a fleet in \p span.
+static std::size_t countCalls(GossipSimulation &fleet, Duration span) {
+  std::size_t before = fleet.PlatformCalls;
+  fleet.Scheduler.runUntil(fleet.Scheduler.now() + span);
+  return fleet.PlatformCalls - before;
+}
+
+// Guards against troubles in which every node calls the store again and again.
+TEST_CASE("calls to the store grow with the number of entries only") {
+  constexpr Duration Span = seconds(10);
+  for (FleetShape shape :
+       {FleetShape{5, 11, 0}, FleetShape{5, 42, 0}, FleetShape{6, 62, 0}}) {
+    std::size_t nodes = shape.DataCentres * shape.Agents;
+    CAPTURE(nodes);
+    TroubledFleet calm(1, shape);
+    std::size_t calmCalls = countCalls(calm, Span);
+    TroubledFleet killed(1, shape);
+    for (std::size_t d = 0; d < shape.DataCentres; ++d)
+      for (std::size_t it : killed.findWatchers(d))
+        killed.crashNode(it);
+    std::size_t killedCalls = countCalls(killed, Span);
+    TroubledFleet out(1, shape);
+    out.setOutage(milliseconds(4500));
+    std::size_t outageCalls = countCalls(out, Span);
+    MESSAGE(nodes, " entries, calls in 10 s: calm ", calmCalls,
+            ", all watchers killed ", killedCalls, ", store out for 4.5 s ",
+            outageCalls);
+    CHECK(killedCalls <= calmCalls + 4 * SharedKeyCount * nodes);
+    CHECK(outageCalls <= calmCalls + 4 * SharedKeyCount * nodes);
+  }
+}
+
+// Guards against a node that reads the store without a pause while the store
+// has no value.
+TEST_CASE("a store without a value is read once a round") {
+  GossipLimits limits = makeDirectGossipLimits();
+  std::vector<EndpointView> peers;
+  for (const char *it : {"a", "b", "c", "d", "e"})
+    peers.push_back({EndpointId(it), {}, DataCentreId("x"), it, {}, false});
+  for (const EndpointView &self : peers) {
+    CAPTURE(self.Id.get());
+    GossipNode node({self.Id, self.DataCentre}, limits, 1);
+    node.setPeers(peers);
+    unsigned calls = 0;
+    const TimePoint begin{std::chrono::hours(1)};
+    const TimePoint end = begin + seconds(2);
+    TimePoint now = begin;
+    auto answer = [&](auto &&call, const GossipActions &actions) -> void {
+      for (const GossipAction &it : actions)
+        if (const auto *made = std::get_if<CallKeyValueStoreForGossip>(&it)) {
+          ++calls;
+          now += milliseconds(5);
+          KvReply nothing;
+          nothing.Code = ResultCode::NotFound;
+          if (now < end)
+            call(call, node.onKvReply(made->Request.Id, nothing, now));
+        }
+    };
+    for (; now < end; now = std::max(now, node.nextTimer()))
+      answer(answer, node.onTimer(now));
+    // Rounds may be a tenth early.
+    CHECK(calls <= SharedKeyCount * (2 + Duration(end - begin) * 10 / 9 /
+                                             limits.StartInterval));
+  }
+}
--- a/unittests/Process/TimeoutChainsTest.cpp
+++ b/unittests/Process/TimeoutChainsTest.cpp
@@ -24,6 +24,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <string>
+#include <vector>
 
 using namespace ospreyspur;
 using std::chrono::milliseconds;
@@ -51,6 +53,34 @@
                   sendEvery + LinkKeepAlive::ReplyTimeout);
 }
 
+/// Shortest time on the platform within which a change is in force after its
+/// acknowledgement, while nothing happens to the store.
+static constexpr Duration ApplyLimit = seconds(2);
+static constexpr std::size_t MostEntries = 30;
+
+/// Longest time until a process that does not watch the store has read what
+/// changed there, by itself, in a data centre of \p entries processes. No other
+/// process has a part in it: any of them may be killed, frozen or cut off.
+static Duration ownReadAfter(const GossipLimits &limits, std::size_t entries) {
+  std::vector<EndpointView> peers;
+  for (std::size_t i = 0; i < entries; ++i)
+    peers.push_back({EndpointId("e" + std::to_string(i)),
+                     {},
+                     DataCentreId("d"),
+                     "",
+                     {},
+                     false});
+  Duration longest{};
+  for (const EndpointView &it : peers) {
+    GossipNode node({it.Id, it.DataCentre}, limits, 1);
+    node.setPeers(peers);
+    if (!node.isWatcher())
+      longest = std::max(longest, node.maxAge());
+  }
+  // The values are read one after the other.
+  return longest + SharedKeyCount * Exchange;
+}
+
 /// Longest time after replies were lost, on connections that are otherwise
 /// sound, until a watcher has what they said.
 static Duration watchedAgainAfter(const GossipLimits &limits,
@@ -61,6 +91,12 @@
   return std::max(ofWatch, ofRetry) + Exchange;
 }
 
+/// The same for a process that does not watch the store.
+static Duration readAgainAfter(const GossipLimits &limits,
+                               Duration callTimeout) {
+  return callTimeout + limits.MaxReadRetryDelay + SharedKeyCount * Exchange;
+}
+
 /// Longest time until a watcher of the store has what changed.
 static Duration changeRead(const GossipLimits &limits) {
   return LostCallKnown + limits.Follower.MinBackoff + Exchange;
@@ -82,12 +118,31 @@
         OwnKnownLimit);
 }
 
+TEST_CASE("they are known in time whoever is killed, frozen or cut off, in a "
+          "data centre of any size") {
+  for (std::size_t entries = 1; entries <= MostEntries; ++entries) {
+    CAPTURE(entries);
+    CHECK(ownReadAfter(makeDirectGossipLimits(), entries) <= ApplyLimit);
+    CHECK(ownReadAfter(GossipLimits(), entries) <= OwnKnownLimit);
+  }
+}
+
 TEST_CASE("they are known in time after replies were lost on sound "
           "connections") {
+  // Each process has a chain of its own, so that this holds as well if others
+  // are killed, frozen or cut off meanwhile.
   Duration direct = DirectControl::CallTimeout;
   CHECK(watchedAgainAfter(makeDirectGossipLimits(), direct) <= KnownLimit);
+  CHECK(readAgainAfter(makeDirectGossipLimits(), direct) <= KnownLimit);
   Duration own = ControlPlane::CallTimeout;
   CHECK(watchedAgainAfter(GossipLimits(), own) <= OwnKnownLimit);
+  CHECK(readAgainAfter(GossipLimits(), own) <= OwnKnownLimit);
+}
+
+TEST_CASE("a confirmation passes all levels before it is missed") {
+  for (const GossipLimits &limits : {GossipLimits(), makeDirectGossipLimits()})
+    CHECK(limits.ConfirmationDelay + limits.Follower.MaxReplyDelay + Exchange <=
+          limits.ConfirmationMargin);
 }
 
 TEST_CASE("they are known in time after an outage of the store") {
--- a/utils/bench/GossipBench.cpp
+++ b/utils/bench/GossipBench.cpp
@@ -9,6 +9,7 @@
 
 #include "Config/GossipSimulation.h"
 
+#include "ospreyspur/Control/DirectControl.h"
 #include "ospreyspur/Rpc/Codec.h"
 
 #include "generated/peer.pb.h"
@@ -67,8 +68,9 @@
 /// A fleet after 10 s of startup, with message sizes from the codec.
 class BenchFleet : public GossipSimulation {
 public:
-  BenchFleet(unsigned lossPercent, unsigned latePercent)
-      : GossipSimulation(1, Fleet, lossPercent, latePercent) {
+  BenchFleet(unsigned lossPercent, unsigned latePercent,
+             FleetShape shape = Fleet, GossipLimits limits = GossipLimits())
+      : GossipSimulation(1, shape, lossPercent, latePercent, limits) {
     SizeOf = [](const GossipMessage &message) {
       wire::Message out;
       std::visit([&](const auto &it) { encode(it, out); }, message);
@@ -95,7 +97,33 @@
 };
 } // namespace
 
+/// Entries of the direct path in \p shape: idle, with their watchers killed,
+/// and in an outage of the store.
+static void benchEntries(FleetShape shape) {
+  BenchFleet simulation(0, 0, shape, makeDirectGossipLimits());
+  std::printf("%zu entries in %zu data centres\n", simulation.Nodes.size(),
+              shape.DataCentres);
+  std::printf("platform calls of the start: %zu\n", simulation.PlatformCalls);
+  TrafficMeter idle(simulation);
+  simulation.run(seconds(60));
+  idle.print("idle");
+  simulation.change("no faults");
+  TrafficMeter outage(simulation);
+  simulation.setOutage(std::chrono::milliseconds(4500));
+  simulation.run(seconds(10));
+  outage.print("10 s with an outage of 4.5 s");
+  for (std::size_t d = 0; d < shape.DataCentres; ++d)
+    for (std::size_t it : simulation.findWatchers(d))
+      simulation.kill(it);
+  TrafficMeter killed(simulation);
+  simulation.run(seconds(10));
+  killed.print("10 s after all watchers were killed");
+}
+
 void bench::benchGossip() {
+  for (FleetShape it :
+       {FleetShape{5, 11, 0}, FleetShape{5, 42, 0}, FleetShape{6, 62, 0}})
+    benchEntries(it);
   {
     BenchFleet simulation(0, 0);
     std::printf("%zu nodes in %zu data centres\n", simulation.Nodes.size(),
