Test responses that are cut off after every byte, at every reader of both paths

Operators of other systems saw clients get a 200 with an empty or short body after an endpoint had stopped in the middle of a head and closed. Here nothing is wrong: no reader takes such a response for a whole one, and a head that is cut off is passed on by none. The direct path had been tried from outside; calls (store, ranks, operators), runs of agents, health checks and the path through agents as a whole had not.

--- a/test/hostile/raw_endpoint.py
+++ b/test/hostile/raw_endpoint.py
@@ -1,6 +1,8 @@
 """A stand-in for an endpoint in trouble: it sends given bytes in place of a
 response, and counts the requests that it was sent."""
 
+import socket
+import struct
 import threading
 import time
 
@@ -10,7 +12,8 @@
 class RawEndpoint(Endpoint):
     """Responds properly until `troubles` names what to send for a path: a pair
     of bytes, of which the second ones are sent again and again until the other
-    side closes the connection."""
+    side closes the connection. A third element that is true resets the
+    connection instead of closing it."""
 
     def __init__(self):
         self.troubles = {}
@@ -35,8 +38,11 @@
         super().respond(connection, path, label)
         self.count(self.finished, path)
 
-    def send_trouble(self, connection, label, once, repeated):
+    def send_trouble(self, connection, label, once, repeated, is_reset=False):
         connection.sendall(once.replace(b"{id}", label.encode()))
+        if is_reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                  struct.pack("ii", 1, 0))
         try:
             while repeated:
                 connection.sendall(repeated)
--- a/unittests/Http/BrokenResponseClientTest.cpp
+++ b/unittests/Http/BrokenResponseClientTest.cpp
@@ -205,3 +205,52 @@
     CHECK((check(server) == EndpointLiveness::Alive));
   }
 }
+
+/// Calls \p test with a server for each cut response, and each way in which its
+/// connection may end.
+template <typename Test>
+static void forEachCut(const Test &test, std::size_t step = 1) {
+  for (bool endsWithReset : {false, true})
+    for (const RawResponse &it : allCutResponses("r1", step)) {
+      CAPTURE(it.Name);
+      CAPTURE(endsWithReset);
+      RawReply reply{it.Bytes};
+      reply.EndsWithReset = endsWithReset;
+      RawServer server(std::move(reply));
+      test(server);
+    }
+}
+
+TEST_CASE("a call takes no response that was cut off for a whole one") {
+  forEachCut([](RawServer &server) {
+    HttpClient client(server.context(), server.address());
+    CHECK_FALSE(server.await(client.call(makeRequest(), Timeout)));
+  });
+}
+
+// A head that was cut off is not passed on, not even as an empty response.
+TEST_CASE("a run takes no response that was cut off for a whole one") {
+  forEachCut([](RawServer &server) {
+    Streamed streamed = stream(server);
+    CHECK(streamed.Code != ResultCode::Ok);
+    CHECK((streamed.Status || streamed.Body.empty()));
+  });
+}
+
+TEST_CASE("a run takes nothing from a head that was cut off") {
+  for (const RawResponse &it : cutUnframedHeads("r1")) {
+    CAPTURE(it.Name);
+    RawServer server({it.Bytes});
+    CHECK_FALSE(stream(server).Status);
+  }
+}
+
+TEST_CASE("a response to a health check that was cut off tells nothing") {
+  // Each takes the time limit of a check.
+  constexpr std::size_t CutStep = 7;
+  forEachCut(
+      [](RawServer &server) {
+        CHECK((check(server) == EndpointLiveness::Unknown));
+      },
+      CutStep);
+}
--- a/unittests/Process/BrokenResponseTest.cpp
+++ b/unittests/Process/BrokenResponseTest.cpp
@@ -133,3 +133,43 @@
     }
   }
 }
+
+/// Calls \p test with each response that was cut off, and each way in which its
+/// connection may end. A response cut off in its body is told from a whole one
+/// by its framing.
+template <typename Test>
+static void forEachCut(const Test &test, std::size_t step = 1) {
+  for (bool endsWithReset : {false, true})
+    for (const RawResponse &it : allCutResponses("r1", step)) {
+      CAPTURE(it.Name);
+      CAPTURE(endsWithReset);
+      RawReply reply{it.Bytes};
+      reply.EndsWithReset = endsWithReset;
+      test(std::move(reply));
+    }
+}
+
+TEST_CASE("a response that was cut off is a failure of this system if the "
+          "request must not be repeated") {
+  forEachCut([](RawReply cut) {
+    Received received = call(RequestKind::OnceOnly, {{std::move(cut)}});
+    CHECK(received.hasStatus(502));
+    CHECK_FALSE(received.hasMarks());
+    CHECK(received.Runs == 1);
+  });
+}
+
+TEST_CASE("a response that was cut off is replaced by a sound one if the "
+          "request may be repeated") {
+  // Each takes the delay before a repetition.
+  constexpr std::size_t CutStep = 5;
+  forEachCut(
+      [](RawReply cut) {
+        Received received =
+            call(RequestKind::Repeatable, {{std::move(cut), {framed()}}});
+        CHECK(received.hasStatus(200));
+        CHECK(received.body() == responseBody());
+        CHECK(received.Runs == 2);
+      },
+      CutStep);
+}
--- a/unittests/RawEndpoint.h
+++ b/unittests/RawEndpoint.h
@@ -39,6 +39,8 @@
   std::string Repeated = {};
   /// The pause after each repetition.
   Duration Pause = {};
+  /// Whether the endpoint resets the connection instead of closing it.
+  bool EndsWithReset = false;
 };
 
 /// The replies of several endpoints to their requests, in the order in which
@@ -50,6 +52,8 @@
   bool CoversChecks = false;
   /// Number of requests received.
   unsigned Runs = 0;
+  /// Whether the last reply ends with a reset of its connection.
+  bool EndsWithReset = false;
   /// Bytes written by repetitions.
   std::size_t RepeatedBytes = 0;
   /// Number of connections that the other side closed during repetitions.
@@ -124,7 +128,10 @@
                                         AsTuple);
     }
     boost::system::error_code ignored;
-    socket->shutdown(tcp::socket::shutdown_both, ignored);
+    if (Script.EndsWithReset)
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    else
+      socket->shutdown(tcp::socket::shutdown_both, ignored);
     socket->close(ignored);
   }
 
@@ -132,6 +139,7 @@
     std::size_t number =
         std::min<std::size_t>(Script.Runs++, Script.Replies.size() - 1);
     RawReply next = Script.Replies[number];
+    Script.EndsWithReset = next.EndsWithReset;
     std::string bytes = withId(next.Bytes, id);
     auto [ec, n] = co_await boost::asio::async_write(
         *socket, boost::asio::buffer(bytes), AsTuple);
--- a/unittests/ResponseCorpus.h
+++ b/unittests/ResponseCorpus.h
@@ -9,7 +9,9 @@
 #ifndef OSPREYSPUR_UNITTESTS_RESPONSECORPUS_H
 #define OSPREYSPUR_UNITTESTS_RESPONSECORPUS_H
 
+#include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ospreyspur::test {
@@ -309,6 +311,39 @@
       {"trailers", chunked("0\r\nX"), times("-A: 1\r\nX", 400)}};
 }
 
+/// \p whole cut off after every \p step bytes, with "{id}" replaced by \p id.
+inline std::vector<RawResponse> cutOff(RawResponse whole, const std::string &id,
+                                       std::size_t step) {
+  whole.Bytes.replace(whole.Bytes.find("{id}"), 4, id);
+  std::vector<RawResponse> out;
+  for (std::size_t n = 0; n < whole.Bytes.size(); n += step)
+    out.push_back({whole.Name + " cut at byte " + std::to_string(n),
+                   whole.Bytes.substr(0, n)});
+  return out;
+}
+
+/// The head of a response that ends with its connection, cut off.
+inline std::vector<RawResponse> cutUnframedHeads(const std::string &id,
+                                                 std::size_t step = 1) {
+  return cutOff({"no length", makeResponse("HTTP/1.1 200 OK", "", "")}, id,
+                step);
+}
+
+/// Sound responses that are cut off before their end.
+inline std::vector<RawResponse> allCutResponses(const std::string &id,
+                                                std::size_t step) {
+  std::vector<RawResponse> out = cutUnframedHeads(id, step);
+  for (const RawResponse &it :
+       {RawResponse{"length", framed()},
+        RawResponse{"no body", makeResponse("HTTP/1.1 204 No Content", "", "")},
+        RawResponse{"chunks", chunked("1\r\no\r\n1\r\nk\r\n0\r\n\r\n")},
+        RawResponse{"interim response",
+                    "HTTP/1.1 100 Continue\r\n\r\n" + framed()}})
+    for (RawResponse &cut : cutOff(it, id, step))
+      out.push_back(std::move(cut));
+  return out;
+}
+
 } // namespace ospreyspur::test
 
 #endif // OSPREYSPUR_UNITTESTS_RESPONSECORPUS_H
