Let no damaged digest confirm a copy for a time to come

A digest whose age is negative, or whose echo lies ahead, would have confirmed the receiver's copy for the future, so that an entry would not have read the store for as long; times far out of range would have overflowed. Found in reading the change as a whole. Such times are bounded where they are decoded, and a confirmation is never later than its arrival (InForceTest, "no message confirms a copy for a time to come"; it fails if the bound is turned around).

The mutations of the gossip follow the code; none of them was run.

--- a/include/ospreyspur/Config/GossipNode.h
+++ b/include/ospreyspur/Config/GossipNode.h
@@ -150,7 +150,6 @@
   TimePoint readDueAt(const KeyFollower &follower) const;
   bool isReadHeldBack(TimePoint now) const;
   std::optional<TimePoint> nextCallAt(const KeyFollower &follower) const;
-  void scheduleConfirmation(TimePoint now);
   void confirmSubscribers(TimePoint now);
   void sendDigests(TimePoint now);
   std::optional<EndpointId> pickParent() const;
@@ -210,9 +209,9 @@
   /// and does not watch the store then makes none before \c RetryReadAt.
   bool HasReadFailed = false;
   TimePoint RetryReadAt;
-  /// When the last input was handled, and when the last one before those that
-  /// waited together with it. The input of now arrived after the latter.
+  /// When the last input was handled.
   TimePoint HandledAt;
+  /// The inputs handled now arrived after this time.
   TimePoint ArrivedAfter;
   std::uint64_t LastKvCall = 0;
   std::unordered_map<KvCallId, SharedKey> CallsInFlight;
--- a/include/ospreyspur/Control/GossipLog.h
+++ b/include/ospreyspur/Control/GossipLog.h
@@ -31,8 +31,9 @@
 
 private:
   const GossipNode &Node;
-  /// Unset before the first line; an empty id stands for the store.
-  std::optional<EndpointId> LoggedSource;
+  bool HasLoggedSource = false;
+  /// The parent in the last line; unset if that named the store.
+  std::optional<EndpointId> LoggedParent;
 };
 
 } // namespace ospreyspur
--- a/lib/Config/GossipNode.cpp
+++ b/lib/Config/GossipNode.cpp
@@ -281,15 +281,15 @@
           follower.value()};
 }
 
-/// A peer with the same revision may have a more recent confirmation of it.
+/// A peer with the same revision may have a more recent confirmation of it. No
+/// message confirms more than its arrival can.
 void GossipNode::confirmFrom(const GossipDigest &digest, TimePoint now) {
   if (!digest.Echo)
     return;
   TimePoint sentAt(digest.Echo->SentAt + digest.Echo->Age);
-  sentAt = std::min(sentAt, now);
   for (SharedKey key : SharedKeys) {
     const CopyState &theirs = digest.Copies[static_cast<std::size_t>(key)];
-    copyOf(key).confirm(theirs.At, sentAt - theirs.Age);
+    copyOf(key).confirm(theirs.At, std::min(sentAt - theirs.Age, now));
   }
 }
 
@@ -302,11 +302,6 @@
   });
 }
 
-void GossipNode::scheduleConfirmation(TimePoint now) {
-  ConfirmAt = std::min(ConfirmAt.value_or(TimePoint::max()),
-                       now + Limits.ConfirmationDelay);
-}
-
 /// Tells subscribers when the store was last known to hold the copies.
 void GossipNode::confirmSubscribers(TimePoint now) {
   ConfirmAt.reset();
@@ -351,7 +346,7 @@
   if (copyOf(key).onReply(reply, ArrivedAfter, now))
     announce(key, std::nullopt, now);
   if (!HasReadFailed)
-    scheduleConfirmation(now);
+    ConfirmAt = ConfirmAt.value_or(now + Limits.ConfirmationDelay);
   // If the store did not hold the watch, the next call waits for the next
   // round.
   if (!isWatcher() || reply.Code == ResultCode::Ok || copyOf(key).wasHeld(now))
--- a/lib/Control/GossipLog.cpp
+++ b/lib/Control/GossipLog.cpp
@@ -25,13 +25,13 @@
 }
 
 void GossipLog::logSource() {
-  EndpointId source = Node.parent().value_or(EndpointId());
-  if (LoggedSource == source)
+  if (HasLoggedSource && LoggedParent == Node.parent())
     return;
-  LoggedSource = source;
+  HasLoggedSource = true;
+  LoggedParent = Node.parent();
   LOG(INFO) << LogEvent("copies.source")
                    .with("watches_store", Node.isWatcher())
-                   .with("parent", source.get());
+                   .with("parent", LoggedParent.value_or(EndpointId()).get());
 }
 
 void GossipLog::logRead(SharedKey key, TimePoint now) const {
--- a/lib/Rpc/Codec.cpp
+++ b/lib/Rpc/Codec.cpp
@@ -275,7 +275,10 @@
 }
 
 static CopyState get(const wire::CopyState &in) {
-  return {Revision(in.revision()), Duration(in.age_us())};
+  // A damaged age is as good as none.
+  constexpr std::int64_t Limit = std::int64_t(1) << 58U;
+  return {Revision(in.revision()),
+          Duration(std::clamp(in.age_us(), -Limit, Limit))};
 }
 
 static void put(const GossipDigest &in, wire::Message &message) {
@@ -290,6 +293,12 @@
   out->set_echo_age_ms(toMillis(in.Echo->Age));
 }
 
+/// Reads a time of a peer; no sum of two overflows.
+static Duration getMillis(std::int64_t ms) {
+  constexpr std::int64_t Limit = std::int64_t(1) << 48U;
+  return std::chrono::milliseconds(std::clamp(ms, -Limit, Limit));
+}
+
 static std::optional<Message> get(const wire::GossipDigest &in) {
   if (in.copies_size() != static_cast<int>(SharedKeyCount))
     return std::nullopt;
@@ -297,10 +306,10 @@
   for (std::size_t i = 0; i < SharedKeyCount; ++i)
     out.Copies[i] = get(in.copies(static_cast<int>(i)));
   out.IsSubscription = in.is_subscription();
-  out.SentAt = std::chrono::milliseconds(in.sent_ms());
+  out.SentAt = getMillis(in.sent_ms());
   if (in.has_echo_sent_ms())
-    out.Echo = DigestEcho{std::chrono::milliseconds(in.echo_sent_ms()),
-                          std::chrono::milliseconds(in.echo_age_ms())};
+    out.Echo =
+        DigestEcho{getMillis(in.echo_sent_ms()), getMillis(in.echo_age_ms())};
   return out;
 }
 
--- a/unittests/Config/InForceTest.cpp
+++ b/unittests/Config/InForceTest.cpp
@@ -297,3 +297,26 @@
                                              limits.StartInterval));
   }
 }
+
+// Guards against a damaged message by which a node takes its copy for confirmed
+// and does not read the store any more.
+TEST_CASE("no message confirms a copy for a time to come") {
+  GossipLimits limits = makeDirectGossipLimits();
+  std::vector<EndpointView> peers;
+  for (const char *it : {"a", "b", "c", "d", "e"})
+    peers.push_back({EndpointId(it), {}, DataCentreId("x"), it, {}, false});
+  GossipNode node({EndpointId("c"), DataCentreId("x")}, limits, 1);
+  node.setPeers(peers);
+  TimePoint now{std::chrono::hours(1)};
+  Revision at(7);
+  node.onPeerReply(EndpointId("a"), GossipUpdate{SharedKey::Config, {at}, "v"},
+                   now);
+  GossipDigest digest;
+  digest.Copies.fill({at, -std::chrono::hours(1)});
+  for (Duration sentAt : {now.time_since_epoch(), Duration::zero(),
+                          now.time_since_epoch() + std::chrono::hours(1)}) {
+    digest.Echo = DigestEcho{sentAt, std::chrono::hours(1)};
+    node.onPeerReply(EndpointId("a"), digest, now);
+    CHECK(node.copy(SharedKey::Config).confirmedAt() <= now);
+  }
+}
